--- /dev/null
+++ b/Makefile
@@ -0,0 +1,123 @@
+# yuccarun: build, checks and demonstration.
+#
+#   make            build the daemon, the command-line tool and the stand-ins
+#   make check      run every test: plain, address+undefined, thread sanitizer
+#   make demo       a small fleet on loopback answers queries under faults
+#   make lint       formatter and linters, changing nothing
+#   make format     rewrite sources with the formatter
+#   make install    DESTDIR= and PREFIX= as usual
+#
+# VARIANT=asan or VARIANT=tsan builds beside the plain build.
+
+CC ?= gcc
+PREFIX ?= /usr/local
+VARIANT ?= plain
+B := build/$(VARIANT)
+
+PKGS := libulfius libprotobuf-c argtable2 log4c yaml-0.1 jansson libcurl \
+	libxxhash gnutls
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+CHECK_LIBS = $(shell pkg-config --libs check 2>/dev/null)
+
+CFLAGS_plain := -O2
+CFLAGS_asan := -O1 -fsanitize=address,undefined -fno-sanitize-recover=undefined
+CFLAGS_tsan := -O1 -fsanitize=thread
+CFLAGS ?= -g
+ALL_CFLAGS := -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -D_GNU_SOURCE -I. -pthread $(CFLAGS) \
+	$(CFLAGS_$(VARIANT)) $(PKG_CFLAGS)
+LDLIBS := $(PKG_LIBS) -pthread -lm
+
+LIB_DIRS := core fleet proto net edge
+LIB_SRC := $(sort $(wildcard $(addsuffix /*.c,$(LIB_DIRS))))
+LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
+LIB := $(B)/libyuccarun.a
+DAEMON_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard daemon/*.c)))
+# What the daemon is made of, less its main, for tests that run it in-process.
+DAEMON_LIB_OBJ := $(filter-out $(B)/daemon/yuccarund.o,$(DAEMON_OBJ))
+CLI_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard cli/*.c)))
+STANDIN_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard standin/lib/*.c)))
+STANDIN_BIN := $(patsubst standin/%.c,$(B)/standin-%,$(sort $(wildcard standin/*.c)))
+BENCH_BIN := $(patsubst bench/%.c,$(B)/bench-%,$(sort $(wildcard bench/*.c)))
+TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard t/lib/*.c)))
+TEST_BIN := $(patsubst t/%.c,$(B)/t/%,$(sort $(wildcard t/t[0-9]*.c)))
+# Only tests that start threads run under the thread sanitizer.
+TSAN_TEST_BIN := $(patsubst t/%.c,build/tsan/t/%,$(shell \
+	grep -l pthread t/t[0-9]*.c 2>/dev/null))
+OWN_SRC := $(shell git ls-files -co --exclude-standard '*.c' '*.h' \
+	| grep -v '\.pb-c\.' | sort -u)
+
+BINS := $(B)/yuccarund $(B)/yuccarun $(STANDIN_BIN)
+
+.PHONY: all deps check check-variant demo lint format install clean bench \
+	tests fuzz soak mutants generate
+.SECONDARY:
+
+all: $(BINS)
+tests: $(TEST_BIN)
+bench-bins: $(BENCH_BIN)
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
+
+# Generated code is not held to the project's own warnings.
+$(B)/proto/%.pb-c.o: proto/%.pb-c.c
+	@mkdir -p $(@D)
+	$(CC) $(filter-out -W%,$(ALL_CFLAGS)) -MMD -MP -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+$(B)/yuccarund: $(DAEMON_OBJ) $(LIB)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/yuccarun: $(CLI_OBJ) $(LIB)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/standin-%: $(B)/standin/%.o $(STANDIN_LIB_OBJ) $(LIB)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/bench-%: $(B)/bench/%.o $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(LIB)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/t/t%: $(B)/t/t%.o $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(LIB)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
+
+deps:
+	sh .ci/deps
+
+check: deps
+	$(MAKE) VARIANT=plain all tests
+	$(MAKE) VARIANT=asan tests
+	$(MAKE) tsan-tests VARIANT=tsan
+	sh t/run-tests
+
+tsan-tests: $(TSAN_TEST_BIN)
+
+demo: deps
+	$(MAKE) all
+	sh demo/run
+
+lint:
+	sh .ci/lint
+
+format:
+	clang-format -i $(OWN_SRC)
+
+generate:
+	cd proto && protoc-c --c_out=. *.proto
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
+		$(DESTDIR)$(PREFIX)/share/man/man8
+	install $(B)/yuccarun $(B)/yuccarund $(DESTDIR)$(PREFIX)/bin
+	install -m 644 docs/man/yuccarun.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 docs/man/yuccarund.8 $(DESTDIR)$(PREFIX)/share/man/man8
+
+clean:
+	rm -rf build
+
+-include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/daemon/yuccarund.c
@@ -0,0 +1,5 @@
+int
+main(void)
+{
+    return 0;
+}
