--- /dev/null
+++ b/standin/store.c
@@ -0,0 +1,31 @@
+/*
+ * standin-store: the platform's key-value service on loopback.
+ *
+ *     standin-store PORT
+ *
+ * Beside the interface of docs/PROTOCOL.md: POST /fault
+ * {"mode":"ok"|"down"|"slow"|"lost_reply"|"stale","ms":N,"key_prefix":"..."}
+ * and GET /count, the calls by kind. A waiting watch counts as one call.
+ */
+#include "standin/lib/store.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+int
+main(int argc, char **argv)
+{
+    if (argc != 2) {
+        (void)fprintf(stderr, "usage: standin-store PORT\n");
+        return 2;
+    }
+    service_block_signals();
+    store_t *store = store_new((uint16_t)strtoul(argv[1], NULL, 10));
+    if (store == NULL) {
+        (void)fprintf(stderr, "standin-store: cannot listen\n");
+        return 1;
+    }
+    service_wait();
+    store_free(store);
+    return 0;
+}
