core: read and check the table, the VM list and partitions

Cause: every other part needs the configuration and the topology, and a wrong table has to be refused before it is in force.

Change: config_t from JSON and YAML through one reader of rows, so that both forms have the same bounds and the same words; faults name row and column, what was found and what is allowed; unknown and doubled keys are faults. topology_t with lookups by name, group and service; names are found by binary search over an index, by_name, added to topology_t. Bounded YAML reading and the rule for names are shared headers.

Conclusion: core/table.h and core/topology.h can be linked against.

--- /dev/null
+++ b/core/config_json.c
@@ -0,0 +1,217 @@
+#include "core/name.h"
+#include "core/table_json.h"
+#include "core/table_row.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const char parse_step[] = "parse configuration";
+static const char parse_peer[] = "configuration";
+
+typedef status_t (*out_set_fn_t)(config_t *config, const char *name, bool out,
+                                 error_t *err);
+
+/* Read {"name":"out",...} of zones or VMs. */
+static status_t
+out_read(const json_t *names, const char *what, out_set_fn_t set,
+         config_t *config, error_t *err)
+{
+    if (names == NULL) {
+        return STATUS_OK;
+    }
+    if (!json_is_object(names)) {
+        return error_set(err, STATUS_INVALID, parse_step, what,
+                         "found no object, allowed are pairs of name and "
+                         "state");
+    }
+    const char *name;
+    json_t *value;
+    json_object_foreach((json_t *)names, name, value)
+    {
+        const char *state = json_string_value(value);
+        bool out = state != NULL && strcmp(state, "out") == 0;
+        if (!out && (state == NULL || strcmp(state, "in") != 0)) {
+            char shown[NAME_SIZE];
+            name_print(shown, sizeof(shown), name);
+            return error_set(err, STATUS_INVALID, parse_step, what,
+                             "found another state for %s, allowed are out "
+                             "and in",
+                             shown);
+        }
+        status_t status = set(config, name, out, err);
+        if (status != STATUS_OK) {
+            return status;
+        }
+    }
+    return STATUS_OK;
+}
+
+/* Read an optional string that is empty or a name of less than size bytes. */
+static status_t
+label_read(const json_t *document, const char *key, char *out, size_t size,
+           error_t *err)
+{
+    const json_t *value = json_object_get(document, key);
+    if (value == NULL) {
+        return STATUS_OK;
+    }
+    const char *text = json_string_value(value);
+    if (text == NULL || strlen(text) >= size ||
+        strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789.-") !=
+            strlen(text)) {
+        return error_set(err, STATUS_INVALID, parse_step, key,
+                         "allowed are at most %zu characters of a-z, 0-9, "
+                         "'.' and '-'",
+                         size - 1);
+    }
+    memcpy(out, text, strlen(text) + 1);
+    return STATUS_OK;
+}
+
+static status_t
+keys_check(const json_t *document, error_t *err)
+{
+    static const char *const known[] = {"version", "change", "by",
+                                        "rows",    "zones",  "vms"};
+    const char *key;
+    json_t *value;
+    json_object_foreach((json_t *)document, key, value)
+    {
+        size_t i = 0;
+        while (i < sizeof(known) / sizeof(known[0]) &&
+               strcmp(known[i], key) != 0) {
+            i++;
+        }
+        if (i == sizeof(known) / sizeof(known[0])) {
+            char shown[NAME_SIZE];
+            name_print(shown, sizeof(shown), key);
+            return error_set(err, STATUS_INVALID, parse_step, shown,
+                             "unknown key, allowed are version, change, by, "
+                             "rows, zones and vms");
+        }
+    }
+    return STATUS_OK;
+}
+
+static status_t
+version_read(const json_t *document, config_t *config, error_t *err)
+{
+    const json_t *version = json_object_get(document, "version");
+    if (!json_is_integer(version) || json_integer_value(version) < 0) {
+        return error_set(err, STATUS_INVALID, parse_step, "version",
+                         "allowed is a whole number from 0");
+    }
+    config->version = (uint64_t)json_integer_value(version);
+    return STATUS_OK;
+}
+
+static status_t
+rows_read(const json_t *document, config_t *config, error_t *err)
+{
+    table_fault_t fault = {0};
+    status_t status =
+        table_rows_read(json_object_get(document, "rows"), config, &fault);
+    if (status == STATUS_INVALID) {
+        return table_fault_error(&fault, parse_step, err);
+    }
+    if (status != STATUS_OK) {
+        return error_set(err, status, parse_step, parse_peer, "no memory");
+    }
+    return STATUS_OK;
+}
+
+static status_t
+document_read(const json_t *document, config_t *config, error_t *err)
+{
+    status_t status = keys_check(document, err);
+    if (status == STATUS_OK) {
+        status = version_read(document, config, err);
+    }
+    if (status == STATUS_OK) {
+        status = label_read(document, "change", config->change,
+                            sizeof(config->change), err);
+    }
+    if (status == STATUS_OK) {
+        status =
+            label_read(document, "by", config->by, sizeof(config->by), err);
+    }
+    if (status == STATUS_OK) {
+        status = rows_read(document, config, err);
+    }
+    if (status == STATUS_OK) {
+        status = out_read(json_object_get(document, "zones"), "zones",
+                          config_set_zone, config, err);
+    }
+    if (status == STATUS_OK) {
+        status = out_read(json_object_get(document, "vms"), "vms",
+                          config_set_vm, config, err);
+    }
+    return status;
+}
+
+status_t
+config_parse_json(const char *text, size_t size, config_t **config,
+                  error_t *err)
+{
+    *config = NULL;
+    if (size > CONFIG_TEXT_MAX) {
+        return error_set(err, STATUS_TOO_LARGE, parse_step, parse_peer,
+                         "found %zu bytes, allowed are at most %d", size,
+                         CONFIG_TEXT_MAX);
+    }
+    json_error_t problem;
+    json_t *document =
+        json_loadb(text, size, JSON_REJECT_DUPLICATES, &problem);
+    if (!json_is_object(document)) {
+        json_decref(document);
+        char shown[sizeof(problem.text)];
+        name_print(shown, sizeof(shown),
+                   document == NULL ? problem.text : "found no object");
+        return error_set(err, STATUS_INVALID, parse_step, parse_peer,
+                         "line %d, column %d: %s", problem.line,
+                         problem.column, shown);
+    }
+    config_t *read = config_new();
+    status_t status = read != NULL
+                          ? document_read(document, read, err)
+                          : error_set(err, STATUS_NO_MEMORY, parse_step,
+                                      parse_peer, "no memory");
+    json_decref(document);
+    if (status != STATUS_OK) {
+        config_put(read);
+        return status;
+    }
+    *config = read;
+    return STATUS_OK;
+}
+
+static json_t *
+out_write(const out_name_t *names, size_t count)
+{
+    json_t *object = json_object();
+    for (size_t i = 0; i < count; i++) {
+        if (json_object_set_new(object, names[i].name, json_string("out")) !=
+            0) {
+            json_decref(object);
+            return NULL;
+        }
+    }
+    return object;
+}
+
+char *
+config_format_json(const config_t *config)
+{
+    json_t *document =
+        json_pack("{s:I, s:s, s:s, s:o, s:o, s:o}", "version",
+                  (json_int_t)config->version, "change", config->change, "by",
+                  config->by, "rows", table_rows_write(config), "zones",
+                  out_write(config->zones_out, config->zone_out_count), "vms",
+                  out_write(config->vms_out, config->vm_out_count));
+    if (document == NULL) {
+        return NULL;
+    }
+    char *text = json_dumps(document, JSON_COMPACT);
+    json_decref(document);
+    return text;
+}
--- a/core/table.h
+++ b/core/table.h
@@ -21,6 +21,7 @@
 enum {
     TABLE_ROWS_MAX = 256,
     TABLE_ZONES_MAX = 64,     /* zone_limits of one row */
+    CONFIG_ZONES_MAX = 256,   /* zones taken out at one time */
     CONFIG_VMS_MAX = 16384,   /* VMs taken out at one time */
     CONFIG_TEXT_MAX = 1000000 /* bytes of the document */
 };
--- /dev/null
+++ b/core/table_yaml.c
@@ -0,0 +1,246 @@
+#include "core/name.h"
+#include "core/table_json.h"
+#include "core/table_row.h"
+#include "core/yaml_doc.h"
+
+#include <string.h>
+
+static const char parse_step[] = "parse table";
+static const char parse_peer[] = "table";
+
+enum {
+    PAIRS_MAX = 128 /* of one mapping; more are refused before comparing */
+};
+
+/* Where in the table a node stands, for faults. */
+typedef struct {
+    yaml_document_t *doc;
+    size_t row;
+    const char *column;
+    table_fault_t *fault;
+} place_t;
+
+/* Check size and doubled keys; columns: the keys are columns themselves. */
+static status_t
+mapping_check(const place_t *place, const yaml_node_t *mapping, bool columns)
+{
+    size_t count = (size_t)(mapping->data.mapping.pairs.top -
+                            mapping->data.mapping.pairs.start);
+    if (count > PAIRS_MAX) {
+        return table_fault_set(place->fault, place->row, place->column,
+                               "line %zu: found %zu pairs, allowed are at "
+                               "most %d",
+                               yaml_node_line(mapping), count, PAIRS_MAX);
+    }
+    const yaml_node_pair_t *first;
+    const yaml_node_pair_t *again =
+        yaml_mapping_doubled(place->doc, mapping, &first);
+    if (again == NULL) {
+        return STATUS_OK;
+    }
+    const yaml_node_t *key = yaml_document_get_node(place->doc, again->key);
+    const yaml_node_t *other = yaml_document_get_node(place->doc, first->key);
+    return table_fault_set(place->fault, place->row,
+                           columns ? yaml_node_text(key) : place->column,
+                           "line %zu: found %.31s twice, first on line %zu; "
+                           "allowed is once",
+                           yaml_node_line(key), yaml_node_text(key),
+                           yaml_node_line(other));
+}
+
+static json_t *
+scalar_value(const yaml_node_t *node)
+{
+    int64_t number;
+    if (yaml_node_integer(node, &number)) {
+        return json_integer(number);
+    }
+    const char *text = yaml_node_text(node);
+    return text != NULL ? json_string(text) : NULL;
+}
+
+/* Put one cell into object; a mapping inside is read when nested is set. */
+static status_t cell_put(const place_t *place, const yaml_node_t *node,
+                         const char *key, bool nested, json_t *object);
+
+static status_t
+mapping_put(const place_t *place, const yaml_node_t *mapping, bool nested,
+            json_t *object)
+{
+    status_t status = mapping_check(place, mapping, nested);
+    if (status != STATUS_OK) {
+        return status;
+    }
+    const yaml_node_pair_t *pair = mapping->data.mapping.pairs.start;
+    for (; pair < mapping->data.mapping.pairs.top; pair++) {
+        const char *key =
+            yaml_node_text(yaml_document_get_node(place->doc, pair->key));
+        if (key == NULL) {
+            return table_fault_set(place->fault, place->row, place->column,
+                                   "line %zu: found a key that is no text",
+                                   yaml_node_line(mapping));
+        }
+        place_t cell = *place;
+        cell.column = nested ? key : place->column;
+        status =
+            cell_put(&cell, yaml_document_get_node(place->doc, pair->value),
+                     key, nested, object);
+        if (status != STATUS_OK) {
+            return status;
+        }
+    }
+    return STATUS_OK;
+}
+
+static status_t
+cell_put(const place_t *place, const yaml_node_t *node, const char *key,
+         bool nested, json_t *object)
+{
+    json_t *value = NULL;
+    if (node->type == YAML_SCALAR_NODE) {
+        value = scalar_value(node);
+    }
+    else if (node->type == YAML_MAPPING_NODE && nested) {
+        value = json_object();
+        status_t status = mapping_put(place, node, false, value);
+        if (status != STATUS_OK) {
+            json_decref(value);
+            return status;
+        }
+    }
+    if (value == NULL || json_object_set_new(object, key, value) != 0) {
+        return table_fault_set(place->fault, place->row, place->column,
+                               "line %zu: found no value of a kind that the "
+                               "table has",
+                               yaml_node_line(node));
+    }
+    return STATUS_OK;
+}
+
+static status_t
+rows_put(const place_t *table, const yaml_node_t *list, json_t *rows)
+{
+    size_t count = (size_t)(list->data.sequence.items.top -
+                            list->data.sequence.items.start);
+    if (count == 0 || count > TABLE_ROWS_MAX) {
+        return table_fault_set(table->fault, 0, "rows",
+                               "line %zu: found %zu rows, allowed are 1 to %d",
+                               yaml_node_line(list), count, TABLE_ROWS_MAX);
+    }
+    for (size_t i = 0; i < count; i++) {
+        place_t place = *table;
+        place.row = i + 1;
+        const yaml_node_t *node = yaml_document_get_node(
+            table->doc, list->data.sequence.items.start[i]);
+        if (node->type != YAML_MAPPING_NODE) {
+            return table_fault_set(table->fault, i + 1, "rows",
+                                   "line %zu: found no pairs, allowed are "
+                                   "pairs of column and value",
+                                   yaml_node_line(node));
+        }
+        json_t *row = json_object();
+        json_array_append(rows, row);
+        status_t status = mapping_put(&place, node, true, row);
+        json_decref(row);
+        if (status != STATUS_OK) {
+            return status;
+        }
+    }
+    return STATUS_OK;
+}
+
+/* Turn the document {rows: [...]} into a JSON array. */
+static status_t
+table_put(const place_t *table, json_t *rows)
+{
+    const yaml_node_t *root = yaml_document_get_root_node(table->doc);
+    if (root->type != YAML_MAPPING_NODE) {
+        return table_fault_set(table->fault, 0, "rows",
+                               "line %zu: found no pairs, allowed is 'rows:' "
+                               "with a list",
+                               yaml_node_line(root));
+    }
+    status_t status = mapping_check(table, root, true);
+    if (status != STATUS_OK) {
+        return status;
+    }
+    const yaml_node_t *list = NULL;
+    const yaml_node_pair_t *pair = root->data.mapping.pairs.start;
+    for (; pair < root->data.mapping.pairs.top; pair++) {
+        const yaml_node_t *node =
+            yaml_document_get_node(table->doc, pair->key);
+        const char *key = yaml_node_text(node);
+        if (key == NULL || strcmp(key, "rows") != 0) {
+            return table_fault_set(table->fault, 0, key != NULL ? key : "rows",
+                                   "line %zu: unknown key, allowed is rows",
+                                   yaml_node_line(node));
+        }
+        list = yaml_document_get_node(table->doc, pair->value);
+    }
+    if (list == NULL || list->type != YAML_SEQUENCE_NODE) {
+        return table_fault_set(table->fault, 0, "rows",
+                               "found no list, allowed is a list of rows");
+    }
+    return rows_put(table, list, rows);
+}
+
+static status_t
+document_read(yaml_document_t *doc, config_t *config, table_fault_t *fault)
+{
+    place_t table = {.doc = doc, .column = "rows", .fault = fault};
+    json_t *rows = json_array();
+    status_t status = table_put(&table, rows);
+    if (status == STATUS_OK) {
+        status = table_rows_read(rows, config, fault);
+    }
+    json_decref(rows);
+    return status;
+}
+
+/* Copy a syntax error into the fault, so that it is whole by itself. */
+static status_t
+syntax_fault(table_fault_t *fault, const error_t *problem, error_t *err)
+{
+    if (problem->status != STATUS_INVALID) {
+        return error_set(err, problem->status, parse_step, parse_peer, "%s",
+                         problem->message);
+    }
+    table_fault_set(fault, 0, "rows", "%s: %s", problem->peer,
+                    problem->message);
+    return table_fault_error(fault, parse_step, err);
+}
+
+status_t
+table_parse_yaml(const char *text, size_t size, config_t **config,
+                 table_fault_t *fault, error_t *err)
+{
+    table_fault_t unused;
+    if (fault == NULL) {
+        fault = &unused;
+    }
+    *fault = (table_fault_t){0};
+    *config = NULL;
+    if (size > CONFIG_TEXT_MAX) {
+        return error_set(err, STATUS_TOO_LARGE, parse_step, parse_peer,
+                         "found %zu bytes, allowed are at most %d", size,
+                         CONFIG_TEXT_MAX);
+    }
+    yaml_document_t doc;
+    error_t problem = ERROR_INIT;
+    if (yaml_doc_load(text, size, parse_peer, &doc, &problem) != STATUS_OK) {
+        return syntax_fault(fault, &problem, err);
+    }
+    config_t *read = config_new();
+    status_t status =
+        read != NULL ? document_read(&doc, read, fault) : STATUS_NO_MEMORY;
+    yaml_document_delete(&doc);
+    if (status == STATUS_OK) {
+        *config = read;
+        return STATUS_OK;
+    }
+    config_put(read);
+    if (status == STATUS_INVALID) {
+        return table_fault_error(fault, parse_step, err);
+    }
+    return error_set(err, status, parse_step, parse_peer, "no memory");
+}
--- a/core/topology.h
+++ b/core/topology.h
@@ -47,6 +47,7 @@
     atomic_uint references;
     upstream_info_t *upstreams;
     size_t upstream_count;
+    uint32_t *by_name;       /* upstream indexes sorted by name */
     partition_t *partitions; /* sorted by service */
     size_t partition_count;
 } topology_t;
