build: hide the C library's error_t

Cause: with _GNU_SOURCE, <errno.h> defines error_t as int, so a file that includes both it and core/status.h does not compile.

Conclusion: errno can be used beside error_t, in any order of includes.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 CFLAGS_tsan := -O1 -fsanitize=thread
 CFLAGS ?= -g
 ALL_CFLAGS := -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
-	-Wmissing-prototypes -D_GNU_SOURCE -I. -pthread $(CFLAGS) \
+	-Wmissing-prototypes -D_GNU_SOURCE -D__error_t_defined -I. -pthread $(CFLAGS) \
 	$(CFLAGS_$(VARIANT)) $(PKG_CFLAGS)
 LDLIBS := $(PKG_LIBS) -pthread -lm
 
