--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,8 @@
 VARIANT ?= plain
 B := build/$(VARIANT)
 
-PKGS := libulfius libprotobuf-c argtable2 log4c yaml-0.1 jansson libcurl \
-	libxxhash gnutls
+PKGS := libulfius libmicrohttpd libprotobuf-c argtable2 log4c yaml-0.1 \
+	jansson libcurl libxxhash gnutls
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 CHECK_LIBS = $(shell pkg-config --libs check 2>/dev/null)
