fleet: keep the roster of daemons that may act

Two daemons must never admit work for one upstream, also when a lease lapses while its holder is paused, the store is down or a write's reply is lost.

The roster is one document a group in the store, changed by compare-and-swap with one change of membership a version. A daemon acts while a renewal that it sent less than hold_us ago has landed, or, while the store is down, while more than half of the members have granted it so for the same version. An owner by a new version waits only for members that may still act by an earlier one. Nothing here does I/O; time is an argument.

--- /dev/null
+++ b/fleet/roster.c
@@ -0,0 +1,479 @@
+#include "fleet/roster_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+    JITTER_PERCENT = 20,
+    READ_GAP_RENEWALS = 3 /* longer without a read restarts silences */
+};
+
+static int64_t
+roster_jitter(roster_t *roster, int64_t base_us)
+{
+    uint64_t counter = roster->jitter++;
+    uint64_t hash = XXH64(&counter, sizeof(counter), roster->settings.seed);
+    int64_t range = base_us * JITTER_PERCENT / 100;
+    return range == 0 ? base_us : base_us - (int64_t)(hash % (uint64_t)range);
+}
+
+roster_t *
+roster_new(const roster_settings_t *settings, const roster_member_t *self)
+{
+    roster_t *roster = calloc(1, sizeof(*roster));
+    if (roster == NULL) {
+        return NULL;
+    }
+    roster->settings = *settings;
+    roster->self = *self;
+    roster->self_index = -1;
+    return roster;
+}
+
+void
+roster_free(roster_t *roster)
+{
+    free(roster);
+}
+
+static int
+doc_find_self(const roster_t *roster, const roster_doc_t *doc)
+{
+    int i = roster_doc_find(doc, roster->self.name);
+    if (i < 0 || doc->members[i].incarnation != roster->self.incarnation) {
+        return -1;
+    }
+    return i;
+}
+
+/* This process listens where the member did, so that one is cut off. */
+static bool
+member_is_predecessor(const roster_t *roster, const roster_member_t *member)
+{
+    const roster_member_t *self = &roster->self;
+    return member->incarnation != self->incarnation &&
+           member->peer_port == self->peer_port &&
+           strcmp(member->name, self->name) == 0 &&
+           strcmp(member->address, self->address) == 0;
+}
+
+/* Carry what is known of members over to a document with others. */
+static void
+roster_carry_peers(roster_t *roster, const roster_doc_t *doc, int64_t now_us)
+{
+    roster_peer_t peers[ROSTER_MEMBERS_MAX] = {0};
+    for (size_t i = 0; i < doc->count; i++) {
+        const roster_member_t *member = &doc->members[i];
+        peers[i] = (roster_peer_t){
+            .key = owner_key(member->name, member->zone),
+            .changed_us = now_us,
+        };
+        int old = roster_doc_find(&roster->doc, member->name);
+        if (old >= 0 &&
+            roster->doc.members[old].incarnation == member->incarnation) {
+            peers[i] = roster->peers[old];
+            peers[i].grant_until_us = 0;
+            if (roster->doc.members[old].renewals != member->renewals) {
+                peers[i].changed_us = now_us;
+            }
+        }
+        else if (member_is_predecessor(roster, member)) {
+            peers[i].replaced_us = now_us;
+        }
+    }
+    memcpy(roster->peers, peers, sizeof(peers));
+}
+
+static void
+roster_take_version(roster_t *roster, const roster_doc_t *doc, int64_t now_us)
+{
+    roster_carry_peers(roster, doc, now_us);
+    roster->doc = *doc;
+    roster->self_index = doc_find_self(roster, doc);
+    if (roster->self_index < 0) {
+        roster->renewed = false;
+    }
+    roster->ack_us = roster->granted_us;
+    roster->stats.version_changes++;
+}
+
+/* False only when someone edited the document by hand. */
+static bool
+doc_same_members(const roster_doc_t *a, const roster_doc_t *b)
+{
+    if (a->count != b->count) {
+        return false;
+    }
+    for (size_t i = 0; i < a->count; i++) {
+        if (a->members[i].incarnation != b->members[i].incarnation ||
+            a->members[i].leaving != b->members[i].leaving ||
+            strcmp(a->members[i].name, b->members[i].name) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+peer_raise_seen(roster_peer_t *peer, uint64_t seen)
+{
+    if (seen > peer->seen) {
+        peer->seen = seen;
+    }
+}
+
+/*
+ * Take a document whose version is not lower than the one acted by. Renewals
+ * are looked at only when it comes from the store, where silence is counted.
+ */
+static bool
+roster_take(roster_t *roster, const roster_doc_t *doc, int64_t now_us)
+{
+    if (doc->version < roster->doc.version) {
+        return false;
+    }
+    if (doc->version == roster->doc.version &&
+        !doc_same_members(doc, &roster->doc)) {
+        return false;
+    }
+    if (doc->version > roster->doc.version) {
+        roster_take_version(roster, doc, now_us);
+    }
+    for (size_t i = 0; i < doc->count; i++) {
+        peer_raise_seen(&roster->peers[i], doc->members[i].seen);
+    }
+    return true;
+}
+
+static void
+roster_observe_renewals(roster_t *roster, const roster_doc_t *doc,
+                        int64_t now_us)
+{
+    for (size_t i = 0; i < doc->count; i++) {
+        roster_member_t *known = &roster->doc.members[i];
+        if (known->renewals != doc->members[i].renewals) {
+            roster->peers[i].changed_us = now_us;
+        }
+        *known = doc->members[i];
+    }
+}
+
+/* A renewal of this daemon was found in the document: which one was it? */
+static void
+roster_settle(roster_t *roster)
+{
+    if (roster->self_index < 0) {
+        return;
+    }
+    uint64_t found = roster->doc.members[roster->self_index].renewals;
+    const roster_attempt_t *attempt =
+        &roster->attempts[found % ROSTER_ATTEMPTS_KEPT];
+    if (attempt->renewals != found || found == 0) {
+        return;
+    }
+    if (!roster->renewed || attempt->sent_us > roster->renewed_us) {
+        roster->renewed_us = attempt->sent_us;
+        roster->renewed = true;
+        roster->due_us = attempt->sent_us +
+                         roster_jitter(roster, roster->settings.renew_us);
+    }
+}
+
+static void
+roster_take_read(roster_t *roster, uint64_t index, const roster_doc_t *doc,
+                 int64_t now_us)
+{
+    if (index < roster->index || !roster_take(roster, doc, now_us)) {
+        return;
+    }
+    int64_t gap_us = READ_GAP_RENEWALS * roster->settings.renew_us;
+    if (roster->contact_us == 0 || now_us - roster->read_us > gap_us) {
+        roster->contact_us = now_us;
+    }
+    roster->index = index;
+    roster->read_us = now_us;
+    roster->fresh = true;
+    roster->wanted = false;
+    roster_observe_renewals(roster, doc, now_us);
+    roster_settle(roster);
+}
+
+static void
+roster_failed(roster_t *roster, int64_t now_us)
+{
+    roster->stats.failures++;
+    roster->next_us =
+        now_us + roster_jitter(roster, roster->settings.retry_us);
+}
+
+void
+roster_read_result(roster_t *roster, status_t status, uint64_t index,
+                   const char *text, size_t size, int64_t now_us)
+{
+    roster->call = CALL_NONE;
+    roster_doc_t doc = {0};
+    if (status == STATUS_NOT_FOUND) {
+        index = 0;
+    }
+    else if (status != STATUS_OK ||
+             roster_doc_parse(text, size, &doc, NULL) != STATUS_OK) {
+        roster_failed(roster, now_us);
+        return;
+    }
+    roster_take_read(roster, index, &doc, now_us);
+    if (!roster->fresh) {
+        roster_failed(roster, now_us);
+        return;
+    }
+    roster->next_us = now_us;
+}
+
+void
+roster_watch_result(roster_t *roster, uint64_t index, const char *text,
+                    size_t size, int64_t now_us)
+{
+    roster_doc_t doc;
+    if (roster->call == CALL_WRITE ||
+        roster_doc_parse(text, size, &doc, NULL) != STATUS_OK) {
+        return;
+    }
+    roster_take_read(roster, index, &doc, now_us);
+}
+
+void
+roster_adopt(roster_t *roster, const char *text, size_t size, int64_t now_us)
+{
+    roster_doc_t doc;
+    if (roster_doc_parse(text, size, &doc, NULL) != STATUS_OK) {
+        return;
+    }
+    if (doc.version > roster->doc.version) {
+        roster->fresh = false;
+    }
+    roster_take(roster, &doc, now_us);
+}
+
+char *
+roster_text(const roster_t *roster)
+{
+    return roster_doc_format(&roster->doc);
+}
+
+static bool
+roster_may_remove(const roster_t *roster, size_t i, int64_t now_us)
+{
+    const roster_peer_t *peer = &roster->peers[i];
+    if ((int)i == roster->self_index) {
+        return false;
+    }
+    int64_t since_us = peer->changed_us > roster->contact_us
+                           ? peer->changed_us
+                           : roster->contact_us;
+    if (now_us - since_us <= roster->settings.expire_us) {
+        return false;
+    }
+    return peer->holding_us == 0 ||
+           now_us - peer->holding_us > roster->settings.hold_us;
+}
+
+static int
+roster_removable(const roster_t *roster, int64_t now_us)
+{
+    for (size_t i = 0; i < roster->doc.count; i++) {
+        if (roster_may_remove(roster, i, now_us)) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+static void
+doc_new_version(roster_doc_t *doc)
+{
+    doc->version++;
+    doc->removed_name[0] = '\0';
+    doc->removed_zone[0] = '\0';
+}
+
+static void
+roster_write_removal(roster_t *roster, int victim)
+{
+    roster_doc_t *doc = &roster->sent;
+    doc_new_version(doc);
+    memcpy(doc->removed_name, doc->members[victim].name, NAME_SIZE);
+    memcpy(doc->removed_zone, doc->members[victim].zone, NAME_SIZE);
+    roster_doc_remove(doc, (size_t)victim);
+}
+
+static void
+roster_write_join(roster_t *roster)
+{
+    roster_doc_t *doc = &roster->sent;
+    doc_new_version(doc);
+    roster_member_t self = roster->self;
+    self.renewals = 0;
+    self.joined = doc->version;
+    self.seen = doc->version;
+    self.leaving = false;
+    roster_doc_add(doc, &self);
+}
+
+/* The one change of membership that this write makes, if any. */
+static bool
+roster_write_change(roster_t *roster, int64_t now_us)
+{
+    if (!roster_is_settled(roster, now_us)) {
+        return false;
+    }
+    int self = roster->self_index;
+    if (self >= 0 && roster->leaving) {
+        if (roster->seen < roster->doc.version) {
+            return false;
+        }
+        doc_new_version(&roster->sent);
+        if (roster->sent.members[self].leaving) {
+            roster_doc_remove(&roster->sent, (size_t)self);
+        }
+        else {
+            roster->sent.members[self].leaving = true;
+        }
+        return true;
+    }
+    int victim = roster_removable(roster, now_us);
+    if (victim >= 0) {
+        roster_write_removal(roster, victim);
+        return true;
+    }
+    bool room = roster->doc.count < ROSTER_MEMBERS_MAX &&
+                roster_doc_find(&roster->doc, roster->self.name) < 0;
+    if (self < 0 && !roster->leaving && room && now_us >= roster->granted_us) {
+        roster_write_join(roster);
+        return true;
+    }
+    return false;
+}
+
+static void
+roster_write_renewal(roster_t *roster, int64_t now_us)
+{
+    int self = doc_find_self(roster, &roster->sent);
+    if (self < 0) {
+        return;
+    }
+    roster->attempt++;
+    roster->attempts[roster->attempt % ROSTER_ATTEMPTS_KEPT] =
+        (roster_attempt_t){
+            .renewals = roster->attempt,
+            .sent_us = now_us,
+        };
+    roster_member_t *member = &roster->sent.members[self];
+    member->renewals = roster->attempt;
+    if (roster->seen > member->seen) {
+        member->seen = roster->seen;
+    }
+}
+
+static bool
+roster_is_due(const roster_t *roster, int64_t now_us)
+{
+    return roster->self_index >= 0 &&
+           (!roster->renewed || now_us >= roster->due_us);
+}
+
+/* Nothing to write now: when to look again. */
+static void
+roster_sleep(roster_t *roster, int64_t now_us)
+{
+    bool pending = roster->self_index < 0 || roster->leaving ||
+                   roster_removable(roster, now_us) >= 0;
+    int64_t retry_us = roster_jitter(roster, roster->settings.retry_us);
+    roster->fresh = false;
+    roster->next_us = pending ? now_us + retry_us : roster->due_us;
+}
+
+static roster_step_t
+roster_start_write(roster_t *roster, int64_t now_us, roster_request_t *request)
+{
+    roster_write_renewal(roster, now_us);
+    request->text = roster_doc_format(&roster->sent);
+    if (request->text == NULL) {
+        return ROSTER_IDLE;
+    }
+    request->index = roster->index;
+    roster->call = CALL_WRITE;
+    roster->fresh = false;
+    roster->stats.writes++;
+    return ROSTER_WRITE;
+}
+
+roster_step_t
+roster_next(roster_t *roster, int64_t now_us, roster_request_t *request)
+{
+    *request = (roster_request_t){0};
+    if (roster->call != CALL_NONE || now_us < roster->next_us) {
+        return ROSTER_IDLE;
+    }
+    roster_update_seen(roster, now_us);
+    if (!roster->fresh || roster->wanted) {
+        roster->call = CALL_READ;
+        roster->fresh = false;
+        roster->stats.reads++;
+        return ROSTER_READ;
+    }
+    roster->sent = roster->doc;
+    bool change = roster_write_change(roster, now_us);
+    if (!change && !roster_is_due(roster, now_us)) {
+        roster_sleep(roster, now_us);
+        return ROSTER_IDLE;
+    }
+    return roster_start_write(roster, now_us, request);
+}
+
+int64_t
+roster_wakeup(const roster_t *roster, int64_t now_us)
+{
+    if (roster->call != CALL_NONE) {
+        return INT64_MAX;
+    }
+    return roster->next_us > now_us ? roster->next_us : now_us;
+}
+
+static void
+roster_write_landed(roster_t *roster, int64_t now_us)
+{
+    const roster_doc_t *sent = &roster->sent;
+    if (sent->version < roster->doc.version) {
+        return;
+    }
+    if (sent->version > roster->doc.version && sent->removed_name[0] != '\0') {
+        roster->stats.removals++;
+    }
+    bool joins = roster->self_index < 0;
+    roster_take(roster, sent, now_us);
+    roster_observe_renewals(roster, sent, now_us);
+    if (joins && roster->self_index >= 0) {
+        roster->released = sent->version;
+        roster->seen = sent->version;
+    }
+    roster_settle(roster);
+}
+
+void
+roster_write_result(roster_t *roster, status_t status, int64_t now_us)
+{
+    roster->call = CALL_NONE;
+    switch (status) {
+    case STATUS_OK:
+        roster_write_landed(roster, now_us);
+        roster->next_us = roster->leaving ? now_us : roster->due_us;
+        break;
+    case STATUS_CONFLICT:
+        roster->stats.conflicts++;
+        roster->next_us = now_us;
+        break;
+    default:
+        roster_failed(roster, now_us);
+        break;
+    }
+}
--- /dev/null
+++ b/fleet/roster_lease.c
@@ -0,0 +1,378 @@
+#include "fleet/roster_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static bool
+peer_is_replaced(const roster_t *roster, const roster_peer_t *peer,
+                 int64_t now_us)
+{
+    const roster_settings_t *s = &roster->settings;
+    return peer->replaced_us != 0 &&
+           now_us - peer->replaced_us > s->grant_us + s->drain_us;
+}
+
+/*
+ * Silent in the store for longer than anyone may act by grants alone. Counted
+ * up to the last read: what happened since is not known.
+ */
+static bool
+peer_is_abandoned(const roster_t *roster, const roster_peer_t *peer)
+{
+    return roster->read_us - peer->changed_us > roster->settings.abandon_us;
+}
+
+static uint64_t
+roster_peer_seen(const roster_t *roster, size_t i)
+{
+    return (int)i == roster->self_index ? roster->seen : roster->peers[i].seen;
+}
+
+bool
+roster_is_settled(const roster_t *roster, int64_t now_us)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < roster->doc.count; i++) {
+        const roster_peer_t *peer = &roster->peers[i];
+        if (roster_peer_seen(roster, i) >= roster->doc.version ||
+            peer_is_replaced(roster, peer, now_us) ||
+            peer_is_abandoned(roster, peer)) {
+            count++;
+        }
+    }
+    return count >= roster_doc_majority(&roster->doc);
+}
+
+void
+roster_update_seen(roster_t *roster, int64_t now_us)
+{
+    if (now_us >= roster->ack_us && roster->released > roster->seen) {
+        roster->seen = roster->released;
+    }
+}
+
+void
+roster_release(roster_t *roster, uint64_t version, int64_t now_us)
+{
+    if (version <= roster->doc.version && version > roster->released) {
+        roster->released = version;
+    }
+    roster_update_seen(roster, now_us);
+}
+
+bool
+roster_urgent(roster_t *roster, int64_t now_us)
+{
+    roster_update_seen(roster, now_us);
+    bool urgent = roster->told != roster->seen ||
+                  roster->told_version != roster->doc.version;
+    roster->told = roster->seen;
+    roster->told_version = roster->doc.version;
+    return urgent;
+}
+
+static int
+roster_find(const roster_t *roster, const char *name, uint64_t incarnation)
+{
+    int i = roster_doc_find(&roster->doc, name);
+    if (i < 0 || roster->doc.members[i].incarnation != incarnation) {
+        return -1;
+    }
+    return i;
+}
+
+/*
+ * Grants are given only while this daemon's own renewals fail, so that with a
+ * healthy store no change of the roster waits for them to end.
+ */
+static bool
+roster_may_grant(const roster_t *roster, int64_t now_us)
+{
+    const roster_settings_t *s = &roster->settings;
+    if (roster->self_index < 0 || !roster->renewed) {
+        return false;
+    }
+    int64_t age_us = now_us - roster->renewed_us;
+    return age_us > s->hold_us / 2 && age_us < s->grant_max_us;
+}
+
+static void
+roster_fill_heartbeat(roster_t *roster, int receiver, int64_t now_us,
+                      roster_heartbeat_t *heartbeat)
+{
+    roster_update_seen(roster, now_us);
+    *heartbeat = (roster_heartbeat_t){
+        .incarnation = roster->self.incarnation,
+        .version = roster->doc.version,
+        .seen = roster->seen,
+        .sent_us = now_us,
+        .holding = roster_may_act(roster, now_us),
+    };
+    memcpy(heartbeat->name, roster->self.name, NAME_SIZE);
+    if (receiver >= 0 && receiver != roster->self_index &&
+        roster_may_grant(roster, now_us)) {
+        heartbeat->granting = true;
+        roster->granted_us =
+            now_us + roster->settings.grant_us + roster->settings.drain_us;
+    }
+}
+
+void
+roster_heartbeat_make(roster_t *roster, size_t member, int64_t now_us,
+                      roster_heartbeat_t *heartbeat)
+{
+    roster_fill_heartbeat(roster, (int)member, now_us, heartbeat);
+    heartbeat->echo_us = roster->peers[member].echo_us;
+}
+
+void
+roster_heartbeat_answer(roster_t *roster, const roster_heartbeat_t *received,
+                        int64_t now_us, roster_heartbeat_t *heartbeat)
+{
+    int receiver = roster_find(roster, received->name, received->incarnation);
+    roster_fill_heartbeat(roster, receiver, now_us, heartbeat);
+    heartbeat->echo_us = received->sent_us;
+}
+
+static bool
+roster_echo_is_fresh(const roster_t *roster,
+                     const roster_heartbeat_t *heartbeat, int64_t now_us)
+{
+    return heartbeat->echo_us != 0 && heartbeat->echo_us <= now_us &&
+           now_us - heartbeat->echo_us < roster->settings.grant_us;
+}
+
+/* Another process answers where a member should be. */
+static void
+roster_note_stranger(roster_t *roster, const roster_heartbeat_t *heartbeat,
+                     int64_t now_us)
+{
+    int i = roster_doc_find(&roster->doc, heartbeat->name);
+    if (i < 0 || !roster_echo_is_fresh(roster, heartbeat, now_us)) {
+        return;
+    }
+    const roster_member_t *member = &roster->doc.members[i];
+    if (member->peer_port == heartbeat->peer_port &&
+        strcmp(member->address, heartbeat->address) == 0 &&
+        roster->peers[i].replaced_us == 0) {
+        roster->peers[i].replaced_us = now_us;
+    }
+}
+
+static void
+roster_take_grant(roster_t *roster, roster_peer_t *peer,
+                  const roster_heartbeat_t *heartbeat, int64_t now_us)
+{
+    if (!heartbeat->granting || heartbeat->version != roster->doc.version ||
+        !roster_echo_is_fresh(roster, heartbeat, now_us)) {
+        return;
+    }
+    int64_t until_us = heartbeat->echo_us + roster->settings.grant_us;
+    if (until_us > peer->grant_until_us) {
+        peer->grant_until_us = until_us;
+    }
+}
+
+/* A newer version exists: read it, but not more often than retries allow. */
+static void
+roster_want(roster_t *roster, int64_t now_us)
+{
+    if (roster->wanted) {
+        return;
+    }
+    roster->wanted = true;
+    int64_t next_us = roster->read_us + roster->settings.retry_us / 4;
+    if (next_us < now_us) {
+        next_us = now_us;
+    }
+    if (next_us < roster->next_us) {
+        roster->next_us = next_us;
+    }
+}
+
+void
+roster_heartbeat_receive(roster_t *roster, const roster_heartbeat_t *heartbeat,
+                         int64_t now_us)
+{
+    if (heartbeat->version > roster->doc.version) {
+        roster_want(roster, now_us);
+    }
+    int i = roster_find(roster, heartbeat->name, heartbeat->incarnation);
+    if (i < 0) {
+        roster_note_stranger(roster, heartbeat, now_us);
+        return;
+    }
+    roster_peer_t *peer = &roster->peers[i];
+    if (heartbeat->sent_us > peer->echo_us) {
+        peer->echo_us = heartbeat->sent_us;
+    }
+    if (heartbeat->seen > peer->seen) {
+        peer->seen = heartbeat->seen;
+    }
+    if (heartbeat->holding) {
+        peer->holding_us = now_us;
+    }
+    roster_take_grant(roster, peer, heartbeat, now_us);
+}
+
+void
+roster_leave(roster_t *roster)
+{
+    roster->leaving = true;
+    roster->next_us = 0;
+}
+
+bool
+roster_left(const roster_t *roster)
+{
+    return roster->leaving && roster->self_index < 0;
+}
+
+static int
+compare_falling(const void *a, const void *b)
+{
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+    return (left < right) - (left > right);
+}
+
+/*
+ * Until when more than half of the members, self included, have granted. A
+ * member alone has no one to tell it that it was replaced, so it has none.
+ */
+static int64_t
+roster_granted_until(const roster_t *roster)
+{
+    if (roster->doc.count < 2) {
+        return INT64_MIN;
+    }
+    int64_t until[ROSTER_MEMBERS_MAX] = {0};
+    for (size_t i = 0; i < roster->doc.count; i++) {
+        until[i] = (int)i == roster->self_index
+                       ? INT64_MAX
+                       : roster->peers[i].grant_until_us;
+    }
+    qsort(until, roster->doc.count, sizeof(until[0]), compare_falling);
+    int64_t granted_us = until[roster_doc_majority(&roster->doc) - 1];
+    int64_t most_us = roster->renewed_us + roster->settings.grant_max_us;
+    return granted_us < most_us ? granted_us : most_us;
+}
+
+int64_t
+roster_act_until(const roster_t *roster, int64_t now_us)
+{
+    bool member = roster->self_index >= 0 && roster->renewed;
+    if (!member || roster->leaving ||
+        roster->doc.members[roster->self_index].leaving) {
+        return INT64_MIN;
+    }
+    int64_t held_us = roster->renewed_us + roster->settings.hold_us;
+    if (now_us < held_us) {
+        return held_us;
+    }
+    return roster_granted_until(roster);
+}
+
+bool
+roster_may_act(const roster_t *roster, int64_t now_us)
+{
+    return now_us < roster_act_until(roster, now_us);
+}
+
+uint64_t
+roster_version(const roster_t *roster)
+{
+    return roster->doc.version;
+}
+
+const roster_doc_t *
+roster_members(const roster_t *roster)
+{
+    return &roster->doc;
+}
+
+static int
+roster_rank(const roster_t *roster, owner_key_t upstream,
+            uint64_t ranks[ROSTER_MEMBERS_MAX])
+{
+    int best = -1;
+    for (size_t i = 0; i < roster->doc.count; i++) {
+        ranks[i] = owner_rank(upstream, roster->peers[i].key);
+        if (!roster->doc.members[i].leaving &&
+            (best < 0 || ranks[i] > ranks[best])) {
+            best = (int)i;
+        }
+    }
+    return best;
+}
+
+/*
+ * Whether member k may still act for the upstream by an earlier version. It
+ * may not when another member was there, and before it in the upstream's
+ * order, in every version that k can be acting by.
+ */
+static bool
+roster_may_linger(const roster_t *roster, const uint64_t *ranks, size_t k)
+{
+    uint64_t seen = roster_peer_seen(roster, k);
+    if (seen >= roster->doc.version) {
+        return false;
+    }
+    for (size_t i = 0; i < roster->doc.count; i++) {
+        const roster_member_t *member = &roster->doc.members[i];
+        if (i != k && !member->leaving && member->joined <= seen &&
+            ranks[i] > ranks[k]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+roster_removed_may_linger(const roster_t *roster, owner_key_t upstream,
+                          uint64_t own_rank, int64_t now_us)
+{
+    const roster_doc_t *doc = &roster->doc;
+    if (doc->removed_name[0] == '\0') {
+        return false;
+    }
+    owner_key_t removed = owner_key(doc->removed_name, doc->removed_zone);
+    return owner_rank(upstream, removed) >= own_rank &&
+           !roster_is_settled(roster, now_us);
+}
+
+roster_owner_t
+roster_owner(const roster_t *roster, owner_key_t upstream, int64_t now_us,
+             int *member)
+{
+    uint64_t ranks[ROSTER_MEMBERS_MAX];
+    *member = roster_rank(roster, upstream, ranks);
+    if (*member < 0) {
+        return ROSTER_NONE;
+    }
+    if (*member != roster->self_index) {
+        return ROSTER_OTHER;
+    }
+    if (!roster_may_act(roster, now_us)) {
+        return ROSTER_PAUSED;
+    }
+    for (size_t k = 0; k < roster->doc.count; k++) {
+        if ((int)k != *member && roster_may_linger(roster, ranks, k)) {
+            return ROSTER_WAITING;
+        }
+    }
+    if (roster_removed_may_linger(roster, upstream, ranks[*member], now_us)) {
+        return ROSTER_WAITING;
+    }
+    return ROSTER_ACTIVE;
+}
+
+void
+roster_stats(const roster_t *roster, int64_t now_us, roster_stats_t *stats)
+{
+    *stats = roster->stats;
+    stats->member = roster->self_index >= 0;
+    stats->renewed_us = roster->renewed ? roster->renewed_us : 0;
+    stats->on_grants = roster_may_act(roster, now_us) &&
+                       now_us >= roster->renewed_us + roster->settings.hold_us;
+}
--- /dev/null
+++ b/t/t0303-roster.c
@@ -0,0 +1,178 @@
+/* The roster under scripted faults: who is active for an upstream, and when.
+ */
+#include "t/lib/roster_world.h"
+#include "t/lib/suite.h"
+
+enum { NODES = 5, START_US = 30 * SECOND_US };
+
+static const roster_settings_t defaults = ROSTER_SETTINGS_DEFAULT;
+
+static void
+no_change(roster_world_t *world)
+{
+    (void)world;
+}
+
+static void
+store_down(roster_world_t *world)
+{
+    world->store_down = true;
+}
+
+static void
+kill_one(roster_world_t *world)
+{
+    roster_world_kill(world, 1);
+}
+
+static void
+kill_two(roster_world_t *world)
+{
+    roster_world_kill(world, 1);
+    roster_world_kill(world, 2);
+}
+
+static void
+kill_three(roster_world_t *world)
+{
+    kill_two(world);
+    roster_world_kill(world, 3);
+}
+
+static void
+pause_one(roster_world_t *world)
+{
+    world->nodes[1].paused_until_us = world->now_us + 60 * SECOND_US;
+}
+
+static void
+leave_one(roster_world_t *world)
+{
+    world->nodes[1].leaving = true;
+}
+
+static void
+cut_store(roster_world_t *world)
+{
+    world->nodes[1].store_cut = true;
+}
+
+static void
+cut_peers(roster_world_t *world)
+{
+    roster_world_cut_peers(world, 1, true);
+}
+
+static void
+cut_both(roster_world_t *world)
+{
+    cut_store(world);
+    cut_peers(world);
+}
+
+static void
+cut_peers_in_outage(roster_world_t *world)
+{
+    store_down(world);
+    cut_peers(world);
+}
+
+static void
+split_in_outage(roster_world_t *world)
+{
+    store_down(world);
+    for (size_t i = 0; i < NODES; i++) {
+        for (size_t j = 0; j < NODES; j++) {
+            world->link_cut[i][j] = (i < 2) != (j < 2);
+        }
+    }
+}
+
+static void
+replace_one(roster_world_t *world)
+{
+    roster_world_replace(world, 1);
+}
+
+static void
+replace_all(roster_world_t *world)
+{
+    for (size_t i = 0; i < NODES; i++) {
+        roster_world_replace(world, i);
+    }
+}
+
+static void
+kill_one_in_outage(roster_world_t *world)
+{
+    store_down(world);
+    kill_one(world);
+}
+
+typedef struct {
+    const char *name;
+    void (*fault)(roster_world_t *world);
+    int64_t settle_us; /* from the fault to what is expected */
+    bool all_owned;    /* every upstream has an active owner */
+    bool one_acts;     /* node 1 is active for something */
+    size_t members;    /* by node 0's roster */
+} fault_case_t;
+
+static const fault_case_t fault_cases[] = {
+    {"nothing", no_change, 10 * SECOND_US, true, true, 5},
+    {"store down", store_down, 3600 * SECOND_US, true, true, 5},
+    {"one killed", kill_one, 13 * SECOND_US, true, false, 4},
+    {"two of five killed", kill_two, 14 * SECOND_US, true, false, 3},
+    {"three of five killed", kill_three, 60 * SECOND_US, false, false, 4},
+    {"one paused", pause_one, 13 * SECOND_US, true, false, 4},
+    {"pause ended", pause_one, 66 * SECOND_US, true, true, 5},
+    {"one leaves", leave_one, 4 * SECOND_US, true, false, 4},
+    {"cut from the store", cut_store, 16 * SECOND_US, true, false, 4},
+    {"cut from peers", cut_peers, 10 * SECOND_US, true, true, 5},
+    {"cut from both", cut_both, 13 * SECOND_US, true, false, 4},
+    {"cut from peers in outage", cut_peers_in_outage, 20 * SECOND_US, false,
+     false, 5},
+    {"split in outage", split_in_outage, 20 * SECOND_US, false, false, 5},
+    {"one killed in outage", kill_one_in_outage, 60 * SECOND_US, false, false,
+     5},
+    {"one replaced", replace_one, 16 * SECOND_US, true, true, 5},
+    {"all replaced", replace_all, 60 * SECOND_US, true, true, 5},
+};
+
+static roster_world_t *
+started_world(uint64_t seed)
+{
+    roster_world_t *world = roster_world_new(&defaults, NODES, seed);
+    roster_world_run(world, START_US);
+    ck_assert_uint_eq(roster_world_owned(world), WORLD_UPSTREAMS);
+    ck_assert_uint_gt(roster_world_active(world, 1), 0);
+    return world;
+}
+
+START_TEST(test_fault)
+{
+    const fault_case_t *c = &fault_cases[_i];
+    roster_world_t *world = started_world(7);
+    c->fault(world);
+    roster_world_run(world, c->settle_us);
+    ck_assert_msg(world->doubles == 0, "%s: two owners", c->name);
+    ck_assert_msg(world->overlaps == 0, "%s: work of two owners", c->name);
+    size_t owned = roster_world_owned(world);
+    ck_assert_msg((owned == WORLD_UPSTREAMS) == c->all_owned, "%s: %zu owned",
+                  c->name, owned);
+    bool acts = roster_world_active(world, 1) > 0;
+    ck_assert_msg(acts == c->one_acts, "%s: node 1 acts %d", c->name, acts);
+    size_t members = roster_members(world->nodes[0].roster)->count;
+    ck_assert_msg(members == c->members, "%s: %zu members", c->name, members);
+    roster_world_free(world);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("roster");
+    tcase_add_loop_test(tests, test_fault, 0,
+                        sizeof(fault_cases) / sizeof(fault_cases[0]));
+    return suite_run("roster", tests);
+}
