core: admit parts by slots, class, deadline and evidence of cold start

The daemon needs one place that decides send, wait or refuse for the upstreams it owns. Parts wait in a pairing heap for each target, targets in one for each service and zone, so that a decision costs no scan; the queue is bounded and gives up the lowest class and latest deadline first. Zone and service slots are dealt to upstreams in an order that follows from the topology, first replicas of every group first, so that a limit of one slot a group leaves none without. gate_result_t gains reset: a connection that broke counts towards a crash at once, a timeout only when the boot id changes.

t0202 runs 20 seeds of 20,000 random steps against a model: no limit exceeded, each part answered once, no desk part refused room while batch waits.

--- /dev/null
+++ b/core/gate.c
@@ -0,0 +1,442 @@
+#include "core/gate_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { RETRY_MIN_US = 10000 };
+
+gate_t *
+gate_new(const gate_settings_t *settings)
+{
+    gate_t *gate = calloc(1, sizeof(*gate));
+    if (gate == NULL) {
+        return NULL;
+    }
+    static const heap_t empty = HEAP_INIT;
+    static const part_list_t none = {HEAP_NONE, HEAP_NONE};
+    gate->settings = *settings;
+    gate->worst = gate->give_up = gate->timers = gate->open = empty;
+    gate->free = gate->refused = gate->held = none;
+    gate->quarantine =
+        quarantine_new(settings->crash_limit, settings->quarantine_us);
+    if (gate->quarantine == NULL) {
+        free(gate);
+        return NULL;
+    }
+    return gate;
+}
+
+void
+gate_free(gate_t *gate)
+{
+    if (gate == NULL) {
+        return;
+    }
+    config_put(gate->config);
+    topology_put(gate->topology);
+    quarantine_free(gate->quarantine);
+    free(gate->parts);
+    free(gate->part_hash);
+    free(gate->targets);
+    free(gate->target_hash);
+    free(gate->flows);
+    free(gate->services);
+    free(gate);
+}
+
+static gate_verdict_t
+refuse(const part_request_t *request, part_status_t status,
+       int64_t retry_after_us, part_reply_t *refusal)
+{
+    *refusal = (part_reply_t){.id = request->id,
+                              .status = status,
+                              .not_run = true,
+                              .retry_after_us = retry_after_us};
+    return GATE_REFUSE;
+}
+
+/* Why a part for this target is refused whatever the load. */
+static part_status_t
+target_refusal(const gate_t *gate, uint32_t target, const char *upstream)
+{
+    if (target != HEAP_NONE && gate->targets[target].gone) {
+        return PART_GONE;
+    }
+    if (target != HEAP_NONE && gate->targets[target].owned) {
+        return PART_OK;
+    }
+    bool listed = gate->topology != NULL &&
+                  topology_upstream(gate->topology, upstream) >= 0;
+    return listed ? PART_NOT_OWNER : PART_GONE;
+}
+
+static int64_t
+retry_after_us(int64_t wait_us)
+{
+    return wait_us > RETRY_MIN_US ? wait_us : RETRY_MIN_US;
+}
+
+/*
+ * Why a part that cannot go at once is refused rather than queued; PART_OK:
+ * it may wait.
+ */
+static part_status_t
+queue_refusal(const gate_t *gate, const target_t *target,
+              const part_request_t *request, int64_t wait_us, int64_t now_us)
+{
+    if (gate->flows[target->flow].limit == 0 ||
+        gate->services[gate->flows[target->flow].service].limit == 0) {
+        return PART_LIMITED;
+    }
+    int64_t end_us = now_us + wait_us + target->estimate_us;
+    if (end_us > request->deadline_us) {
+        return target->cold.ramping ? PART_COLD : PART_EXPIRED;
+    }
+    return PART_OK;
+}
+
+/* Enter a request; HEAP_NONE when there is no room. */
+static uint32_t
+part_accept(gate_t *gate, const part_request_t *request, uint32_t target,
+            int64_t now_us)
+{
+    uint32_t part = part_take(gate, request->id);
+    if (part == HEAP_NONE) {
+        return HEAP_NONE;
+    }
+    gate_part_t *entry = &gate->parts[part];
+    entry->target = target;
+    entry->class = request->class;
+    entry->fingerprint = request->fingerprint;
+    entry->order = gate->next_order++;
+    entry->deadline_us = request->deadline_us;
+    entry->give_up_us =
+        request->deadline_us - gate->targets[target].estimate_us;
+    entry->queued_us = now_us;
+    return part;
+}
+
+/* Whether nothing that waits and could go now comes before the part. */
+static bool
+part_is_next(const gate_t *gate, uint32_t part)
+{
+    const target_t *target = &gate->targets[gate->parts[part].target];
+    uint32_t first = target->queue.root;
+    if (first != HEAP_NONE && order_by_target.before(gate, first, part)) {
+        return false;
+    }
+    if (gate->open.root == HEAP_NONE) {
+        return true;
+    }
+    const flow_t *flow = &gate->flows[gate->open.root];
+    uint32_t open = gate->targets[flow->targets.root].queue.root;
+    return order_by_target.before(gate, part, open);
+}
+
+static bool
+part_may_start(const gate_t *gate, uint32_t part, int64_t now_us)
+{
+    const gate_part_t *entry = &gate->parts[part];
+    const target_t *target = &gate->targets[entry->target];
+    return flow_has_room(gate, &gate->flows[target->flow]) &&
+           target_admits(gate, target, entry, now_us) &&
+           part_is_next(gate, part);
+}
+
+/* An estimate that forbids everything would never be corrected. */
+static bool
+target_may_probe(const target_t *target, int64_t wait_us)
+{
+    return target->in_progress == 0 && wait_us == 0;
+}
+
+static gate_verdict_t
+submit_drop(gate_t *gate, uint32_t part, const part_request_t *request,
+            part_status_t status, int64_t wait_us, int64_t now_us,
+            part_reply_t *refusal)
+{
+    gate->targets[gate->parts[part].target].refused++;
+    part_release(gate, part, now_us);
+    part_forget(gate, part);
+    return refuse(request, status, retry_after_us(wait_us), refusal);
+}
+
+/* Wait, if need be in the place of the worst part that waits. */
+static gate_verdict_t
+submit_wait(gate_t *gate, uint32_t part, bool held,
+            const part_request_t *request, int64_t now_us,
+            part_reply_t *refusal)
+{
+    if (gate->waiting_count >= gate->settings.queue_max) {
+        uint32_t worst = gate->worst.root;
+        if (worst == HEAP_NONE || order_by_target.before(gate, worst, part)) {
+            int64_t wait_us =
+                target_wait_us(gate, &gate->targets[gate->parts[part].target],
+                               request->class, now_us);
+            return submit_drop(gate, part, request, PART_LIMITED, wait_us,
+                               now_us, refusal);
+        }
+        part_refuse(gate, worst, PART_LIMITED, now_us);
+    }
+    if (held) {
+        part_hold(gate, part);
+    }
+    else {
+        part_queue(gate, part, now_us);
+    }
+    return GATE_WAIT;
+}
+
+static gate_verdict_t
+submit_part(gate_t *gate, uint32_t part, const part_request_t *request,
+            int64_t now_us, part_reply_t *refusal)
+{
+    target_t *target = &gate->targets[gate->parts[part].target];
+    judgement_t judgement = part_judge(gate, part, now_us);
+    if (judgement == JUDGE_REFUSE) {
+        int64_t left_us =
+            quarantine_left_us(gate->quarantine, request->fingerprint, now_us);
+        return submit_drop(gate, part, request, PART_QUARANTINED, left_us,
+                           now_us, refusal);
+    }
+    int64_t wait_us = target_wait_us(gate, target, request->class, now_us);
+    bool may_start =
+        judgement == JUDGE_GO && part_may_start(gate, part, now_us);
+    if (may_start && target_may_probe(target, wait_us)) {
+        target_start(gate, part, now_us);
+        return GATE_SEND;
+    }
+    part_status_t status =
+        queue_refusal(gate, target, request, wait_us, now_us);
+    if (status != PART_OK) {
+        return submit_drop(gate, part, request, status, wait_us, now_us,
+                           refusal);
+    }
+    if (may_start) {
+        target_start(gate, part, now_us);
+        return GATE_SEND;
+    }
+    return submit_wait(gate, part, judgement == JUDGE_HOLD, request, now_us,
+                       refusal);
+}
+
+gate_verdict_t
+gate_submit(gate_t *gate, const part_request_t *request, int64_t now_us,
+            part_reply_t *refusal)
+{
+    gate->now_us = now_us;
+    if (part_find(gate, request->id) != HEAP_NONE) {
+        refuse(request, PART_LIMITED, 0, refusal);
+        refusal->not_run = false;
+        return GATE_REFUSE;
+    }
+    uint32_t target = target_find(gate, request->upstream);
+    part_status_t status = target_refusal(gate, target, request->upstream);
+    if (status != PART_OK) {
+        return refuse(request, status, 0, refusal);
+    }
+    if (now_us >= request->deadline_us) {
+        return refuse(request, PART_EXPIRED, 0, refusal);
+    }
+    if (request->hedge && cold_is_weak(&gate->targets[target].cold, now_us)) {
+        return refuse(request, PART_COLD, 0, refusal);
+    }
+    uint32_t part = part_accept(gate, request, target, now_us);
+    if (part == HEAP_NONE) {
+        return refuse(request, PART_LIMITED, RETRY_MIN_US, refusal);
+    }
+    return submit_part(gate, part, request, now_us, refusal);
+}
+
+static cold_reply_kind_t
+reply_kind(part_status_t status)
+{
+    switch (status) {
+    case PART_OK:
+        return COLD_REPLY_GOOD;
+    case PART_SHED:
+        return COLD_REPLY_SHED;
+    case PART_LOST:
+    case PART_BAD_REPLY:
+        return COLD_REPLY_LOST;
+    default:
+        return COLD_REPLY_OTHER;
+    }
+}
+
+/* Count the reply in the target's histogram and look at its median. */
+static void
+target_measure(target_t *target, const gate_result_t *result)
+{
+    bool timed_out = result->status == PART_LOST && !result->reset;
+    if ((result->status != PART_OK && !timed_out) || result->service_us <= 0) {
+        return;
+    }
+    hist_add(&target->hist, result->service_us);
+    uint64_t count = target->hist.count;
+    if (count % ESTIMATE_SAMPLES == 0 || count < ESTIMATE_SAMPLES) {
+        target->estimate_us = hist_quantile(&target->hist, 0.5);
+    }
+    if (count >= DECAY_SAMPLES) {
+        hist_decay(&target->hist);
+    }
+}
+
+static void
+target_learn(target_t *target, const gate_result_t *result, bool restarted,
+             int64_t now_us)
+{
+    cold_reply_t reply = {.kind = reply_kind(result->status),
+                          .cold = result->cold,
+                          .restarted = restarted,
+                          .service_us = result->service_us,
+                          .retry_after_us = result->retry_after_us};
+    target_measure(target, result);
+    cold_reply(&target->cold, &target->limits, &reply, now_us);
+}
+
+void
+gate_finish(gate_t *gate, attempt_id_t id, const gate_result_t *result,
+            int64_t now_us)
+{
+    gate->now_us = now_us;
+    uint32_t part = part_find(gate, id);
+    if (part == HEAP_NONE || gate->parts[part].state != PART_STATE_SENT) {
+        return;
+    }
+    target_t *target = &gate->targets[gate->parts[part].target];
+    uint64_t boot = target->boot;
+    bool restarted = boot != 0 && result->boot != 0 && result->boot != boot;
+    part_learn(gate, part, result, now_us);
+    target_learn(target, result, restarted, now_us);
+    target_end(gate, part, now_us);
+    part_release(gate, part, now_us);
+    part_forget(gate, part);
+}
+
+bool
+gate_cancel(gate_t *gate, attempt_id_t id)
+{
+    uint32_t part = part_find(gate, id);
+    if (part == HEAP_NONE || gate->parts[part].state == PART_STATE_SENT) {
+        return false;
+    }
+    gate_part_t *entry = &gate->parts[part];
+    if (entry->state == PART_STATE_REFUSED) {
+        list_remove(gate, &gate->refused, part);
+    }
+    else {
+        part_unqueue(gate, part, gate->now_us);
+        part_release(gate, part, gate->now_us);
+    }
+    part_forget(gate, part);
+    return true;
+}
+
+static gate_verdict_t
+next_refusal(gate_t *gate, int64_t now_us, attempt_id_t *id,
+             part_reply_t *refusal)
+{
+    uint32_t part = gate->refused.first;
+    const gate_part_t *entry = &gate->parts[part];
+    int64_t wait_us = 0;
+    if (entry->target != HEAP_NONE) {
+        wait_us = target_wait_us(gate, &gate->targets[entry->target],
+                                 entry->class, now_us);
+    }
+    if (entry->refusal == PART_QUARANTINED) {
+        wait_us =
+            quarantine_left_us(gate->quarantine, entry->fingerprint, now_us);
+    }
+    *id = entry->id;
+    *refusal = (part_reply_t){.id = entry->id,
+                              .status = entry->refusal,
+                              .not_run = true,
+                              .queue_us = now_us - entry->queued_us};
+    if (entry->refusal != PART_GONE && entry->refusal != PART_NOT_OWNER) {
+        refusal->retry_after_us = retry_after_us(wait_us);
+    }
+    list_remove(gate, &gate->refused, part);
+    part_forget(gate, part);
+    return GATE_REFUSE;
+}
+
+/* Refuse what can no longer make it; wake targets whose hold has passed. */
+static void
+gate_pass_time(gate_t *gate, int64_t now_us)
+{
+    uint32_t part = gate->give_up.root;
+    while (part != HEAP_NONE && gate->parts[part].give_up_us <= now_us) {
+        part_refuse(gate, part, PART_EXPIRED, now_us);
+        part = gate->give_up.root;
+    }
+    uint32_t target = gate->timers.root;
+    while (target != HEAP_NONE && gate->targets[target].timer_us <= now_us) {
+        target_update(gate, target, now_us);
+        target = gate->timers.root;
+    }
+}
+
+/* Send the first waiting part; false: it had to be put elsewhere. */
+static bool
+next_send(gate_t *gate, int64_t now_us, attempt_id_t *id)
+{
+    const flow_t *flow = &gate->flows[gate->open.root];
+    uint32_t index = flow->targets.root;
+    uint32_t part = gate->targets[index].queue.root;
+    gate_part_t *entry = &gate->parts[part];
+    bool was_suspect = entry->suspect;
+    judgement_t judgement = part_judge(gate, part, now_us);
+    if (judgement == JUDGE_REFUSE) {
+        part_refuse(gate, part, PART_QUARANTINED, now_us);
+        return false;
+    }
+    if (judgement == JUDGE_HOLD) {
+        part_unqueue(gate, part, now_us);
+        part_hold(gate, part);
+        return false;
+    }
+    if (entry->suspect != was_suspect ||
+        !target_admits(gate, &gate->targets[index], entry, now_us)) {
+        target_update(gate, index, now_us);
+        return false;
+    }
+    part_unqueue(gate, part, now_us);
+    target_start(gate, part, now_us);
+    *id = entry->id;
+    return true;
+}
+
+gate_verdict_t
+gate_next(gate_t *gate, int64_t now_us, attempt_id_t *id,
+          part_reply_t *refusal)
+{
+    gate->now_us = now_us;
+    gate_pass_time(gate, now_us);
+    while (gate->refused.first == HEAP_NONE && gate->open.root != HEAP_NONE) {
+        if (next_send(gate, now_us, id)) {
+            return GATE_SEND;
+        }
+    }
+    if (gate->refused.first != HEAP_NONE) {
+        return next_refusal(gate, now_us, id, refusal);
+    }
+    return GATE_IDLE;
+}
+
+int64_t
+gate_wakeup(const gate_t *gate, int64_t now_us)
+{
+    if (gate->refused.first != HEAP_NONE || gate->open.root != HEAP_NONE) {
+        return now_us;
+    }
+    int64_t wakeup_us = INT64_MAX;
+    if (gate->give_up.root != HEAP_NONE) {
+        wakeup_us = gate->parts[gate->give_up.root].give_up_us;
+    }
+    if (gate->timers.root != HEAP_NONE) {
+        int64_t timer_us = gate->targets[gate->timers.root].timer_us;
+        wakeup_us = timer_us < wakeup_us ? timer_us : wakeup_us;
+    }
+    return wakeup_us > now_us ? wakeup_us : now_us;
+}
--- a/core/gate.h
+++ b/core/gate.h
@@ -48,6 +48,7 @@
     int64_t service_us;
     uint64_t boot;          /* upstream's boot id, 0: not seen */
     bool cold;              /* the reply said the upstream is cold */
+    bool reset;             /* PART_LOST: connection broke, no timeout */
     int64_t retry_after_us; /* from a shed reply, 0: no advice */
 } gate_result_t;
 
@@ -75,7 +76,10 @@
 void gate_configure(gate_t *gate, config_t *config, topology_t *topology,
                     const uint32_t *owned, size_t owned_count, int64_t now_us);
 
-/* now_us: monotonic. *refusal is filled with GATE_REFUSE only. */
+/*
+ * now_us: monotonic. *refusal is filled with GATE_REFUSE only. An id that is
+ * waiting or in progress already is refused with not_run false.
+ */
 gate_verdict_t gate_submit(gate_t *gate, const part_request_t *request,
                            int64_t now_us, part_reply_t *refusal);
 
--- /dev/null
+++ b/core/gate_queue.c
@@ -0,0 +1,365 @@
+#include "core/gate_state.h"
+
+static heap_link_t *
+link_by_target(void *table, uint32_t part)
+{
+    return &((gate_t *)table)->parts[part].by_target;
+}
+
+static heap_link_t *
+link_by_worst(void *table, uint32_t part)
+{
+    return &((gate_t *)table)->parts[part].by_worst;
+}
+
+static heap_link_t *
+link_by_give_up(void *table, uint32_t part)
+{
+    return &((gate_t *)table)->parts[part].by_give_up;
+}
+
+static heap_link_t *
+link_by_flow(void *table, uint32_t target)
+{
+    return &((gate_t *)table)->targets[target].by_flow;
+}
+
+static heap_link_t *
+link_by_timer(void *table, uint32_t target)
+{
+    return &((gate_t *)table)->targets[target].by_timer;
+}
+
+static heap_link_t *
+link_by_open(void *table, uint32_t flow)
+{
+    return &((gate_t *)table)->flows[flow].by_open;
+}
+
+/* Class first, then the deadline, then arrival. */
+static bool
+part_before(const void *table, uint32_t a, uint32_t b)
+{
+    const gate_part_t *one = &((const gate_t *)table)->parts[a];
+    const gate_part_t *other = &((const gate_t *)table)->parts[b];
+    if (one->class != other->class) {
+        return one->class < other->class;
+    }
+    if (one->deadline_us != other->deadline_us) {
+        return one->deadline_us < other->deadline_us;
+    }
+    return one->order < other->order;
+}
+
+static bool
+part_worse(const void *table, uint32_t a, uint32_t b)
+{
+    return part_before(table, b, a);
+}
+
+static bool
+part_gives_up_before(const void *table, uint32_t a, uint32_t b)
+{
+    const gate_t *gate = table;
+    return gate->parts[a].give_up_us < gate->parts[b].give_up_us;
+}
+
+static bool
+target_before(const void *table, uint32_t a, uint32_t b)
+{
+    const gate_t *gate = table;
+    return part_before(gate, gate->targets[a].queue.root,
+                       gate->targets[b].queue.root);
+}
+
+static bool
+timer_before(const void *table, uint32_t a, uint32_t b)
+{
+    const gate_t *gate = table;
+    return gate->targets[a].timer_us < gate->targets[b].timer_us;
+}
+
+static uint32_t
+flow_first_part(const gate_t *gate, const flow_t *flow)
+{
+    return gate->targets[flow->targets.root].queue.root;
+}
+
+/* Class first, then the turn by weight, then the deadline. */
+static bool
+flow_before(const void *table, uint32_t a, uint32_t b)
+{
+    const gate_t *gate = table;
+    const flow_t *one = &gate->flows[a];
+    const flow_t *other = &gate->flows[b];
+    uint32_t first = flow_first_part(gate, one);
+    uint32_t second = flow_first_part(gate, other);
+    if (gate->parts[first].class != gate->parts[second].class) {
+        return gate->parts[first].class < gate->parts[second].class;
+    }
+    if (one->turn != other->turn) {
+        return one->turn < other->turn;
+    }
+    return part_before(gate, first, second);
+}
+
+const heap_order_t order_by_target = {link_by_target, part_before};
+const heap_order_t order_by_worst = {link_by_worst, part_worse};
+const heap_order_t order_by_give_up = {link_by_give_up, part_gives_up_before};
+const heap_order_t order_by_flow = {link_by_flow, target_before};
+const heap_order_t order_by_timer = {link_by_timer, timer_before};
+const heap_order_t order_by_open = {link_by_open, flow_before};
+
+bool
+flow_has_room(const gate_t *gate, const flow_t *flow)
+{
+    const service_t *service = &gate->services[flow->service];
+    return flow->in_use < flow->limit && service->in_use < service->limit;
+}
+
+static void
+flow_close(gate_t *gate, uint32_t index)
+{
+    flow_t *flow = &gate->flows[index];
+    if (flow->open) {
+        heap_remove(&gate->open, &order_by_open, gate, index);
+        flow->open = false;
+    }
+}
+
+static void
+flow_reopen(gate_t *gate, uint32_t index)
+{
+    flow_t *flow = &gate->flows[index];
+    if (flow->open || flow->targets.root == HEAP_NONE ||
+        !flow_has_room(gate, flow)) {
+        return;
+    }
+    flow->open = true;
+    heap_push(&gate->open, &order_by_open, gate, index);
+}
+
+void
+service_update(gate_t *gate, uint32_t service)
+{
+    uint32_t flow = gate->services[service].first_flow;
+    while (flow != HEAP_NONE) {
+        flow_close(gate, flow);
+        flow_reopen(gate, flow);
+        flow = gate->flows[flow].next_in_service;
+    }
+}
+
+bool
+target_admits(const gate_t *gate, const target_t *target,
+              const gate_part_t *part, int64_t now_us)
+{
+    if (target->alone || (part->suspect && target->in_progress > 0)) {
+        return false;
+    }
+    uint32_t bound = cold_bound(&target->cold, &target->limits, now_us);
+    if (part->class == CLASS_BATCH && target->guests_yield && bound > 1) {
+        bound--;
+    }
+    return target->in_progress < bound && !gate->closed;
+}
+
+/* A target held back by the clock alone waits in the heap of timers. */
+static void
+target_set_timer(gate_t *gate, uint32_t index, int64_t now_us)
+{
+    target_t *target = &gate->targets[index];
+    int64_t held_until_us = cold_held_until(&target->cold);
+    bool wanted = target->queue.root != HEAP_NONE && held_until_us > now_us;
+    if (target->timed && wanted && target->timer_us == held_until_us) {
+        return;
+    }
+    if (target->timed) {
+        heap_remove(&gate->timers, &order_by_timer, gate, index);
+    }
+    target->timed = wanted;
+    target->timer_us = held_until_us;
+    if (wanted) {
+        heap_push(&gate->timers, &order_by_timer, gate, index);
+    }
+}
+
+void
+target_update(gate_t *gate, uint32_t index, int64_t now_us)
+{
+    target_t *target = &gate->targets[index];
+    flow_t *flow = &gate->flows[target->flow];
+    uint32_t first = target->queue.root;
+    bool wanted = first != HEAP_NONE &&
+                  target_admits(gate, target, &gate->parts[first], now_us);
+    target_set_timer(gate, index, now_us);
+    if (!wanted && !target->runnable) {
+        return;
+    }
+    flow_close(gate, target->flow);
+    if (target->runnable) {
+        heap_remove(&flow->targets, &order_by_flow, gate, index);
+    }
+    target->runnable = wanted;
+    if (wanted) {
+        heap_push(&flow->targets, &order_by_flow, gate, index);
+    }
+    flow_reopen(gate, target->flow);
+}
+
+static void
+part_count_waiting(gate_t *gate, const gate_part_t *part, int change)
+{
+    target_t *target = &gate->targets[part->target];
+    target->waiting[part->class] += (uint32_t)change;
+    gate->flows[target->flow].waiting[part->class] += (uint32_t)change;
+}
+
+static void
+part_enter_common(gate_t *gate, uint32_t part)
+{
+    heap_push(&gate->worst, &order_by_worst, gate, part);
+    heap_push(&gate->give_up, &order_by_give_up, gate, part);
+    part_count_waiting(gate, &gate->parts[part], 1);
+    gate->waiting_count++;
+}
+
+void
+part_queue(gate_t *gate, uint32_t part, int64_t now_us)
+{
+    gate_part_t *entry = &gate->parts[part];
+    target_t *target = &gate->targets[entry->target];
+    uint32_t first = target->queue.root;
+    entry->state = PART_STATE_WAITING;
+    part_enter_common(gate, part);
+    heap_push(&target->queue, &order_by_target, gate, part);
+    if (target->queue.root != first) {
+        target_update(gate, entry->target, now_us);
+    }
+}
+
+void
+part_hold(gate_t *gate, uint32_t part)
+{
+    gate->parts[part].state = PART_STATE_HELD;
+    part_enter_common(gate, part);
+    list_append(gate, &gate->held, part);
+}
+
+void
+part_unqueue(gate_t *gate, uint32_t part, int64_t now_us)
+{
+    gate_part_t *entry = &gate->parts[part];
+    target_t *target = &gate->targets[entry->target];
+    heap_remove(&gate->worst, &order_by_worst, gate, part);
+    heap_remove(&gate->give_up, &order_by_give_up, gate, part);
+    part_count_waiting(gate, entry, -1);
+    gate->waiting_count--;
+    if (entry->state == PART_STATE_HELD) {
+        list_remove(gate, &gate->held, part);
+        return;
+    }
+    bool was_first = target->queue.root == part;
+    heap_remove(&target->queue, &order_by_target, gate, part);
+    if (was_first) {
+        target_update(gate, entry->target, now_us);
+    }
+}
+
+void
+part_refuse(gate_t *gate, uint32_t part, part_status_t status, int64_t now_us)
+{
+    part_unqueue(gate, part, now_us);
+    gate->parts[part].state = PART_STATE_REFUSED;
+    gate->parts[part].refusal = status;
+    gate->targets[gate->parts[part].target].refused++;
+    list_append(gate, &gate->refused, part);
+    part_release(gate, part, now_us);
+}
+
+void
+target_start(gate_t *gate, uint32_t part, int64_t now_us)
+{
+    gate_part_t *entry = &gate->parts[part];
+    target_t *target = &gate->targets[entry->target];
+    flow_t *flow = &gate->flows[target->flow];
+    service_t *service = &gate->services[flow->service];
+    entry->state = PART_STATE_SENT;
+    entry->started_alone = target->in_progress == 0;
+    entry->sent_mark = ++target->sent;
+    entry->boot = target->boot;
+    target->in_progress++;
+    target->alone = entry->suspect;
+    flow_close(gate, target->flow);
+    if (flow->turn < gate->turn) {
+        flow->turn = gate->turn;
+    }
+    gate->turn = flow->turn;
+    flow->turn += TURN_SCALE / service->weight;
+    flow->in_use++;
+    service->in_use++;
+    target_update(gate, entry->target, now_us);
+    flow_reopen(gate, target->flow);
+    if (service->in_use == service->limit) {
+        service_update(gate, flow->service);
+    }
+}
+
+void
+target_end(gate_t *gate, uint32_t part, int64_t now_us)
+{
+    gate_part_t *entry = &gate->parts[part];
+    target_t *target = &gate->targets[entry->target];
+    flow_t *flow = &gate->flows[target->flow];
+    service_t *service = &gate->services[flow->service];
+    target->in_progress--;
+    target->alone = target->alone && !entry->suspect;
+    flow->in_use--;
+    service->in_use--;
+    target_update(gate, entry->target, now_us);
+    flow_reopen(gate, target->flow);
+    if (service->in_use + 1 == service->limit) {
+        service_update(gate, flow->service);
+    }
+}
+
+/* Time until one more starts where ahead wait for limit slots. */
+static int64_t
+room_wait_us(uint32_t ahead, uint32_t in_use, uint32_t limit,
+             int64_t estimate_us)
+{
+    uint32_t room = in_use < limit ? limit - in_use : 0;
+    if (ahead < room) {
+        return 0;
+    }
+    uint32_t slots = limit > 0 ? limit : 1;
+    return estimate_us * (int64_t)(ahead - room + 1) / (int64_t)slots;
+}
+
+static uint32_t
+count_ahead(const uint32_t *waiting, class_t class)
+{
+    uint32_t ahead = 0;
+    for (class_t c = 0; c <= class; c++) {
+        ahead += waiting[c];
+    }
+    return ahead;
+}
+
+int64_t
+target_wait_us(const gate_t *gate, const target_t *target, class_t class,
+               int64_t now_us)
+{
+    const flow_t *flow = &gate->flows[target->flow];
+    int64_t held_until_us = cold_held_until(&target->cold);
+    int64_t held_us = held_until_us > now_us ? held_until_us - now_us : 0;
+    uint32_t bound =
+        cold_bound(&target->cold, &target->limits, now_us + held_us);
+    int64_t wait_us =
+        room_wait_us(count_ahead(target->waiting, class), target->in_progress,
+                     bound, target->estimate_us);
+    int64_t flow_us =
+        room_wait_us(count_ahead(flow->waiting, class), flow->in_use,
+                     flow->limit, target->estimate_us);
+    return held_us + (wait_us > flow_us ? wait_us : flow_us);
+}
--- /dev/null
+++ b/core/gate_report.c
@@ -0,0 +1,88 @@
+#include "core/gate_state.h"
+
+#include <string.h>
+
+enum {
+    COLD_HOLD_MAX = 2, /* connections held to an upstream not warm */
+    COLD_SPARE = 2     /* opened beyond its bound */
+};
+
+void
+gate_advise(gate_t *gate, const char *upstream, bool cold, bool draining,
+            int64_t now_us)
+{
+    gate->now_us = now_us;
+    uint32_t target = target_find(gate, upstream);
+    if (target != HEAP_NONE) {
+        cold_advise(&gate->targets[target].cold, cold, draining, now_us);
+        target_update(gate, target, now_us);
+    }
+}
+
+void
+gate_quarantine(gate_t *gate, uint64_t fingerprint, int64_t now_us)
+{
+    quarantine_set(gate->quarantine, fingerprint, now_us);
+}
+
+size_t
+gate_new_quarantines(gate_t *gate, uint64_t *out, size_t max)
+{
+    return quarantine_take_new(gate->quarantine, out, max);
+}
+
+static uint32_t
+lower(uint32_t a, uint32_t b)
+{
+    return a < b ? a : b;
+}
+
+void
+gate_connections(const gate_t *gate, const char *upstream, uint32_t *hold,
+                 uint32_t *most)
+{
+    *hold = 0;
+    *most = 0;
+    uint32_t index = target_find(gate, upstream);
+    if (index == HEAP_NONE || !gate->targets[index].owned ||
+        gate->targets[index].gone) {
+        return;
+    }
+    const target_t *target = &gate->targets[index];
+    *hold = target->hold_connections;
+    *most = target->most_connections;
+    if (target->cold.ramping) {
+        *hold = lower(*hold, COLD_HOLD_MAX);
+        *most = lower(*most, target->cold.bound + COLD_SPARE);
+    }
+}
+
+size_t
+gate_report(const gate_t *gate, gate_upstream_t *out, size_t max)
+{
+    size_t count = 0;
+    for (uint32_t i = 0; i < gate->target_count; i++) {
+        const target_t *target = &gate->targets[i];
+        if (!target->owned) {
+            continue;
+        }
+        if (count++ >= max) {
+            continue;
+        }
+        gate_upstream_t *report = &out[count - 1];
+        *report = (gate_upstream_t){
+            .slots = target->gone ? 0
+                                  : cold_bound(&target->cold, &target->limits,
+                                               gate->now_us),
+            .in_progress = target->in_progress,
+            .cold = target->cold.cold,
+            .shedding = gate->now_us < cold_held_until(&target->cold),
+            .sent = target->sent,
+            .refused = target->refused};
+        memcpy(report->name, target->name, sizeof(report->name));
+        for (class_t class = 0; class < CLASS_COUNT; class ++) {
+            report->waiting += target->waiting[class];
+        }
+    }
+    return count;
+}
--- /dev/null
+++ b/core/gate_share.c
@@ -0,0 +1,94 @@
+#include "core/gate_share.h"
+
+#include <string.h>
+
+uint32_t
+share_deal(uint32_t limit, size_t rank, size_t count)
+{
+    if (count == 0) {
+        return 0;
+    }
+    uint32_t share = limit / (uint32_t)count;
+    return rank < limit % count ? share + 1 : share;
+}
+
+/* First upstream of the same service; they stand together. */
+static size_t
+service_start(const topology_t *topology, size_t index)
+{
+    const upstream_info_t *upstreams = topology->upstreams;
+    while (index > 0 && strcmp(upstreams[index - 1].service,
+                               upstreams[index].service) == 0) {
+        index--;
+    }
+    return index;
+}
+
+/* Position in the group, counting all upstreams or those of a zone only. */
+static uint32_t
+group_ordinal(const topology_t *topology, size_t index, const char *zone)
+{
+    const upstream_info_t *self = &topology->upstreams[index];
+    uint32_t ordinal = 0;
+    while (index > 0) {
+        const upstream_info_t *other = &topology->upstreams[--index];
+        if (other->group != self->group ||
+            strcmp(other->service, self->service) != 0) {
+            break;
+        }
+        if (zone == NULL || strcmp(other->zone, zone) == 0) {
+            ordinal++;
+        }
+    }
+    return ordinal;
+}
+
+/* Counts, while passing the group's upstreams in order, their ordinals. */
+typedef struct {
+    const char *zone; /* NULL: every zone */
+    uint32_t ordinal; /* of the one ranked */
+    uint16_t group;   /* the group passed now */
+    uint32_t passed;  /* upstreams of that group passed */
+    uint32_t rank;
+    uint32_t count;
+} ranking_t;
+
+static void
+ranking_pass(ranking_t *ranking, const upstream_info_t *other, bool before)
+{
+    if (ranking->zone != NULL && strcmp(other->zone, ranking->zone) != 0) {
+        return;
+    }
+    if (ranking->count == 0 || other->group != ranking->group) {
+        ranking->group = other->group;
+        ranking->passed = 0;
+    }
+    uint32_t ordinal = ranking->passed++;
+    ranking->count++;
+    if (ordinal < ranking->ordinal ||
+        (ordinal == ranking->ordinal && before)) {
+        ranking->rank++;
+    }
+}
+
+share_rank_t
+share_rank(const topology_t *topology, size_t index)
+{
+    const upstream_info_t *self = &topology->upstreams[index];
+    ranking_t service = {.ordinal = group_ordinal(topology, index, NULL)};
+    ranking_t zone = {.zone = self->zone,
+                      .ordinal = group_ordinal(topology, index, self->zone)};
+    size_t i = service_start(topology, index);
+    for (; i < topology->upstream_count; i++) {
+        const upstream_info_t *other = &topology->upstreams[i];
+        if (strcmp(other->service, self->service) != 0) {
+            break;
+        }
+        ranking_pass(&service, other, i < index);
+        ranking_pass(&zone, other, i < index);
+    }
+    return (share_rank_t){.service_rank = service.rank,
+                          .service_count = service.count,
+                          .zone_rank = zone.rank,
+                          .zone_count = zone.count};
+}
--- /dev/null
+++ b/t/t0201-gate.c
@@ -0,0 +1,216 @@
+/* Admission: slots, priority, deadlines, cold start and who is out. */
+#include "t/lib/gate_fixture.h"
+#include "t/lib/suite.h"
+
+#define SUBMIT(n, up, cls, ms, ...)                                           \
+    {                                                                         \
+        .op = OP_SUBMIT, .part = (n), .upstream = (up), .class = (cls),       \
+        .deadline_ms = (ms), __VA_ARGS__                                      \
+    }
+#define SEND .verdict = GATE_SEND
+#define WAIT .verdict = GATE_WAIT
+#define REFUSE(s) .verdict = GATE_REFUSE, .status = (s)
+#define NEXT(n, ...)                                                          \
+    {                                                                         \
+        .op = OP_NEXT, .part = (n), __VA_ARGS__                               \
+    }
+#define IDLE                                                                  \
+    {                                                                         \
+        .op = OP_NEXT, .verdict = GATE_IDLE                                   \
+    }
+#define GOOD .result = {.status = PART_OK, .service_us = MS, .boot = 7}
+#define FINISH(n, ...)                                                        \
+    {                                                                         \
+        .op = OP_FINISH, .part = (n), __VA_ARGS__                             \
+    }
+#define LOST(n) FINISH(n, .result = {.status = PART_LOST})
+#define WARM(up)                                                              \
+    {                                                                         \
+        .op = OP_WARM, .upstream = (up)                                       \
+    }
+#define SLOTS(up, n, ...)                                                     \
+    {                                                                         \
+        .op = OP_SLOTS, .upstream = (up), .slots = (n), __VA_ARGS__           \
+    }
+#define D0 "desk-0"
+#define D2 "desk-2"
+#define DESK CLASS_DESK
+#define BATCH CLASS_BATCH
+
+static const gate_case_t cases[] = {
+    {"cold takes one and queues the rest",
+     {SUBMIT(1, D0, DESK, 99, SEND), SUBMIT(2, D0, DESK, 99, WAIT), IDLE,
+      FINISH(1, GOOD), NEXT(2, SEND), IDLE}},
+    {"desk before online before batch, then by deadline",
+     {SUBMIT(1, D0, DESK, 99, SEND), SUBMIT(2, D0, BATCH, 40, WAIT),
+      SUBMIT(3, D0, CLASS_ONLINE, 60, WAIT), SUBMIT(4, D0, DESK, 90, WAIT),
+      SUBMIT(5, D0, DESK, 80, WAIT), FINISH(1, GOOD), NEXT(5, SEND),
+      FINISH(5, GOOD), NEXT(4, SEND), FINISH(4, GOOD), NEXT(3, SEND),
+      FINISH(3, GOOD), NEXT(2, SEND)}},
+    {"a full queue gives up its worst part",
+     {SUBMIT(1, D0, DESK, 99, SEND), SUBMIT(2, D0, BATCH, 99, WAIT),
+      SUBMIT(3, D0, BATCH, 80, WAIT), SUBMIT(4, D0, DESK, 99, WAIT),
+      SUBMIT(5, D0, DESK, 99, WAIT), SUBMIT(6, D0, DESK, 99, WAIT),
+      NEXT(2, REFUSE(PART_LIMITED)), IDLE,
+      SUBMIT(7, D0, BATCH, 90, REFUSE(PART_LIMITED)), IDLE}},
+    {"full slots of a warm upstream, one kept from batch guests",
+     {WARM(D0), SUBMIT(1, D0, BATCH, 99, SEND), SUBMIT(2, D0, BATCH, 99, SEND),
+      SUBMIT(3, D0, BATCH, 99, SEND), SUBMIT(4, D0, BATCH, 99, WAIT),
+      SUBMIT(5, D0, DESK, 99, SEND), SUBMIT(6, D0, DESK, 99, WAIT),
+      FINISH(1, GOOD), NEXT(6, SEND), IDLE}},
+    {"zone slots bind across upstreams",
+     {WARM(D0), WARM(D2), SUBMIT(1, D0, DESK, 99, SEND),
+      SUBMIT(2, D0, DESK, 99, SEND), SUBMIT(3, D0, DESK, 99, SEND),
+      SUBMIT(4, D0, DESK, 99, SEND), SUBMIT(5, D2, DESK, 99, SEND),
+      SUBMIT(6, D2, DESK, 99, SEND), SUBMIT(7, D2, DESK, 99, WAIT),
+      FINISH(1, GOOD), NEXT(7, SEND), IDLE}},
+    {"a deadline passes in the queue",
+     {SUBMIT(1, D0, DESK, 99, SEND),
+      SUBMIT(2, D0, DESK, 20, WAIT),
+      {.op = OP_WAKEUP, .deadline_ms = 20},
+      NEXT(2, .at_ms = 19, .verdict = GATE_IDLE),
+      NEXT(2, .at_ms = 20, REFUSE(PART_EXPIRED)),
+      IDLE}},
+    {"a deadline that cannot be met is refused early",
+     {WARM(D0), SUBMIT(1, D0, DESK, 99, SEND), SUBMIT(2, D0, DESK, 99, SEND),
+      SUBMIT(3, D0, DESK, 99, SEND), SUBMIT(4, D0, DESK, 99, SEND),
+      SUBMIT(5, D0, DESK, 1, REFUSE(PART_EXPIRED)),
+      SUBMIT(6, D0, DESK, 3, WAIT)}},
+    {"an idle upstream is tried against its own estimate",
+     {WARM(D0),
+      {.op = OP_SUBMIT,
+       .part = 1,
+       .upstream = D0,
+       .deadline_ms = 1,
+       .verdict = GATE_SEND}}},
+    {"a cancelled part never goes",
+     {SUBMIT(1, D0, DESK, 99, SEND),
+      SUBMIT(2, D0, DESK, 99, WAIT),
+      {.op = OP_CANCEL, .part = 2, .result.reset = true},
+      {.op = OP_CANCEL, .part = 1, .result.reset = false},
+      {.op = OP_CANCEL, .part = 9, .result.reset = false},
+      FINISH(1, GOOD),
+      IDLE}},
+    {"a zone taken out refuses what waits and what comes",
+     {SUBMIT(1, D0, DESK, 99, SEND),
+      SUBMIT(2, D0, DESK, 99, WAIT),
+      {.op = OP_ZONE, .upstream = "a", .result.cold = true},
+      NEXT(2, REFUSE(PART_GONE)),
+      IDLE,
+      SUBMIT(3, D0, DESK, 99, REFUSE(PART_GONE)),
+      SUBMIT(4, "desk-1", DESK, 99, SEND),
+      FINISH(1, GOOD),
+      {.op = OP_ZONE, .upstream = "a", .result.cold = false},
+      SUBMIT(5, D0, DESK, 99, SEND),
+      SUBMIT(6, D0, DESK, 99, WAIT)}},
+    {"no longer owned, parts in progress stay counted",
+     {SUBMIT(1, D0, DESK, 99, SEND),
+      SUBMIT(2, D0, DESK, 99, WAIT),
+      {.op = OP_DISOWN},
+      NEXT(2, REFUSE(PART_NOT_OWNER)),
+      SUBMIT(3, D0, DESK, 99, REFUSE(PART_NOT_OWNER)),
+      SUBMIT(4, "desk-9", DESK, 99, REFUSE(PART_GONE)),
+      FINISH(1, GOOD),
+      IDLE}},
+    {"ramps by evidence and not faster than the step",
+     {SUBMIT(1, D0, DESK, 99, SEND), FINISH(1, GOOD), SLOTS(D0, 1),
+      SUBMIT(2, D0, DESK, 99, SEND), FINISH(2, GOOD), SLOTS(D0, 2),
+      SUBMIT(3, D0, DESK, 99, SEND), FINISH(3, GOOD),
+      SUBMIT(4, D0, DESK, 99, SEND), FINISH(4, GOOD, .at_ms = 9), SLOTS(D0, 2),
+      SUBMIT(5, D0, DESK, 99, SEND), FINISH(5, GOOD, .at_ms = 10),
+      SLOTS(D0, 3)}},
+    {"a warm upstream that says cold drops at once",
+     {WARM(D0), SLOTS(D0, 4), SUBMIT(1, D0, DESK, 99, SEND),
+      SUBMIT(2, D0, DESK, 99, SEND), SUBMIT(3, D0, DESK, 99, SEND),
+      FINISH(1, .result = {.status = PART_OK, .cold = true}), SLOTS(D0, 1),
+      SUBMIT(4, D0, DESK, 99, WAIT), FINISH(2, GOOD), IDLE}},
+    {"a restart is a cold start",
+     {WARM(D0), SUBMIT(1, D0, DESK, 99, SEND),
+      FINISH(1, .result = {.status = PART_OK, .boot = 8, .service_us = MS}),
+      SLOTS(D0, 1)}},
+    {"a shed halves the bound and holds new work back",
+     {WARM(D0),
+      SUBMIT(1, D0, DESK, 99, SEND),
+      FINISH(1, .result = {.status = PART_SHED,
+                           .boot = 7,
+                           .retry_after_us = 30 * MS}),
+      SLOTS(D0, 0),
+      SUBMIT(2, D0, DESK, 20, REFUSE(PART_COLD)),
+      SUBMIT(3, D0, DESK, 99, WAIT),
+      {.op = OP_WAKEUP, .deadline_ms = 30},
+      NEXT(0, .at_ms = 29, .verdict = GATE_IDLE),
+      NEXT(3, .at_ms = 30, SEND),
+      SLOTS(D0, 2)}},
+    {"requests lost in a row hold new work back",
+     {WARM(D0), SUBMIT(1, D0, DESK, 99, SEND), SUBMIT(2, D0, DESK, 99, SEND),
+      SUBMIT(3, D0, DESK, 99, SEND), LOST(1), LOST(2), SLOTS(D0, 4), LOST(3),
+      SLOTS(D0, 0), SUBMIT(4, D0, DESK, 19, REFUSE(PART_COLD)),
+      SUBMIT(5, D0, DESK, 99, .at_ms = 20, SEND), SLOTS(D0, 1)}},
+    {"hedges stay away from a cold upstream",
+     {SUBMIT(1, D0, DESK, 99, .hedge = true, REFUSE(PART_COLD)), WARM(D0),
+      SUBMIT(2, D0, DESK, 99, .hedge = true, SEND)}},
+    {"health advice only halves, and only for a while",
+     {WARM(D0),
+      {.op = OP_ADVISE, .upstream = D0, .result.cold = true},
+      SLOTS(D0, 2),
+      SUBMIT(1, D0, DESK, 99, SEND, .at_ms = 6000),
+      SLOTS(D0, 4)}},
+    {"slow replies under cold advice mean cold",
+     {WARM(D0),
+      {.op = OP_ADVISE, .upstream = D0, .result.cold = true},
+      SUBMIT(1, D0, DESK, 99, SEND),
+      FINISH(1, .result = {.status = PART_OK, .service_us = 90 * MS}),
+      SLOTS(D0, 1)}},
+    {"a draining upstream gets nothing new",
+     {WARM(D0),
+      {.op = OP_ADVISE, .upstream = D0, .result.reset = true},
+      SUBMIT(1, D0, DESK, 99, REFUSE(PART_EXPIRED)),
+      SUBMIT(2, D0, DESK, 99, .at_ms = 15000, SEND)}},
+};
+
+START_TEST(test_gate)
+{
+    fixture_run(&cases[_i]);
+}
+END_TEST
+
+START_TEST(test_same_id_twice)
+{
+    fixture_t fixture;
+    fixture_init(&fixture, NULL);
+    part_request_t request = fixture_request(1, D0, DESK, 99 * MS);
+    part_reply_t refusal;
+    ck_assert_int_eq(gate_submit(fixture.gate, &request, 0, &refusal),
+                     GATE_SEND);
+    ck_assert_int_eq(gate_submit(fixture.gate, &request, 0, &refusal),
+                     GATE_REFUSE);
+    ck_assert(!refusal.not_run);
+    fixture_release(&fixture);
+}
+END_TEST
+
+START_TEST(test_connections)
+{
+    fixture_t fixture;
+    fixture_init(&fixture, NULL);
+    uint32_t hold;
+    uint32_t most;
+    gate_connections(fixture.gate, D0, &hold, &most);
+    ck_assert_uint_eq(hold, 2);
+    ck_assert_uint_eq(most, 3);
+    gate_connections(fixture.gate, "desk-9", &hold, &most);
+    ck_assert_uint_eq(hold, 0);
+    ck_assert_uint_eq(most, 0);
+    fixture_release(&fixture);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("gate");
+    tcase_add_loop_test(tests, test_gate, 0, sizeof(cases) / sizeof(cases[0]));
+    tcase_add_test(tests, test_same_id_twice);
+    tcase_add_test(tests, test_connections);
+    return suite_run("gate", tests);
+}
--- /dev/null
+++ b/t/t0202-gate-random.c
@@ -0,0 +1,305 @@
+/*
+ * Random traffic against a model: limits hold at every send, every part is
+ * answered exactly once, desk parts are not refused room that batch holds.
+ */
+#include "t/lib/gate_fixture.h"
+#include "t/lib/suite.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+    STEPS = 20000,
+    PARTS = 256,
+    SEEDS = 20,
+    QUEUE_MAX = 12,
+    SETTLE_US = 20000000
+};
+
+typedef enum { FREE, WAITING, SENT } model_state_t;
+
+typedef struct {
+    model_state_t state;
+    attempt_id_t id;
+    uint32_t upstream;
+    class_t class;
+} model_part_t;
+
+typedef struct {
+    fixture_t fixture;
+    uint64_t seed;
+    uint64_t draws;
+    uint64_t sequence;
+    int64_t now_us;
+    model_part_t parts[PARTS];
+    uint32_t in_progress[FIXTURE_UPSTREAMS];
+    bool out[FIXTURE_UPSTREAMS];
+    uint64_t sent;
+    uint64_t refused;
+    uint64_t cancelled;
+    uint64_t evicted;
+} model_t;
+
+static uint64_t
+draw(model_t *model, uint64_t below)
+{
+    uint64_t counter = model->draws++;
+    return XXH64(&counter, sizeof(counter), model->seed) % below;
+}
+
+static const char *
+upstream_name(const model_t *model, uint32_t upstream)
+{
+    return model->fixture.topology->upstreams[upstream].name;
+}
+
+static model_part_t *
+model_find(model_t *model, attempt_id_t id)
+{
+    for (int i = 0; i < PARTS; i++) {
+        if (model->parts[i].state != FREE &&
+            attempt_id_equal(model->parts[i].id, id)) {
+            return &model->parts[i];
+        }
+    }
+    ck_abort_msg("seed %d: a part answered twice", (int)model->seed);
+    return NULL;
+}
+
+/* Zone a holds upstreams 0, 2 and 4; 4 is of the other service. */
+static void
+check_limits(const model_t *model)
+{
+    const uint32_t *in_progress = model->in_progress;
+    for (int i = 0; i < 4; i++) {
+        ck_assert_uint_le(in_progress[i], 4);
+    }
+    ck_assert_uint_le(in_progress[4], 2);
+    ck_assert_uint_le(in_progress[0] + in_progress[2], 6);
+    ck_assert_uint_le(in_progress[1] + in_progress[3], 6);
+    ck_assert_uint_le(
+        in_progress[0] + in_progress[1] + in_progress[2] + in_progress[3], 10);
+}
+
+static void
+model_sent(model_t *model, model_part_t *part)
+{
+    ck_assert(!model->out[part->upstream]);
+    part->state = SENT;
+    model->in_progress[part->upstream]++;
+    model->sent++;
+    check_limits(model);
+}
+
+static bool
+batch_waits(const model_t *model)
+{
+    for (int i = 0; i < PARTS; i++) {
+        if (model->parts[i].state == WAITING &&
+            model->parts[i].class == CLASS_BATCH) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+model_refused(model_t *model, model_part_t *part, const part_reply_t *refusal)
+{
+    ck_assert(refusal->not_run);
+    bool limited = refusal->status == PART_LIMITED;
+    ck_assert(!limited || part->class != CLASS_DESK || !batch_waits(model));
+    model->evicted += limited && part->state == WAITING;
+    model->refused++;
+    part->state = FREE;
+}
+
+static void
+act_submit(model_t *model)
+{
+    model_part_t *part = &model->parts[draw(model, PARTS)];
+    if (part->state != FREE) {
+        return;
+    }
+    uint32_t upstream = (uint32_t)draw(model, FIXTURE_UPSTREAMS);
+    class_t class = (class_t)draw(model, CLASS_COUNT);
+    part_request_t request = fixture_request(
+        (uint32_t)++model->sequence, upstream_name(model, upstream), class,
+        model->now_us + 1 + (int64_t)draw(model, 50 * MS));
+    *part =
+        (model_part_t){.id = request.id, .upstream = upstream, .class = class};
+    part_reply_t refusal;
+    switch (
+        gate_submit(model->fixture.gate, &request, model->now_us, &refusal)) {
+    case GATE_SEND:
+        model_sent(model, part);
+        break;
+    case GATE_WAIT:
+        part->state = WAITING;
+        break;
+    default:
+        model_refused(model, part, &refusal);
+        break;
+    }
+}
+
+static gate_result_t
+random_result(model_t *model, uint32_t upstream)
+{
+    static const part_status_t ends[] = {PART_OK, PART_SHED, PART_LOST,
+                                         PART_FAILED};
+    uint64_t kind = draw(model, 20);
+    return (gate_result_t){.status = kind < 4 ? ends[kind] : PART_OK,
+                           .service_us = 500 + (int64_t)draw(model, 4 * MS),
+                           .boot = 1 + upstream +
+                                   (draw(model, 400) == 0 ? 100 : 0),
+                           .cold = draw(model, 300) == 0,
+                           .reset = draw(model, 4) == 0};
+}
+
+static void
+model_finish(model_t *model, model_part_t *part)
+{
+    gate_result_t result = random_result(model, part->upstream);
+    part->state = FREE;
+    model->in_progress[part->upstream]--;
+    gate_finish(model->fixture.gate, part->id, &result, model->now_us);
+}
+
+static void
+act_finish(model_t *model)
+{
+    uint64_t start = draw(model, PARTS);
+    for (uint64_t i = 0; i < PARTS; i++) {
+        model_part_t *part = &model->parts[(start + i) % PARTS];
+        if (part->state == SENT) {
+            model_finish(model, part);
+            return;
+        }
+    }
+}
+
+static void
+act_cancel(model_t *model)
+{
+    uint64_t start = draw(model, PARTS);
+    model_part_t *part = &model->parts[start];
+    for (uint64_t i = 1; i < PARTS && part->state == FREE; i++) {
+        part = &model->parts[(start + i) % PARTS];
+    }
+    if (part->state == FREE) {
+        return;
+    }
+    bool forgotten = gate_cancel(model->fixture.gate, part->id);
+    ck_assert(forgotten == (part->state == WAITING));
+    if (forgotten) {
+        part->state = FREE;
+        model->cancelled++;
+    }
+}
+
+static void
+act_zone(model_t *model)
+{
+    bool out = draw(model, 3) == 0;
+    config_t *config = config_copy(model->fixture.config);
+    config_put(model->fixture.config);
+    model->fixture.config = config;
+    ck_assert_int_eq(config_set_zone(config, "a", out, NULL), STATUS_OK);
+    for (uint32_t i = 0; i < FIXTURE_UPSTREAMS; i += 2) {
+        model->out[i] = out;
+    }
+    fixture_configure(&model->fixture, model->now_us);
+}
+
+static void
+drain(model_t *model)
+{
+    attempt_id_t id;
+    part_reply_t refusal;
+    gate_verdict_t verdict;
+    while ((verdict = gate_next(model->fixture.gate, model->now_us, &id,
+                                &refusal)) != GATE_IDLE) {
+        model_part_t *part = model_find(model, id);
+        ck_assert_int_eq(part->state, WAITING);
+        if (verdict == GATE_SEND) {
+            model_sent(model, part);
+        }
+        else {
+            model_refused(model, part, &refusal);
+        }
+    }
+    int64_t wakeup_us = gate_wakeup(model->fixture.gate, model->now_us);
+    ck_assert(wakeup_us > model->now_us);
+}
+
+static void
+model_step(model_t *model)
+{
+    uint64_t kind = draw(model, 1000);
+    model->now_us += (int64_t)draw(model, 500);
+    if (kind < 500) {
+        act_submit(model);
+    }
+    else if (kind < 960) {
+        act_finish(model);
+    }
+    else if (kind < 998) {
+        act_cancel(model);
+    }
+    else {
+        act_zone(model);
+    }
+    if (draw(model, 3) != 0) {
+        drain(model);
+    }
+}
+
+/* Everything ends: waiting parts are sent or refused, none is left. */
+static void
+model_settle(model_t *model)
+{
+    for (int i = 0; i < PARTS; i++) {
+        if (model->parts[i].state == SENT) {
+            model_finish(model, &model->parts[i]);
+        }
+    }
+    model->now_us += SETTLE_US;
+    drain(model);
+    for (int i = 0; i < PARTS; i++) {
+        ck_assert_int_ne(model->parts[i].state, WAITING);
+    }
+}
+
+START_TEST(test_random)
+{
+    static const gate_settings_t settings = {.queue_max = QUEUE_MAX,
+                                             .ramp_step_us = 2 * MS,
+                                             .ramp_successes = 2,
+                                             .crash_limit = 2,
+                                             .quarantine_us = 100 * MS};
+    static model_t model;
+    memset(&model, 0, sizeof(model));
+    model.seed = (uint64_t)_i + 1;
+    model.now_us = 1000 * MS;
+    fixture_init(&model.fixture, &settings);
+    for (int i = 0; i < STEPS; i++) {
+        model_step(&model);
+    }
+    model_settle(&model);
+    ck_assert_uint_gt(model.sent, STEPS / 8);
+    ck_assert_uint_gt(model.refused, 100);
+    ck_assert_uint_gt(model.evicted, 10);
+    ck_assert_uint_gt(model.cancelled, 10);
+    fixture_release(&model.fixture);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("gate-random");
+    tcase_set_timeout(tests, 120);
+    tcase_add_loop_test(tests, test_random, 0, SEEDS);
+    return suite_run("gate-random", tests);
+}
