core: budget hedges and retries by a sliding window

Added sends of a service stay within the row's percentage of its first sends over the last ten seconds, plus a floor of two. t0204 checks that no window of any of five random traces holds more than its share.

--- /dev/null
+++ b/core/budget.c
@@ -0,0 +1,66 @@
+#include "core/budget.h"
+
+#include <string.h>
+
+void
+budget_init(budget_t *budget)
+{
+    memset(budget, 0, sizeof(*budget));
+}
+
+static void
+budget_forget(budget_t *budget, int64_t step)
+{
+    uint32_t *first = &budget->first[step % BUDGET_STEPS];
+    uint32_t *added = &budget->added[step % BUDGET_STEPS];
+    budget->first_sum -= *first;
+    budget->added_sum -= *added;
+    *first = 0;
+    *added = 0;
+}
+
+/* Drop the steps that left the window; the slot of the time's step. */
+static uint32_t
+budget_advance(budget_t *budget, int64_t now_us)
+{
+    int64_t step = now_us / BUDGET_STEP_US;
+    if (step - budget->step >= BUDGET_STEPS) {
+        budget_init(budget);
+        budget->step = step;
+    }
+    while (budget->step < step) {
+        budget->step++;
+        budget_forget(budget, budget->step);
+    }
+    return (uint32_t)(budget->step % BUDGET_STEPS);
+}
+
+void
+budget_first(budget_t *budget, int64_t now_us)
+{
+    budget->first[budget_advance(budget, now_us)]++;
+    budget->first_sum++;
+}
+
+bool
+budget_take(budget_t *budget, uint32_t percent, int64_t now_us)
+{
+    uint32_t slot = budget_advance(budget, now_us);
+    uint64_t allowed = budget->first_sum * percent / 100 + BUDGET_FLOOR;
+    if (percent == 0 || budget->added_sum >= allowed) {
+        return false;
+    }
+    budget->added[slot]++;
+    budget->added_sum++;
+    return true;
+}
+
+void
+budget_return(budget_t *budget, int64_t now_us)
+{
+    uint32_t slot = budget_advance(budget, now_us);
+    if (budget->added[slot] > 0) {
+        budget->added[slot]--;
+        budget->added_sum--;
+    }
+}
