edge: call the platform's key-value service

Cause: configuration, roster and intents live in the platform's service; each caller has to know whether a write had its effect, may have had it, or did not.

Change: a client is a table of functions, get, watch and cas_put, with an adapter over libcurl. A GET reuses its connection. A PUT is sent once: on a connection of its own, over HTTP/1.1, without redirects, Expect or passwords. Only a refused connection, a 4xx answer or false prove that nothing was written; 5xx, a lost or malformed answer is unknown. Calls, failures and bytes are counted by kind. t/lib has a store in memory with faults by script and a server that answers any bytes.

Conclusion: whoever changes a key can tell a lost answer from a refusal.

--- /dev/null
+++ b/t/t0404-store.c
@@ -0,0 +1,390 @@
+/* The store's contract, which the fake and the HTTP adapter both keep. */
+#include "edge/store.h"
+#include "standin/lib/store.h"
+#include "t/lib/fake_store.h"
+#include "t/lib/raw_server.h"
+#include "t/lib/suite.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { PATIENT_MS = 20000, HASTY_MS = 300, SLOW_MS = 1500, STEPS_MAX = 8 };
+
+typedef enum {
+    DO_END,
+    DO_GET,     /* expect text */
+    DO_WATCH,   /* from index 0: expect text at once */
+    DO_PUT,     /* with the index of the last read */
+    DO_PUT_OLD, /* with the index of the read before */
+    DO_CREATE,  /* with index 0 */
+    DO_FAULT    /* from now on */
+} action_t;
+
+typedef struct {
+    action_t action;
+    const char *text;
+    status_t expect;
+    fake_fault_t fault;
+} step_t;
+
+typedef struct {
+    const char *name;
+    step_t steps[STEPS_MAX];
+} contract_case_t;
+
+#define STEP(what, with, status)                                              \
+    {                                                                         \
+        .action = (what), .text = (with), .expect = (status)                  \
+    }
+#define FAULT(kind)                                                           \
+    {                                                                         \
+        .action = DO_FAULT, .fault = (kind)                                   \
+    }
+
+static const contract_case_t contract_cases[] = {
+    {"missing key", {STEP(DO_GET, NULL, STATUS_NOT_FOUND)}},
+    {"create and read",
+     {STEP(DO_CREATE, "a", STATUS_OK), STEP(DO_GET, "a", STATUS_OK),
+      STEP(DO_WATCH, "a", STATUS_OK)}},
+    {"empty value",
+     {STEP(DO_CREATE, "", STATUS_OK), STEP(DO_GET, "", STATUS_OK)}},
+    {"create only once",
+     {STEP(DO_CREATE, "a", STATUS_OK), STEP(DO_CREATE, "b", STATUS_CONFLICT),
+      STEP(DO_GET, "a", STATUS_OK)}},
+    {"write what was read",
+     {STEP(DO_CREATE, "a", STATUS_OK), STEP(DO_GET, "a", STATUS_OK),
+      STEP(DO_PUT, "b", STATUS_OK), STEP(DO_GET, "b", STATUS_OK)}},
+    {"lose against another write",
+     {STEP(DO_CREATE, "a", STATUS_OK), STEP(DO_GET, "a", STATUS_OK),
+      STEP(DO_PUT, "b", STATUS_OK), STEP(DO_PUT, "c", STATUS_CONFLICT),
+      STEP(DO_GET, "b", STATUS_OK)}},
+    {"down",
+     {STEP(DO_CREATE, "a", STATUS_OK), STEP(DO_GET, "a", STATUS_OK),
+      FAULT(FAKE_DOWN), STEP(DO_GET, NULL, STATUS_UNAVAILABLE),
+      STEP(DO_PUT, "b", STATUS_UNKNOWN), FAULT(FAKE_OK),
+      STEP(DO_GET, "a", STATUS_OK)}},
+    {"slow",
+     {STEP(DO_CREATE, "a", STATUS_OK), STEP(DO_GET, "a", STATUS_OK),
+      FAULT(FAKE_SLOW_DONE), STEP(DO_GET, NULL, STATUS_TIMEOUT),
+      STEP(DO_PUT, "b", STATUS_TIMEOUT)}},
+    {"lost reply after the effect",
+     {STEP(DO_CREATE, "a", STATUS_OK), STEP(DO_GET, "a", STATUS_OK),
+      FAULT(FAKE_LOST), STEP(DO_PUT, "b", STATUS_UNKNOWN), FAULT(FAKE_OK),
+      STEP(DO_PUT, "c", STATUS_CONFLICT), STEP(DO_GET, "b", STATUS_OK)}},
+    {"stale read",
+     {STEP(DO_CREATE, "a", STATUS_OK), STEP(DO_GET, "a", STATUS_OK),
+      STEP(DO_PUT, "b", STATUS_OK), STEP(DO_GET, "b", STATUS_OK),
+      FAULT(FAKE_STALE), STEP(DO_GET, "a", STATUS_OK),
+      STEP(DO_PUT, "c", STATUS_CONFLICT), STEP(DO_WATCH, "a", STATUS_OK)}},
+    {"write with the index before",
+     {STEP(DO_CREATE, "a", STATUS_OK), STEP(DO_GET, "a", STATUS_OK),
+      STEP(DO_PUT, "b", STATUS_OK), STEP(DO_GET, "b", STATUS_OK),
+      STEP(DO_PUT_OLD, "c", STATUS_CONFLICT), STEP(DO_GET, "b", STATUS_OK)}},
+};
+
+enum { CONTRACT_COUNT = sizeof(contract_cases) / sizeof(contract_cases[0]) };
+
+/* One kind of store under the contract. */
+typedef struct {
+    store_client_t store;
+    store_client_t hasty; /* for what is slow; same as store in memory */
+    fake_store_t *fake;
+    store_t *standin;
+    fake_fault_t fault;
+} bench_t;
+
+static const kv_fault_t standin_faults[] = {
+    [FAKE_OK] = KV_FAULT_OK,          [FAKE_DOWN] = KV_FAULT_DOWN,
+    [FAKE_SLOW_DONE] = KV_FAULT_SLOW, [FAKE_LOST] = KV_FAULT_LOST_REPLY,
+    [FAKE_STALE] = KV_FAULT_STALE,
+};
+
+static void
+bench_init(bench_t *bench, bool real)
+{
+    *bench = (bench_t){.fault = FAKE_OK};
+    if (!real) {
+        bench->fake = fake_store_new();
+        bench->store = fake_store_client(bench->fake);
+        bench->hasty = bench->store;
+        return;
+    }
+    char url[64];
+    for (int i = 0; i < 10 && bench->standin == NULL; i++) {
+        uint16_t port = raw_server_free_port();
+        bench->standin = store_new(port);
+        snprintf(url, sizeof(url), "http://127.0.0.1:%u", (unsigned int)port);
+    }
+    ck_assert_ptr_nonnull(bench->standin);
+    error_t err = ERROR_INIT;
+    ck_assert_int_eq(
+        store_http_init(&bench->store, url, PATIENT_MS, NULL, &err),
+        STATUS_OK);
+    ck_assert_int_eq(store_http_init(&bench->hasty, url, HASTY_MS, NULL, &err),
+                     STATUS_OK);
+}
+
+static void
+bench_release(bench_t *bench)
+{
+    if (bench->fake != NULL) {
+        fake_store_free(bench->fake);
+        return;
+    }
+    store_release(&bench->store);
+    store_release(&bench->hasty);
+    store_free(bench->standin);
+}
+
+static void
+bench_fault(bench_t *bench, fake_fault_t fault)
+{
+    bench->fault = fault;
+    if (bench->standin != NULL) {
+        store_set_fault(bench->standin, standin_faults[fault],
+                        fault == FAKE_SLOW_DONE ? SLOW_MS : 0, "");
+        return;
+    }
+    fake_fault_t script[STEPS_MAX];
+    for (size_t i = 0; i < STEPS_MAX; i++) {
+        script[i] = fault;
+    }
+    fake_store_script(bench->fake, script, STEPS_MAX);
+}
+
+static void
+bench_step(bench_t *bench, const char *name, const step_t *step,
+           uint64_t index[2])
+{
+    const store_client_t *store =
+        bench->fault == FAKE_SLOW_DONE ? &bench->hasty : &bench->store;
+    store_value_t value = {0};
+    error_t err = ERROR_INIT;
+    status_t status = step->expect;
+    switch (step->action) {
+    case DO_GET:
+        status = store_get(store, "a/key", &value, &err);
+        index[1] = index[0];
+        index[0] = value.modify_index;
+        break;
+    case DO_WATCH:
+        status = store_watch(store, "a/key", 0, 1000, &value, &err);
+        break;
+    case DO_PUT:
+    case DO_PUT_OLD:
+    case DO_CREATE:
+        status = store_cas_put(store, "a/key", step->text, strlen(step->text),
+                               step->action == DO_CREATE ? 0
+                               : step->action == DO_PUT  ? index[0]
+                                                         : index[1],
+                               &err);
+        break;
+    default:
+        bench_fault(bench, step->fault);
+        break;
+    }
+    bool read = step->action == DO_GET || step->action == DO_WATCH;
+    ck_assert_msg(status == step->expect, "%s: %s", name, error_text(&err));
+    ck_assert_msg(status == STATUS_OK || err.status == status, "%s", name);
+    ck_assert_msg((value.text != NULL) == (read && status == STATUS_OK), "%s",
+                  name);
+    if (value.text != NULL) {
+        ck_assert_msg(strcmp(value.text, step->text) == 0, "%s: %s", name,
+                      value.text);
+        ck_assert_uint_eq(value.size, strlen(step->text));
+        ck_assert_uint_ge(value.watch_index, value.modify_index);
+    }
+    store_value_release(&value);
+}
+
+START_TEST(test_contract)
+{
+    const contract_case_t *c = &contract_cases[_i % CONTRACT_COUNT];
+    bench_t bench;
+    bench_init(&bench, _i >= CONTRACT_COUNT);
+    uint64_t index[2] = {0, 0};
+    for (size_t i = 0; i < STEPS_MAX && c->steps[i].action != DO_END; i++) {
+        bench_step(&bench, c->name, &c->steps[i], index);
+    }
+    bench_release(&bench);
+}
+END_TEST
+
+#define HEAD(code, size)                                                      \
+    "HTTP/1.1 " code " x\r\nX-Consul-Index: 7\r\nContent-Length: " size       \
+    "\r\n\r\n"
+#define OPEN_HEAD "HTTP/1.1 200 x\r\nConnection: close\r\n\r\n"
+#define ENTRY(key, value, index)                                              \
+    "[{\"Key\":\"" key "\",\"Value\":" value ",\"ModifyIndex\":" index "}]"
+#define LONG_LINE "0123456789abcdef0123456789abcdef0123456789abcdef01234567"
+
+typedef struct {
+    const char *name;
+    const char *reply; /* NULL: the connection is closed */
+    status_t get;
+    status_t put;
+} reply_case_t;
+
+static const reply_case_t reply_cases[] = {
+    {"closed after reading", NULL, STATUS_UNAVAILABLE, STATUS_UNKNOWN},
+    {"half a head", "HTTP/1.1 200 OK\r\nConte", STATUS_INVALID,
+     STATUS_UNKNOWN},
+    {"half a body", HEAD("200", "9") "true", STATUS_UNAVAILABLE,
+     STATUS_UNKNOWN},
+    {"no HTTP", "hello\r\n\r\n", STATUS_UNAVAILABLE, STATUS_UNKNOWN},
+    {"true", HEAD("200", "5") "true\n", STATUS_INVALID, STATUS_OK},
+    {"false", HEAD("200", "5") "false", STATUS_INVALID, STATUS_CONFLICT},
+    {"neither", HEAD("200", "5") "maybe", STATUS_INVALID, STATUS_UNKNOWN},
+    {"empty", HEAD("200", "0"), STATUS_INVALID, STATUS_UNKNOWN},
+    {"endless", HEAD("200", "99999999999") LONG_LINE, STATUS_UNAVAILABLE,
+     STATUS_UNKNOWN},
+    {"redirect",
+     "HTTP/1.1 307 x\r\nLocation: /v1/kv/a\r\nContent-Length: 0\r\n\r\n",
+     STATUS_UNAVAILABLE, STATUS_UNKNOWN},
+    {"expectation failed", HEAD("417", "0"), STATUS_UNAVAILABLE,
+     STATUS_UNAVAILABLE},
+    {"denied", HEAD("403", "0"), STATUS_DENIED, STATUS_DENIED},
+    {"asks for a password",
+     "HTTP/1.1 401 x\r\nWWW-Authenticate: Basic realm=\"a\"\r\n"
+     "Content-Length: 0\r\n\r\n",
+     STATUS_DENIED, STATUS_DENIED},
+    {"too many calls", HEAD("429", "0"), STATUS_UNAVAILABLE,
+     STATUS_UNAVAILABLE},
+    {"no leader", HEAD("500", "0"), STATUS_UNAVAILABLE, STATUS_UNKNOWN},
+    {"gateway", HEAD("504", "0"), STATUS_UNAVAILABLE, STATUS_UNKNOWN},
+    {"other key", OPEN_HEAD ENTRY("b", "\"YQ==\"", "3"), STATUS_INVALID,
+     STATUS_UNKNOWN},
+    {"bad base64", OPEN_HEAD ENTRY("a", "\"!!!!!!\"", "3"), STATUS_INVALID,
+     STATUS_UNKNOWN},
+    {"index 0", OPEN_HEAD ENTRY("a", "\"YQ==\"", "0"), STATUS_INVALID,
+     STATUS_UNKNOWN},
+    {"value no string", OPEN_HEAD ENTRY("a", "1", "3"), STATUS_INVALID,
+     STATUS_UNKNOWN},
+    {"null value", OPEN_HEAD ENTRY("a", "null", "3"), STATUS_OK,
+     STATUS_UNKNOWN},
+};
+
+START_TEST(test_replies)
+{
+    const reply_case_t *c = &reply_cases[_i];
+    raw_server_t *server = raw_server_new(c->reply, false);
+    store_client_t store;
+    store_counters_t counters = {0};
+    error_t err = ERROR_INIT;
+    store_http_init(&store, raw_server_url(server), PATIENT_MS, &counters,
+                    &err);
+    status_t status = store_cas_put(&store, "a", "{}", 2, 3, &err);
+    ck_assert_msg(status == c->put, "%s: put: %s", c->name, error_text(&err));
+    ck_assert_msg(raw_server_requests(server) == 1, "%s: sent again", c->name);
+    store_value_t value;
+    status = store_get(&store, "a", &value, &err);
+    ck_assert_msg(status == c->get, "%s: get: %s", c->name, error_text(&err));
+    ck_assert_uint_eq(counters.calls[STORE_CALL_PUT], 1);
+    ck_assert_uint_eq(counters.calls[STORE_CALL_GET], 1);
+    ck_assert_uint_ge(counters.bytes_out[STORE_CALL_PUT], 2);
+    ck_assert_uint_eq(counters.failed[STORE_CALL_PUT],
+                      c->put != STATUS_OK && c->put != STATUS_CONFLICT);
+    store_value_release(&value);
+    store_release(&store);
+    raw_server_free(server);
+}
+END_TEST
+
+/*
+ * The server keeps the connection after the first answer, reads the next
+ * request and closes without an answer: a write must not be sent again.
+ */
+START_TEST(test_put_is_sent_once)
+{
+    raw_server_t *server = raw_server_new(HEAD("200", "4") "true", true);
+    store_client_t store;
+    error_t err = ERROR_INIT;
+    store_http_init(&store, raw_server_url(server), PATIENT_MS, NULL, &err);
+    for (unsigned int i = 1; i <= 3; i++) {
+        ck_assert_int_eq(store_cas_put(&store, "a", "{}", 2, 3, &err),
+                         STATUS_OK);
+        ck_assert_uint_eq(raw_server_requests(server), i);
+    }
+    store_release(&store);
+    raw_server_free(server);
+}
+END_TEST
+
+START_TEST(test_nobody_listens)
+{
+    char url[64];
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u",
+             (unsigned int)raw_server_free_port());
+    store_client_t store;
+    store_value_t value;
+    error_t err = ERROR_INIT;
+    store_http_init(&store, url, PATIENT_MS, NULL, &err);
+    ck_assert_int_eq(store_get(&store, "a", &value, &err), STATUS_UNAVAILABLE);
+    ck_assert_int_eq(store_cas_put(&store, "a", "", 0, 0, &err),
+                     STATUS_UNAVAILABLE);
+    ck_assert_str_eq(err.step, "store put");
+    ck_assert_str_eq(err.peer, url);
+    ck_assert_int_eq(store_get(&store, "a?raw", &value, &err), STATUS_INVALID);
+    ck_assert_int_eq(store_cas_put(&store, "a", "", 1000001, 0, &err),
+                     STATUS_TOO_LARGE);
+    store_release(&store);
+}
+END_TEST
+
+static void *
+watch_run(void *user)
+{
+    const store_client_t *store = user;
+    store_value_t value;
+    uint64_t index = 1;
+    char *seen = NULL;
+    while (seen == NULL) {
+        store_watch(store, "a/key", index, 5000, &value, NULL);
+        index = value.watch_index;
+        if (value.text != NULL && strcmp(value.text, "new") == 0) {
+            seen = strdup(value.text);
+        }
+        store_value_release(&value);
+    }
+    return seen;
+}
+
+START_TEST(test_watch_sees_a_write)
+{
+    bench_t bench;
+    bench_init(&bench, true);
+    pthread_t thread;
+    pthread_create(&thread, NULL, watch_run, &bench.hasty);
+    error_t err = ERROR_INIT;
+    store_value_t value;
+    ck_assert_int_eq(store_cas_put(&bench.store, "a/key", "old", 3, 0, &err),
+                     STATUS_OK);
+    ck_assert_int_eq(store_get(&bench.store, "a/key", &value, &err),
+                     STATUS_OK);
+    ck_assert_int_eq(store_cas_put(&bench.store, "a/key", "new", 3,
+                                   value.modify_index, &err),
+                     STATUS_OK);
+    store_value_release(&value);
+    void *seen;
+    pthread_join(thread, &seen);
+    ck_assert_str_eq(seen, "new");
+    free(seen);
+    bench_release(&bench);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("store");
+    tcase_set_timeout(tests, 60);
+    tcase_add_loop_test(tests, test_contract, 0, 2 * CONTRACT_COUNT);
+    tcase_add_loop_test(tests, test_replies, 0,
+                        sizeof(reply_cases) / sizeof(reply_cases[0]));
+    tcase_add_test(tests, test_put_is_sent_once);
+    tcase_add_test(tests, test_nobody_listens);
+    tcase_add_test(tests, test_watch_sees_a_write);
+    return suite_run("store", tests);
+}
