--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,8 @@
 VARIANT ?= plain
 B := build/$(VARIANT)
 
-PKGS := libulfius libprotobuf-c argtable2 log4c yaml-0.1 jansson libcurl \
-	libxxhash gnutls
+PKGS := libulfius libmicrohttpd libprotobuf-c argtable2 log4c yaml-0.1 \
+	jansson libcurl libxxhash gnutls
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 CHECK_LIBS = $(shell pkg-config --libs check 2>/dev/null)
@@ -25,7 +25,7 @@
 CFLAGS_tsan := -O1 -fsanitize=thread
 CFLAGS ?= -g
 ALL_CFLAGS := -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
-	-Wmissing-prototypes -D_GNU_SOURCE -I. -pthread $(CFLAGS) \
+	-Wmissing-prototypes -D_GNU_SOURCE -D__error_t_defined -I. -pthread $(CFLAGS) \
 	$(CFLAGS_$(VARIANT)) $(PKG_CFLAGS)
 LDLIBS := $(PKG_LIBS) -pthread -lm
 
