standin: add the load tool that verifies every answer

Cause: tail latency, coverage and false refusals have to be measured from the callers' side, against data that can be recomputed.

--- /dev/null
+++ b/standin/lib/verdict.c
@@ -0,0 +1,195 @@
+#include "standin/lib/verdict.h"
+
+#include "standin/lib/answer.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define COVERAGE_TOLERANCE 1e-6
+
+typedef struct {
+    const char *outcome;
+    const char *reason;
+    const char *sum;
+    json_int_t version;
+    json_int_t asked;
+    json_int_t covered;
+    json_int_t count;
+    json_int_t parts;
+    json_int_t attempts;
+    json_int_t hedges;
+    json_int_t retry_after_ms;
+    double coverage;
+    json_t *missing;
+} reply_t;
+
+static bool
+reply_read(json_t *json, reply_t *reply)
+{
+    *reply = (reply_t){.sum = "0", .reason = "none"};
+    return json_unpack(
+               json,
+               "{s:s, s?s, s?s, s?I, s?I, s?I, s?I, s?I, s?I, s?I, s?I, s?F,"
+               " s?o}",
+               "outcome", &reply->outcome, "reason", &reply->reason, "sum",
+               &reply->sum, "version", &reply->version, "asked", &reply->asked,
+               "covered", &reply->covered, "count", &reply->count, "parts",
+               &reply->parts, "attempts", &reply->attempts, "hedges",
+               &reply->hedges, "retry_after_ms", &reply->retry_after_ms,
+               "coverage", &reply->coverage, "missing", &reply->missing) == 0;
+}
+
+static outcome_t
+outcome_parse(const char *name)
+{
+    for (int outcome = 0; outcome < OUTCOME_COUNT; outcome++) {
+        if (strcmp(name, outcome_name((outcome_t)outcome)) == 0) {
+            return (outcome_t)outcome;
+        }
+    }
+    return OUTCOME_COUNT;
+}
+
+static void
+blame(verdict_t *verdict, const char *why)
+{
+    if (!verdict->wrong) {
+        verdict->wrong = true;
+        (void)snprintf(verdict->why, sizeof(verdict->why), "%s", why);
+    }
+}
+
+typedef struct {
+    uint64_t keys;
+    uint64_t count;
+    uint64_t sum;
+} expected_t;
+
+static void
+expected_subtract(expected_t *expected, key_range_t range, uint64_t version)
+{
+    expected->keys -= key_range_size(range);
+    expected->count -= answer_count(range, version);
+    expected->sum -= answer_sum(range, version);
+}
+
+/* What the claimed ranges hold; false when the missing ones are malformed. */
+static bool
+expected_read(const reply_t *reply, key_range_t asked, expected_t *expected)
+{
+    uint64_t version = (uint64_t)reply->version;
+    uint64_t from = asked.lo;
+    *expected = (expected_t){.keys = key_range_size(asked),
+                             .count = answer_count(asked, version),
+                             .sum = answer_sum(asked, version)};
+    for (size_t i = 0; i < json_array_size(reply->missing); i++) {
+        json_int_t lo = 0;
+        json_int_t hi = 0;
+        if (json_unpack(json_array_get(reply->missing, i), "[I, I]", &lo,
+                        &hi) != 0) {
+            return false;
+        }
+        key_range_t gap = {.lo = (uint64_t)lo, .hi = (uint64_t)hi};
+        if (gap.lo < from || gap.lo >= gap.hi || gap.hi > asked.hi) {
+            return false;
+        }
+        expected_subtract(expected, gap, version);
+        from = gap.hi;
+    }
+    return true;
+}
+
+static void
+check_data(const reply_t *reply, const expected_t *expected,
+           verdict_t *verdict)
+{
+    if (expected->keys != verdict->covered) {
+        blame(verdict, "covered is not asked less missing");
+    }
+    if (reply->version <= 0) {
+        blame(verdict, "no version");
+    }
+    if ((uint64_t)reply->count != expected->count) {
+        blame(verdict, "count is not that of the covered ranges");
+    }
+    if (strtoull(reply->sum, NULL, 10) != expected->sum) {
+        blame(verdict, "sum is not that of the covered ranges");
+    }
+}
+
+static void
+check_answer(const reply_t *reply, key_range_t asked, verdict_t *verdict)
+{
+    uint64_t size = key_range_size(asked);
+    double coverage = (double)verdict->covered / (double)size;
+    double off = coverage - reply->coverage;
+    if ((uint64_t)reply->asked != size) {
+        blame(verdict, "asked is not what was asked");
+    }
+    if (off > COVERAGE_TOLERANCE || off < -COVERAGE_TOLERANCE) {
+        blame(verdict, "coverage is not covered over asked");
+    }
+    if ((verdict->outcome == OUTCOME_WHOLE) != (verdict->covered == size)) {
+        blame(verdict, "outcome does not fit covered");
+    }
+    /* A full list may be cut, and then says nothing of the covered keys. */
+    if (json_array_size(reply->missing) >= VERDICT_MISSING_MAX ||
+        verdict->covered == 0) {
+        return;
+    }
+    expected_t expected;
+    if (expected_read(reply, asked, &expected)) {
+        check_data(reply, &expected, verdict);
+    }
+    else {
+        blame(verdict, "missing is malformed");
+    }
+}
+
+static void
+check_status(long http_status, const reply_t *reply, verdict_t *verdict)
+{
+    static const long statuses[OUTCOME_COUNT] = {
+        [OUTCOME_WHOLE] = 200,
+        [OUTCOME_PARTIAL] = 200,
+        [OUTCOME_NOT_RUN] = 503,
+        [OUTCOME_UNKNOWN] = 502,
+    };
+    long fitting = statuses[verdict->outcome];
+    if (verdict->outcome == OUTCOME_NOT_RUN &&
+        strcmp(reply->reason, reason_name(REASON_BAD_REQUEST)) == 0) {
+        fitting = 400;
+    }
+    if (http_status != fitting) {
+        blame(verdict, "HTTP status does not fit the outcome");
+    }
+}
+
+verdict_t
+verdict_read(long http_status, const char *text, size_t size,
+             key_range_t asked)
+{
+    verdict_t verdict = {.outcome = OUTCOME_COUNT};
+    json_t *json = json_loadb(text, size, 0, NULL);
+    reply_t reply;
+    if (reply_read(json, &reply)) {
+        verdict.outcome = outcome_parse(reply.outcome);
+    }
+    if (verdict.outcome != OUTCOME_COUNT) {
+        (void)snprintf(verdict.reason, sizeof(verdict.reason), "%s",
+                       reply.reason);
+        verdict.covered = (uint64_t)reply.covered;
+        verdict.parts = (uint64_t)reply.parts;
+        verdict.attempts = (uint64_t)reply.attempts;
+        verdict.hedges = (uint64_t)reply.hedges;
+        verdict.retry_after_ms = reply.retry_after_ms;
+        check_status(http_status, &reply, &verdict);
+        if (verdict.outcome <= OUTCOME_PARTIAL) {
+            check_answer(&reply, asked, &verdict);
+        }
+    }
+    json_decref(json);
+    return verdict;
+}
