--- /dev/null
+++ b/t/t0206-quarantine.c
@@ -0,0 +1,318 @@
+/* Queries that crash upstreams are recognised; the innocent go on. */
+#include "core/quarantine.h"
+#include "t/lib/gate_fixture.h"
+#include "t/lib/suite.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define SUBMIT(n, up, fp, ...)                                                \
+    {                                                                         \
+        .op = OP_SUBMIT, .part = (n), .upstream = (up), .fingerprint = (fp),  \
+        .deadline_ms = 500, __VA_ARGS__                                       \
+    }
+#define SEND .verdict = GATE_SEND
+#define WAIT .verdict = GATE_WAIT
+#define REFUSE .verdict = GATE_REFUSE, .status = PART_QUARANTINED
+#define NEXT(n, ...)                                                          \
+    {                                                                         \
+        .op = OP_NEXT, .part = (n), __VA_ARGS__                               \
+    }
+#define GOOD(n, b)                                                            \
+    {                                                                         \
+        .op = OP_FINISH, .part = (n), .result = {                             \
+            .status = PART_OK,                                                \
+            .service_us = MS,                                                 \
+            .boot = (b)                                                       \
+        }                                                                     \
+    }
+#define BROKEN(n, ...)                                                        \
+    {                                                                         \
+        .op = OP_FINISH, .part = (n),                                         \
+        .result = {.status = PART_LOST, .reset = true}, __VA_ARGS__           \
+    }
+#define TIMEOUT(n)                                                            \
+    {                                                                         \
+        .op = OP_FINISH, .part = (n), .result = {.status = PART_LOST }        \
+    }
+#define WARM(up)                                                              \
+    {                                                                         \
+        .op = OP_WARM, .upstream = (up)                                       \
+    }
+#define D0 "desk-0"
+#define D2 "desk-2"
+
+/* The fixture's crash limit is 2; a warmed upstream has boot id 7. */
+static const gate_case_t cases[] = {
+    {"two crashes alone convict, for a while",
+     {WARM(D0), SUBMIT(1, D0, 5, SEND), BROKEN(1), SUBMIT(2, D2, 5, SEND),
+      BROKEN(2), SUBMIT(3, D0, 5, REFUSE), SUBMIT(4, D0, 6, SEND), GOOD(4, 8),
+      SUBMIT(5, D0, 5, .at_ms = 999, REFUSE),
+      SUBMIT(6, D0, 5, .at_ms = 1000, SEND), BROKEN(6, .at_ms = 1000),
+      SUBMIT(7, D0, 5, .at_ms = 1001, REFUSE)}},
+    {"company makes suspects; a run alone tells them apart",
+     {WARM(D0), WARM(D2), SUBMIT(1, D0, 5, SEND), SUBMIT(2, D0, 6, SEND),
+      BROKEN(1), BROKEN(2), SUBMIT(3, D0, 5, SEND), SUBMIT(4, D0, 9, WAIT),
+      SUBMIT(5, D2, 5, WAIT), BROKEN(3), NEXT(5, REFUSE),
+      NEXT(4, .at_ms = 20, SEND), SUBMIT(6, D0, 6, .at_ms = 20, WAIT),
+      GOOD(4, 8), NEXT(6, .at_ms = 20, SEND), GOOD(6, 8),
+      SUBMIT(7, D2, 6, SEND), SUBMIT(8, D2, 6, SEND)}},
+    {"timeouts at an upstream that lives count nothing",
+     {WARM(D0), SUBMIT(1, D0, 5, SEND), TIMEOUT(1), SUBMIT(2, D0, 5, SEND),
+      TIMEOUT(2), SUBMIT(3, D0, 6, SEND), GOOD(3, 7), SUBMIT(4, D0, 5, SEND),
+      SUBMIT(5, D0, 5, SEND)}},
+    {"timeouts count when the upstream turns out restarted",
+     {WARM(D0), SUBMIT(1, D0, 5, SEND), TIMEOUT(1), SUBMIT(2, D0, 6, SEND),
+      GOOD(2, 8), SUBMIT(3, D0, 5, SEND), TIMEOUT(3), SUBMIT(4, D0, 6, SEND),
+      GOOD(4, 9), SUBMIT(5, D0, 5, REFUSE)}},
+    {"a broken connection to an upstream that lives is refunded",
+     {WARM(D0), WARM(D2), SUBMIT(1, D0, 5, SEND), BROKEN(1),
+      SUBMIT(2, D0, 6, SEND), GOOD(2, 7), SUBMIT(3, D0, 5, SEND), BROKEN(3),
+      SUBMIT(4, D0, 6, SEND), GOOD(4, 7), SUBMIT(5, D0, 5, SEND),
+      SUBMIT(6, D0, 5, SEND)}},
+    {"a suspect cancelled while it waits gives way to the next",
+     {WARM(D0),
+      WARM(D2),
+      SUBMIT(1, D0, 5, SEND),
+      BROKEN(1),
+      SUBMIT(2, D0, 9, SEND),
+      SUBMIT(3, D0, 5, WAIT),
+      SUBMIT(4, D2, 5, WAIT),
+      {.op = OP_CANCEL, .part = 3, .result.reset = true},
+      NEXT(4, SEND)}},
+};
+
+START_TEST(test_quarantine)
+{
+    fixture_run(&cases[_i]);
+}
+END_TEST
+
+START_TEST(test_spread)
+{
+    fixture_t fixture;
+    fixture_init(&fixture, NULL);
+    part_request_t request = fixture_request(1, D0, CLASS_DESK, 100 * MS);
+    part_reply_t refusal;
+    uint64_t found[2] = {0};
+    gate_quarantine(fixture.gate, request.fingerprint, 0);
+    ck_assert_int_eq(gate_submit(fixture.gate, &request, 0, &refusal),
+                     GATE_REFUSE);
+    ck_assert_int_eq(refusal.status, PART_QUARANTINED);
+    ck_assert_int_eq(refusal.retry_after_us, 1000 * MS);
+    ck_assert_uint_eq(gate_new_quarantines(fixture.gate, found, 2), 0);
+    for (uint32_t part = 2; part < 4; part++) {
+        request = fixture_request(part, D0, CLASS_DESK, 100 * MS);
+        request.fingerprint = 77;
+        gate_result_t crash = {.status = PART_LOST, .reset = true};
+        ck_assert_int_eq(gate_submit(fixture.gate, &request, 0, &refusal),
+                         GATE_SEND);
+        gate_finish(fixture.gate, request.id, &crash, 0);
+    }
+    ck_assert_uint_eq(gate_new_quarantines(fixture.gate, found, 2), 1);
+    ck_assert_uint_eq(found[0], 77);
+    ck_assert_uint_eq(gate_new_quarantines(fixture.gate, found, 2), 0);
+    fixture_release(&fixture);
+}
+END_TEST
+
+/* A full table keeps what is convicted over what is only suspected. */
+START_TEST(test_bounded)
+{
+    quarantine_t *quarantine = quarantine_new(2, 1000 * MS);
+    quarantine_set(quarantine, 1, 0);
+    for (uint64_t i = 2; i < 100000; i++) {
+        quarantine_crash(quarantine, i, false, 0);
+    }
+    ck_assert_int_eq(quarantine_verdict(quarantine, 1, 0), VERDICT_REFUSE);
+    ck_assert_int_eq(quarantine_verdict(quarantine, 99999, 0),
+                     VERDICT_SUSPECT);
+    ck_assert_int_eq(quarantine_verdict(quarantine, 3, 0), VERDICT_CLEAR);
+    quarantine_free(quarantine);
+}
+END_TEST
+
+enum {
+    POISON = 1,
+    TICKS = 2000,
+    WORLD_PARTS = 64,
+    RESEND_TICKS = 25,
+    SUBMITS_MAX = 16384
+};
+
+typedef struct {
+    attempt_id_t id;
+    uint64_t fingerprint;
+    uint32_t upstream;
+    int ends_at; /* 0: not in progress */
+} world_part_t;
+
+/* Upstreams that die of the poison, with all they run. */
+typedef struct {
+    fixture_t fixture;
+    uint64_t seed;
+    int tick;
+    uint32_t sequence;
+    uint64_t boot[FIXTURE_UPSTREAMS];
+    uint64_t fingerprints[SUBMITS_MAX]; /* by sequence */
+    uint32_t upstreams[SUBMITS_MAX];
+    world_part_t running[WORLD_PARTS];
+    int crashes;
+    int innocent_quarantined;
+    int innocent_done;
+    int poison_refused;
+} world_t;
+
+static void
+world_start(world_t *world, uint32_t sequence)
+{
+    for (int i = 0; i < WORLD_PARTS; i++) {
+        world_part_t *part = &world->running[i];
+        if (part->ends_at == 0) {
+            part->id = (attempt_id_t){.incarnation = 1, .sequence = sequence};
+            part->fingerprint = world->fingerprints[sequence];
+            part->upstream = world->upstreams[sequence];
+            part->ends_at = world->tick + 2;
+            return;
+        }
+    }
+    ck_abort_msg("more in progress than the limits allow");
+}
+
+static void
+world_refused(world_t *world, const part_reply_t *refusal)
+{
+    bool poison = world->fingerprints[refusal->id.sequence] == POISON;
+    bool quarantined = refusal->status == PART_QUARANTINED;
+    world->poison_refused += poison && quarantined;
+    world->innocent_quarantined += !poison && quarantined;
+}
+
+static void
+world_submit(world_t *world, uint32_t upstream, uint64_t fingerprint)
+{
+    uint32_t sequence = ++world->sequence;
+    const char *name = world->fixture.topology->upstreams[upstream].name;
+    part_request_t request =
+        fixture_request(sequence, name, CLASS_DESK, (world->tick + 100) * MS);
+    part_reply_t refusal;
+    request.fingerprint = fingerprint;
+    world->fingerprints[sequence] = fingerprint;
+    world->upstreams[sequence] = upstream;
+    switch (gate_submit(world->fixture.gate, &request, world->tick * MS,
+                        &refusal)) {
+    case GATE_SEND:
+        world_start(world, sequence);
+        break;
+    case GATE_REFUSE:
+        world_refused(world, &refusal);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+world_crash(world_t *world, uint32_t upstream)
+{
+    gate_result_t lost = {.status = PART_LOST, .reset = true};
+    world->crashes++;
+    world->boot[upstream]++;
+    for (int i = 0; i < WORLD_PARTS; i++) {
+        world_part_t *part = &world->running[i];
+        if (part->ends_at != 0 && part->upstream == upstream) {
+            part->ends_at = 0;
+            gate_finish(world->fixture.gate, part->id, &lost,
+                        world->tick * MS);
+        }
+    }
+}
+
+static void
+world_end(world_t *world, world_part_t *part)
+{
+    if (part->fingerprint == POISON) {
+        world_crash(world, part->upstream);
+        return;
+    }
+    gate_result_t good = {.status = PART_OK,
+                          .service_us = 2 * MS,
+                          .boot = world->boot[part->upstream]};
+    part->ends_at = 0;
+    world->innocent_done++;
+    gate_finish(world->fixture.gate, part->id, &good, world->tick * MS);
+}
+
+static void
+world_tick(world_t *world)
+{
+    world->tick++;
+    for (int i = 0; i < WORLD_PARTS; i++) {
+        if (world->running[i].ends_at == world->tick) {
+            world_end(world, &world->running[i]);
+        }
+    }
+    uint64_t hash = XXH64(&world->tick, sizeof(world->tick), world->seed);
+    for (uint32_t upstream = 0; upstream < 4; upstream++) {
+        if (world->tick >= 200 && world->tick % RESEND_TICKS == 0) {
+            world_submit(world, upstream, POISON);
+        }
+        if (hash >> (upstream * 8) & 1) {
+            world_submit(world, upstream, 100 + hash / 64 % 50);
+        }
+    }
+    attempt_id_t id;
+    part_reply_t refusal;
+    gate_verdict_t verdict;
+    while ((verdict = gate_next(world->fixture.gate, world->tick * MS, &id,
+                                &refusal)) != GATE_IDLE) {
+        if (verdict == GATE_SEND) {
+            world_start(world, (uint32_t)id.sequence);
+        }
+        else {
+            world_refused(world, &refusal);
+        }
+    }
+}
+
+/*
+ * The first fan-out may crash each of the four upstreams once; what crashes
+ * after that must be little, however often the caller sends it again.
+ */
+START_TEST(test_world)
+{
+    static const gate_settings_t settings = {.queue_max = 50,
+                                             .ramp_step_us = 2 * MS,
+                                             .ramp_successes = 2,
+                                             .crash_limit = 3,
+                                             .quarantine_us = 60000 * MS};
+    static world_t world;
+    memset(&world, 0, sizeof(world));
+    world.seed = (uint64_t)_i;
+    for (int i = 0; i < FIXTURE_UPSTREAMS; i++) {
+        world.boot[i] = 100;
+    }
+    fixture_init(&world.fixture, &settings);
+    for (int i = 0; i < TICKS; i++) {
+        world_tick(&world);
+    }
+    ck_assert_int_ge(world.crashes, 1);
+    ck_assert_int_le(world.crashes, 4 + 2);
+    ck_assert_int_eq(world.innocent_quarantined, 0);
+    ck_assert_int_gt(world.innocent_done, TICKS);
+    ck_assert_int_gt(world.poison_refused, 200);
+    fixture_release(&world.fixture);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("quarantine");
+    tcase_add_loop_test(tests, test_quarantine, 0,
+                        sizeof(cases) / sizeof(cases[0]));
+    tcase_add_test(tests, test_spread);
+    tcase_add_test(tests, test_bounded);
+    tcase_add_loop_test(tests, test_world, 0, 20);
+    return suite_run("quarantine", tests);
+}
