net: connect daemons by authenticated TCP

Cause: daemons talk to each other over networks where strangers reach the port, peers die at any moment and VMs are replaced on the same address.

Change: a transport with one thread, non-blocking sockets, one connection for both directions, bounded queues, jittered exponential back-off, and a proof of the shared key from both sides before anything else is read. Each frame has a MAC with its number under a key of the connection. Handshake, back-off and the choice of whom to dial are pure. on_down tells that what was sent or coming may be lost; a message accepted is handed to the socket or followed by on_down.

--- /dev/null
+++ b/net/backoff.c
@@ -0,0 +1,26 @@
+#include "net/backoff.h"
+
+#include <xxhash.h>
+
+int64_t
+backoff_delay_us(uint32_t failures, uint64_t seed)
+{
+    int64_t whole = BACKOFF_BASE_US;
+    for (uint32_t i = 0; i < failures && whole < BACKOFF_MAX_US; i++) {
+        whole *= 2;
+    }
+    if (whole > BACKOFF_MAX_US) {
+        whole = BACKOFF_MAX_US;
+    }
+    uint64_t random = XXH64(&failures, sizeof(failures), seed);
+    return whole / 2 + (int64_t)(random % (uint64_t)(whole / 2 + 1));
+}
+
+uint32_t
+backoff_failures(uint32_t failures, int64_t lasted_us)
+{
+    if (lasted_us >= BACKOFF_GOOD_US) {
+        return 0;
+    }
+    return failures == UINT32_MAX ? failures : failures + 1;
+}
--- /dev/null
+++ b/net/dialer.h
@@ -0,0 +1,56 @@
+/*
+ * Which peers to connect to, and when. Pure: no sockets, no clock.
+ *
+ * A peer is busy while it is being dialed or is connected, whoever dialed.
+ *
+ *     dialer_t dialer;
+ *     dialer_init(&dialer, seed);
+ *     dialer_set(&dialer, peers, count, now_us);
+ *     while ((peer = dialer_next(&dialer, now_us)) != NULL) dial it
+ *     dialer_ended(&dialer, name, incarnation, lasted_us, now_us);
+ *     dialer_release(&dialer);
+ */
+#ifndef NET_DIALER_H
+#define NET_DIALER_H
+
+#include "net/peer.h"
+
+typedef struct {
+    peer_address_t peer;
+    uint64_t seed;
+    int64_t next_us;
+    uint32_t failures; /* in a row */
+    bool busy;
+} dial_t;
+
+typedef struct {
+    uint64_t seed;
+    dial_t *list;
+    size_t count;
+} dialer_t;
+
+void dialer_init(dialer_t *dialer, uint64_t seed);
+void dialer_release(dialer_t *dialer);
+
+/* Replace the set; peers that stay keep their back-off. False: no memory. */
+bool dialer_set(dialer_t *dialer, const peer_address_t *peers, size_t count,
+                int64_t now_us);
+
+/* A peer to dial now, marked busy; NULL: none. Valid until dialer_set. */
+const peer_address_t *dialer_next(dialer_t *dialer, int64_t now_us);
+
+/* The peer is connected. */
+void dialer_up(dialer_t *dialer, const char *name, uint64_t incarnation);
+
+/* No connection to the peer is left; the last one lasted so long. */
+void dialer_ended(dialer_t *dialer, const char *name, uint64_t incarnation,
+                  int64_t lasted_us, int64_t now_us);
+
+/* Whether the peer is in the set. */
+bool dialer_wants(const dialer_t *dialer, const char *name,
+                  uint64_t incarnation);
+
+/* When dialer_next may next return a peer; INT64_MAX: not by time alone. */
+int64_t dialer_wakeup(const dialer_t *dialer);
+
+#endif
--- /dev/null
+++ b/net/loop.c
@@ -0,0 +1,330 @@
+/* The transport's thread: sockets, dials and time. */
+#include "net/peer_private.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+enum {
+    LOOP_EVENTS_MAX = 128,
+    LOOP_ACCEPTS_MAX = 16, /* in one round */
+    LOOP_HANDSHAKE_CHECK_MS = 100,
+    LOOP_DRAIN_CHECK_MS = 2
+};
+
+int64_t
+peer_clock_us(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+void
+peer_wake_locked(peer_net_t *net)
+{
+    if (!net->woken) {
+        net->woken = true;
+        (void)eventfd_write(net->wake_fd, 1);
+    }
+}
+
+static void
+close_for(peer_net_t *net, channel_t *channel, status_t status,
+          const char *message)
+{
+    error_t err = ERROR_INIT;
+    error_set(&err, status, "peer connect", channel->connection->address, "%s",
+              message);
+    channel_close(net, channel, &err);
+}
+
+static bool
+in_handshake(const channel_t *channel)
+{
+    return channel->link == NULL;
+}
+
+/* Room for one more stranger: the oldest in its handshake goes. */
+static void
+evict_stranger(peer_net_t *net)
+{
+    channel_t *oldest = NULL;
+    for (channel_t *c = net->channels; c != NULL; c = c->next) {
+        if (in_handshake(c) && !c->dialed) {
+            oldest = c;
+        }
+    }
+    if (oldest != NULL) {
+        close_for(net, oldest, STATUS_DENIED, "too many in the handshake");
+    }
+}
+
+static void
+watch_listener(peer_net_t *net, bool watch)
+{
+    struct epoll_event event = {
+        .events = watch ? EPOLLIN : 0,
+        .data.ptr = &net->listen_fd,
+    };
+    (void)epoll_ctl(net->epoll_fd, EPOLL_CTL_MOD, net->listen_fd, &event);
+    net->accept_paused = !watch;
+}
+
+static bool
+accept_one(peer_net_t *net)
+{
+    int fd = accept4(net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+        if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
+            watch_listener(net, false);
+        }
+        return false;
+    }
+    if (net->strangers >= PEER_NET_STRANGERS_MAX) {
+        evict_stranger(net);
+    }
+    connection_t *connection = connection_accept(
+        fd, &net->settings.self, net->settings.key, peer_clock_us());
+    if (connection == NULL) {
+        return true;
+    }
+    channel_t *channel = channel_open(net, connection, false);
+    if (channel != NULL) {
+        channel_pump(net, channel);
+    }
+    return true;
+}
+
+static void
+accept_some(peer_net_t *net)
+{
+    for (int i = 0; i < LOOP_ACCEPTS_MAX; i++) {
+        if (!accept_one(net)) {
+            return;
+        }
+    }
+}
+
+static void
+dial_failed(peer_net_t *net, const peer_address_t *peer, const error_t *err)
+{
+    pthread_mutex_lock(&net->lock);
+    net->counters.dials_failed++;
+    pthread_mutex_unlock(&net->lock);
+    dialer_ended(&net->dialer, peer->name, peer->incarnation, 0,
+                 peer_clock_us());
+    net->ops.on_refused(net->ctx, err);
+}
+
+static void
+dial_one(peer_net_t *net, const peer_address_t *peer, int64_t now_us)
+{
+    pthread_mutex_lock(&net->lock);
+    net->counters.dials++;
+    pthread_mutex_unlock(&net->lock);
+    error_t err = ERROR_INIT;
+    connection_t *connection = connection_dial(
+        peer->address, peer->port, &net->settings.self, net->settings.key,
+        peer->name, peer->incarnation, now_us, &err);
+    if (connection == NULL) {
+        dial_failed(net, peer, &err);
+        return;
+    }
+    channel_t *channel = channel_open(net, connection, true);
+    if (channel == NULL) {
+        error_set(&err, STATUS_NO_MEMORY, "peer connect", peer->address,
+                  "no memory");
+        dial_failed(net, peer, &err);
+        return;
+    }
+    memcpy(channel->name, peer->name, NAME_SIZE);
+    channel->incarnation = peer->incarnation;
+}
+
+static void
+dial_due(peer_net_t *net, int64_t now_us)
+{
+    const peer_address_t *peer;
+    while ((peer = dialer_next(&net->dialer, now_us)) != NULL) {
+        dial_one(net, peer, now_us);
+    }
+}
+
+static void
+close_unwanted(peer_net_t *net)
+{
+    channel_t *next;
+    for (channel_t *c = net->channels; c != NULL; c = next) {
+        next = c->next;
+        if (c->dialed &&
+            !dialer_wants(&net->dialer, c->name, c->incarnation)) {
+            close_for(net, c, STATUS_UNAVAILABLE, "no longer a peer");
+        }
+    }
+}
+
+static void
+take_new_peers(peer_net_t *net, int64_t now_us)
+{
+    pthread_mutex_lock(&net->lock);
+    peer_address_t *peers = net->new_peers;
+    size_t count = net->new_peer_count;
+    net->new_peers = NULL;
+    pthread_mutex_unlock(&net->lock);
+    if (peers == NULL) {
+        return;
+    }
+    if (dialer_set(&net->dialer, peers, count, now_us)) {
+        for (size_t i = 0; i < count; i++) {
+            if (links_find(&net->links, peers[i].name, peers[i].incarnation) !=
+                NULL) {
+                dialer_up(&net->dialer, peers[i].name, peers[i].incarnation);
+            }
+        }
+        close_unwanted(net);
+    }
+    free(peers);
+}
+
+/* Whether any handshake is left to watch. */
+static bool
+expire_handshakes(peer_net_t *net, int64_t now_us)
+{
+    bool left = false;
+    channel_t *next;
+    for (channel_t *c = net->channels; c != NULL; c = next) {
+        next = c->next;
+        if (!in_handshake(c)) {
+            continue;
+        }
+        if (now_us - c->connection->started_us > PEER_NET_HANDSHAKE_MAX_US) {
+            close_for(net, c, c->dialed ? STATUS_TIMEOUT : STATUS_DENIED,
+                      "no handshake in time");
+        }
+        else {
+            left = true;
+        }
+    }
+    return left;
+}
+
+static void
+pump_waiting(peer_net_t *net)
+{
+    size_t count =
+        links_waiting(&net->links, net->waiting, PEER_NET_PEERS_MAX);
+    for (size_t i = 0; i < count; i++) {
+        peer_link_t *link = net->waiting[i];
+        channel_t *channel =
+            link->dialed != NULL ? link->dialed : link->accepted;
+        if (!channel->connection->want_write) {
+            channel_pump(net, channel);
+        }
+    }
+}
+
+/* Returns whether somebody waits for the drain. */
+static bool
+check_drain(peer_net_t *net)
+{
+    pthread_mutex_lock(&net->lock);
+    bool wanted = net->drains > 0;
+    pthread_mutex_unlock(&net->lock);
+    if (!wanted) {
+        return false;
+    }
+    size_t unsent = links_queued(&net->links);
+    for (const channel_t *c = net->channels; c != NULL; c = c->next) {
+        unsent += c->link == NULL ? 0 : connection_unsent(c->connection);
+    }
+    if (unsent == 0) {
+        pthread_mutex_lock(&net->lock);
+        net->drain_round++;
+        pthread_cond_broadcast(&net->drained);
+        pthread_mutex_unlock(&net->lock);
+    }
+    return true;
+}
+
+static int
+loop_timeout_ms(const peer_net_t *net, bool handshakes, bool draining,
+                int64_t now_us)
+{
+    if (draining) {
+        return LOOP_DRAIN_CHECK_MS;
+    }
+    int64_t next_us = dialer_wakeup(&net->dialer);
+    int64_t left_ms = next_us == INT64_MAX ? -1 : (next_us - now_us) / 1000;
+    if (next_us != INT64_MAX && left_ms < 0) {
+        left_ms = 0;
+    }
+    bool check = handshakes || net->accept_paused;
+    if (check && (left_ms < 0 || left_ms > LOOP_HANDSHAKE_CHECK_MS)) {
+        left_ms = LOOP_HANDSHAKE_CHECK_MS;
+    }
+    /* Rounded up: waking early would spin. */
+    return left_ms < 0 ? -1 : (int)left_ms + 1;
+}
+
+static bool
+take_wake(peer_net_t *net)
+{
+    eventfd_t value;
+    (void)eventfd_read(net->wake_fd, &value);
+    pthread_mutex_lock(&net->lock);
+    net->woken = false;
+    bool stop = net->stop;
+    pthread_mutex_unlock(&net->lock);
+    return !stop;
+}
+
+/* False: stop. */
+static bool
+handle_events(peer_net_t *net, int timeout_ms)
+{
+    struct epoll_event events[LOOP_EVENTS_MAX];
+    int count = epoll_wait(net->epoll_fd, events, LOOP_EVENTS_MAX, timeout_ms);
+    bool go_on = true;
+    for (int i = 0; i < count; i++) {
+        if (events[i].data.ptr == &net->wake_fd) {
+            go_on = take_wake(net);
+        }
+        else if (events[i].data.ptr == &net->listen_fd) {
+            accept_some(net);
+        }
+        else {
+            channel_event(net, events[i].data.ptr, events[i].events);
+        }
+    }
+    if (net->accept_paused) {
+        watch_listener(net, true);
+    }
+    channels_sweep(net);
+    return go_on;
+}
+
+void *
+peer_loop(void *arg)
+{
+    peer_net_t *net = arg;
+    bool go_on = true;
+    while (go_on) {
+        int64_t now_us = peer_clock_us();
+        take_new_peers(net, now_us);
+        dial_due(net, now_us);
+        bool handshakes = expire_handshakes(net, now_us);
+        pump_waiting(net);
+        bool draining = check_drain(net);
+        channels_sweep(net);
+        int timeout_ms =
+            loop_timeout_ms(net, handshakes, draining, peer_clock_us());
+        go_on = handle_events(net, timeout_ms);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/t/t0602-handshake.c
@@ -0,0 +1,323 @@
+/* Handshake, frame MACs, back-off and dialing, without sockets. */
+#include "net/backoff.h"
+#include "net/dialer.h"
+#include "proto/handshake.h"
+#include "t/lib/suite.h"
+
+#include <string.h>
+
+#define CASES(table) (sizeof(table) / sizeof((table)[0]))
+#define KEY(text)                                                             \
+    {                                                                         \
+        .bytes = (const uint8_t *)(text), .size = sizeof(text) - 1            \
+    }
+
+static const identity_t alice = {.name = "a1", .zone = "x", .incarnation = 1};
+static const identity_t bob = {.name = "b1", .zone = "y", .incarnation = 2};
+static const uint8_t nonce_a[NONCE_BYTES] = {1};
+static const uint8_t nonce_b[NONCE_BYTES] = {2};
+
+typedef struct {
+    const char *name;
+    auth_key_t dialer_key;
+    uint32_t dialer_version;
+    uint32_t dialer_oldest;
+    uint32_t acceptor_version;
+    uint32_t acceptor_oldest;
+    const char *dialed; /* whom the dialer means */
+    uint64_t dialed_incarnation;
+    handshake_result_t at_acceptor;
+    handshake_result_t at_dialer; /* CONTINUE: the acceptor had refused */
+    uint32_t agreed;
+} handshake_case_t;
+
+#define RIGHT KEY("0123456789abcdef")
+
+static const handshake_case_t handshake_cases[] = {
+    {"same version", RIGHT, 3, 2, 3, 2, "b1", 2, HANDSHAKE_DONE,
+     HANDSHAKE_DONE, 3},
+    {"any incarnation", RIGHT, 3, 2, 3, 2, "b1", 0, HANDSHAKE_DONE,
+     HANDSHAKE_DONE, 3},
+    {"newer dialer", RIGHT, 4, 3, 3, 2, "b1", 2, HANDSHAKE_DONE,
+     HANDSHAKE_DONE, 3},
+    {"newer acceptor", RIGHT, 2, 1, 3, 2, "b1", 2, HANDSHAKE_DONE,
+     HANDSHAKE_DONE, 2},
+    {"too new a dialer", RIGHT, 5, 4, 3, 2, "b1", 2, HANDSHAKE_CONTINUE,
+     HANDSHAKE_BAD_VERSION, 0},
+    {"too old a dialer", RIGHT, 1, 1, 3, 2, "b1", 2, HANDSHAKE_CONTINUE,
+     HANDSHAKE_BAD_VERSION, 0},
+    {"wrong key", KEY("0123456789abcdeX"), 3, 2, 3, 2, "b1", 2,
+     HANDSHAKE_BAD_PROOF, HANDSHAKE_CONTINUE, 0},
+    {"key cut short", KEY("0123456789abcde"), 3, 2, 3, 2, "b1", 2,
+     HANDSHAKE_BAD_PROOF, HANDSHAKE_CONTINUE, 0},
+    {"another daemon", RIGHT, 3, 2, 3, 2, "c1", 2, HANDSHAKE_BAD_NAME,
+     HANDSHAKE_CONTINUE, 0},
+    {"replaced on the same address", RIGHT, 3, 2, 3, 2, "b1", 9,
+     HANDSHAKE_DONE, HANDSHAKE_BAD_NAME, 0},
+};
+
+typedef struct {
+    handshake_t dialer;
+    handshake_t acceptor;
+    message_t challenge;
+    message_t dialer_hello;
+    message_t acceptor_hello;
+} pair_state_t;
+
+/* Run both sides up to the first refusal. */
+static void
+run_case(const handshake_case_t *c, pair_state_t *p,
+         handshake_result_t *at_acceptor, handshake_result_t *at_dialer)
+{
+    identity_t from = alice;
+    identity_t to = bob;
+    from.version = c->dialer_version;
+    from.oldest = c->dialer_oldest;
+    to.version = c->acceptor_version;
+    to.oldest = c->acceptor_oldest;
+    auth_key_t right = RIGHT;
+    *at_acceptor = HANDSHAKE_CONTINUE;
+    handshake_accept(&p->acceptor, &to, right, nonce_b, &p->challenge);
+    handshake_dial(&p->dialer, &from, c->dialer_key, nonce_a, c->dialed,
+                   c->dialed_incarnation);
+    *at_dialer = handshake_take(&p->dialer, &p->challenge, &p->dialer_hello);
+    if (*at_dialer == HANDSHAKE_CONTINUE) {
+        *at_acceptor =
+            handshake_take(&p->acceptor, &p->dialer_hello, &p->acceptor_hello);
+    }
+    if (*at_acceptor == HANDSHAKE_DONE) {
+        message_t none;
+        *at_dialer = handshake_take(&p->dialer, &p->acceptor_hello, &none);
+        ck_assert_int_eq(none.type, MESSAGE_NONE);
+    }
+}
+
+START_TEST(test_handshake)
+{
+    const handshake_case_t *c = &handshake_cases[_i];
+    pair_state_t p;
+    handshake_result_t at_acceptor;
+    handshake_result_t at_dialer;
+    run_case(c, &p, &at_acceptor, &at_dialer);
+    ck_assert_msg(at_acceptor == c->at_acceptor, "%s: acceptor: %s", c->name,
+                  handshake_result_name(at_acceptor));
+    ck_assert_msg(at_dialer == c->at_dialer, "%s: dialer: %s", c->name,
+                  handshake_result_name(at_dialer));
+    if (at_dialer == HANDSHAKE_DONE) {
+        ck_assert_uint_eq(p.dialer.agreed_version, c->agreed);
+        ck_assert_uint_eq(p.acceptor.agreed_version, c->agreed);
+        ck_assert_str_eq(handshake_peer(&p.dialer)->name, "b1");
+        ck_assert_str_eq(handshake_peer(&p.acceptor)->name, "a1");
+    }
+    else if (at_acceptor != HANDSHAKE_DONE) {
+        /* Refused before the acceptor said who it is. */
+        ck_assert_int_eq(p.challenge.type, MESSAGE_CHALLENGE);
+        ck_assert(at_acceptor == HANDSHAKE_CONTINUE ||
+                  p.acceptor_hello.type == MESSAGE_NONE);
+    }
+}
+END_TEST
+
+static const handshake_case_t good = {
+    "good", RIGHT, 3, 2, 3, 2, "b1", 2, HANDSHAKE_DONE, HANDSHAKE_DONE, 3};
+
+/* Any field changed on the way is refused, versions included. */
+START_TEST(test_tampered)
+{
+    pair_state_t p;
+    handshake_result_t r;
+    run_case(&good, &p, &r, &r);
+    size_t offsets[] = {
+        offsetof(hello_t, version),     offsetof(hello_t, oldest),
+        offsetof(hello_t, name),        offsetof(hello_t, zone),
+        offsetof(hello_t, incarnation), offsetof(hello_t, nonce),
+        offsetof(hello_t, peer),        offsetof(hello_t, proof),
+    };
+    for (size_t i = 0; i < CASES(offsets); i++) {
+        message_t changed = p.dialer_hello;
+        ((uint8_t *)&changed.hello)[offsets[i]] ^= 1;
+        handshake_t acceptor;
+        message_t out;
+        auth_key_t right = RIGHT;
+        identity_t to = bob;
+        to.version = 3;
+        to.oldest = 2;
+        handshake_accept(&acceptor, &to, right, nonce_b, &out);
+        ck_assert_int_eq(handshake_take(&acceptor, &changed, &out),
+                         HANDSHAKE_BAD_PROOF);
+        ck_assert_int_eq(out.type, MESSAGE_NONE);
+    }
+}
+END_TEST
+
+/* A recorded hello does not fit another challenge; a mirror proves nothing. */
+START_TEST(test_replay_and_reflection)
+{
+    pair_state_t p;
+    handshake_result_t r;
+    run_case(&good, &p, &r, &r);
+    auth_key_t right = RIGHT;
+    identity_t to = bob;
+    to.version = 3;
+    to.oldest = 2;
+    handshake_t acceptor;
+    message_t out;
+    uint8_t other_nonce[NONCE_BYTES] = {77};
+    handshake_accept(&acceptor, &to, right, other_nonce, &out);
+    ck_assert_int_eq(handshake_take(&acceptor, &p.dialer_hello, &out),
+                     HANDSHAKE_BAD_PROOF);
+
+    handshake_t dialer;
+    handshake_dial(&dialer, &alice, right, nonce_a, "b1", 0);
+    message_t hello;
+    ck_assert_int_eq(handshake_take(&dialer, &p.challenge, &hello),
+                     HANDSHAKE_BAD_VERSION);
+    identity_t from = alice;
+    from.version = 3;
+    from.oldest = 2;
+    handshake_dial(&dialer, &from, right, nonce_a, "b1", 0);
+    handshake_take(&dialer, &p.challenge, &hello);
+    ck_assert_int_eq(handshake_take(&dialer, &hello, &out),
+                     HANDSHAKE_BAD_PROOF);
+}
+END_TEST
+
+START_TEST(test_order)
+{
+    pair_state_t p;
+    handshake_result_t r;
+    message_t out;
+    run_case(&good, &p, &r, &r);
+    ck_assert_int_eq(handshake_take(&p.acceptor, &p.dialer_hello, &out),
+                     HANDSHAKE_BAD_ORDER);
+    ck_assert_int_eq(handshake_take(&p.dialer, &p.challenge, &out),
+                     HANDSHAKE_BAD_ORDER);
+    auth_key_t right = RIGHT;
+    handshake_t acceptor;
+    handshake_accept(&acceptor, &bob, right, nonce_b, &out);
+    ck_assert_int_eq(handshake_take(&acceptor, &p.challenge, &out),
+                     HANDSHAKE_BAD_ORDER);
+    handshake_t dialer;
+    handshake_dial(&dialer, &alice, right, nonce_a, "b1", 0);
+    ck_assert_int_eq(handshake_take(&dialer, &p.acceptor_hello, &out),
+                     HANDSHAKE_BAD_ORDER);
+}
+END_TEST
+
+/* Frames as a stranger could replay, drop, swap, change or mirror them. */
+START_TEST(test_stream)
+{
+    pair_state_t p;
+    handshake_result_t r;
+    run_case(&good, &p, &r, &r);
+    auth_stream_t *send_a;
+    auth_stream_t *receive_a;
+    auth_stream_t *send_b;
+    auth_stream_t *receive_b;
+    ck_assert(handshake_streams(&p.dialer, &send_a, &receive_a));
+    ck_assert(handshake_streams(&p.acceptor, &send_b, &receive_b));
+    uint8_t frame[3] = {1, 2, 3};
+    uint8_t mac[3][FRAME_MAC_BYTES];
+    for (size_t i = 0; i < 3; i++) {
+        ck_assert(auth_stream_seal(send_a, frame, 3, mac[i]));
+    }
+    ck_assert(!auth_stream_check(receive_a, frame, 3, mac[0]));
+    ck_assert(!auth_stream_check(receive_b, frame, 3, mac[1]));
+    ck_assert(!auth_stream_check(receive_b, frame, 2, mac[0]));
+    frame[0] ^= 1;
+    ck_assert(!auth_stream_check(receive_b, frame, 3, mac[0]));
+    frame[0] ^= 1;
+    ck_assert(auth_stream_check(receive_b, frame, 3, mac[0]));
+    ck_assert(!auth_stream_check(receive_b, frame, 3, mac[0]));
+    ck_assert(!auth_stream_check(receive_b, frame, 3, mac[2]));
+    ck_assert(auth_stream_check(receive_b, frame, 3, mac[1]));
+    ck_assert(auth_stream_check(receive_b, frame, 3, mac[2]));
+    auth_stream_free(send_a);
+    auth_stream_free(receive_a);
+    auth_stream_free(send_b);
+    auth_stream_free(receive_b);
+}
+END_TEST
+
+START_TEST(test_backoff)
+{
+    int64_t top = BACKOFF_BASE_US;
+    for (uint32_t failures = 0; failures < 40; failures++) {
+        for (uint64_t seed = 0; seed < 50; seed++) {
+            int64_t delay = backoff_delay_us(failures, seed);
+            ck_assert_int_ge(delay, top / 2);
+            ck_assert_int_le(delay, top);
+        }
+        top = 2 * top < BACKOFF_MAX_US ? 2 * top : BACKOFF_MAX_US;
+    }
+    ck_assert_int_ne(backoff_delay_us(9, 1), backoff_delay_us(9, 2));
+    ck_assert_uint_eq(backoff_failures(7, BACKOFF_GOOD_US), 0);
+    ck_assert_uint_eq(backoff_failures(7, BACKOFF_GOOD_US - 1), 8);
+    ck_assert_uint_eq(backoff_failures(UINT32_MAX, 0), UINT32_MAX);
+}
+END_TEST
+
+/* A peer that never answers is dialed ever less, and kept when named again. */
+START_TEST(test_dialer)
+{
+    const peer_address_t peers[] = {
+        {.name = "b1", .incarnation = 2, .address = "127.0.0.1", .port = 1},
+        {.name = "c1", .incarnation = 3, .address = "127.0.0.1", .port = 2},
+    };
+    dialer_t dialer;
+    dialer_init(&dialer, 5);
+    ck_assert(dialer_set(&dialer, peers, 2, 0));
+    dialer_up(&dialer, "c1", 3);
+    unsigned dials = 0;
+    for (int64_t now_us = 0; now_us < 60000000; now_us += 1000) {
+        const peer_address_t *peer = dialer_next(&dialer, now_us);
+        if (peer == NULL) {
+            continue;
+        }
+        dials++;
+        ck_assert_str_eq(peer->name, "b1");
+        ck_assert_ptr_null(dialer_next(&dialer, now_us + BACKOFF_MAX_US));
+        dialer_ended(&dialer, "b1", 2, 0, now_us);
+        ck_assert(dialer_set(&dialer, peers, 2, now_us));
+        ck_assert_int_gt(dialer_wakeup(&dialer), now_us);
+    }
+    ck_assert_uint_ge(dials, 60 / 5);
+    ck_assert_uint_le(dials, 60 / 5 * 2 + 8);
+    dialer_ended(&dialer, "c1", 3, BACKOFF_GOOD_US, 60000000);
+    ck_assert_int_le(dialer_wakeup(&dialer), 60000000 + BACKOFF_BASE_US);
+    ck_assert(dialer_set(&dialer, &peers[1], 1, 60000000));
+    ck_assert(!dialer_wants(&dialer, "b1", 2));
+    ck_assert(!dialer_wants(&dialer, "c1", 4));
+    dialer_release(&dialer);
+}
+END_TEST
+
+/* Incarnation 0 stands for whichever daemon of that name lives there. */
+START_TEST(test_dialer_any_incarnation)
+{
+    const peer_address_t seed = {.name = "b1", .address = "::1", .port = 1};
+    dialer_t dialer;
+    dialer_init(&dialer, 5);
+    ck_assert(dialer_set(&dialer, &seed, 1, 0));
+    dialer_up(&dialer, "b1", 77);
+    ck_assert_ptr_null(dialer_next(&dialer, BACKOFF_MAX_US));
+    dialer_ended(&dialer, "b1", 77, 0, 0);
+    ck_assert_ptr_nonnull(dialer_next(&dialer, BACKOFF_MAX_US));
+    dialer_release(&dialer);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("handshake");
+    tcase_add_loop_test(tests, test_handshake, 0, CASES(handshake_cases));
+    tcase_add_test(tests, test_tampered);
+    tcase_add_test(tests, test_replay_and_reflection);
+    tcase_add_test(tests, test_order);
+    tcase_add_test(tests, test_stream);
+    tcase_add_test(tests, test_backoff);
+    tcase_add_test(tests, test_dialer);
+    tcase_add_test(tests, test_dialer_any_incarnation);
+    return suite_run("handshake", tests);
+}
