test: hold the stand-ins to the interfaces

Cause: what the tier is measured against has to be right itself. Session ids are taken from the path: ulfius gave none for the named element, and the first renewal by name brought the store down.

--- a/standin/lib/host.c
+++ b/standin/lib/host.c
@@ -249,6 +249,14 @@
     free(host);
 }
 
+uint16_t
+host_port(const host_t *host, size_t index)
+{
+    return MHD_get_daemon_info(host->upstreams[index].mhd,
+                               MHD_DAEMON_INFO_BIND_PORT)
+        ->port;
+}
+
 static bool
 is_selected(const upstream_plan_t *plan, const host_select_t *select)
 {
--- a/standin/lib/host.h
+++ b/standin/lib/host.h
@@ -38,6 +38,9 @@
 
 void host_free(host_t *host);
 
+/* Port of the upstream at an index of the plans, which may leave it at 0. */
+uint16_t host_port(const host_t *host, size_t index);
+
 /*
  * Change the state of the selected upstreams by fields named as in
  * replica_state_t; "crash":true restarts them as well. Returns how many were
--- a/standin/lib/store.c
+++ b/standin/lib/store.c
@@ -99,6 +99,12 @@
     return request->url_path + KEY_URL_SKIP;
 }
 
+static const char *
+request_session(const struct _u_request *request)
+{
+    return strrchr(request->url_path, '/') + 1;
+}
+
 static void
 watch_deadline(int64_t wait_us, struct timespec *deadline)
 {
@@ -300,7 +306,7 @@
     if (call_begin(store, CALL_SESSION, "") == KV_FAULT_DOWN) {
         return refuse(response);
     }
-    const char *id = u_map_get(request->map_url, "id");
+    const char *id = request_session(request);
     pthread_mutex_lock(&store->lock);
     bool alive = kv_session_renew(store->kv, id, service_now_us());
     pthread_mutex_unlock(&store->lock);
@@ -323,7 +329,7 @@
         return refuse(response);
     }
     pthread_mutex_lock(&store->lock);
-    kv_session_destroy(store->kv, u_map_get(request->map_url, "id"));
+    kv_session_destroy(store->kv, request_session(request));
     pthread_cond_broadcast(&store->changed);
     pthread_mutex_unlock(&store->lock);
     return reply_written(response, fault, true);
@@ -395,8 +401,8 @@
     {"PUT", "/v1/kv/*", on_put},
     {"DELETE", "/v1/kv/*", on_delete},
     {"PUT", "/v1/session/create", on_session_create},
-    {"PUT", "/v1/session/renew/:id", on_session_renew},
-    {"PUT", "/v1/session/destroy/:id", on_session_destroy},
+    {"PUT", "/v1/session/renew/*", on_session_renew},
+    {"PUT", "/v1/session/destroy/*", on_session_destroy},
     {"POST", "/fault", on_fault},
     {"GET", "/count", on_count},
 };
@@ -438,6 +444,12 @@
     return store;
 }
 
+uint16_t
+store_port(const store_t *store)
+{
+    return (uint16_t)store->http.port;
+}
+
 void
 store_free(store_t *store)
 {
--- a/standin/lib/store.h
+++ b/standin/lib/store.h
@@ -17,6 +17,9 @@
 /* Serve on 127.0.0.1; NULL when the port cannot be listened on. */
 store_t *store_new(uint16_t port);
 
+/* The port that is listened on. */
+uint16_t store_port(const store_t *store);
+
 /* Wake every watch and stop. */
 void store_free(store_t *store);
 
