--- a/core/config_json.c
+++ b/core/config_json.c
@@ -71,7 +71,7 @@
 static status_t
 keys_check(const json_t *document, error_t *err)
 {
-    static const char *const known[] = {"version", "change", "by",
+    static const char *const known[] = {"version", "change", "by", "history",
                                         "rows",    "zones",  "vms"};
     const char *key;
     json_t *value;
@@ -87,7 +87,7 @@
             name_print(shown, sizeof(shown), key);
             return error_set(err, STATUS_INVALID, parse_step, shown,
                              "unknown key, allowed are version, change, by, "
-                             "rows, zones and vms");
+                             "history, rows, zones and vms");
         }
     }
     return STATUS_OK;
@@ -105,6 +105,63 @@
     return STATUS_OK;
 }
 
+static status_t
+record_read(const json_t *object, change_record_t *record, error_t *err)
+{
+    const json_t *version = json_object_get(object, "version");
+    const char *kind = json_string_value(json_object_get(object, "kind"));
+    if (!json_is_integer(version) || json_integer_value(version) < 1) {
+        return error_set(err, STATUS_INVALID, parse_step, "history",
+                         "a version is no whole number from 1");
+    }
+    record->version = (uint64_t)json_integer_value(version);
+    record->kind = CHANGE_ROWS;
+    while (kind != NULL && record->kind < CHANGE_KIND_COUNT &&
+           strcmp(kind, change_kind_name(record->kind)) != 0) {
+        record->kind++;
+    }
+    if (kind == NULL || record->kind == CHANGE_KIND_COUNT) {
+        return error_set(err, STATUS_INVALID, parse_step, "history",
+                         "found another kind, allowed are rows, zone and vm");
+    }
+    status_t status = label_read(object, "change", record->change,
+                                 sizeof(record->change), err);
+    if (status != STATUS_OK) {
+        return status;
+    }
+    return label_read(object, "by", record->by, sizeof(record->by), err);
+}
+
+/* Read the changes remembered; the last one made the document's version. */
+static status_t
+history_read(const json_t *document, config_t *config, error_t *err)
+{
+    const json_t *history = json_object_get(document, "history");
+    size_t count = json_array_size(history);
+    if (history == NULL) {
+        return STATUS_OK;
+    }
+    if (!json_is_array(history) || count > CONFIG_HISTORY_MAX) {
+        return error_set(err, STATUS_INVALID, parse_step, "history",
+                         "allowed is a list of at most %d changes",
+                         CONFIG_HISTORY_MAX);
+    }
+    for (size_t i = 0; i < count; i++) {
+        change_record_t *record = &config->history[i];
+        status_t status = record_read(json_array_get(history, i), record, err);
+        if (status != STATUS_OK) {
+            return status;
+        }
+        if (record->version + (count - 1 - i) != config->version) {
+            return error_set(err, STATUS_INVALID, parse_step, "history",
+                             "versions have to rise by one up to the "
+                             "document's");
+        }
+    }
+    config->history_count = count;
+    return STATUS_OK;
+}
+
 static status_t
 rows_read(const json_t *document, config_t *config, error_t *err)
 {
@@ -135,6 +192,9 @@
         status =
             label_read(document, "by", config->by, sizeof(config->by), err);
     }
+    if (status == STATUS_OK) {
+        status = history_read(document, config, err);
+    }
     if (status == STATUS_OK) {
         status = rows_read(document, config, err);
     }
@@ -199,13 +259,32 @@
     return object;
 }
 
+static json_t *
+history_write(const config_t *config)
+{
+    json_t *list = json_array();
+    for (size_t i = 0; i < config->history_count; i++) {
+        const change_record_t *record = &config->history[i];
+        json_t *object = json_pack("{s:I, s:s, s:s, s:s}", "version",
+                                   (json_int_t)record->version, "kind",
+                                   change_kind_name(record->kind), "change",
+                                   record->change, "by", record->by);
+        if (json_array_append_new(list, object) != 0) {
+            json_decref(list);
+            return NULL;
+        }
+    }
+    return list;
+}
+
 char *
 config_format_json(const config_t *config)
 {
     json_t *document =
-        json_pack("{s:I, s:s, s:s, s:o, s:o, s:o}", "version",
+        json_pack("{s:I, s:s, s:s, s:o, s:o, s:o, s:o}", "version",
                   (json_int_t)config->version, "change", config->change, "by",
-                  config->by, "rows", table_rows_write(config), "zones",
+                  config->by, "history", history_write(config), "rows",
+                  table_rows_write(config), "zones",
                   out_write(config->zones_out, config->zone_out_count), "vms",
                   out_write(config->vms_out, config->vm_out_count));
     if (document == NULL) {
--- a/core/table.c
+++ b/core/table.c
@@ -89,6 +89,8 @@
     copy->version = config->version;
     memcpy(copy->change, config->change, sizeof(copy->change));
     memcpy(copy->by, config->by, sizeof(copy->by));
+    memcpy(copy->history, config->history, sizeof(copy->history));
+    copy->history_count = config->history_count;
     copy->zone_out_count = config->zone_out_count;
     copy->vm_out_count = config->vm_out_count;
     if (!config_copy_rows(copy, config) ||
--- a/core/table.h
+++ b/core/table.h
@@ -20,10 +20,12 @@
 
 enum {
     TABLE_ROWS_MAX = 256,
-    TABLE_ZONES_MAX = 64,     /* zone_limits of one row */
-    CONFIG_ZONES_MAX = 256,   /* zones taken out at one time */
-    CONFIG_VMS_MAX = 16384,   /* VMs taken out at one time */
-    CONFIG_TEXT_MAX = 1000000 /* bytes of the document */
+    TABLE_ZONES_MAX = 64,      /* zone_limits of one row */
+    CONFIG_ZONES_MAX = 256,    /* zones taken out at one time */
+    CONFIG_VMS_MAX = 16384,    /* VMs taken out at one time */
+    CONFIG_TEXT_MAX = 1000000, /* bytes of the document */
+    CONFIG_HISTORY_MAX = 32,   /* changes that the document remembers */
+    CHANGE_ID_SIZE = 64
 };
 
 typedef struct {
@@ -53,11 +55,30 @@
     char name[NAME_SIZE];
 } out_name_t;
 
+/* What a change is about. */
+typedef enum {
+    CHANGE_ROWS,
+    CHANGE_ZONE,
+    CHANGE_VM,
+    CHANGE_KIND_COUNT
+} change_kind_t;
+
+/* One change that the document remembers. */
+typedef struct {
+    uint64_t version; /* that it made */
+    change_kind_t kind;
+    char change[CHANGE_ID_SIZE];
+    char by[NAME_SIZE];
+} change_record_t;
+
 typedef struct {
     atomic_uint references;
     uint64_t version;
-    char change[NAME_SIZE * 2]; /* id of the change that made it */
+    char change[CHANGE_ID_SIZE]; /* id of the change that made it */
     char by[NAME_SIZE];
+    /* The newest changes, oldest first, without gaps in their versions. */
+    change_record_t history[CONFIG_HISTORY_MAX];
+    size_t history_count;
     table_row_t *rows; /* sorted by service */
     size_t row_count;
     out_name_t *zones_out; /* sorted */
@@ -110,6 +131,23 @@
 status_t config_set_vm(config_t *config, const char *vm, bool out,
                        error_t *err);
 
+/*
+ * Make an unshared config the next version: version rises by one, change, by
+ * and history tell of it. id and by are checked by the caller.
+ */
+void config_advance(config_t *config, change_kind_t kind, const char *id,
+                    const char *by);
+
+/* The record of a change; NULL when the document does not remember it. */
+const change_record_t *config_find_change(const config_t *config,
+                                          const char *id);
+
+/* Whether every change that made a version from this one on is remembered. */
+bool config_remembers(const config_t *config, uint64_t version);
+
+/* Name in the document and for operators: "rows", "zone", "vm". */
+const char *change_kind_name(change_kind_t kind);
+
 /* Slots of the row in one zone. */
 uint32_t table_row_zone_slots(const table_row_t *row, const char *zone);
 
--- a/t/lib/fake_store.c
+++ b/t/lib/fake_store.c
@@ -25,8 +25,6 @@
     fake_fault_t script[SCRIPT_MAX];
     size_t script_count;
     size_t script_next;
-    fake_store_hook_t hook;
-    void *hook_user;
     unsigned int calls[STORE_CALL_COUNT];
 };
 
@@ -156,11 +154,6 @@
 {
     fake_store_t *fake = handle;
     fake_fault_t fault = call_begin(fake, STORE_CALL_PUT);
-    fake_store_hook_t hook = fake->hook;
-    fake->hook = NULL;
-    if (hook != NULL) {
-        hook(fake, fake->hook_user);
-    }
     bool effect =
         fault != FAKE_REFUSED && fault != FAKE_DOWN && fault != FAKE_SLOW;
     const entry_t *entry = entry_find(fake, key);
@@ -210,18 +203,13 @@
 void
 fake_store_script(fake_store_t *fake, const fake_fault_t *faults, size_t count)
 {
-    memcpy(fake->script, faults, count * sizeof(*faults));
+    for (size_t i = 0; i < count; i++) {
+        fake->script[i] = faults[i];
+    }
     fake->script_count = count;
     fake->script_next = 0;
 }
 
-void
-fake_store_before_put(fake_store_t *fake, fake_store_hook_t hook, void *user)
-{
-    fake->hook = hook;
-    fake->hook_user = user;
-}
-
 uint64_t
 fake_store_write(fake_store_t *fake, const char *key, const char *text)
 {
--- a/t/lib/fake_store.h
+++ b/t/lib/fake_store.h
@@ -25,9 +25,6 @@
 
 typedef struct fake_store fake_store_t;
 
-/* Called before a write is judged, so that another writer can come first. */
-typedef void (*fake_store_hook_t)(fake_store_t *fake, void *user);
-
 fake_store_t *fake_store_new(void);
 void fake_store_free(fake_store_t *fake);
 
@@ -38,10 +35,6 @@
 void fake_store_script(fake_store_t *fake, const fake_fault_t *faults,
                        size_t count);
 
-/* The hook runs before the next write only; a hook may set another. */
-void fake_store_before_put(fake_store_t *fake, fake_store_hook_t hook,
-                           void *user);
-
 /* Write as another party would, without faults; returns the new index. */
 uint64_t fake_store_write(fake_store_t *fake, const char *key,
                           const char *text);
--- a/t/t0401-table.c
+++ b/t/t0401-table.c
@@ -122,7 +122,11 @@
     ck_assert_int_eq(config_set_zone(config, "south-1", true, &err),
                      STATUS_OK);
     ck_assert_int_eq(config_set_vm(config, "vm-1", true, &err), STATUS_OK);
-    config->version = 41;
+    for (int i = 0; i < CONFIG_HISTORY_MAX + 1; i++) {
+        config_advance(config, CHANGE_VM, "x-1", "carol");
+    }
+    ck_assert(config_remembers(config, 2));
+    ck_assert(!config_remembers(config, 1));
     char *first = config_format_json(config);
     config_t *copy = config_copy(config);
     config_put(config);
@@ -165,6 +169,15 @@
      "found name 'A!'"},
     {"bad change id", "{\"version\":1,\"rows\":[],\"change\":\"A B\"}",
      "change"},
+    {"history with a gap",
+     "{\"version\":3,\"rows\":[],\"history\":[{\"version\":1,\"kind\":\"vm\"},"
+     "{\"version\":3,\"kind\":\"vm\"}]}",
+     "rise by one"},
+    {"history of another kind",
+     "{\"version\":1,\"rows\":[],\"history\":[{\"version\":1}]}",
+     "another kind"},
+    {"history no list", "{\"version\":1,\"rows\":[],\"history\":{}}",
+     "at most 32"},
     {"unprintable key", "{\"version\":1,\"rows\":[{\"\\u0001\":1}]}",
      "column ?"},
 };
