--- a/standin/lib/upstream.c
+++ b/standin/lib/upstream.c
@@ -57,9 +57,9 @@
 void
 upstream_crash(upstream_t *upstream, int64_t now_us)
 {
+    upstream_count(upstream, EVENT_CRASH, 1);
     upstream_drop(upstream);
     replica_crash(&upstream->replica, now_us);
-    upstream_count(upstream, EVENT_CRASH, 1);
 }
 
 void
