net: connect to a peer known by its address alone

Cause: a daemon that starts while the store is down knows addresses from its settings, but neither names nor incarnations.

Change: an entry without a name takes whichever daemon proves the key; a named entry with its address takes its place without another connection.

Conclusion: a start without a roster needs no separate path.

--- a/net/channel.c
+++ b/net/channel.c
@@ -21,7 +21,8 @@
 }
 
 channel_t *
-channel_open(peer_net_t *net, connection_t *connection, bool dialed)
+channel_open(peer_net_t *net, connection_t *connection,
+             const peer_address_t *dialed)
 {
     channel_t *channel = calloc(1, sizeof(*channel));
     if (channel == NULL) {
@@ -29,7 +30,10 @@
         return NULL;
     }
     channel->connection = connection;
-    channel->dialed = dialed;
+    if (dialed != NULL) {
+        channel->dialed = true;
+        channel->peer = *dialed;
+    }
     channel->watch_write = connection->want_write;
     struct epoll_event event = {
         .events = connection->want_write ? EPOLLIN | EPOLLOUT : EPOLLIN,
@@ -45,7 +49,7 @@
         net->channels->previous = channel;
     }
     net->channels = channel;
-    net->strangers += dialed ? 0 : 1;
+    net->strangers += channel->dialed ? 0 : 1;
     return channel;
 }
 
@@ -125,13 +129,11 @@
 static void
 channel_close_stranger(peer_net_t *net, channel_t *channel, const error_t *err)
 {
-    if (!channel->dialed) {
-        net->strangers--;
+    if (channel->dialed) {
+        dialer_failed(&net->dialer, &channel->peer, peer_clock_us());
     }
-    else if (links_find(&net->links, channel->name, channel->incarnation) ==
-             NULL) {
-        dialer_ended(&net->dialer, channel->name, channel->incarnation, 0,
-                     peer_clock_us());
+    else {
+        net->strangers--;
     }
     net->ops.on_refused(net->ctx, err);
 }
@@ -180,12 +182,12 @@
     }
     net->strangers -= channel->dialed ? 0 : 1;
     channel->link = link;
-    channel->incarnation = hello->incarnation;
     bool first = link->dialed == NULL && link->accepted == NULL;
     channel_t **place = channel->dialed ? &link->dialed : &link->accepted;
     channel_t *old = *place;
     *place = channel;
-    dialer_up(&net->dialer, hello->name, hello->incarnation);
+    dialer_up(&net->dialer, hello->name, hello->incarnation,
+              channel->dialed ? &channel->peer : NULL);
     if (first) {
         pthread_mutex_lock(&net->lock);
         net->counters.ups++;
--- a/net/dialer.c
+++ b/net/dialer.c
@@ -19,25 +19,52 @@
     dialer_init(dialer, dialer->seed);
 }
 
-/* An entry with incarnation 0 stands for every one of that name. */
+/* Whether the entry stands for this daemon, connected or not. */
+static bool
+dial_matches(const dial_t *dial, const char *name, uint64_t incarnation)
+{
+    if (dial->incarnation == incarnation && strcmp(dial->name, name) == 0) {
+        return true;
+    }
+    bool any = dial->peer.incarnation == 0;
+    return (any || dial->peer.incarnation == incarnation) &&
+           strcmp(dial->peer.name, name) == 0;
+}
+
+static bool
+same_address(const peer_address_t *a, const peer_address_t *b)
+{
+    return a->port == b->port && strcmp(a->address, b->address) == 0;
+}
+
+static bool
+same_peer(const peer_address_t *a, const peer_address_t *b)
+{
+    return same_address(a, b) && a->incarnation == b->incarnation &&
+           strcmp(a->name, b->name) == 0;
+}
+
 static dial_t *
-dialer_find(const dialer_t *dialer, const char *name, uint64_t incarnation)
+dialer_find(const dialer_t *dialer, const peer_address_t *peer)
 {
     for (size_t i = 0; i < dialer->count; i++) {
-        dial_t *dial = &dialer->list[i];
-        bool matches = dial->peer.incarnation == incarnation ||
-                       dial->peer.incarnation == 0;
-        if (matches && strcmp(dial->peer.name, name) == 0) {
-            return dial;
+        if (same_peer(&dialer->list[i].peer, peer)) {
+            return &dialer->list[i];
         }
     }
     return NULL;
 }
 
+/* An unnamed entry whose address a named one has says nothing new. */
 static bool
-same_address(const peer_address_t *a, const peer_address_t *b)
+is_shadowed(const peer_address_t *peers, size_t count, size_t at)
 {
-    return a->port == b->port && strcmp(a->address, b->address) == 0;
+    for (size_t i = 0; i < count && peers[at].name[0] == '\0'; i++) {
+        if (peers[i].name[0] != '\0' && same_address(&peers[i], &peers[at])) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* A change of the fleet reaches many daemons at once: spread their dials. */
@@ -61,16 +88,18 @@
     if (list == NULL) {
         return false;
     }
+    size_t kept = 0;
     for (size_t i = 0; i < count; i++) {
-        const dial_t *old =
-            dialer_find(dialer, peers[i].name, peers[i].incarnation);
-        bool known = old != NULL && same_address(&old->peer, &peers[i]);
-        list[i] = known ? *old : dial_first(dialer, &peers[i], now_us);
-        list[i].busy = old != NULL && old->busy;
+        if (is_shadowed(peers, count, i)) {
+            continue;
+        }
+        const dial_t *old = dialer_find(dialer, &peers[i]);
+        list[kept++] =
+            old != NULL ? *old : dial_first(dialer, &peers[i], now_us);
     }
     free(dialer->list);
     dialer->list = list;
-    dialer->count = count;
+    dialer->count = kept;
     return true;
 }
 
@@ -87,12 +116,38 @@
     return NULL;
 }
 
+static void
+dial_again(dial_t *dial, int64_t lasted_us, int64_t now_us)
+{
+    dial->busy = false;
+    dial->incarnation = 0;
+    dial->name[0] = '\0';
+    dial->next_us = now_us + backoff_delay_us(dial->failures, dial->seed);
+    dial->failures = backoff_failures(dial->failures, lasted_us);
+}
+
+void
+dialer_failed(dialer_t *dialer, const peer_address_t *peer, int64_t now_us)
+{
+    dial_t *dial = dialer_find(dialer, peer);
+    bool connected = dial != NULL && dial->incarnation != 0;
+    if (dial != NULL && !connected) {
+        dial_again(dial, 0, now_us);
+    }
+}
+
 void
-dialer_up(dialer_t *dialer, const char *name, uint64_t incarnation)
+dialer_up(dialer_t *dialer, const char *name, uint64_t incarnation,
+          const peer_address_t *dialed)
 {
-    dial_t *dial = dialer_find(dialer, name, incarnation);
-    if (dial != NULL) {
-        dial->busy = true;
+    for (size_t i = 0; i < dialer->count; i++) {
+        dial_t *dial = &dialer->list[i];
+        bool answered = dialed != NULL && same_peer(&dial->peer, dialed);
+        if (answered || dial_matches(dial, name, incarnation)) {
+            dial->busy = true;
+            dial->incarnation = incarnation;
+            strncpy(dial->name, name, NAME_SIZE - 1);
+        }
     }
 }
 
@@ -100,19 +155,30 @@
 dialer_ended(dialer_t *dialer, const char *name, uint64_t incarnation,
              int64_t lasted_us, int64_t now_us)
 {
-    dial_t *dial = dialer_find(dialer, name, incarnation);
-    if (dial == NULL) {
-        return;
+    for (size_t i = 0; i < dialer->count; i++) {
+        dial_t *dial = &dialer->list[i];
+        if (dial->incarnation == incarnation &&
+            strcmp(dial->name, name) == 0) {
+            dial_again(dial, lasted_us, now_us);
+        }
     }
-    dial->busy = false;
-    dial->next_us = now_us + backoff_delay_us(dial->failures, dial->seed);
-    dial->failures = backoff_failures(dial->failures, lasted_us);
 }
 
 bool
 dialer_wants(const dialer_t *dialer, const char *name, uint64_t incarnation)
 {
-    return dialer_find(dialer, name, incarnation) != NULL;
+    for (size_t i = 0; i < dialer->count; i++) {
+        if (dial_matches(&dialer->list[i], name, incarnation)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+dialer_dials(const dialer_t *dialer, const peer_address_t *peer)
+{
+    return dialer_find(dialer, peer) != NULL;
 }
 
 int64_t
--- a/net/dialer.h
+++ b/net/dialer.h
@@ -1,12 +1,15 @@
 /*
  * Which peers to connect to, and when. Pure: no sockets, no clock.
  *
- * A peer is busy while it is being dialed or is connected, whoever dialed.
+ * A peer is busy while it is being dialed or is connected, whoever dialed. An
+ * entry without a name takes the name of the daemon that answered for as long
+ * as that is connected.
  *
  *     dialer_t dialer;
  *     dialer_init(&dialer, seed);
  *     dialer_set(&dialer, peers, count, now_us);
  *     while ((peer = dialer_next(&dialer, now_us)) != NULL) dial it
+ *     dialer_up(&dialer, name, incarnation, peer);
  *     dialer_ended(&dialer, name, incarnation, lasted_us, now_us);
  *     dialer_release(&dialer);
  */
@@ -16,7 +19,9 @@
 #include "net/peer.h"
 
 typedef struct {
-    peer_address_t peer;
+    peer_address_t peer; /* as it was set */
+    char name[NAME_SIZE];
+    uint64_t incarnation; /* as it answered; 0: not connected */
     uint64_t seed;
     int64_t next_us;
     uint32_t failures; /* in a row */
@@ -39,17 +44,28 @@
 /* A peer to dial now, marked busy; NULL: none. Valid until dialer_set. */
 const peer_address_t *dialer_next(dialer_t *dialer, int64_t now_us);
 
-/* The peer is connected. */
-void dialer_up(dialer_t *dialer, const char *name, uint64_t incarnation);
+/*
+ * A dial of peer, which dialer_next returned, came to nothing. Ignored when
+ * the peer has connected meanwhile.
+ */
+void dialer_failed(dialer_t *dialer, const peer_address_t *peer,
+                   int64_t now_us);
+
+/* The peer is connected; dialed is NULL when it dialed itself. */
+void dialer_up(dialer_t *dialer, const char *name, uint64_t incarnation,
+               const peer_address_t *dialed);
 
 /* No connection to the peer is left; the last one lasted so long. */
 void dialer_ended(dialer_t *dialer, const char *name, uint64_t incarnation,
                   int64_t lasted_us, int64_t now_us);
 
-/* Whether the peer is in the set. */
+/* Whether a connected peer is in the set. */
 bool dialer_wants(const dialer_t *dialer, const char *name,
                   uint64_t incarnation);
 
+/* Whether a peer being dialed is in the set. */
+bool dialer_dials(const dialer_t *dialer, const peer_address_t *peer);
+
 /* When dialer_next may next return a peer; INT64_MAX: not by time alone. */
 int64_t dialer_wakeup(const dialer_t *dialer);
 
--- a/net/loop.c
+++ b/net/loop.c
@@ -94,7 +94,7 @@
     if (connection == NULL) {
         return true;
     }
-    channel_t *channel = channel_open(net, connection, false);
+    channel_t *channel = channel_open(net, connection, NULL);
     if (channel != NULL) {
         channel_pump(net, channel);
     }
@@ -117,8 +117,7 @@
     pthread_mutex_lock(&net->lock);
     net->counters.dials_failed++;
     pthread_mutex_unlock(&net->lock);
-    dialer_ended(&net->dialer, peer->name, peer->incarnation, 0,
-                 peer_clock_us());
+    dialer_failed(&net->dialer, peer, peer_clock_us());
     net->ops.on_refused(net->ctx, err);
 }
 
@@ -136,15 +135,11 @@
         dial_failed(net, peer, &err);
         return;
     }
-    channel_t *channel = channel_open(net, connection, true);
-    if (channel == NULL) {
+    if (channel_open(net, connection, peer) == NULL) {
         error_set(&err, STATUS_NO_MEMORY, "peer connect", peer->address,
                   "no memory");
         dial_failed(net, peer, &err);
-        return;
     }
-    memcpy(channel->name, peer->name, NAME_SIZE);
-    channel->incarnation = peer->incarnation;
 }
 
 static void
@@ -156,19 +151,40 @@
     }
 }
 
+static bool
+channel_wanted(const peer_net_t *net, const channel_t *channel)
+{
+    if (channel->link == NULL) {
+        return dialer_dials(&net->dialer, &channel->peer);
+    }
+    return dialer_wants(&net->dialer, channel->link->name,
+                        channel->link->incarnation);
+}
+
 static void
 close_unwanted(peer_net_t *net)
 {
     channel_t *next;
     for (channel_t *c = net->channels; c != NULL; c = next) {
         next = c->next;
-        if (c->dialed &&
-            !dialer_wants(&net->dialer, c->name, c->incarnation)) {
+        if (c->dialed && !channel_wanted(net, c)) {
             close_for(net, c, STATUS_UNAVAILABLE, "no longer a peer");
         }
     }
 }
 
+/* New entries may name peers that are connected already. */
+static void
+mark_connected(peer_net_t *net)
+{
+    for (const channel_t *c = net->channels; c != NULL; c = c->next) {
+        if (c->link != NULL) {
+            dialer_up(&net->dialer, c->link->name, c->link->incarnation,
+                      c->dialed ? &c->peer : NULL);
+        }
+    }
+}
+
 static void
 take_new_peers(peer_net_t *net, int64_t now_us)
 {
@@ -181,12 +197,7 @@
         return;
     }
     if (dialer_set(&net->dialer, peers, count, now_us)) {
-        for (size_t i = 0; i < count; i++) {
-            if (links_find(&net->links, peers[i].name, peers[i].incarnation) !=
-                NULL) {
-                dialer_up(&net->dialer, peers[i].name, peers[i].incarnation);
-            }
-        }
+        mark_connected(net);
         close_unwanted(net);
     }
     free(peers);
--- a/net/peer.c
+++ b/net/peer.c
@@ -204,7 +204,9 @@
 static bool
 peer_is_self(const peer_net_t *net, const peer_address_t *peer)
 {
-    return strcmp(peer->name, net->settings.self.name) == 0;
+    bool same_address = peer->port == net->port &&
+                        strcmp(peer->address, net->settings.address) == 0;
+    return same_address || strcmp(peer->name, net->settings.self.name) == 0;
 }
 
 status_t
--- a/net/peer.h
+++ b/net/peer.h
@@ -47,10 +47,13 @@
     uint64_t seed;              /* of the back-off's jitter */
 } peer_net_settings_t;
 
-/* A peer to stay connected to. */
+/*
+ * A peer to stay connected to. With an empty name and incarnation 0 it is
+ * whichever daemon answers there, for a start without a roster.
+ */
 typedef struct {
     char name[NAME_SIZE];
-    uint64_t incarnation; /* 0: whichever lives there */
+    uint64_t incarnation; /* 0: any */
     char address[ADDRESS_SIZE];
     uint16_t port;
 } peer_address_t;
@@ -115,8 +118,9 @@
 uint16_t peer_net_port(const peer_net_t *net);
 
 /*
- * Replace the set of peers to stay connected to; this daemon's own name is
- * skipped. Connections dialed to peers no longer in the set are closed.
+ * Replace the set of peers to stay connected to; this daemon's own name
+ * and address are skipped, and so is an unnamed entry whose address a named
+ * one has. Connections dialed to peers no longer in the set are closed.
  */
 status_t peer_net_set_peers(peer_net_t *net, const peer_address_t *peers,
                             size_t count, error_t *err);
--- a/net/peer_private.h
+++ b/net/peer_private.h
@@ -17,10 +17,9 @@
     connection_t *connection;
     peer_link_t *link; /* NULL before authentication */
     bool dialed;
-    bool closed;          /* freed after the current events */
-    bool watch_write;     /* epoll is told to */
-    char name[NAME_SIZE]; /* whom it dialed */
-    uint64_t incarnation;
+    bool closed;         /* freed after the current events */
+    bool watch_write;    /* epoll is told to */
+    peer_address_t peer; /* that it dialed */
 } channel_t;
 
 struct peer_net {
@@ -58,9 +57,12 @@
 /* Monotonic time. */
 int64_t peer_clock_us(void);
 
-/* Start to watch a new channel's socket; frees the connection on failure. */
+/*
+ * Start to watch a new channel's socket; dialed is NULL for an accepted one.
+ * NULL: failed, and the connection is freed.
+ */
 channel_t *channel_open(peer_net_t *net, connection_t *connection,
-                        bool dialed);
+                        const peer_address_t *dialed);
 
 /* Close for such a reason and tell the ops. */
 void channel_close(peer_net_t *net, channel_t *channel, const error_t *err);
--- a/proto/handshake.c
+++ b/proto/handshake.c
@@ -128,8 +128,9 @@
     if (!handshake_agree(hs, hello->version, hello->oldest)) {
         return HANDSHAKE_BAD_VERSION;
     }
-    if (strcmp(hello->peer, hs->self.name) != 0 ||
-        strcmp(hello->name, hs->self.name) == 0) {
+    bool meant =
+        hello->peer[0] == '\0' || strcmp(hello->peer, hs->self.name) == 0;
+    if (!meant || strcmp(hello->name, hs->self.name) == 0) {
         return HANDSHAKE_BAD_NAME;
     }
     transcript->acceptor = handshake_hello(hs, hello->name);
@@ -157,7 +158,8 @@
     if (!handshake_agree(hs, hello->version, hello->oldest)) {
         return HANDSHAKE_BAD_VERSION;
     }
-    bool same_name = strcmp(hello->name, hs->expected_name) == 0;
+    bool same_name = hs->expected_name[0] == '\0' ||
+                     strcmp(hello->name, hs->expected_name) == 0;
     bool same_incarnation = hs->expected_incarnation == 0 ||
                             hs->expected_incarnation == hello->incarnation;
     if (!same_name || !same_incarnation) {
--- a/proto/handshake.h
+++ b/proto/handshake.h
@@ -58,8 +58,8 @@
                       const uint8_t nonce[NONCE_BYTES], message_t *out);
 
 /*
- * Begin as dialer towards the daemon named; incarnation 0 takes any. Nothing
- * is sent until the challenge arrives.
+ * Begin as dialer towards the daemon named; an empty name and incarnation 0
+ * take any. Nothing is sent until the challenge arrives.
  */
 void handshake_dial(handshake_t *hs, const identity_t *self, auth_key_t key,
                     const uint8_t nonce[NONCE_BYTES], const char *name,
--- a/proto/message.h
+++ b/proto/message.h
@@ -69,7 +69,7 @@
     uint64_t incarnation;
     char zone[NAME_SIZE];
     uint8_t nonce[NONCE_BYTES];
-    char peer[NAME_SIZE]; /* whom the sender believes to talk to */
+    char peer[NAME_SIZE]; /* whom the sender means; empty: any */
     uint8_t proof[PROOF_BYTES];
 } hello_t;
 
--- a/t/t0602-handshake.c
+++ b/t/t0602-handshake.c
@@ -38,6 +38,8 @@
      HANDSHAKE_DONE, 3},
     {"any incarnation", RIGHT, 3, 2, 3, 2, "b1", 0, HANDSHAKE_DONE,
      HANDSHAKE_DONE, 3},
+    {"whoever answers", RIGHT, 3, 2, 3, 2, "", 0, HANDSHAKE_DONE,
+     HANDSHAKE_DONE, 3},
     {"newer dialer", RIGHT, 4, 3, 3, 2, "b1", 2, HANDSHAKE_DONE,
      HANDSHAKE_DONE, 3},
     {"newer acceptor", RIGHT, 2, 1, 3, 2, "b1", 2, HANDSHAKE_DONE,
@@ -267,7 +269,7 @@
     dialer_t dialer;
     dialer_init(&dialer, 5);
     ck_assert(dialer_set(&dialer, peers, 2, 0));
-    dialer_up(&dialer, "c1", 3);
+    dialer_up(&dialer, "c1", 3, NULL);
     unsigned dials = 0;
     for (int64_t now_us = 0; now_us < 60000000; now_us += 1000) {
         const peer_address_t *peer = dialer_next(&dialer, now_us);
@@ -277,7 +279,7 @@
         dials++;
         ck_assert_str_eq(peer->name, "b1");
         ck_assert_ptr_null(dialer_next(&dialer, now_us + BACKOFF_MAX_US));
-        dialer_ended(&dialer, "b1", 2, 0, now_us);
+        dialer_failed(&dialer, &peers[0], now_us);
         ck_assert(dialer_set(&dialer, peers, 2, now_us));
         ck_assert_int_gt(dialer_wakeup(&dialer), now_us);
     }
@@ -292,17 +294,41 @@
 }
 END_TEST
 
-/* Incarnation 0 stands for whichever daemon of that name lives there. */
-START_TEST(test_dialer_any_incarnation)
+typedef struct {
+    const char *name;
+    const char *answered; /* by which daemon */
+    bool dialed;          /* or it dialed itself */
+    bool busy;
+} any_case_t;
+
+static const any_case_t any_cases[] = {
+    {"", "b1", true, true},     {"", "b1", false, false},
+    {"b1", "b1", true, true},   {"b1", "b1", false, true},
+    {"b1", "c1", false, false},
+};
+
+/* An entry that takes any incarnation or daemon follows who answered. */
+START_TEST(test_dialer_any)
 {
-    const peer_address_t seed = {.name = "b1", .address = "::1", .port = 1};
+    const any_case_t *c = &any_cases[_i];
+    peer_address_t seeds[] = {
+        {.address = "::1", .port = 1},
+        {.address = "::1", .port = 2},
+    };
+    strncpy(seeds[1].name, c->name, NAME_SIZE - 1);
     dialer_t dialer;
     dialer_init(&dialer, 5);
-    ck_assert(dialer_set(&dialer, &seed, 1, 0));
-    dialer_up(&dialer, "b1", 77);
-    ck_assert_ptr_null(dialer_next(&dialer, BACKOFF_MAX_US));
-    dialer_ended(&dialer, "b1", 77, 0, 0);
+    ck_assert(dialer_set(&dialer, &seeds[1], 1, 0));
+    dialer_up(&dialer, c->answered, 77, c->dialed ? &seeds[1] : NULL);
+    ck_assert_int_eq(dialer_next(&dialer, BACKOFF_MAX_US) == NULL, c->busy);
+    ck_assert_int_eq(dialer_wants(&dialer, c->answered, 77), c->busy);
+    dialer_ended(&dialer, c->answered, 77, 0, 0);
+    dialer_failed(&dialer, &seeds[1], 0);
     ck_assert_ptr_nonnull(dialer_next(&dialer, BACKOFF_MAX_US));
+    /* A named entry takes the place of an unnamed one at its address. */
+    seeds[0].port = 2;
+    ck_assert(dialer_set(&dialer, seeds, 2, 0));
+    ck_assert_uint_eq(dialer.count, c->name[0] == '\0' ? 2 : 1);
     dialer_release(&dialer);
 }
 END_TEST
@@ -318,6 +344,6 @@
     tcase_add_test(tests, test_stream);
     tcase_add_test(tests, test_backoff);
     tcase_add_test(tests, test_dialer);
-    tcase_add_test(tests, test_dialer_any_incarnation);
+    tcase_add_loop_test(tests, test_dialer_any, 0, CASES(any_cases));
     return suite_run("handshake", tests);
 }
--- a/t/t0603-peer.c
+++ b/t/t0603-peer.c
@@ -299,6 +299,31 @@
 }
 END_TEST
 
+/* By address alone first, then named by a roster: one connection stays. */
+START_TEST(test_unnamed)
+{
+    node_t a;
+    node_t b;
+    node_start(&a, "a1", 1, 0, right_key);
+    node_start(&b, "b1", 2, 0, right_key);
+    peer_address_t seeds[] = {
+        {.address = "127.0.0.1", .port = peer_net_port(b.net)},
+        {.address = "127.0.0.1", .port = peer_net_port(a.net)},
+    };
+    ck_assert_int_eq(peer_net_set_peers(a.net, seeds, 2, NULL), STATUS_OK);
+    node_wait(&a, &a.ups, 1);
+    ck_assert_int_eq(node_send(&a, &b, 1), STATUS_OK);
+    node_wait(&b, &b.messages, 1);
+    node_dial(&a, &b, 0);
+    ck_assert_int_eq(node_send(&a, &b, 2), STATUS_OK);
+    node_wait(&b, &b.messages, 2);
+    ck_assert_uint_eq(peer_net_counters(a.net).dials, 1);
+    ck_assert_uint_eq(node_read(&a, &a.downs), 0);
+    node_stop(&a);
+    node_stop(&b);
+}
+END_TEST
+
 START_TEST(test_wrong_key)
 {
     node_t a;
@@ -557,6 +582,7 @@
     tcase_add_test(tests, test_simultaneous);
     tcase_add_test(tests, test_replaced);
     tcase_add_test(tests, test_removed);
+    tcase_add_test(tests, test_unnamed);
     tcase_add_test(tests, test_wrong_key);
     tcase_add_test(tests, test_queue_bound);
     tcase_add_loop_test(tests, test_stranger, 0, CASES(stranger_cases));
