--- /dev/null
+++ b/core/once_ticket.c
@@ -0,0 +1,126 @@
+#include "core/once_ticket.h"
+
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+enum {
+    MAC_BYTES = 32,
+    MAC_KEPT_BYTES = 16,
+    MAC_TEXT = MAC_KEPT_BYTES * 2,
+    HEX_DIGITS_MAX = 16,
+    BODY_MAX = TICKET_TEXT_MAX - MAC_TEXT - 1
+};
+
+/* MAC of the text before the last dot, in hexadecimal. */
+static status_t
+ticket_mac(const char *body, size_t size, const ticket_key_t *key,
+           char text[MAC_TEXT + 1], error_t *err)
+{
+    uint8_t mac[MAC_BYTES];
+    if (key->size < TICKET_KEY_MIN) {
+        return error_set(err, STATUS_INVALID, "ticket key", "-",
+                         "found %zu bytes, at least %d allowed", key->size,
+                         TICKET_KEY_MIN);
+    }
+    int code = gnutls_hmac_fast(GNUTLS_MAC_SHA256, key->bytes, key->size, body,
+                                size, mac);
+    if (code < 0) {
+        return error_set(err, STATUS_INTERNAL, "ticket mac", "-", "%s",
+                         gnutls_strerror(code));
+    }
+    for (int i = 0; i < MAC_KEPT_BYTES; i++) {
+        snprintf(text + (ptrdiff_t)i * 2, 3, "%02x", mac[i]);
+    }
+    return STATUS_OK;
+}
+
+status_t
+ticket_format(const ticket_t *ticket, const ticket_key_t *key,
+              char text[TICKET_TEXT_MAX], error_t *err)
+{
+    int size = snprintf(text, BODY_MAX, "%s.%" PRIx64 ".%" PRIx64 ".%" PRIx64,
+                        ticket->daemon, ticket->incarnation, ticket->sequence,
+                        (uint64_t)ticket->expires_us);
+    char mac[MAC_TEXT + 1];
+    status_t status = ticket_mac(text, (size_t)size, key, mac, err);
+    if (status != STATUS_OK) {
+        return status;
+    }
+    text[size] = '.';
+    memcpy(text + size + 1, mac, sizeof(mac));
+    return STATUS_OK;
+}
+
+/* The hexadecimal number between a dot and the end; moves end to the dot. */
+static bool
+parse_last(const char *text, size_t *end, uint64_t *value)
+{
+    size_t start = *end;
+    *value = 0;
+    while (start > 0 && text[start - 1] != '.') {
+        start--;
+    }
+    size_t digits = *end - start;
+    if (start == 0 || digits == 0 || digits > HEX_DIGITS_MAX) {
+        return false;
+    }
+    for (size_t i = start; i < *end; i++) {
+        const char *hex = "0123456789abcdef";
+        const char *digit = strchr(hex, text[i]);
+        if (digit == NULL || text[i] == '\0') {
+            return false;
+        }
+        *value = *value << 4 | (uint64_t)(digit - hex);
+    }
+    *end = start - 1;
+    return true;
+}
+
+static bool
+parse_body(const char *text, size_t size, ticket_t *ticket)
+{
+    uint64_t expires = 0;
+    size_t end = size;
+    memset(ticket, 0, sizeof(*ticket));
+    if (!parse_last(text, &end, &expires) ||
+        !parse_last(text, &end, &ticket->sequence) ||
+        !parse_last(text, &end, &ticket->incarnation)) {
+        return false;
+    }
+    if (end == 0 || end >= NAME_SIZE || expires > INT64_MAX) {
+        return false;
+    }
+    memcpy(ticket->daemon, text, end);
+    ticket->expires_us = (int64_t)expires;
+    return true;
+}
+
+status_t
+ticket_parse(const char *text, const ticket_key_t *key, ticket_t *ticket,
+             error_t *err)
+{
+    size_t size = strnlen(text, TICKET_TEXT_MAX);
+    if (size == TICKET_TEXT_MAX || size <= MAC_TEXT + 1 ||
+        text[size - MAC_TEXT - 1] != '.') {
+        return error_set(err, STATUS_INVALID, "read ticket", "caller",
+                         "not a ticket");
+    }
+    size_t body = size - MAC_TEXT - 1;
+    char mac[MAC_TEXT + 1];
+    status_t status = ticket_mac(text, body, key, mac, err);
+    if (status != STATUS_OK) {
+        return status;
+    }
+    if (gnutls_memcmp(mac, text + body + 1, MAC_TEXT) != 0) {
+        return error_set(err, STATUS_DENIED, "read ticket", "caller",
+                         "not issued by this fleet");
+    }
+    if (!parse_body(text, body, ticket)) {
+        return error_set(err, STATUS_INVALID, "read ticket", "caller",
+                         "not a ticket");
+    }
+    return STATUS_OK;
+}
