core: commit intents of callers' ids to the store in groups

An id of the caller's own must be in the store before anything is sent, and the store takes a few hundred writes a second for the whole fleet. A log a bucket collects ids while a write is under way and commits them by compare-and-swap; a write without a clear answer is read back, and counts only when the index has moved, since an older write could still land. No clock is compared with another machine's: a generation ends after its writer has seen it for its whole length.

--- /dev/null
+++ b/core/intent.c
@@ -0,0 +1,366 @@
+#include "core/intent.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct {
+    uint64_t hashes[INTENT_PENDING_MAX];
+    size_t count;
+} hash_list_t;
+
+struct intent_log {
+    intent_settings_t settings;
+    uint32_t bucket;
+    bucket_t known; /* a value that was in the store */
+    uint64_t index; /* of known */
+    bool loaded;    /* known and index belong together, as last seen */
+    uint32_t generation;
+    int64_t generation_seen_us; /* when generation was first seen */
+    int64_t written_us;
+    intent_do_t doing;
+    hash_list_t pending;
+    hash_list_t flight;      /* in a write not yet confirmed */
+    uint64_t flight_index;   /* what that write compared with */
+    hash_list_t withdrawn;   /* to leave out of the next value */
+    size_t flight_withdrawn; /* how many of them the write leaves out */
+    bucket_t next;           /* value of the write */
+    uint8_t *value;          /* the same encoded */
+    intent_verdict_t verdicts[2 * INTENT_PENDING_MAX];
+    size_t verdict_first;
+    size_t verdict_count;
+};
+
+intent_log_t *
+intent_log_new(const intent_settings_t *settings, uint32_t bucket)
+{
+    intent_log_t *log = calloc(1, sizeof(*log));
+    if (log != NULL) {
+        log->settings = *settings;
+        log->bucket = bucket;
+        log->written_us = -settings->commit_gap_us;
+    }
+    return log;
+}
+
+static void
+log_drop_next(intent_log_t *log)
+{
+    bucket_release(&log->next);
+    free(log->value);
+    log->value = NULL;
+}
+
+void
+intent_log_free(intent_log_t *log)
+{
+    if (log != NULL) {
+        log_drop_next(log);
+        bucket_release(&log->known);
+        free(log);
+    }
+}
+
+static void
+list_drop(hash_list_t *list, size_t at)
+{
+    list->count--;
+    memmove(&list->hashes[at], &list->hashes[at + 1],
+            (list->count - at) * sizeof(list->hashes[0]));
+}
+
+/* Where the hash stands; count when it does not. */
+static size_t
+list_find(const hash_list_t *list, uint64_t hash)
+{
+    size_t at = 0;
+    while (at < list->count && list->hashes[at] != hash) {
+        at++;
+    }
+    return at;
+}
+
+static void
+list_forget(hash_list_t *list, uint64_t hash)
+{
+    size_t at = list_find(list, hash);
+    if (at < list->count) {
+        list_drop(list, at);
+    }
+}
+
+static void
+log_judge(intent_log_t *log, uint64_t hash, intent_status_t status,
+          uint64_t writer)
+{
+    size_t capacity = sizeof(log->verdicts) / sizeof(log->verdicts[0]);
+    size_t at = (log->verdict_first + log->verdict_count) % capacity;
+    log->verdicts[at] =
+        (intent_verdict_t){.hash = hash, .status = status, .writer = writer};
+    log->verdict_count++;
+}
+
+static void
+list_judge(intent_log_t *log, hash_list_t *list, intent_status_t status)
+{
+    for (size_t i = 0; i < list->count; i++) {
+        log_judge(log, list->hashes[i], status, 0);
+    }
+    list->count = 0;
+}
+
+/*
+ * The store cannot be used: nothing that waits for it will run. What was
+ * being written may still get there, so it is withdrawn.
+ */
+static void
+log_give_up(intent_log_t *log)
+{
+    for (size_t i = 0; i < log->flight.count; i++) {
+        intent_withdraw(log, log->flight.hashes[i]);
+    }
+    list_judge(log, &log->flight, INTENT_STORE);
+    list_judge(log, &log->pending, INTENT_STORE);
+    log->loaded = false;
+}
+
+intent_verdict_t
+intent_submit(intent_log_t *log, uint64_t hash)
+{
+    intent_verdict_t verdict = {.hash = hash, .status = INTENT_WAIT};
+    uint64_t writer = bucket_writer(&log->known, hash);
+    size_t waiting =
+        log->pending.count + log->flight.count + log->verdict_count;
+    if (writer != 0 && writer != log->settings.incarnation) {
+        verdict.status = INTENT_ALREADY;
+        verdict.writer = writer;
+        return verdict;
+    }
+    if (waiting >= INTENT_PENDING_MAX) {
+        verdict.status = INTENT_FULL;
+        return verdict;
+    }
+    log->pending.hashes[log->pending.count++] = hash;
+    return verdict;
+}
+
+void
+intent_withdraw(intent_log_t *log, uint64_t hash)
+{
+    if (log->withdrawn.count < INTENT_PENDING_MAX &&
+        list_find(&log->withdrawn, hash) == log->withdrawn.count) {
+        log->withdrawn.hashes[log->withdrawn.count++] = hash;
+    }
+}
+
+/*
+ * Whether an id may not be added: another incarnation has it, or this one has
+ * it from a run that it no longer remembers.
+ */
+static bool
+log_is_taken(const intent_log_t *log, uint64_t hash, uint64_t *writer)
+{
+    *writer = bucket_writer(&log->known, hash);
+    if (*writer == 0) {
+        return false;
+    }
+    return *writer != log->settings.incarnation ||
+           list_find(&log->withdrawn, hash) == log->withdrawn.count;
+}
+
+/* Answer the pending ids that are taken. */
+static void
+log_weed(intent_log_t *log)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < log->pending.count; i++) {
+        uint64_t hash = log->pending.hashes[i];
+        uint64_t writer;
+        if (log_is_taken(log, hash, &writer)) {
+            log_judge(log, hash, INTENT_ALREADY, writer);
+        }
+        else {
+            log->pending.hashes[kept++] = hash;
+        }
+    }
+    log->pending.count = kept;
+}
+
+static status_t
+log_prepare(intent_log_t *log, int64_t now_us, size_t *size)
+{
+    int64_t seen_us = now_us - log->generation_seen_us;
+    bucket_change_t change = {.incarnation = log->settings.incarnation,
+                              .added = log->pending.hashes,
+                              .added_count = log->pending.count,
+                              .removed = log->withdrawn.hashes,
+                              .removed_count = log->withdrawn.count,
+                              .advance =
+                                  seen_us >= log->settings.generation_us,
+                              .horizon = log->settings.horizon};
+    status_t status = bucket_next(&log->known, &change, &log->next, NULL);
+    if (status == STATUS_OK) {
+        status = bucket_encode(&log->next, &log->value, size, NULL);
+    }
+    if (status != STATUS_OK) {
+        log_drop_next(log);
+    }
+    return status;
+}
+
+static intent_do_t
+log_start_write(intent_log_t *log, int64_t now_us, intent_action_t *action)
+{
+    size_t size = 0;
+    if (log_prepare(log, now_us, &size) != STATUS_OK) {
+        list_judge(log, &log->pending, INTENT_FULL);
+        return INTENT_DO_NOTHING;
+    }
+    log->flight = log->pending;
+    log->pending.count = 0;
+    log->flight_index = log->index;
+    log->flight_withdrawn = log->withdrawn.count;
+    log->written_us = now_us;
+    log->doing = INTENT_DO_WRITE;
+    action->index = log->index;
+    action->value = log->value;
+    action->size = size;
+    return INTENT_DO_WRITE;
+}
+
+intent_do_t
+intent_action(intent_log_t *log, int64_t now_us, intent_action_t *action)
+{
+    *action =
+        (intent_action_t){.what = INTENT_DO_NOTHING, .bucket = log->bucket};
+    if (log->doing != INTENT_DO_NOTHING ||
+        log->pending.count + log->flight.count == 0) {
+        return INTENT_DO_NOTHING;
+    }
+    if (!log->loaded) {
+        log->doing = INTENT_DO_READ;
+        action->what = INTENT_DO_READ;
+        return INTENT_DO_READ;
+    }
+    log_weed(log);
+    if (log->pending.count > 0 &&
+        now_us - log->written_us >= log->settings.commit_gap_us) {
+        action->what = log_start_write(log, now_us, action);
+    }
+    return action->what;
+}
+
+int64_t
+intent_wakeup(const intent_log_t *log, int64_t now_us)
+{
+    if (log->doing != INTENT_DO_NOTHING ||
+        log->pending.count + log->flight.count == 0) {
+        return INT64_MAX;
+    }
+    int64_t write_us = log->written_us + log->settings.commit_gap_us;
+    return log->loaded && write_us > now_us ? write_us : now_us;
+}
+
+static void
+log_see_generation(intent_log_t *log, int64_t now_us)
+{
+    if (log->known.generation != log->generation ||
+        log->generation_seen_us == 0) {
+        log->generation = log->known.generation;
+        log->generation_seen_us = now_us;
+    }
+}
+
+/*
+ * A write ended unconfirmed and the value was read back. An index that moved
+ * on proves that no older write can still take effect, so that an own intent
+ * seen in the value stays there.
+ */
+static void
+log_settle_flight(intent_log_t *log)
+{
+    for (size_t i = 0; i < log->flight.count; i++) {
+        uint64_t hash = log->flight.hashes[i];
+        bool confirmed =
+            log->index != log->flight_index &&
+            bucket_writer(&log->known, hash) == log->settings.incarnation;
+        if (confirmed) {
+            list_forget(&log->withdrawn, hash);
+            log_judge(log, hash, INTENT_RUN, 0);
+        }
+        else {
+            log->pending.hashes[log->pending.count++] = hash;
+        }
+    }
+    log->flight.count = 0;
+}
+
+void
+intent_read_done(intent_log_t *log, status_t status, const uint8_t *value,
+                 size_t size, uint64_t index, int64_t now_us)
+{
+    bucket_t read;
+    bucket_init(&read);
+    log->doing = INTENT_DO_NOTHING;
+    bool missing = status == STATUS_NOT_FOUND;
+    if (status == STATUS_OK) {
+        status = bucket_decode(&read, value, size, NULL);
+    }
+    if (status != STATUS_OK && !missing) {
+        log_give_up(log);
+        return;
+    }
+    bucket_release(&log->known);
+    log->known = read;
+    log->index = missing ? 0 : index;
+    log->loaded = true;
+    log_see_generation(log, now_us);
+    log_settle_flight(log);
+}
+
+static void
+log_confirm(intent_log_t *log, uint64_t index, int64_t now_us)
+{
+    bucket_release(&log->known);
+    log->known = log->next;
+    bucket_init(&log->next);
+    log->index = index;
+    log->loaded = index != 0;
+    log_see_generation(log, now_us);
+    list_judge(log, &log->flight, INTENT_RUN);
+    while (log->flight_withdrawn > 0) {
+        list_drop(&log->withdrawn, --log->flight_withdrawn);
+    }
+}
+
+void
+intent_write_done(intent_log_t *log, status_t status, uint64_t index,
+                  int64_t now_us)
+{
+    log->doing = INTENT_DO_NOTHING;
+    if (status == STATUS_OK) {
+        log_confirm(log, index, now_us);
+    }
+    log_drop_next(log);
+    log->flight_withdrawn = 0;
+    bool unsure = status == STATUS_CONFLICT || status == STATUS_TIMEOUT ||
+                  status == STATUS_UNKNOWN;
+    if (unsure) {
+        log->loaded = false;
+    }
+    else if (status != STATUS_OK) {
+        log_give_up(log);
+    }
+}
+
+bool
+intent_take(intent_log_t *log, intent_verdict_t *verdict)
+{
+    size_t capacity = sizeof(log->verdicts) / sizeof(log->verdicts[0]);
+    if (log->verdict_count == 0) {
+        return false;
+    }
+    *verdict = log->verdicts[log->verdict_first];
+    log->verdict_first = (log->verdict_first + 1) % capacity;
+    log->verdict_count--;
+    return true;
+}
