--- /dev/null
+++ b/standin/report.c
@@ -0,0 +1,191 @@
+/*
+ * standin-report: the figures of a demonstration in a table, then on the last
+ * line as one JSON object.
+ *
+ *     standin-report LOAD COUNT [ZONE COUNT_AT_COMMAND COUNT_AT_RETURN]
+ *
+ * LOAD is the result of standin-load, the others are replies of the
+ * upstreams' GET /count: at the end, when the operator took ZONE out and when
+ * it was to return.
+ *
+ * extra_load is repeated parts over parts that were started for the first
+ * time; zone_out_ms is from the command to the last new work of the zone.
+ */
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdio.h>
+
+typedef struct {
+    json_t *load;
+    json_t *count;
+    json_t *command; /* NULL: no zone was taken out */
+    json_t *back;
+    const char *zone;
+} figures_t;
+
+static json_int_t
+integer(const json_t *object, const char *name)
+{
+    return json_integer_value(json_object_get(object, name));
+}
+
+static double
+real(const json_t *object, const char *name)
+{
+    return json_number_value(json_object_get(object, name));
+}
+
+static json_int_t
+total(const figures_t *figures, const char *name)
+{
+    return integer(json_object_get(figures->count, "totals"), name);
+}
+
+static void
+print_services(const figures_t *figures)
+{
+    const char *name = NULL;
+    json_t *row = NULL;
+    (void)printf("%-15s %7s %7s %7s %7s %7s %6s %9s %8s %8s\n", "service",
+                 "queries", "whole", "partial", "refused", "unknown", "late",
+                 "coverage", "p50 ms", "p99 ms");
+    json_object_foreach(json_object_get(figures->load, "services"), name, row)
+    {
+        (void)printf("%-15s %7lld %7lld %7lld %7lld %7lld %6lld %9.5f %8.1f "
+                     "%8.1f\n",
+                     name, integer(row, "queries"), integer(row, "whole"),
+                     integer(row, "partial"), integer(row, "refused"),
+                     integer(row, "unknown") + integer(row, "lost"),
+                     integer(row, "late"), real(row, "coverage"),
+                     real(row, "p50_ms"), real(row, "p99_ms"));
+    }
+}
+
+static void
+print_reasons(const figures_t *figures)
+{
+    const char *name = NULL;
+    json_t *value = NULL;
+    (void)printf("\nreasons of what was not whole:");
+    json_object_foreach(json_object_get(figures->load, "reasons"), name, value)
+    {
+        (void)printf(" %s %lld", name, json_integer_value(value));
+    }
+    (void)printf("\nfalse refusals %lld, sent again %lld, connections closed "
+                 "on purpose %lld\n",
+                 integer(figures->load, "false_not_run"),
+                 integer(figures->load, "sent_again"),
+                 integer(figures->load, "aborted"));
+}
+
+static void
+print_upstreams(const figures_t *figures)
+{
+    static const char *const names[] = {"started",
+                                        "repeated",
+                                        "shed",
+                                        "cold_excess",
+                                        "cold_violations",
+                                        "slot_violations",
+                                        "no_version",
+                                        "moved",
+                                        "expired",
+                                        "failed",
+                                        "cancelled",
+                                        "crashes",
+                                        "connections",
+                                        "connections_refused"};
+    (void)printf("\nat the upstreams:");
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        (void)printf(" %s %lld", names[i], total(figures, names[i]));
+    }
+    (void)printf("\n\n");
+}
+
+static json_t *
+zone_out_ms(const figures_t *figures)
+{
+    if (figures->command == NULL) {
+        return json_null();
+    }
+    const json_t *zone = json_object_get(
+        json_object_get(figures->back, "zones"), figures->zone);
+    json_int_t last_ms =
+        integer(zone, "last_ms") - integer(figures->command, "now_ms");
+    return json_integer(last_ms > 0 ? last_ms : 0);
+}
+
+static json_t *
+summary(const figures_t *figures)
+{
+    const json_t *load = figures->load;
+    json_int_t repeated = total(figures, "repeated");
+    json_int_t first = total(figures, "started") - repeated;
+    double extra = first > 0 ? (double)repeated / (double)first : 0;
+    return json_pack(
+        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:f, s:f, s:f, s:o}",
+        "queries", integer(load, "queries"), "whole", integer(load, "whole"),
+        "partial", integer(load, "partial"), "refused",
+        integer(load, "refused"), "unknown",
+        integer(load, "unknown") + integer(load, "lost"), "doubled",
+        total(figures, "doubled"), "wrong", integer(load, "wrong"), "coverage",
+        real(load, "coverage"), "p50_ms", real(load, "p50_ms"), "p99_ms",
+        real(load, "p99_ms"), "extra_load", extra, "zone_out_ms",
+        zone_out_ms(figures));
+}
+
+static bool
+figures_read(figures_t *figures, int argc, char **argv)
+{
+    *figures = (figures_t){.load = json_load_file(argv[1], 0, NULL),
+                           .count = json_load_file(argv[2], 0, NULL)};
+    if (argc == 3) {
+        return figures->load != NULL && figures->count != NULL;
+    }
+    figures->zone = argv[3];
+    figures->command = json_load_file(argv[4], 0, NULL);
+    figures->back = json_load_file(argv[5], 0, NULL);
+    return figures->load != NULL && figures->count != NULL &&
+           figures->command != NULL && figures->back != NULL;
+}
+
+static void
+figures_release(figures_t *figures)
+{
+    json_decref(figures->load);
+    json_decref(figures->count);
+    json_decref(figures->command);
+    json_decref(figures->back);
+}
+
+static void
+print_figures(const figures_t *figures)
+{
+    print_services(figures);
+    print_reasons(figures);
+    print_upstreams(figures);
+    json_t *json = summary(figures);
+    (void)json_dumpf(json, stdout, JSON_COMPACT | JSON_REAL_PRECISION(6));
+    (void)printf("\n");
+    json_decref(json);
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc != 3 && argc != 6) {
+        (void)fprintf(stderr, "usage: standin-report LOAD COUNT "
+                              "[ZONE COUNT_AT_COMMAND COUNT_AT_RETURN]\n");
+        return 2;
+    }
+    figures_t figures;
+    bool read = figures_read(&figures, argc, argv);
+    if (read) {
+        print_figures(&figures);
+    }
+    else {
+        (void)fprintf(stderr, "standin-report: unreadable figures\n");
+    }
+    figures_release(&figures);
+    return read ? 0 : 1;
+}
