--- /dev/null
+++ b/core/plan.c
@@ -0,0 +1,189 @@
+#include "core/plan.h"
+
+#include <stdlib.h>
+#include <xxhash.h>
+
+enum {
+    VERSIONS_MAX = 16, /* candidates weighed for a pin */
+    TRIED_BITS = 64
+};
+
+size_t
+plan_cut(const partition_t *partition, key_range_t range, piece_t **pieces)
+{
+    *pieces = calloc(partition->shard_count + 1, sizeof(**pieces));
+    if (*pieces == NULL) {
+        return 0;
+    }
+    size_t count = 0;
+    for (size_t i = 0; i < partition->shard_count; i++) {
+        const shard_t *shard = &partition->shards[i];
+        key_range_t part = key_range_intersect(shard->range, range);
+        if (key_range_size(part) == 0) {
+            continue;
+        }
+        (*pieces)[count++] = (piece_t){
+            .range = part,
+            .group = shard->group,
+            .hedge_at_us = INT64_MAX,
+        };
+    }
+    return count;
+}
+
+typedef struct {
+    uint64_t versions[VERSIONS_MAX];
+    size_t count;
+} version_list_t;
+
+static void
+version_list_add(version_list_t *list, uint64_t version)
+{
+    if (version == 0) {
+        return;
+    }
+    for (size_t i = 0; i < list->count; i++) {
+        if (list->versions[i] == version) {
+            return;
+        }
+    }
+    if (list->count < VERSIONS_MAX) {
+        list->versions[list->count++] = version;
+    }
+}
+
+static void
+collect_versions(const replica_table_t *replicas, const char *service,
+                 uint16_t group, version_list_t *list)
+{
+    size_t first;
+    size_t size = topology_group(replicas->topology, service, group, &first);
+    for (size_t i = first; i < first + size; i++) {
+        for (size_t v = 0; v < PART_HELD_MAX; v++) {
+            version_list_add(list, replicas->replicas[i].held[v]);
+        }
+    }
+}
+
+static bool
+group_may_hold(const replica_table_t *replicas, const char *service,
+               uint16_t group, uint64_t version)
+{
+    size_t first;
+    size_t size = topology_group(replicas->topology, service, group, &first);
+    for (size_t i = first; i < first + size; i++) {
+        if (replica_may_hold(&replicas->replicas[i], version)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Neighbouring pieces of one group are looked up once. */
+static size_t
+count_possible(const replica_table_t *replicas, const char *service,
+               const piece_t *pieces, size_t piece_count, uint64_t version)
+{
+    size_t possible = 0;
+    bool last = false;
+    for (size_t i = 0; i < piece_count; i++) {
+        if (i == 0 || pieces[i].group != pieces[i - 1].group) {
+            last = group_may_hold(replicas, service, pieces[i].group, version);
+        }
+        possible += last ? 1 : 0;
+    }
+    return possible;
+}
+
+uint64_t
+plan_version(const replica_table_t *replicas, const char *service,
+             const piece_t *pieces, size_t piece_count)
+{
+    version_list_t list = {.count = 0};
+    for (size_t i = 0; i < piece_count; i++) {
+        if (i == 0 || pieces[i].group != pieces[i - 1].group) {
+            collect_versions(replicas, service, pieces[i].group, &list);
+        }
+    }
+    uint64_t best = 0;
+    size_t best_possible = 0;
+    for (size_t i = 0; i < list.count; i++) {
+        size_t possible = count_possible(replicas, service, pieces,
+                                         piece_count, list.versions[i]);
+        if (possible > best_possible ||
+            (possible == best_possible && list.versions[i] > best)) {
+            best = list.versions[i];
+            best_possible = possible;
+        }
+    }
+    return best;
+}
+
+bool
+plan_upstream_usable(const config_t *config, const upstream_info_t *upstream)
+{
+    return !upstream->leaving && !config_zone_is_out(config, upstream->zone) &&
+           !config_vm_is_out(config, upstream->name);
+}
+
+/* Groups of more than 64 replicas share bits: a few are passed over early. */
+uint64_t
+plan_position_bit(size_t position)
+{
+    return UINT64_C(1) << (position % TRIED_BITS);
+}
+
+static bool
+replica_fits(const plan_choice_t *choice, size_t index, int64_t now_us)
+{
+    const replica_t *replica = &choice->replicas->replicas[index];
+    const upstream_info_t *upstream =
+        &choice->replicas->topology->upstreams[index];
+    if (!plan_upstream_usable(choice->config, upstream)) {
+        return false;
+    }
+    if (choice->hedge && replica->avoid_until_us > now_us) {
+        return false;
+    }
+    return replica_may_hold(replica, choice->version);
+}
+
+uint32_t
+plan_replica(const plan_choice_t *choice, const piece_t *piece,
+             size_t *position, int64_t now_us)
+{
+    size_t first;
+    size_t size = topology_group(choice->replicas->topology, choice->service,
+                                 piece->group, &first);
+    uint32_t best = PLAN_NO_UPSTREAM;
+    uint64_t best_cost = UINT64_MAX;
+    for (size_t i = 0; i < size; i++) {
+        if ((piece->tried & plan_position_bit(i)) != 0 ||
+            !replica_fits(choice, first + i, now_us)) {
+            continue;
+        }
+        uint64_t spread = XXH64(&i, sizeof(i), choice->seed);
+        uint64_t cost = replica_cost(&choice->replicas->replicas[first + i],
+                                     spread, now_us);
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = (uint32_t)(first + i);
+            *position = i;
+        }
+    }
+    return best;
+}
+
+bool
+plan_version_possible(const plan_choice_t *choice, const piece_t *piece)
+{
+    size_t first;
+    size_t size = topology_group(choice->replicas->topology, choice->service,
+                                 piece->group, &first);
+    for (size_t i = first; i < first + size; i++) {
+        if (replica_fits(choice, i, INT64_MAX)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/core/replica.c
@@ -0,0 +1,117 @@
+#include "core/replica.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    AVOID_US = 200000,      /* after a shed, cold or lost reply */
+    HEDGE_SAMPLES_MIN = 20, /* replies before a histogram is trusted */
+    HEDGE_DELAY_MIN_US = 1000,
+    COST_UNKNOWN_US = 3000,  /* median assumed of a replica never asked */
+    AVOID_COST_US = 10000000 /* behind every replica that is not avoided */
+};
+
+static const double hedge_quantile = 0.95;
+
+void
+replica_table_init(replica_table_t *table)
+{
+    *table = (replica_table_t){0};
+}
+
+void
+replica_table_release(replica_table_t *table)
+{
+    free(table->replicas);
+    topology_put(table->topology);
+    replica_table_init(table);
+}
+
+bool
+replica_table_follow(replica_table_t *table, topology_t *topology)
+{
+    size_t count = topology->upstream_count;
+    replica_t *replicas = calloc(count > 0 ? count : 1, sizeof(*replicas));
+    if (replicas == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < count; i++) {
+        int old = table->topology == NULL
+                      ? -1
+                      : topology_upstream(table->topology,
+                                          topology->upstreams[i].name);
+        if (old >= 0) {
+            replicas[i] = table->replicas[old];
+        }
+    }
+    free(table->replicas);
+    topology_put(table->topology);
+    table->topology = topology_get(topology);
+    table->replicas = replicas;
+    return true;
+}
+
+static bool
+status_says_avoid(part_status_t status)
+{
+    return status == PART_SHED || status == PART_COLD || status == PART_LOST ||
+           status == PART_BAD_REPLY || status == PART_LIMITED;
+}
+
+void
+replica_table_learn(replica_table_t *table, uint32_t upstream,
+                    const part_reply_t *reply, int64_t latency_us,
+                    int64_t now_us)
+{
+    replica_t *replica = &table->replicas[upstream];
+    if (reply->status == PART_OK) {
+        hist_add(&replica->latency, latency_us);
+    }
+    if (reply->status == PART_OK || reply->status == PART_NO_VERSION) {
+        memcpy(replica->held, reply->held, sizeof(replica->held));
+    }
+    if (status_says_avoid(reply->status)) {
+        int64_t wait =
+            reply->retry_after_us > 0 ? reply->retry_after_us : AVOID_US;
+        replica->avoid_until_us = now_us + wait;
+    }
+}
+
+bool
+replica_may_hold(const replica_t *replica, uint64_t version)
+{
+    if (replica->held[0] == 0 || version == 0) {
+        return true;
+    }
+    for (size_t i = 0; i < PART_HELD_MAX; i++) {
+        if (replica->held[i] == version) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int64_t
+replica_hedge_delay_us(const replica_t *replica, int64_t fallback_us)
+{
+    if (replica->latency.count < HEDGE_SAMPLES_MIN) {
+        return fallback_us;
+    }
+    int64_t delay = hist_quantile(&replica->latency, hedge_quantile);
+    return delay > HEDGE_DELAY_MIN_US ? delay : HEDGE_DELAY_MIN_US;
+}
+
+uint64_t
+replica_cost(const replica_t *replica, uint64_t seed, int64_t now_us)
+{
+    uint64_t median = COST_UNKNOWN_US;
+    if (replica->latency.count >= HEDGE_SAMPLES_MIN) {
+        median = (uint64_t)hist_quantile(&replica->latency, 0.5);
+    }
+    uint64_t cost = median * (1 + replica->in_progress);
+    if (replica->avoid_until_us > now_us) {
+        cost += AVOID_COST_US;
+    }
+    /* Up to a quarter more, so that equal replicas share the work. */
+    return cost + (cost / 4) * (seed % 1024) / 1024;
+}
--- /dev/null
+++ b/core/replica.h
@@ -0,0 +1,61 @@
+/*
+ * What a coordinator has learnt of each upstream from its own parts.
+ *
+ * A replica_table_t runs parallel to a topology_t: entry i describes upstream
+ * i. One table serves one thread. Everything in it is evidence from replies;
+ * nothing is taken from health or load endpoints.
+ *
+ *     replica_table_t table;
+ *     replica_table_init(&table);
+ *     replica_table_follow(&table, topology);
+ *     replica_table_learn(&table, upstream, &reply, now);
+ *     replica_table_release(&table);
+ */
+#ifndef CORE_REPLICA_H
+#define CORE_REPLICA_H
+
+#include "core/hist.h"
+#include "core/topology.h"
+
+typedef struct {
+    hist_t latency; /* microseconds from send to reply, queue included */
+    uint64_t held[PART_HELD_MAX]; /* index versions, newest first; 0: none */
+    int64_t avoid_until_us;       /* shedding, cold or lost: others go first */
+    uint32_t in_progress;         /* attempts of this thread now open */
+} replica_t;
+
+typedef struct {
+    topology_t *topology;
+    replica_t *replicas;
+} replica_table_t;
+
+void replica_table_init(replica_table_t *table);
+void replica_table_release(replica_table_t *table);
+
+/*
+ * Move to a new topology, keeping what is known of upstreams that stay by
+ * name. False: no memory, and the table stays as it was.
+ */
+bool replica_table_follow(replica_table_t *table, topology_t *topology);
+
+/* Take the evidence of one reply; latency_us from send to reply. */
+void replica_table_learn(replica_table_t *table, uint32_t upstream,
+                         const part_reply_t *reply, int64_t latency_us,
+                         int64_t now_us);
+
+/* Whether the upstream is known to hold the version; unknown counts as yes. */
+bool replica_may_hold(const replica_t *replica, uint64_t version);
+
+/*
+ * How long to wait for a reply before asking another replica, in
+ * microseconds; fallback_us while too little is known.
+ */
+int64_t replica_hedge_delay_us(const replica_t *replica, int64_t fallback_us);
+
+/*
+ * Order of preference between replicas of one group: lower is better. seed
+ * spreads equals.
+ */
+uint64_t replica_cost(const replica_t *replica, uint64_t seed, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/daemon/clock.h
@@ -0,0 +1,16 @@
+/*
+ * The process's clocks, read at the edges only: what decides is given the
+ * time as an argument.
+ */
+#ifndef DAEMON_CLOCK_H
+#define DAEMON_CLOCK_H
+
+#include <stdint.h>
+
+/* Monotonic time in microseconds. */
+int64_t clock_now_us(void);
+
+/* Wall-clock time in microseconds since 1970. */
+int64_t clock_wall_us(void);
+
+#endif
--- /dev/null
+++ b/daemon/coordinator.c
@@ -0,0 +1,607 @@
+#include "daemon/coordinator.h"
+#include "daemon/answer_json.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Layout of a sequence, from the low end: worker, slot, number. */
+enum { WORKER_BITS = 8, SLOT_BITS = 16, RETRY_AFTER_US = 100000 };
+
+#define NO_OWNER UINT64_C(0)
+
+/* A running query. */
+typedef struct {
+    uint64_t sequence; /* 0: free */
+    query_t *query;
+    query_request_t request;
+    query_waiter_t waiter;
+    int64_t started_us;
+    int64_t wakeup_us;
+    uint64_t *owners; /* incarnation per attempt */
+    size_t owner_capacity;
+} slot_t;
+
+/* Added load of one service. */
+typedef struct {
+    char service[NAME_SIZE];
+    budget_t budget;
+} service_budget_t;
+
+struct coordinator {
+    coordinator_settings_t settings;
+    world_t *world;
+    replica_table_t replicas;
+    service_budget_t *budgets;
+    size_t budget_count;
+    slot_t *slots;
+    uint32_t running;
+    uint32_t slot_hint;
+    uint64_t number;
+    explain_ring_t explain;
+    part_request_t *batch; /* of the query now stepped */
+    uint64_t *batch_owners;
+    size_t batch_count;
+    size_t batch_capacity;
+};
+
+unsigned
+coordinator_worker_of(uint64_t sequence)
+{
+    return (unsigned)(sequence & ((1U << WORKER_BITS) - 1));
+}
+
+static uint32_t
+slot_of(uint64_t sequence)
+{
+    return (uint32_t)(sequence >> WORKER_BITS) & ((1U << SLOT_BITS) - 1);
+}
+
+coordinator_t *
+coordinator_new(const coordinator_settings_t *settings)
+{
+    coordinator_t *c = calloc(1, sizeof(*c));
+    if (c == NULL) {
+        return NULL;
+    }
+    c->settings = *settings;
+    if (c->settings.queries_max > 1U << SLOT_BITS) {
+        c->settings.queries_max = 1U << SLOT_BITS;
+    }
+    c->slots = calloc(c->settings.queries_max, sizeof(*c->slots));
+    replica_table_init(&c->replicas);
+    if (c->slots == NULL || !explain_ring_init(&c->explain)) {
+        coordinator_free(c);
+        return NULL;
+    }
+    return c;
+}
+
+static void
+slot_release(coordinator_t *c, slot_t *slot)
+{
+    query_free(slot->query);
+    free((char *)slot->request.body);
+    free(slot->owners);
+    *slot = (slot_t){.sequence = 0};
+    c->running--;
+}
+
+void
+coordinator_free(coordinator_t *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; c->slots != NULL && i < c->settings.queries_max;
+         i++) {
+        if (c->slots[i].sequence != 0) {
+            slot_release(c, &c->slots[i]);
+        }
+    }
+    replica_table_release(&c->replicas);
+    explain_ring_release(&c->explain);
+    world_put(c->world);
+    free(c->budgets);
+    free(c->slots);
+    free(c->batch);
+    free(c->batch_owners);
+    free(c);
+}
+
+static slot_t *
+slot_find(coordinator_t *c, uint64_t sequence)
+{
+    uint32_t index = slot_of(sequence);
+    if (sequence == 0 || index >= c->settings.queries_max ||
+        c->slots[index].sequence != sequence) {
+        return NULL;
+    }
+    return &c->slots[index];
+}
+
+static slot_t *
+slot_take(coordinator_t *c)
+{
+    for (uint32_t i = 0; i < c->settings.queries_max; i++) {
+        uint32_t index = (c->slot_hint + i) % c->settings.queries_max;
+        if (c->slots[index].sequence == 0) {
+            c->slot_hint = index + 1;
+            c->running++;
+            c->number++;
+            c->slots[index].sequence =
+                (c->number << (WORKER_BITS + SLOT_BITS)) |
+                ((uint64_t)index << WORKER_BITS) | c->settings.worker;
+            return &c->slots[index];
+        }
+    }
+    return NULL;
+}
+
+static budget_t *
+budget_of(coordinator_t *c, const table_row_t *row)
+{
+    for (size_t i = 0; i < c->budget_count; i++) {
+        service_budget_t *entry = &c->budgets[i];
+        if (strcmp(entry->service, row->service) == 0) {
+            return &entry->budget;
+        }
+    }
+    service_budget_t *grown =
+        realloc(c->budgets, (c->budget_count + 1) * sizeof(*grown));
+    if (grown == NULL) {
+        return NULL;
+    }
+    c->budgets = grown;
+    service_budget_t *entry = &c->budgets[c->budget_count++];
+    memcpy(entry->service, row->service, NAME_SIZE);
+    budget_init(&entry->budget);
+    return &entry->budget;
+}
+
+/* NULL: the service has no row any more. */
+static budget_t *
+context_fill(coordinator_t *c, const char *service, query_context_t *context)
+{
+    const table_row_t *row = c->world->config == NULL
+                                 ? NULL
+                                 : config_row(c->world->config, service);
+    budget_t *budget = row == NULL ? NULL : budget_of(c, row);
+    *context = (query_context_t){
+        .config = c->world->config,
+        .replicas = &c->replicas,
+        .budget = budget,
+        .added_percent = row == NULL ? 0 : row->added_load_percent,
+        .seed = c->settings.seed,
+    };
+    return budget;
+}
+
+/* Whether the table of queries has room left for the class. */
+static bool
+has_room(const coordinator_t *c, class_t class)
+{
+    static const uint32_t percent[CLASS_COUNT] = {
+        [CLASS_DESK] = 100,
+        [CLASS_ONLINE] = 80,
+        [CLASS_BATCH] = 50,
+    };
+    uint64_t most = (uint64_t)c->settings.queries_max * percent[class] / 100;
+    return c->running < most;
+}
+
+static reason_t
+refusal_reason(const coordinator_t *c, const query_request_t *request,
+               int64_t now_us)
+{
+    const world_t *world = c->world;
+    if (world != NULL && world->leaving) {
+        return REASON_LEAVING;
+    }
+    if (world == NULL || world->config == NULL || !world->trusted) {
+        return REASON_NO_CONFIG;
+    }
+    const table_row_t *row = config_row(world->config, request->service);
+    if (row == NULL) {
+        return REASON_BAD_REQUEST;
+    }
+    if (topology_partition(world->topology, request->service) == NULL) {
+        return REASON_NO_UPSTREAM;
+    }
+    if (request->deadline_us <= now_us) {
+        return REASON_DEADLINE;
+    }
+    return has_room(c, row->class) ? REASON_NONE : REASON_OVERLOAD;
+}
+
+static void
+count_answer(stats_line_t *line, const query_answer_t *answer, int64_t took_us)
+{
+    line->outcomes[answer->outcome]++;
+    line->reasons[answer->reason]++;
+    line->asked_keys += answer->asked;
+    line->covered_keys += answer->covered;
+    line->parts += answer->attempts - answer->hedges - answer->retries;
+    line->hedges += answer->hedges;
+    line->retries += answer->retries;
+    line->restarts += answer->restarts;
+    line->dropped += answer->dropped;
+    if (answer->outcome == OUTCOME_WHOLE ||
+        answer->outcome == OUTCOME_PARTIAL) {
+        hist_add(&line->latency, took_us);
+    }
+}
+
+static void
+end_query(coordinator_t *c, const query_request_t *request,
+          const query_waiter_t *waiter, uint64_t sequence,
+          const query_answer_t *answer, int64_t took_us)
+{
+    count_answer(stats_service(c->settings.stats, request->service), answer,
+                 took_us);
+    count_answer(stats_tenant(c->settings.stats, request->tenant), answer,
+                 took_us);
+    waiter->done(waiter->context, sequence, answer);
+}
+
+static void
+refuse(coordinator_t *c, const query_request_t *request,
+       const query_waiter_t *waiter, reason_t reason)
+{
+    query_answer_t answer;
+    answer_refuse(&answer, reason, RETRY_AFTER_US);
+    answer.asked = key_range_size(request->range);
+    end_query(c, request, waiter, 0, &answer, 0);
+    free((char *)request->body);
+}
+
+void
+coordinator_submit(coordinator_t *c, const query_request_t *request,
+                   const query_waiter_t *waiter, int64_t now_us)
+{
+    reason_t reason = refusal_reason(c, request, now_us);
+    slot_t *slot = reason == REASON_NONE ? slot_take(c) : NULL;
+    if (slot == NULL) {
+        refuse(c, request, waiter,
+               reason == REASON_NONE ? REASON_OVERLOAD : reason);
+        return;
+    }
+    attempt_id_t id = {
+        .incarnation = c->settings.incarnation,
+        .sequence = slot->sequence,
+    };
+    query_context_t context;
+    if (context_fill(c, request->service, &context) != NULL) {
+        slot->query = query_new(request, &context, id, now_us);
+    }
+    if (slot->query == NULL) {
+        slot_release(c, slot);
+        refuse(c, request, waiter, REASON_OVERLOAD);
+        return;
+    }
+    slot->request = *request;
+    slot->waiter = *waiter;
+    slot->started_us = now_us;
+    slot->wakeup_us = now_us;
+    if (waiter->started != NULL) {
+        waiter->started(waiter->context, slot->sequence);
+    }
+}
+
+bool
+coordinator_cancel(coordinator_t *c, uint64_t sequence, reason_t reason)
+{
+    slot_t *slot = slot_find(c, sequence);
+    if (slot == NULL) {
+        return false;
+    }
+    query_cancel(slot->query, reason);
+    slot->wakeup_us = 0;
+    return true;
+}
+
+static void
+slot_reply(coordinator_t *c, slot_t *slot, const part_reply_t *reply,
+           int64_t now_us)
+{
+    query_context_t context;
+    if (context_fill(c, slot->request.service, &context) == NULL) {
+        return;
+    }
+    c->settings.stats->part_statuses[reply->status]++;
+    query_reply(slot->query, &context, reply, now_us);
+    slot->wakeup_us = 0;
+}
+
+void
+coordinator_reply(coordinator_t *c, const part_reply_t *reply, int64_t now_us)
+{
+    slot_t *slot = reply->id.incarnation == c->settings.incarnation
+                       ? slot_find(c, reply->id.sequence)
+                       : NULL;
+    if (slot == NULL) {
+        c->settings.stats->stray_replies++;
+        return;
+    }
+    slot_reply(c, slot, reply, now_us);
+}
+
+static void
+slot_peer_down(coordinator_t *c, slot_t *slot, uint64_t incarnation,
+               int64_t now_us)
+{
+    const attempt_t *attempts;
+    size_t count = query_attempts(slot->query, &attempts);
+    for (size_t i = 0; i < count && i < slot->owner_capacity; i++) {
+        if (!attempts[i].open || slot->owners[i] != incarnation) {
+            continue;
+        }
+        part_reply_t lost = {
+            .id = {.incarnation = c->settings.incarnation,
+                   .sequence = slot->sequence,
+                   .attempt = (uint32_t)i},
+            .status = PART_LOST,
+        };
+        slot_reply(c, slot, &lost, now_us);
+    }
+}
+
+void
+coordinator_peer_down(coordinator_t *c, uint64_t incarnation, int64_t now_us)
+{
+    for (uint32_t i = 0; i < c->settings.queries_max; i++) {
+        if (c->slots[i].sequence != 0) {
+            slot_peer_down(c, &c->slots[i], incarnation, now_us);
+        }
+    }
+}
+
+void
+coordinator_world(coordinator_t *c, world_t *world)
+{
+    world_t *before = c->world;
+    c->world = world_get(world);
+    if (c->replicas.topology != world->topology) {
+        for (uint32_t i = 0; before != NULL && i < c->settings.queries_max;
+             i++) {
+            if (c->slots[i].sequence != 0) {
+                query_follow(c->slots[i].query, before->topology,
+                             world->topology);
+            }
+        }
+        replica_table_follow(&c->replicas, world->topology);
+    }
+    for (uint32_t i = 0; i < c->settings.queries_max; i++) {
+        c->slots[i].wakeup_us = 0;
+    }
+    world_put(before);
+}
+
+static bool
+reserve_owners(slot_t *slot, size_t index)
+{
+    if (index < slot->owner_capacity) {
+        return true;
+    }
+    size_t capacity = index * 2 + 16;
+    uint64_t *grown = realloc(slot->owners, capacity * sizeof(*slot->owners));
+    if (grown == NULL) {
+        return false;
+    }
+    memset(grown + slot->owner_capacity, 0,
+           (capacity - slot->owner_capacity) * sizeof(*grown));
+    slot->owners = grown;
+    slot->owner_capacity = capacity;
+    return true;
+}
+
+static uint64_t
+owner_of(const coordinator_t *c, uint32_t upstream)
+{
+    int member = c->world->owner[upstream];
+    return member == WORLD_NO_MEMBER ? NO_OWNER
+                                     : c->world->members[member].incarnation;
+}
+
+/* A part that no owner took: it never left this daemon. */
+static void
+reply_not_sent(coordinator_t *c, slot_t *slot, attempt_id_t id, int64_t now_us)
+{
+    part_reply_t reply = {
+        .id = id,
+        .status = PART_NOT_OWNER,
+        .not_run = true,
+    };
+    slot_reply(c, slot, &reply, now_us);
+}
+
+static bool
+batch_reserve(coordinator_t *c)
+{
+    if (c->batch_count < c->batch_capacity) {
+        return true;
+    }
+    size_t capacity = c->batch_capacity == 0 ? 64 : c->batch_capacity * 2;
+    part_request_t *batch = realloc(c->batch, capacity * sizeof(*batch));
+    if (batch == NULL) {
+        return false;
+    }
+    c->batch = batch;
+    uint64_t *owners = realloc(c->batch_owners, capacity * sizeof(*owners));
+    if (owners == NULL) {
+        return false;
+    }
+    c->batch_owners = owners;
+    c->batch_capacity = capacity;
+    return true;
+}
+
+static void
+batch_add(coordinator_t *c, slot_t *slot, const query_action_t *action,
+          int64_t now_us)
+{
+    uint64_t owner = owner_of(c, action->upstream);
+    if (owner == NO_OWNER || !batch_reserve(c) ||
+        !reserve_owners(slot, action->request.id.attempt)) {
+        reply_not_sent(c, slot, action->request.id, now_us);
+        return;
+    }
+    slot->owners[action->request.id.attempt] = owner;
+    c->batch[c->batch_count] = action->request;
+    c->batch_owners[c->batch_count] = owner;
+    c->batch_count++;
+}
+
+/* One message an owner, with all of the batch that is its. */
+static void
+batch_flush(coordinator_t *c, slot_t *slot, int64_t now_us)
+{
+    size_t start = 0;
+    while (start < c->batch_count) {
+        uint64_t owner = c->batch_owners[start];
+        size_t end = start + 1;
+        for (size_t i = end; i < c->batch_count; i++) {
+            if (c->batch_owners[i] != owner) {
+                continue;
+            }
+            part_request_t request = c->batch[i];
+            c->batch[i] = c->batch[end];
+            c->batch[end] = request;
+            c->batch_owners[i] = c->batch_owners[end];
+            c->batch_owners[end] = owner;
+            end++;
+        }
+        if (!c->settings.sink.send(c->settings.sink.context, owner,
+                                   &c->batch[start], end - start)) {
+            for (size_t i = start; i < end; i++) {
+                reply_not_sent(c, slot, c->batch[i].id, now_us);
+            }
+        }
+        start = end;
+    }
+    c->batch_count = 0;
+}
+
+static void
+send_cancel(coordinator_t *c, const slot_t *slot, attempt_id_t id)
+{
+    if (id.attempt < slot->owner_capacity &&
+        slot->owners[id.attempt] != NO_OWNER) {
+        c->settings.sink.cancel(c->settings.sink.context,
+                                slot->owners[id.attempt], id);
+    }
+}
+
+static void
+explain_attempts(const coordinator_t *c, const slot_t *slot,
+                 explain_record_t *record)
+{
+    const attempt_t *attempts;
+    size_t count = query_attempts(slot->query, &attempts);
+    const topology_t *topology = c->world->topology;
+    for (size_t i = 0; i < count && i < EXPLAIN_ATTEMPTS_MAX; i++) {
+        explain_attempt_t *entry = &record->attempts[record->attempt_count++];
+        entry->attempt = attempts[i];
+        if (attempts[i].upstream < topology->upstream_count) {
+            memcpy(entry->upstream,
+                   topology->upstreams[attempts[i].upstream].name, NAME_SIZE);
+        }
+        int member = i < slot->owner_capacity
+                         ? world_member(c->world, slot->owners[i])
+                         : WORLD_NO_MEMBER;
+        if (member != WORLD_NO_MEMBER) {
+            memcpy(entry->owner, c->world->members[member].name, NAME_SIZE);
+        }
+    }
+}
+
+static void
+slot_end(coordinator_t *c, slot_t *slot, int64_t now_us)
+{
+    query_answer_t answer;
+    query_answer(slot->query, &answer);
+    if (answer.outcome == OUTCOME_NOT_RUN && answer.retry_after_us == 0) {
+        answer.retry_after_us = RETRY_AFTER_US;
+    }
+    explain_record_t *record = explain_ring_next(&c->explain);
+    record->sequence = slot->sequence;
+    memcpy(record->service, slot->request.service, NAME_SIZE);
+    memcpy(record->tenant, slot->request.tenant, NAME_SIZE);
+    record->once = slot->request.once;
+    record->config_version =
+        c->world->config == NULL ? 0 : c->world->config->version;
+    record->roster_version = c->world->roster_version;
+    record->started_us = slot->started_us;
+    record->ended_us = now_us;
+    record->answer = answer;
+    explain_attempts(c, slot, record);
+    end_query(c, &slot->request, &slot->waiter, slot->sequence, &answer,
+              now_us - slot->started_us);
+    slot_release(c, slot);
+}
+
+/* Act until the query has nothing more to do now; true when it ended. */
+static bool
+slot_step(coordinator_t *c, slot_t *slot, int64_t now_us)
+{
+    query_context_t context;
+    if (context_fill(c, slot->request.service, &context) == NULL) {
+        query_cancel(slot->query, REASON_NO_CONFIG);
+        context.budget = NULL;
+    }
+    for (;;) {
+        query_action_t action;
+        query_verdict_t verdict =
+            query_next(slot->query, &context, now_us, &action);
+        if (verdict == QUERY_SEND) {
+            batch_add(c, slot, &action, now_us);
+        }
+        else if (verdict == QUERY_CANCEL) {
+            send_cancel(c, slot, action.request.id);
+        }
+        else if (verdict == QUERY_DONE) {
+            batch_flush(c, slot, now_us);
+            slot_end(c, slot, now_us);
+            return true;
+        }
+        else if (c->batch_count > 0) {
+            /* What could not be sent gives the query more to do. */
+            batch_flush(c, slot, now_us);
+        }
+        else {
+            slot->wakeup_us = query_wakeup(slot->query);
+            return false;
+        }
+    }
+}
+
+int64_t
+coordinator_step(coordinator_t *c, int64_t now_us)
+{
+    int64_t next_us = INT64_MAX;
+    uint32_t left = c->running;
+    for (uint32_t i = 0; left > 0 && i < c->settings.queries_max; i++) {
+        slot_t *slot = &c->slots[i];
+        if (slot->sequence == 0) {
+            continue;
+        }
+        left--;
+        if (slot->wakeup_us <= now_us && slot_step(c, slot, now_us)) {
+            continue;
+        }
+        next_us = slot->wakeup_us < next_us ? slot->wakeup_us : next_us;
+    }
+    return next_us;
+}
+
+size_t
+coordinator_running(const coordinator_t *c)
+{
+    return c->running;
+}
+
+const explain_record_t *
+coordinator_explain(const coordinator_t *c, uint64_t sequence)
+{
+    return explain_ring_find(&c->explain, sequence);
+}
--- /dev/null
+++ b/daemon/fleet.c
@@ -0,0 +1,522 @@
+#include "daemon/fleet.h"
+#include "daemon/clock.h"
+#include "daemon/fleet_state.h"
+#include "daemon/heartbeat.h"
+#include "edge/event.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum {
+    TICK_US = 20000,
+    CONFIG_TEXT_SIZE_MAX = CONFIG_TEXT_MAX,
+    US_PER_S = 1000000
+};
+
+static roster_member_t
+self_member(const fleet_settings_t *settings)
+{
+    const settings_t *from = settings->settings;
+    roster_member_t self = {
+        .incarnation = settings->incarnation,
+        .http_port = (uint16_t)from->listen_http_port,
+        .peer_port = (uint16_t)from->listen_peer_port,
+    };
+    memcpy(self.name, from->name, NAME_SIZE);
+    memcpy(self.zone, from->zone, NAME_SIZE);
+    memcpy(self.address, from->listen_address, ADDRESS_SIZE);
+    return self;
+}
+
+fleet_t *
+fleet_new(const fleet_settings_t *settings, error_t *err)
+{
+    fleet_t *fleet = calloc(1, sizeof(*fleet));
+    if (fleet == NULL) {
+        error_set(err, STATUS_NO_MEMORY, "start fleet", "-", "no memory");
+        return NULL;
+    }
+    fleet->settings = *settings;
+    pthread_mutex_init(&fleet->lock, NULL);
+    pthread_condattr_t attributes;
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&fleet->changed, &attributes);
+    pthread_condattr_destroy(&attributes);
+    roster_settings_t rules = ROSTER_SETTINGS_DEFAULT;
+    rules.seed = settings->incarnation;
+    roster_member_t self = self_member(settings);
+    fleet->roster = roster_new(&rules, &self);
+    fleet->store_up = true;
+    fleet->vmlist_up = true;
+    fleet->dirty = true;
+    if (fleet->roster == NULL ||
+        topology_new(NULL, 0, NULL, 0, &fleet->topology, err) != STATUS_OK) {
+        fleet_free(fleet);
+        return NULL;
+    }
+    return fleet;
+}
+
+void
+fleet_free(fleet_t *fleet)
+{
+    if (fleet == NULL) {
+        return;
+    }
+    world_put(fleet->world);
+    topology_put(fleet->topology);
+    config_put(fleet->config);
+    roster_free(fleet->roster);
+    for (size_t i = 0; i < fleet->partition_count; i++) {
+        free(fleet->partitions[i].shards);
+    }
+    free(fleet->partitions);
+    free(fleet->upstreams);
+    pthread_cond_destroy(&fleet->changed);
+    pthread_mutex_destroy(&fleet->lock);
+    free(fleet);
+}
+
+const atomic_llong *
+fleet_act_until_us(const fleet_t *fleet)
+{
+    return &fleet->act_until_us;
+}
+
+static struct timespec
+timespec_of(int64_t at_us)
+{
+    return (struct timespec){
+        .tv_sec = at_us / US_PER_S,
+        .tv_nsec = (at_us % US_PER_S) * 1000,
+    };
+}
+
+/* Wait for a change or the time; the lock is held. */
+static void
+fleet_wait(fleet_t *fleet, int64_t until_us)
+{
+    struct timespec until = timespec_of(until_us);
+    pthread_cond_timedwait(&fleet->changed, &fleet->lock, &until);
+}
+
+void
+fleet_sleep(fleet_t *fleet, int64_t wait_us)
+{
+    int64_t until_us = clock_now_us() + wait_us;
+    pthread_mutex_lock(&fleet->lock);
+    while (!atomic_load(&fleet->stopping) && clock_now_us() < until_us) {
+        fleet_wait(fleet, until_us);
+    }
+    pthread_mutex_unlock(&fleet->lock);
+}
+
+void
+fleet_store_state(fleet_t *fleet, bool up, error_t *err)
+{
+    if (up == fleet->store_up) {
+        return;
+    }
+    fleet->store_up = up;
+    if (up) {
+        event_log(EVENT_STORE_BACK, "peer=%s",
+                  fleet->settings.settings->store_url);
+    }
+    else {
+        event_log(EVENT_STORE_DOWN, "%s", error_text(err));
+    }
+}
+
+/* Lock held. */
+static bool
+take_config(fleet_t *fleet, config_t *config, event_t event,
+            const char *source)
+{
+    uint64_t have = fleet->config == NULL ? 0 : fleet->config->version;
+    if (config->version <= have) {
+        if (config->version < have) {
+            event_log(EVENT_CONFIG_OLDER,
+                      "version=%" PRIu64 " have=%" PRIu64 " from=%s",
+                      config->version, have, source);
+        }
+        return false;
+    }
+    config_put(fleet->config);
+    fleet->config = config_get(config);
+    fleet->dirty = true;
+    fleet->beat_due_us = 0;
+    pthread_cond_broadcast(&fleet->changed);
+    event_log(event, "version=%" PRIu64 " change=%s by=%s from=%s",
+              config->version, config->change, config->by, source);
+    return true;
+}
+
+bool
+fleet_config(fleet_t *fleet, config_t *config)
+{
+    pthread_mutex_lock(&fleet->lock);
+    bool taken = take_config(fleet, config, EVENT_CONFIG_IN_FORCE, "operator");
+    pthread_mutex_unlock(&fleet->lock);
+    return taken;
+}
+
+void
+fleet_take_config_text(fleet_t *fleet, const char *text, size_t size,
+                       const char *source)
+{
+    config_t *config;
+    error_t err = ERROR_INIT;
+    if (config_parse_json(text, size, &config, &err) != STATUS_OK) {
+        event_log(EVENT_CONFIG_REFUSED, "from=%s %s", source,
+                  error_text(&err));
+        return;
+    }
+    bool peer = strcmp(source, "store") != 0;
+    pthread_mutex_lock(&fleet->lock);
+    take_config(fleet, config,
+                peer ? EVENT_CONFIG_FROM_PEER : EVENT_CONFIG_IN_FORCE, source);
+    pthread_mutex_unlock(&fleet->lock);
+    config_put(config);
+}
+
+/* Lock held. */
+static void
+rebuild_topology(fleet_t *fleet, const char *cause)
+{
+    topology_t *topology;
+    error_t err = ERROR_INIT;
+    if (topology_new(fleet->upstreams, fleet->upstream_count,
+                     fleet->partitions, fleet->partition_count, &topology,
+                     &err) != STATUS_OK) {
+        event_log(EVENT_INPUT_REFUSED, "%s", error_text(&err));
+        return;
+    }
+    topology_put(fleet->topology);
+    fleet->topology = topology;
+    fleet->dirty = true;
+    pthread_cond_broadcast(&fleet->changed);
+    event_log(EVENT_TOPOLOGY, "cause=%s upstreams=%zu partitions=%zu", cause,
+              topology->upstream_count, topology->partition_count);
+}
+
+void
+fleet_take_upstreams(fleet_t *fleet, upstream_info_t *upstreams, size_t count)
+{
+    pthread_mutex_lock(&fleet->lock);
+    /* An empty list after a full one is a fault of the list. */
+    bool same = (count == 0 && fleet->upstream_count > 0) ||
+                (count == fleet->upstream_count &&
+                 (count == 0 || memcmp(upstreams, fleet->upstreams,
+                                       count * sizeof(*upstreams)) == 0));
+    if (same) {
+        free(upstreams);
+    }
+    else {
+        free(fleet->upstreams);
+        fleet->upstreams = upstreams;
+        fleet->upstream_count = count;
+        rebuild_topology(fleet, "vm_list");
+    }
+    pthread_mutex_unlock(&fleet->lock);
+}
+
+static partition_t *
+find_partition(fleet_t *fleet, const char *service)
+{
+    for (size_t i = 0; i < fleet->partition_count; i++) {
+        if (strcmp(fleet->partitions[i].service, service) == 0) {
+            return &fleet->partitions[i];
+        }
+    }
+    partition_t *grown = realloc(
+        fleet->partitions, (fleet->partition_count + 1) * sizeof(*grown));
+    if (grown == NULL) {
+        return NULL;
+    }
+    fleet->partitions = grown;
+    partition_t *partition = &grown[fleet->partition_count++];
+    *partition = (partition_t){.generation = 0};
+    memcpy(partition->service, service, NAME_SIZE);
+    return partition;
+}
+
+void
+fleet_partition(fleet_t *fleet, const partition_t *partition)
+{
+    pthread_mutex_lock(&fleet->lock);
+    partition_t *have = find_partition(fleet, partition->service);
+    size_t bytes = partition->shard_count * sizeof(*partition->shards);
+    shard_t *shards = NULL;
+    if (have != NULL && partition->generation > have->generation) {
+        shards = malloc(bytes > 0 ? bytes : 1);
+    }
+    if (shards != NULL) {
+        memcpy(shards, partition->shards, bytes);
+        free(have->shards);
+        have->shards = shards;
+        have->shard_count = partition->shard_count;
+        have->generation = partition->generation;
+        event_log(
+            EVENT_PARTITION, "service=%s generation=%" PRIu64 " shards=%zu",
+            partition->service, partition->generation, partition->shard_count);
+        rebuild_topology(fleet, "partition");
+    }
+    pthread_mutex_unlock(&fleet->lock);
+}
+
+world_t *
+fleet_world(fleet_t *fleet)
+{
+    pthread_mutex_lock(&fleet->lock);
+    world_t *world = fleet->world == NULL ? NULL : world_get(fleet->world);
+    pthread_mutex_unlock(&fleet->lock);
+    return world;
+}
+
+void
+fleet_leave(fleet_t *fleet)
+{
+    pthread_mutex_lock(&fleet->lock);
+    roster_leave(fleet->roster);
+    fleet->dirty = true;
+    pthread_cond_broadcast(&fleet->changed);
+    pthread_mutex_unlock(&fleet->lock);
+}
+
+bool
+fleet_left(fleet_t *fleet)
+{
+    pthread_mutex_lock(&fleet->lock);
+    bool left = roster_left(fleet->roster);
+    pthread_mutex_unlock(&fleet->lock);
+    return left;
+}
+
+void
+fleet_refuse_queries(fleet_t *fleet)
+{
+    pthread_mutex_lock(&fleet->lock);
+    fleet->refusing = true;
+    fleet->dirty = true;
+    pthread_cond_broadcast(&fleet->changed);
+    pthread_mutex_unlock(&fleet->lock);
+}
+
+/* Upstreams that are ours and still held by another. */
+static bool
+has_waiting_owner(fleet_t *fleet, const world_t *world)
+{
+    for (size_t i = 0; i < world->topology->upstream_count; i++) {
+        if (world->self != WORLD_NO_MEMBER && world->owner[i] == world->self &&
+            !world->active[i]) {
+            return true;
+        }
+    }
+    (void)fleet;
+    return false;
+}
+
+/* Build and keep a new view; returns it with a reference. Lock held. */
+static world_t *
+rebuild_world(fleet_t *fleet, int64_t now_us)
+{
+    world_t *world = world_new(fleet->config, fleet->topology, fleet->roster,
+                               fleet->settings.incarnation, now_us);
+    if (world == NULL) {
+        return NULL;
+    }
+    world->trusted = fleet->config != NULL;
+    world->leaving = fleet->refusing;
+    if (fleet->world != NULL &&
+        fleet->world->roster_version != world->roster_version) {
+        event_log(EVENT_OWNERS_CHANGED, "roster=%" PRIu64 " members=%zu",
+                  world->roster_version, world->member_count);
+    }
+    fleet->owners_waiting = has_waiting_owner(fleet, world);
+    world_put(fleet->world);
+    fleet->world = world;
+    fleet->dirty = false;
+    return world_get(world);
+}
+
+/* Note the lease; logs when it is gained or lost. Lock held. */
+static void
+update_lease(fleet_t *fleet, int64_t now_us)
+{
+    int64_t until_us = roster_act_until(fleet->roster, now_us);
+    atomic_store(&fleet->act_until_us, until_us);
+    bool held = until_us > now_us;
+    if (held == fleet->held) {
+        return;
+    }
+    fleet->held = held;
+    event_log(held ? EVENT_LEASE_HELD : EVENT_LEASE_LOST, "roster=%" PRIu64,
+              roster_version(fleet->roster));
+}
+
+static void
+tell_peers_to_net(fleet_t *fleet)
+{
+    peer_address_t peers[FLEET_PEERS_MAX];
+    pthread_mutex_lock(&fleet->lock);
+    const roster_doc_t *doc = roster_members(fleet->roster);
+    size_t count = 0;
+    for (size_t i = 0; i < doc->count; i++) {
+        const roster_member_t *member = &doc->members[i];
+        peer_address_t *peer = &peers[count++];
+        *peer = (peer_address_t){
+            .incarnation = member->incarnation,
+            .port = member->peer_port,
+        };
+        memcpy(peer->name, member->name, NAME_SIZE);
+        memcpy(peer->address, member->address, ADDRESS_SIZE);
+    }
+    pthread_mutex_unlock(&fleet->lock);
+    error_t err = ERROR_INIT;
+    if (peer_net_set_peers(fleet->net, peers, count, &err) != STATUS_OK) {
+        event_log(EVENT_INPUT_REFUSED, "%s", error_text(&err));
+    }
+}
+
+typedef struct {
+    char name[NAME_SIZE];
+    uint64_t incarnation;
+    roster_heartbeat_t lease;
+} beat_t;
+
+/* Heartbeats that are due, made under the lock and sent without it. */
+static size_t
+collect_beats(fleet_t *fleet, int64_t now_us, beat_t *beats)
+{
+    roster_settings_t rules = ROSTER_SETTINGS_DEFAULT;
+    bool urgent = roster_urgent(fleet->roster, now_us);
+    if (!urgent && now_us < fleet->beat_due_us) {
+        return 0;
+    }
+    fleet->beat_due_us = now_us + rules.heartbeat_us;
+    const roster_doc_t *doc = roster_members(fleet->roster);
+    size_t count = 0;
+    for (size_t i = 0; i < doc->count; i++) {
+        const roster_member_t *member = &doc->members[i];
+        if (member->incarnation == fleet->settings.incarnation) {
+            continue;
+        }
+        beat_t *beat = &beats[count++];
+        memcpy(beat->name, member->name, NAME_SIZE);
+        beat->incarnation = member->incarnation;
+        roster_heartbeat_make(fleet->roster, i, now_us, &beat->lease);
+    }
+    return count;
+}
+
+static void
+send_beat(fleet_t *fleet, const beat_t *beat, uint64_t config_version,
+          bool store_failing)
+{
+    heartbeat_buffer_t buffer;
+    message_t message;
+    heartbeat_message(&beat->lease, config_version, store_failing, &buffer,
+                      &message);
+    error_t ignored = ERROR_INIT;
+    peer_net_send(fleet->net, beat->name, beat->incarnation, &message,
+                  &ignored);
+}
+
+/* All in progress for upstreams lost has ended: let the others know. */
+static void
+release_settled(fleet_t *fleet, int64_t now_us)
+{
+    uint64_t settled =
+        fleet->settings.settled_version(fleet->settings.context);
+    pthread_mutex_lock(&fleet->lock);
+    if (settled > fleet->released_version) {
+        fleet->released_version = settled;
+        roster_release(fleet->roster, settled, now_us);
+    }
+    pthread_mutex_unlock(&fleet->lock);
+}
+
+static void
+fleet_tick(fleet_t *fleet)
+{
+    beat_t beats[FLEET_PEERS_MAX];
+    int64_t now_us = clock_now_us();
+    release_settled(fleet, now_us);
+    pthread_mutex_lock(&fleet->lock);
+    update_lease(fleet, now_us);
+    uint64_t version = roster_version(fleet->roster);
+    bool moved = fleet->world == NULL ||
+                 fleet->world->roster_version != version ||
+                 fleet->owners_waiting;
+    world_t *world =
+        fleet->dirty || moved ? rebuild_world(fleet, now_us) : NULL;
+    bool peers_changed = fleet->peers_version != version;
+    fleet->peers_version = version;
+    size_t count = collect_beats(fleet, now_us, beats);
+    uint64_t config_version =
+        fleet->config == NULL ? 0 : fleet->config->version;
+    bool failing = !fleet->store_up;
+    pthread_mutex_unlock(&fleet->lock);
+    if (peers_changed) {
+        tell_peers_to_net(fleet);
+    }
+    if (world != NULL) {
+        fleet->settings.publish(fleet->settings.context, world);
+        world_put(world);
+    }
+    for (size_t i = 0; i < count; i++) {
+        send_beat(fleet, &beats[i], config_version, failing);
+    }
+}
+
+static void *
+fleet_main(void *context)
+{
+    fleet_t *fleet = context;
+    while (!atomic_load(&fleet->stopping)) {
+        fleet_tick(fleet);
+        pthread_mutex_lock(&fleet->lock);
+        if (!fleet->dirty) {
+            fleet_wait(fleet, clock_now_us() + TICK_US);
+        }
+        pthread_mutex_unlock(&fleet->lock);
+    }
+    return NULL;
+}
+
+status_t
+fleet_start(fleet_t *fleet, peer_net_t *net, error_t *err)
+{
+    void *(*mains[])(void *) = {
+        fleet_main,
+        fleet_roster_main,
+        fleet_config_main,
+        fleet_platform_main,
+    };
+    fleet->net = net;
+    for (size_t i = 0; i < sizeof(mains) / sizeof(mains[0]); i++) {
+        if (pthread_create(&fleet->threads[i], NULL, mains[i], fleet) != 0) {
+            fleet_stop(fleet);
+            return error_set(err, STATUS_INTERNAL, "start fleet", "-",
+                             "no thread");
+        }
+        fleet->thread_count++;
+    }
+    return STATUS_OK;
+}
+
+void
+fleet_stop(fleet_t *fleet)
+{
+    atomic_store(&fleet->stopping, true);
+    pthread_mutex_lock(&fleet->lock);
+    pthread_cond_broadcast(&fleet->changed);
+    pthread_mutex_unlock(&fleet->lock);
+    for (size_t i = 0; i < fleet->thread_count; i++) {
+        pthread_join(fleet->threads[i], NULL);
+    }
+    fleet->thread_count = 0;
+}
--- /dev/null
+++ b/daemon/fleet_platform.c
@@ -0,0 +1,237 @@
+#include "daemon/clock.h"
+#include "daemon/fleet_state.h"
+#include "edge/event.h"
+#include "edge/vmlist.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    CONFIG_WATCH_MS = 10000,
+    RETRY_US = 500000,
+    PARTITION_POLL_US = 2000000,
+    US_PER_MS = 1000,
+    IDLE_MAX_US = 200000
+};
+
+static bool
+open_store(fleet_t *fleet, store_client_t *store)
+{
+    const settings_t *settings = fleet->settings.settings;
+    error_t err = ERROR_INIT;
+    status_t status =
+        store_http_init(store, settings->store_url, settings->store_timeout_ms,
+                        &fleet->counters, &err);
+    if (status != STATUS_OK) {
+        event_log(EVENT_STORE_DOWN, "%s", error_text(&err));
+    }
+    return status == STATUS_OK;
+}
+
+static bool
+status_is_answer(status_t status)
+{
+    return status == STATUS_OK || status == STATUS_NOT_FOUND ||
+           status == STATUS_CONFLICT;
+}
+
+static void
+note_store(fleet_t *fleet, status_t status, error_t *err)
+{
+    pthread_mutex_lock(&fleet->lock);
+    fleet_store_state(fleet, status_is_answer(status), err);
+    pthread_mutex_unlock(&fleet->lock);
+}
+
+static void
+read_roster(fleet_t *fleet, const store_client_t *store, const char *key)
+{
+    store_value_t value;
+    error_t err = ERROR_INIT;
+    status_t status = store_get(store, key, &value, &err);
+    pthread_mutex_lock(&fleet->lock);
+    roster_read_result(fleet->roster, status, value.modify_index, value.text,
+                       value.size, clock_now_us());
+    pthread_mutex_unlock(&fleet->lock);
+    store_value_release(&value);
+    note_store(fleet, status, &err);
+}
+
+static void
+write_roster(fleet_t *fleet, const store_client_t *store, const char *key,
+             roster_request_t *request)
+{
+    error_t err = ERROR_INIT;
+    status_t status =
+        store_cas_put(store, key, request->text, strlen(request->text),
+                      request->index, &err);
+    free(request->text);
+    pthread_mutex_lock(&fleet->lock);
+    roster_write_result(fleet->roster, status, clock_now_us());
+    pthread_mutex_unlock(&fleet->lock);
+    note_store(fleet, status, &err);
+}
+
+/* One step with the store, or a wait until the next is due. */
+static void
+roster_turn(fleet_t *fleet, const store_client_t *store, const char *key)
+{
+    roster_request_t request = {.text = NULL};
+    pthread_mutex_lock(&fleet->lock);
+    int64_t now_us = clock_now_us();
+    roster_step_t step = roster_next(fleet->roster, now_us, &request);
+    int64_t wait_us = roster_wakeup(fleet->roster, now_us) - now_us;
+    pthread_mutex_unlock(&fleet->lock);
+    if (step == ROSTER_READ) {
+        read_roster(fleet, store, key);
+    }
+    else if (step == ROSTER_WRITE) {
+        write_roster(fleet, store, key, &request);
+    }
+    else {
+        fleet_sleep(fleet, wait_us < IDLE_MAX_US ? wait_us : IDLE_MAX_US);
+    }
+}
+
+void *
+fleet_roster_main(void *context)
+{
+    fleet_t *fleet = context;
+    store_client_t store;
+    char key[STORE_KEY_MAX_BYTES];
+    snprintf(key, sizeof(key), "yuccarun/roster/%u",
+             fleet->settings.settings->group);
+    if (!open_store(fleet, &store)) {
+        return NULL;
+    }
+    while (!atomic_load(&fleet->stopping)) {
+        roster_turn(fleet, &store, key);
+    }
+    store_release(&store);
+    return NULL;
+}
+
+void *
+fleet_config_main(void *context)
+{
+    fleet_t *fleet = context;
+    store_client_t store;
+    uint64_t index = 0;
+    if (!open_store(fleet, &store)) {
+        return NULL;
+    }
+    while (!atomic_load(&fleet->stopping)) {
+        store_value_t value;
+        error_t err = ERROR_INIT;
+        status_t status =
+            store_watch(&store, STORE_KEY_CONFIG, index,
+                        index == 0 ? 0 : CONFIG_WATCH_MS, &value, &err);
+        if (status == STATUS_OK) {
+            fleet_take_config_text(fleet, value.text, value.size, "store");
+        }
+        bool answered = status_is_answer(status);
+        bool waited = answered && value.watch_index != 0 && index != 0;
+        index = answered ? value.watch_index : 0;
+        store_value_release(&value);
+        if (!waited) {
+            fleet_sleep(fleet, RETRY_US);
+        }
+    }
+    store_release(&store);
+    return NULL;
+}
+
+static void
+read_partition(fleet_t *fleet, const store_client_t *store,
+               const char *service)
+{
+    char key[STORE_KEY_MAX_BYTES];
+    store_value_t value;
+    partition_t partition = {.shard_count = 0};
+    error_t err = ERROR_INIT;
+    snprintf(key, sizeof(key), "yuccarun/shards/%s", service);
+    if (store_get(store, key, &value, &err) == STATUS_OK) {
+        if (partition_parse(service, value.text, value.size, &partition,
+                            &err) == STATUS_OK) {
+            fleet_partition(fleet, &partition);
+            free(partition.shards);
+        }
+        else {
+            event_log(EVENT_INPUT_REFUSED, "%s", error_text(&err));
+        }
+    }
+    store_value_release(&value);
+}
+
+static void
+read_partitions(fleet_t *fleet, const store_client_t *store)
+{
+    pthread_mutex_lock(&fleet->lock);
+    config_t *config =
+        fleet->config == NULL ? NULL : config_get(fleet->config);
+    pthread_mutex_unlock(&fleet->lock);
+    for (size_t i = 0; config != NULL && i < config->row_count &&
+                       !atomic_load(&fleet->stopping);
+         i++) {
+        read_partition(fleet, store, config->rows[i].service);
+    }
+    config_put(config);
+}
+
+static void
+note_vmlist(fleet_t *fleet, bool up, error_t *err)
+{
+    pthread_mutex_lock(&fleet->lock);
+    if (up != fleet->vmlist_up) {
+        fleet->vmlist_up = up;
+        event_log(up ? EVENT_VMLIST_BACK : EVENT_VMLIST_DOWN, "%s",
+                  up ? "" : error_text(err));
+    }
+    pthread_mutex_unlock(&fleet->lock);
+}
+
+static void
+read_vmlist(fleet_t *fleet, const vmlist_client_t *vmlist)
+{
+    upstream_info_t *upstreams;
+    size_t count;
+    error_t err = ERROR_INIT;
+    status_t status = vmlist_fetch(vmlist, &upstreams, &count, &err);
+    if (status == STATUS_OK) {
+        fleet_take_upstreams(fleet, upstreams, count);
+    }
+    note_vmlist(fleet, status == STATUS_OK, &err);
+}
+
+void *
+fleet_platform_main(void *context)
+{
+    fleet_t *fleet = context;
+    const settings_t *settings = fleet->settings.settings;
+    store_client_t store;
+    vmlist_client_t vmlist;
+    error_t err = ERROR_INIT;
+    int64_t partitions_due_us = 0;
+    if (!open_store(fleet, &store)) {
+        return NULL;
+    }
+    if (vmlist_http_init(&vmlist, settings->vmlist_url,
+                         settings->store_timeout_ms, NULL,
+                         &err) != STATUS_OK) {
+        event_log(EVENT_VMLIST_DOWN, "%s", error_text(&err));
+        store_release(&store);
+        return NULL;
+    }
+    while (!atomic_load(&fleet->stopping)) {
+        read_vmlist(fleet, &vmlist);
+        if (clock_now_us() >= partitions_due_us) {
+            read_partitions(fleet, &store);
+            partitions_due_us = clock_now_us() + PARTITION_POLL_US;
+        }
+        fleet_sleep(fleet, (int64_t)settings->vmlist_poll_ms * US_PER_MS);
+    }
+    vmlist_release(&vmlist);
+    store_release(&store);
+    return NULL;
+}
--- /dev/null
+++ b/daemon/fleet_state.h
@@ -0,0 +1,73 @@
+/*
+ * What the files of the fleet share; not for others. All under state.lock but
+ * what is set before the threads start.
+ */
+#ifndef DAEMON_FLEET_STATE_H
+#define DAEMON_FLEET_STATE_H
+
+#include "daemon/fleet.h"
+
+#include <pthread.h>
+
+/* What heartbeats of one peer have told. */
+typedef struct {
+    char name[NAME_SIZE];
+    uint64_t incarnation;
+    uint64_t config_version;
+    int64_t heard_us;
+} fleet_peer_t;
+
+struct fleet {
+    fleet_settings_t settings;
+    peer_net_t *net;
+    store_counters_t counters;
+    atomic_llong act_until_us;
+    atomic_bool stopping;
+    pthread_mutex_t lock;
+    pthread_cond_t changed; /* something waits to be published or sent */
+
+    roster_t *roster;
+    config_t *config;
+    upstream_info_t *upstreams;
+    size_t upstream_count;
+    partition_t *partitions;
+    size_t partition_count;
+    topology_t *topology;
+    world_t *world;
+    bool dirty;          /* the world must be built anew */
+    bool peers_dirty;    /* the set of peers must be told to the net */
+    bool owners_waiting; /* an upstream waits to be let go by another */
+    bool refusing;
+    bool held; /* the lease permitted acting when last looked */
+    bool store_up;
+    bool vmlist_up;
+    uint64_t peers_version;
+    uint64_t released_version;
+    int64_t beat_due_us;
+    fleet_peer_t peers[FLEET_PEERS_MAX];
+    size_t peer_count;
+
+    pthread_t threads[4];
+    size_t thread_count;
+};
+
+/* Threads: the lease, the configuration, the VM list and partitions. */
+void *fleet_roster_main(void *context);
+void *fleet_config_main(void *context);
+void *fleet_platform_main(void *context);
+
+/* Sleep at most wait_us, less when the fleet stops. */
+void fleet_sleep(fleet_t *fleet, int64_t wait_us);
+
+/* Note whether the store answered; logs the change. Lock held. */
+void fleet_store_state(fleet_t *fleet, bool up, error_t *err);
+
+/* Take what the store holds under the configuration's key. */
+void fleet_take_config_text(fleet_t *fleet, const char *text, size_t size,
+                            const char *source);
+
+/* Replace the list of upstreams, which the fleet then owns. */
+void fleet_take_upstreams(fleet_t *fleet, upstream_info_t *upstreams,
+                          size_t count);
+
+#endif
--- /dev/null
+++ b/daemon/node.c
@@ -0,0 +1,276 @@
+#include "daemon/node.h"
+#include "daemon/clock.h"
+#include "daemon/node_state.h"
+#include "edge/event.h"
+#include "edge/secret.h"
+
+#include <arpa/inet.h>
+#include <gnutls/crypto.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+
+enum {
+    US_PER_MS = 1000,
+    POLL_NS = 10000000,
+    INCARNATION_RANDOM_BITS = 10,
+    RAMP_STEP_US = 50000,
+    RAMP_SUCCESSES = 8,
+    CRASH_LIMIT = 2,
+    HTTP_IDLE_S = 60
+};
+
+#define QUARANTINE_US INT64_C(600000000)
+#define DRAIN_US INT64_C(1000000)
+
+/* Rises with the wall clock; the random end keeps two starts apart. */
+static uint64_t
+new_incarnation(void)
+{
+    uint16_t noise = 0;
+    gnutls_rnd(GNUTLS_RND_NONCE, &noise, sizeof(noise));
+    noise &= (1U << INCARNATION_RANDOM_BITS) - 1;
+    return ((uint64_t)clock_wall_us() << INCARNATION_RANDOM_BITS) | noise;
+}
+
+static status_t
+start_workers(node_t *node, error_t *err)
+{
+    node->worker_count = node->settings.shards;
+    node->workers = calloc(node->worker_count, sizeof(*node->workers));
+    if (node->workers == NULL) {
+        return error_set(err, STATUS_NO_MEMORY, "start workers", "-", "-");
+    }
+    for (unsigned i = 0; i < node->worker_count; i++) {
+        worker_settings_t settings = {
+            .index = i,
+            .count = node->worker_count,
+            .incarnation = node->incarnation,
+            .queries_max =
+                node->settings.limits_queries_max / node->worker_count + 1,
+            .gate =
+                {
+                    .queue_max =
+                        node->settings.limits_queue_max / node->worker_count +
+                        1,
+                    .ramp_step_us = RAMP_STEP_US,
+                    .ramp_successes = RAMP_SUCCESSES,
+                    .crash_limit = CRASH_LIMIT,
+                    .quarantine_us = QUARANTINE_US,
+                },
+            .upstream = &upstream_http_ops,
+            .act_until_us = fleet_act_until_us(node->fleet),
+            .drain_us = DRAIN_US,
+            .seed = node->incarnation + i,
+            .route = node_route(node),
+        };
+        node->workers[i] = worker_new(&settings, err);
+        if (node->workers[i] == NULL) {
+            node->worker_count = i;
+            return err->status;
+        }
+    }
+    return STATUS_OK;
+}
+
+static status_t
+start_net(node_t *node, error_t *err)
+{
+    peer_net_settings_t settings = {
+        .self = {.incarnation = node->incarnation},
+        .port = (uint16_t)node->settings.listen_peer_port,
+        .key = {.bytes = (const uint8_t *)node->key, .size = node->key_size},
+        .seed = node->incarnation,
+    };
+    memcpy(settings.self.name, node->settings.name, NAME_SIZE);
+    memcpy(settings.self.zone, node->settings.zone, NAME_SIZE);
+    memcpy(settings.address, node->settings.listen_address, ADDRESS_SIZE);
+    node->net = peer_net_new(&settings, &node_peer_ops, node, err);
+    return node->net == NULL ? err->status : STATUS_OK;
+}
+
+static status_t
+start_fleet(node_t *node, error_t *err)
+{
+    fleet_settings_t settings = {
+        .settings = &node->settings,
+        .incarnation = node->incarnation,
+        .context = node,
+        .publish = node_publish,
+        .settled_version = node_settled_version,
+    };
+    node->fleet = fleet_new(&settings, err);
+    return node->fleet == NULL ? err->status : STATUS_OK;
+}
+
+static status_t
+start_http(node_t *node, error_t *err)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)node->settings.listen_http_port),
+    };
+    node->http = calloc(1, sizeof(*node->http));
+    if (node->http == NULL ||
+        inet_pton(AF_INET, node->settings.listen_address, &address.sin_addr) !=
+            1 ||
+        ulfius_init_instance(node->http, node->settings.listen_http_port,
+                             &address, NULL) != U_OK) {
+        return error_set(err, STATUS_INTERNAL, "start http",
+                         node->settings.listen_address, "cannot set up");
+    }
+    node->http->max_post_body_size = node->settings.limits_body_max_bytes;
+    node->http->timeout = HTTP_IDLE_S;
+    node->http->allowed_post_processor = U_POST_PROCESS_NONE;
+    node->caller = (caller_edge_t){
+        .ops =
+            {
+                .context = node,
+                .query = node_query,
+                .cancel = node_cancel,
+                .ticket = node_ticket,
+                .entries = node_entries,
+                .explain = node_explain,
+                .status = node_fleet_status,
+                .ready = node_ready,
+                .metrics = node_metrics,
+            },
+        .body_max_bytes = node->settings.limits_body_max_bytes,
+        .query_body_max_bytes = node->settings.limits_query_body_max_bytes,
+    };
+    status_t status = caller_edge_register(&node->caller, node->http, err);
+    if (status != STATUS_OK) {
+        return status;
+    }
+    if (ulfius_start_framework(node->http) != U_OK) {
+        return error_set(err, STATUS_UNAVAILABLE, "listen for http",
+                         node->settings.listen_address,
+                         "port %u cannot be opened",
+                         node->settings.listen_http_port);
+    }
+    node->http_started = true;
+    return STATUS_OK;
+}
+
+static status_t
+read_secrets(node_t *node, error_t *err)
+{
+    status_t status =
+        secret_read(node->settings.key_file, SETTINGS_KEY_MIN_BYTES,
+                    SETTINGS_KEY_MAX_BYTES, node->key, &node->key_size, err);
+    if (status != STATUS_OK) {
+        return status;
+    }
+    return secret_read(node->settings.token_file, SETTINGS_TOKEN_MIN_BYTES,
+                       SETTINGS_TOKEN_MAX_BYTES, node->token,
+                       &node->token_size, err);
+}
+
+node_t *
+node_start(const settings_t *settings, error_t *err)
+{
+    node_t *node = calloc(1, sizeof(*node));
+    if (node == NULL) {
+        error_set(err, STATUS_NO_MEMORY, "start daemon", "-", "no memory");
+        return NULL;
+    }
+    node->settings = *settings;
+    node->incarnation = new_incarnation();
+    asks_init(&node->asks);
+    if (read_secrets(node, err) != STATUS_OK ||
+        start_fleet(node, err) != STATUS_OK ||
+        start_workers(node, err) != STATUS_OK ||
+        start_net(node, err) != STATUS_OK ||
+        fleet_start(node->fleet, node->net, err) != STATUS_OK ||
+        start_http(node, err) != STATUS_OK) {
+        event_log(EVENT_LISTEN_FAILED, "%s", error_text(err));
+        node_stop(node);
+        return NULL;
+    }
+    event_log(EVENT_STARTED, "http_port=%u peer_port=%u zone=%s",
+              settings->listen_http_port, settings->listen_peer_port,
+              settings->zone);
+    return node;
+}
+
+static size_t
+pending(node_t *node)
+{
+    size_t count = atomic_load(&node->callers);
+    for (unsigned i = 0; i < node->worker_count; i++) {
+        worker_load_t load = worker_load(node->workers[i]);
+        count += load.queries + load.parts;
+    }
+    return count;
+}
+
+/* Wait until the time, until hurried, or until done says so. */
+static void
+wait_until(node_t *node, int64_t until_us, bool (*done)(node_t *node))
+{
+    while (clock_now_us() < until_us && !atomic_load(&node->hurried) &&
+           (done == NULL || !done(node))) {
+        struct timespec pause = {.tv_nsec = POLL_NS};
+        nanosleep(&pause, NULL);
+    }
+}
+
+static bool
+has_ended(node_t *node)
+{
+    return pending(node) == 0 && fleet_left(node->fleet);
+}
+
+bool
+node_leave(node_t *node)
+{
+    int64_t now_us = clock_now_us();
+    int64_t keep_us = (int64_t)node->settings.drain_keep_ms * US_PER_MS;
+    int64_t most_us = (int64_t)node->settings.drain_most_ms * US_PER_MS;
+    event_log(EVENT_STOPPING, "keep_ms=%u most_ms=%u",
+              node->settings.drain_keep_ms, node->settings.drain_most_ms);
+    atomic_store(&node->leaving, true);
+    fleet_leave(node->fleet);
+    wait_until(node, now_us + keep_us, NULL);
+    fleet_refuse_queries(node->fleet);
+    wait_until(node, now_us + most_us, has_ended);
+    size_t cut = pending(node);
+    event_log(EVENT_STOPPED, "cut=%zu", cut);
+    return cut == 0;
+}
+
+void
+node_hurry(node_t *node)
+{
+    atomic_store(&node->hurried, true);
+}
+
+static void
+stop_http(node_t *node)
+{
+    if (node->http == NULL) {
+        return;
+    }
+    if (node->http_started) {
+        ulfius_stop_framework(node->http);
+    }
+    ulfius_clean_instance(node->http);
+    free(node->http);
+}
+
+void
+node_stop(node_t *node)
+{
+    stop_http(node);
+    if (node->fleet != NULL) {
+        fleet_stop(node->fleet);
+    }
+    peer_net_free(node->net);
+    for (unsigned i = 0; i < node->worker_count; i++) {
+        worker_free(node->workers[i]);
+    }
+    free(node->workers);
+    fleet_free(node->fleet);
+    asks_release(&node->asks);
+    free(node);
+}
--- /dev/null
+++ b/daemon/node_query.c
@@ -0,0 +1,189 @@
+#include "daemon/answer_json.h"
+#include "daemon/clock.h"
+#include "daemon/node_state.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+    HTTP_ACCEPTED = 202,
+    HTTP_NOT_FOUND = 404,
+    US_PER_MS = 1000,
+    RETRY_AFTER_US = 100000,
+    ASK_CANCEL_US = 500000
+};
+
+/* A caller's thread that waits for its query. */
+typedef struct {
+    pthread_mutex_t lock;
+    pthread_cond_t ended;
+    bool done;
+    uint64_t sequence;
+    query_answer_t answer;
+} wait_t;
+
+static void
+on_done(void *context, uint64_t sequence, const query_answer_t *answer)
+{
+    wait_t *wait = context;
+    pthread_mutex_lock(&wait->lock);
+    wait->done = true;
+    wait->sequence = sequence;
+    wait->answer = *answer;
+    pthread_cond_signal(&wait->ended);
+    pthread_mutex_unlock(&wait->lock);
+}
+
+void
+node_submit(node_t *node, const query_request_t *request,
+            const query_waiter_t *waiter)
+{
+    mail_t *mail = mail_new(MAIL_QUERY);
+    char *body = malloc(request->body_size + 1);
+    if (mail == NULL || body == NULL) {
+        query_answer_t answer;
+        free(mail);
+        free(body);
+        answer_refuse(&answer, REASON_OVERLOAD, RETRY_AFTER_US);
+        waiter->done(waiter->context, 0, &answer);
+        return;
+    }
+    if (request->body_size > 0) {
+        memcpy(body, request->body, request->body_size);
+    }
+    mail->query = *request;
+    mail->query.body = body;
+    mail->waiter = *waiter;
+    unsigned worker =
+        atomic_fetch_add(&node->next_worker, 1) % node->worker_count;
+    worker_post(node->workers[worker], mail);
+}
+
+static uint64_t
+fingerprint(const caller_query_t *query)
+{
+    uint64_t seed = XXH64(query->service, strlen(query->service),
+                          query->range.lo ^ (query->range.hi << 1));
+    return XXH64(query->body, query->body_size, seed);
+}
+
+/* Deadline of the row, for a query that names none. */
+static uint32_t
+row_deadline_ms(node_t *node, const char *service)
+{
+    uint32_t deadline_ms = 1;
+    world_t *world = fleet_world(node->fleet);
+    if (world != NULL && world->config != NULL) {
+        const table_row_t *row = config_row(world->config, service);
+        deadline_ms = row == NULL ? 1 : row->deadline_ms;
+    }
+    world_put(world);
+    return deadline_ms;
+}
+
+static void
+request_fill(node_t *node, const caller_query_t *query, int64_t now_us,
+             query_request_t *request)
+{
+    uint32_t deadline_ms = query->deadline_ms != 0
+                               ? query->deadline_ms
+                               : row_deadline_ms(node, query->service);
+    *request = (query_request_t){
+        .range = query->range,
+        .deadline_us = now_us + (int64_t)deadline_ms * US_PER_MS,
+        .once = query->once,
+        .fingerprint = fingerprint(query),
+        .body = query->body,
+        .body_size = query->body_size,
+    };
+    memcpy(request->service, query->service, NAME_SIZE);
+    memcpy(request->tenant, query->tenant, NAME_SIZE);
+}
+
+/* Run a query here and wait for its end. */
+static void
+run_here(node_t *node, const query_request_t *request, query_answer_t *answer,
+         uint64_t *sequence)
+{
+    wait_t wait = {
+        .lock = PTHREAD_MUTEX_INITIALIZER,
+        .ended = PTHREAD_COND_INITIALIZER,
+    };
+    query_waiter_t waiter = {.context = &wait, .done = on_done};
+    node_submit(node, request, &waiter);
+    pthread_mutex_lock(&wait.lock);
+    while (!wait.done) {
+        pthread_cond_wait(&wait.ended, &wait.lock);
+    }
+    pthread_mutex_unlock(&wait.lock);
+    *answer = wait.answer;
+    *sequence = wait.sequence;
+    pthread_cond_destroy(&wait.ended);
+    pthread_mutex_destroy(&wait.lock);
+}
+
+json_t *
+node_query(void *context, const caller_query_t *query, unsigned *status)
+{
+    node_t *node = context;
+    int64_t started_us = clock_now_us();
+    query_request_t request;
+    query_answer_t answer;
+    uint64_t sequence = 0;
+    atomic_fetch_add(&node->callers, 1);
+    request_fill(node, query, started_us, &request);
+    run_here(node, &request, &answer, &sequence);
+    *status = answer_http_status(&answer);
+    json_t *json = answer_json(&answer, node->incarnation, sequence,
+                               clock_now_us() - started_us);
+    json_object_set_new(json, "daemon", json_string(node->settings.name));
+    atomic_fetch_sub(&node->callers, 1);
+    return json;
+}
+
+bool
+node_cancel_here(node_t *node, uint64_t sequence)
+{
+    unsigned worker = coordinator_worker_of(sequence);
+    mail_t *mail =
+        worker < node->worker_count ? mail_new(MAIL_CANCEL_QUERY) : NULL;
+    if (mail == NULL) {
+        return false;
+    }
+    mail->sequence = sequence;
+    worker_post(node->workers[worker], mail);
+    return true;
+}
+
+json_t *
+node_cancel(void *context, const char *query, unsigned *status)
+{
+    node_t *node = context;
+    uint64_t incarnation;
+    uint64_t sequence;
+    *status = HTTP_NOT_FOUND;
+    if (query == NULL || !query_name_parse(query, &incarnation, &sequence)) {
+        return json_pack("{s:s}", "error", "no such query");
+    }
+    if (incarnation == node->incarnation) {
+        bool posted = node_cancel_here(node, sequence);
+        *status = posted ? HTTP_ACCEPTED : HTTP_NOT_FOUND;
+        return json_object();
+    }
+    char text[QUERY_NAME_SIZE];
+    snprintf(text, sizeof(text), "%" PRIx64, sequence);
+    json_t *json =
+        node_ask(node, incarnation, ASK_CANCEL, text, ASK_CANCEL_US, status);
+    return json != NULL ? json : json_pack("{s:s}", "error", "unreachable");
+}
+
+json_t *
+node_ticket(void *context, unsigned *status)
+{
+    (void)context;
+    *status = HTTP_NOT_FOUND;
+    return json_pack("{s:s}", "error", "no tickets yet");
+}
--- /dev/null
+++ b/daemon/node_state.h
@@ -0,0 +1,71 @@
+/*
+ * What the files of the node share; not for others.
+ */
+#ifndef DAEMON_NODE_STATE_H
+#define DAEMON_NODE_STATE_H
+
+#include "daemon/asks.h"
+#include "daemon/fleet.h"
+#include "daemon/node.h"
+#include "daemon/worker.h"
+#include "edge/caller.h"
+
+struct _u_instance;
+
+struct node {
+    settings_t settings;
+    uint64_t incarnation;
+    fleet_t *fleet;
+    peer_net_t *net;
+    worker_t **workers;
+    unsigned worker_count;
+    atomic_uint next_worker;
+    asks_t asks;
+    caller_edge_t caller;
+    struct _u_instance *http;
+    bool http_started;
+    char key[SETTINGS_KEY_MAX_BYTES];
+    size_t key_size;
+    char token[SETTINGS_TOKEN_MAX_BYTES];
+    size_t token_size;
+    atomic_bool hurried;
+    atomic_bool leaving;
+    atomic_uint callers; /* queries that HTTP callers wait for */
+};
+
+/* node_route.c */
+extern const peer_ops_t node_peer_ops;
+route_t node_route(node_t *node);
+void node_publish(void *context, world_t *world);
+uint64_t node_settled_version(void *context);
+
+/* Send to a member by incarnation; false: not sent and never will be. */
+bool node_send(node_t *node, uint64_t incarnation, const message_t *message);
+
+/* node_query.c */
+
+/* Start a query on some worker; the waiter is told its end. */
+void node_submit(node_t *node, const query_request_t *request,
+                 const query_waiter_t *waiter);
+json_t *node_query(void *context, const caller_query_t *query,
+                   unsigned *status);
+json_t *node_cancel(void *context, const char *query, unsigned *status);
+json_t *node_ticket(void *context, unsigned *status);
+
+/* Cancel a query that runs here; false: its name is of another daemon. */
+bool node_cancel_here(node_t *node, uint64_t sequence);
+
+/* node_status.c */
+json_t *node_entries(void *context, const char *zone, unsigned *status);
+json_t *node_explain(void *context, const char *query, unsigned *status);
+json_t *node_fleet_status(void *context, unsigned *status);
+json_t *node_own_status(node_t *node);
+json_t *node_own_explain(node_t *node, uint64_t sequence);
+bool node_ready(void *context);
+char *node_metrics(void *context);
+
+/* Ask the daemon of that incarnation and wait; NULL: no answer. */
+json_t *node_ask(node_t *node, uint64_t incarnation, ask_kind_t kind,
+                 const char *json, int64_t timeout_us, unsigned *status);
+
+#endif
--- /dev/null
+++ b/daemon/node_status.c
@@ -0,0 +1,426 @@
+#include "daemon/answer_json.h"
+#include "daemon/clock.h"
+#include "daemon/metrics.h"
+#include "daemon/node_state.h"
+#include "edge/event.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+    HTTP_OK = 200,
+    HTTP_NOT_FOUND = 404,
+    STATUS_ASK_US = 800000,
+    EXPLAIN_ASK_US = 800000,
+    RECENT_SHOWN = 20,
+    UPSTREAMS_SHOWN = 64,
+    REPORT_MAX = 4096
+};
+
+json_t *
+node_ask(node_t *node, uint64_t incarnation, ask_kind_t kind, const char *json,
+         int64_t timeout_us, unsigned *status)
+{
+    uint64_t id = asks_begin(&node->asks, incarnation);
+    message_t message = {
+        .type = MESSAGE_ASK,
+        .ask =
+            {
+                .id = id,
+                .kind = kind,
+                .json = json,
+                .size = strlen(json),
+            },
+    };
+    int64_t wait_us =
+        id != 0 && node_send(node, incarnation, &message) ? timeout_us : 0;
+    ask_reply_t reply;
+    if (!asks_wait(&node->asks, id, wait_us, &reply)) {
+        return NULL;
+    }
+    *status = reply.status;
+    json_t *answer =
+        json_loadb(reply.json, reply.size, JSON_REJECT_DUPLICATES, NULL);
+    free(reply.json);
+    return answer;
+}
+
+static json_t *
+entry_json(const roster_member_t *member)
+{
+    return json_pack("{s:s, s:s, s:i, s:s}", "name", member->name, "address",
+                     member->address, "port", (int)member->http_port, "zone",
+                     member->zone);
+}
+
+/* A place in the order of entries: near first, then spread. */
+static uint64_t
+entry_rank(const world_t *world, const roster_member_t *member,
+           const char *zone, uint64_t spread)
+{
+    bool out = world->config != NULL &&
+               (config_zone_is_out(world->config, member->zone) ||
+                config_vm_is_out(world->config, member->name));
+    uint64_t rank = XXH64(member->name, strlen(member->name), spread) >> 4;
+    rank |= strcmp(member->zone, zone) == 0 ? 0 : UINT64_C(1) << 60;
+    rank |= out || member->leaving ? UINT64_C(1) << 61 : 0;
+    return rank;
+}
+
+static json_t *
+entries_json(node_t *node, const world_t *world, const char *zone)
+{
+    json_t *entries = json_array();
+    uint64_t spread = (uint64_t)atomic_fetch_add(&node->next_worker, 1);
+    uint64_t last = 0;
+    for (size_t taken = 0; taken < world->member_count; taken++) {
+        uint64_t best = UINT64_MAX;
+        size_t index = 0;
+        for (size_t i = 0; i < world->member_count; i++) {
+            uint64_t rank =
+                entry_rank(world, &world->members[i], zone, spread);
+            if (rank < best && (taken == 0 || rank > last)) {
+                best = rank;
+                index = i;
+            }
+        }
+        bool excluded = (best & (UINT64_C(1) << 61)) != 0;
+        if (best == UINT64_MAX || (excluded && json_array_size(entries) > 0)) {
+            break;
+        }
+        last = best;
+        json_array_append_new(entries, entry_json(&world->members[index]));
+    }
+    return entries;
+}
+
+json_t *
+node_entries(void *context, const char *zone, unsigned *status)
+{
+    node_t *node = context;
+    world_t *world = fleet_world(node->fleet);
+    *status = HTTP_OK;
+    json_t *entries =
+        world == NULL ? json_array() : entries_json(node, world, zone);
+    world_put(world);
+    return json_pack("{s:o, s:i}", "entries", entries, "keep_ms",
+                     (int)node->settings.drain_keep_ms);
+}
+
+json_t *
+node_own_explain(node_t *node, uint64_t sequence)
+{
+    unsigned worker = coordinator_worker_of(sequence);
+    if (worker >= node->worker_count) {
+        return NULL;
+    }
+    json_t *json = worker_explain(node->workers[worker], sequence);
+    if (json != NULL) {
+        json_object_set_new(json, "daemon", json_string(node->settings.name));
+    }
+    return json;
+}
+
+json_t *
+node_explain(void *context, const char *query, unsigned *status)
+{
+    node_t *node = context;
+    uint64_t incarnation;
+    uint64_t sequence;
+    json_t *json = NULL;
+    *status = HTTP_OK;
+    if (query != NULL && query_name_parse(query, &incarnation, &sequence)) {
+        char text[QUERY_NAME_SIZE];
+        snprintf(text, sizeof(text), "%" PRIx64, sequence);
+        json = incarnation == node->incarnation
+                   ? node_own_explain(node, sequence)
+                   : node_ask(node, incarnation, ASK_EXPLAIN, text,
+                              EXPLAIN_ASK_US, status);
+    }
+    if (json != NULL) {
+        return json;
+    }
+    *status = HTTP_NOT_FOUND;
+    return json_pack("{s:s}", "error",
+                     "not known: never run, too long ago, or its daemon "
+                     "is gone");
+}
+
+static json_t *
+recent_json(void)
+{
+    event_record_t records[RECENT_SHOWN];
+    size_t count = event_recent(records, RECENT_SHOWN);
+    json_t *events = json_array();
+    for (size_t i = 0; i < count; i++) {
+        json_t *event = json_pack("{s:i, s:s, s:I, s:s%}", "number",
+                                  event_number(records[i].event), "name",
+                                  event_name(records[i].event), "at_us",
+                                  (json_int_t)records[i].at_us, "text",
+                                  records[i].text, strlen(records[i].text));
+        json_array_append_new(events, event);
+    }
+    return events;
+}
+
+/* Upstreams that are not at their full bound. */
+static json_t *
+limited_upstreams_json(node_t *node)
+{
+    gate_upstream_t *report = calloc(REPORT_MAX, sizeof(*report));
+    json_t *limited = json_array();
+    for (unsigned s = 0; report != NULL && s < node->worker_count; s++) {
+        size_t count = worker_report(node->workers[s], report, REPORT_MAX);
+        for (size_t i = 0; i < count && i < REPORT_MAX &&
+                           json_array_size(limited) < UPSTREAMS_SHOWN;
+             i++) {
+            if (!report[i].cold && !report[i].shedding) {
+                continue;
+            }
+            json_array_append_new(
+                limited,
+                json_pack("{s:s, s:b, s:b, s:i, s:i}", "upstream",
+                          report[i].name, "cold", report[i].cold, "shedding",
+                          report[i].shedding, "slots", (int)report[i].slots,
+                          "in_progress", (int)report[i].in_progress));
+        }
+    }
+    free(report);
+    return limited;
+}
+
+json_t *
+node_own_status(node_t *node)
+{
+    fleet_facts_t facts;
+    size_t queries = 0;
+    size_t parts = 0;
+    fleet_facts(node->fleet, &facts);
+    for (unsigned i = 0; i < node->worker_count; i++) {
+        worker_load_t load = worker_load(node->workers[i]);
+        queries += load.queries;
+        parts += load.parts;
+    }
+    char incarnation[QUERY_NAME_SIZE];
+    snprintf(incarnation, sizeof(incarnation), "%016" PRIx64,
+             node->incarnation);
+    return json_pack(
+        "{s:s, s:s, s:s, s:I, s:I, s:b, s:b, s:b, s:b, s:b, s:b, s:i, s:i, "
+        "s:i, s:i, s:o, s:o}",
+        "daemon", node->settings.name, "zone", node->settings.zone,
+        "incarnation", incarnation, "config_version",
+        (json_int_t)facts.config_version, "roster_version",
+        (json_int_t)facts.roster_version, "lease", facts.may_act, "on_grants",
+        facts.on_grants, "store_up", facts.store_up, "vm_list_up",
+        facts.vmlist_up, "trusted", facts.trusted, "leaving",
+        atomic_load(&node->leaving), "upstreams", (int)facts.upstreams,
+        "owned", (int)facts.owned, "queries", (int)queries, "parts",
+        (int)parts, "limited", limited_upstreams_json(node), "events",
+        recent_json());
+}
+
+/* A question under way to one member. */
+typedef struct {
+    uint64_t id;
+    char name[NAME_SIZE];
+} asked_t;
+
+static size_t
+ask_all(node_t *node, const world_t *world, asked_t *asked)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < world->member_count; i++) {
+        if ((int)i == world->self) {
+            continue;
+        }
+        uint64_t incarnation = world->members[i].incarnation;
+        message_t message = {
+            .type = MESSAGE_ASK,
+            .ask =
+                {
+                    .id = asks_begin(&node->asks, incarnation),
+                    .kind = ASK_STATUS,
+                    .json = "{}",
+                    .size = 2,
+                },
+        };
+        asked[count].id = message.ask.id;
+        memcpy(asked[count].name, world->members[i].name, NAME_SIZE);
+        count++;
+        if (!node_send(node, incarnation, &message)) {
+            asks_peer_down(&node->asks, incarnation);
+        }
+    }
+    return count;
+}
+
+json_t *
+node_fleet_status(void *context, unsigned *status)
+{
+    node_t *node = context;
+    asked_t asked[ROSTER_MEMBERS_MAX];
+    json_t *daemons = json_array();
+    json_t *silent = json_array();
+    world_t *world = fleet_world(node->fleet);
+    size_t count = world == NULL ? 0 : ask_all(node, world, asked);
+    world_put(world);
+    json_array_append_new(daemons, node_own_status(node));
+    int64_t until_us = clock_now_us() + STATUS_ASK_US;
+    for (size_t i = 0; i < count; i++) {
+        ask_reply_t reply;
+        int64_t left_us = until_us - clock_now_us();
+        bool answered = asks_wait(&node->asks, asked[i].id,
+                                  left_us > 0 ? left_us : 0, &reply);
+        json_t *json = answered ? json_loads(reply.json, 0, NULL) : NULL;
+        if (json != NULL) {
+            json_array_append_new(daemons, json);
+        }
+        else {
+            json_array_append_new(silent, json_string(asked[i].name));
+        }
+        free(reply.json);
+    }
+    *status = HTTP_OK;
+    return json_pack("{s:o, s:o}", "daemons", daemons, "silent", silent);
+}
+
+bool
+node_ready(void *context)
+{
+    node_t *node = context;
+    world_t *world = fleet_world(node->fleet);
+    bool ready = world != NULL && world->config != NULL && world->trusted &&
+                 !world->leaving && !atomic_load(&node->leaving);
+    world_put(world);
+    return ready;
+}
+
+static void
+peer_metrics(metrics_t *metrics, const peer_counters_t *counters)
+{
+    char labels[96];
+    metrics_type(metrics, "yuccarun_peer_bytes_total", "counter",
+                 "Bytes between daemons by message type");
+    for (int type = 1; type < MESSAGE_TYPE_COUNT; type++) {
+        uint8_t i = (uint8_t)type;
+        const char *kind = message_type_is_data(i) ? "data" : "control";
+        snprintf(labels, sizeof(labels),
+                 "direction=\"sent\",type=\"%s\",kind=\"%s\"",
+                 message_type_name(i), kind);
+        metrics_u64(metrics, "yuccarun_peer_bytes_total", labels,
+                    counters->sent[i].bytes);
+        metrics_u64(metrics, "yuccarun_peer_messages_total", labels,
+                    counters->sent[i].messages);
+        snprintf(labels, sizeof(labels),
+                 "direction=\"received\",type=\"%s\",kind=\"%s\"",
+                 message_type_name(i), kind);
+        metrics_u64(metrics, "yuccarun_peer_bytes_total", labels,
+                    counters->received[i].bytes);
+        metrics_u64(metrics, "yuccarun_peer_messages_total", labels,
+                    counters->received[i].messages);
+    }
+    metrics_u64(metrics, "yuccarun_peer_strangers_total", "",
+                counters->strangers);
+    metrics_u64(metrics, "yuccarun_peer_cpu_us_total", "",
+                (uint64_t)counters->cpu_us);
+}
+
+static void
+store_metrics(metrics_t *metrics, store_counters_t *counters)
+{
+    static const char *const calls[STORE_CALL_COUNT] = {
+        [STORE_CALL_GET] = "call=\"get\"",
+        [STORE_CALL_WATCH] = "call=\"watch\"",
+        [STORE_CALL_PUT] = "call=\"put\"",
+    };
+    metrics_type(metrics, "yuccarun_store_calls_total", "counter",
+                 "Calls to the platform's key-value service");
+    for (int i = 0; i < STORE_CALL_COUNT; i++) {
+        metrics_u64(metrics, "yuccarun_store_calls_total", calls[i],
+                    atomic_load(&counters->calls[i]));
+        metrics_u64(metrics, "yuccarun_store_calls_failed_total", calls[i],
+                    atomic_load(&counters->failed[i]));
+        metrics_u64(metrics, "yuccarun_store_bytes_total", calls[i],
+                    atomic_load(&counters->bytes_in[i]) +
+                        atomic_load(&counters->bytes_out[i]));
+    }
+}
+
+static void
+event_metrics(metrics_t *metrics)
+{
+    char labels[96];
+    metrics_type(metrics, "yuccarun_events_total", "counter",
+                 "Logged events by number");
+    for (int i = 0; i < EVENT_COUNT; i++) {
+        snprintf(labels, sizeof(labels), "number=\"%d\",name=\"%s\"",
+                 event_number((event_t)i), event_name((event_t)i));
+        metrics_u64(metrics, "yuccarun_events_total", labels,
+                    event_count((event_t)i));
+    }
+}
+
+static void
+fleet_metrics(metrics_t *metrics, const fleet_facts_t *facts)
+{
+    metrics_u64(metrics, "yuccarun_config_version", "", facts->config_version);
+    metrics_u64(metrics, "yuccarun_roster_version", "", facts->roster_version);
+    metrics_u64(metrics, "yuccarun_lease_held", "", facts->may_act ? 1 : 0);
+    metrics_u64(metrics, "yuccarun_store_up", "", facts->store_up ? 1 : 0);
+    metrics_u64(metrics, "yuccarun_upstreams", "", facts->upstreams);
+    metrics_u64(metrics, "yuccarun_upstreams_owned", "", facts->owned);
+    metrics_u64(metrics, "yuccarun_roster_conflicts_total", "",
+                facts->roster.conflicts);
+    metrics_u64(metrics, "yuccarun_roster_removals_total", "",
+                facts->roster.removals);
+}
+
+static void
+worker_metrics(metrics_t *metrics, node_t *node)
+{
+    uint64_t connects = 0;
+    uint64_t calls = 0;
+    uint64_t parts = 0;
+    uint64_t queries = 0;
+    for (unsigned i = 0; i < node->worker_count; i++) {
+        worker_load_t load = worker_load(node->workers[i]);
+        connects += load.totals.connects;
+        calls += load.totals.calls;
+        parts += load.totals.parts;
+        queries += load.queries;
+    }
+    metrics_u64(metrics, "yuccarun_upstream_calls_total", "", calls);
+    metrics_u64(metrics, "yuccarun_upstream_parts_total", "", parts);
+    metrics_u64(metrics, "yuccarun_upstream_connects_total", "", connects);
+    metrics_u64(metrics, "yuccarun_queries_running", "", queries);
+}
+
+char *
+node_metrics(void *context)
+{
+    node_t *node = context;
+    stats_t *stats = malloc(sizeof(*stats));
+    if (stats == NULL) {
+        return NULL;
+    }
+    metrics_t metrics;
+    fleet_facts_t facts;
+    stats_init(stats);
+    metrics_init(&metrics);
+    for (unsigned i = 0; i < node->worker_count; i++) {
+        worker_add_stats(node->workers[i], stats);
+    }
+    metrics_stats(&metrics, stats);
+    free(stats);
+    worker_metrics(&metrics, node);
+    fleet_facts(node->fleet, &facts);
+    fleet_metrics(&metrics, &facts);
+    peer_counters_t peers = peer_net_counters(node->net);
+    peer_metrics(&metrics, &peers);
+    store_metrics(&metrics, fleet_store_counters(node->fleet));
+    event_metrics(&metrics);
+    return metrics_take(&metrics);
+}
--- /dev/null
+++ b/daemon/stats.c
@@ -0,0 +1,83 @@
+#include "daemon/stats.h"
+
+#include <stdio.h>
+#include <string.h>
+
+void
+stats_init(stats_t *stats)
+{
+    memset(stats, 0, sizeof(*stats));
+}
+
+/* The last line takes the names that find no room. */
+static stats_line_t *
+line_find(stats_line_t *lines, size_t *count, size_t max, const char *name)
+{
+    for (size_t i = 0; i < *count; i++) {
+        if (strcmp(lines[i].name, name) == 0) {
+            return &lines[i];
+        }
+    }
+    if (*count == max) {
+        return &lines[max - 1];
+    }
+    stats_line_t *line = &lines[(*count)++];
+    bool last = *count == max;
+    snprintf(line->name, sizeof(line->name), "%s", last ? "other" : name);
+    return line;
+}
+
+stats_line_t *
+stats_service(stats_t *stats, const char *name)
+{
+    return line_find(stats->services, &stats->service_count,
+                     STATS_SERVICES_MAX, name);
+}
+
+stats_line_t *
+stats_tenant(stats_t *stats, const char *name)
+{
+    return line_find(stats->tenants, &stats->tenant_count, STATS_TENANTS_MAX,
+                     name);
+}
+
+static void
+counters_add(uint64_t *to, const uint64_t *from, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        to[i] += from[i];
+    }
+}
+
+static void
+line_merge(stats_line_t *line, const stats_line_t *from)
+{
+    counters_add(line->outcomes, from->outcomes, OUTCOME_COUNT);
+    counters_add(line->reasons, from->reasons, REASON_COUNT);
+    line->asked_keys += from->asked_keys;
+    line->covered_keys += from->covered_keys;
+    line->parts += from->parts;
+    line->hedges += from->hedges;
+    line->retries += from->retries;
+    line->restarts += from->restarts;
+    line->dropped += from->dropped;
+    hist_merge(&line->latency, &from->latency);
+}
+
+void
+stats_merge(stats_t *stats, const stats_t *from)
+{
+    for (size_t i = 0; i < from->service_count; i++) {
+        line_merge(stats_service(stats, from->services[i].name),
+                   &from->services[i]);
+    }
+    for (size_t i = 0; i < from->tenant_count; i++) {
+        line_merge(stats_tenant(stats, from->tenants[i].name),
+                   &from->tenants[i]);
+    }
+    counters_add(stats->part_statuses, from->part_statuses, PART_STATUS_COUNT);
+    counters_add(stats->admitted, from->admitted, PART_STATUS_COUNT);
+    stats->admitted_parts += from->admitted_parts;
+    stats->refused_parts += from->refused_parts;
+    stats->stray_replies += from->stray_replies;
+}
--- /dev/null
+++ b/daemon/world.h
@@ -0,0 +1,40 @@
+/*
+ * One consistent view of configuration, topology and ownership.
+ *
+ * The fleet thread builds a world_t whenever one of them changes and hands it
+ * to every worker; it is never changed afterwards and shared by reference
+ * count, so that a worker decides with parts that belong together.
+ */
+#ifndef DAEMON_WORLD_H
+#define DAEMON_WORLD_H
+
+#include "core/table.h"
+#include "core/topology.h"
+#include "fleet/roster.h"
+
+#define WORLD_NO_MEMBER (-1)
+
+typedef struct {
+    atomic_uint references;
+    config_t *config;     /* NULL: none in force */
+    topology_t *topology; /* never NULL */
+    roster_member_t *members;
+    size_t member_count;
+    int self;       /* index of this daemon, WORLD_NO_MEMBER: none */
+    bool trusted;   /* config is known to be the newest */
+    bool leaving;   /* this daemon takes no new queries */
+    int16_t *owner; /* a member per upstream, or WORLD_NO_MEMBER */
+    bool *active;   /* this daemon may admit for the upstream */
+    uint64_t roster_version;
+} world_t;
+
+/* Takes one reference of config and topology; NULL: no memory. */
+world_t *world_new(config_t *config, topology_t *topology, roster_t *roster,
+                   uint64_t self_incarnation, int64_t now_us);
+world_t *world_get(world_t *world);
+void world_put(world_t *world); /* NULL ok */
+
+/* Member by incarnation; WORLD_NO_MEMBER when there is none. */
+int world_member(const world_t *world, uint64_t incarnation);
+
+#endif
--- /dev/null
+++ b/edge/event.h
@@ -0,0 +1,103 @@
+/*
+ * Numbered log events.
+ *
+ * Everything the daemon logs is an event of this catalogue: a stable number,
+ * a name and a level, followed by key=value fields. docs/EVENTS.md holds the
+ * same list with causes and what to do. Events are counted, and the latest
+ * are kept for `yuccarun status`.
+ *
+ *     event_log_open(EVENT_LEVEL_INFO, NULL, "a1");
+ *     event_log(EVENT_PEER_UP, "peer=%s", name);
+ *     event_log_close();
+ *
+ * All functions may be called from any thread once the log is open.
+ */
+#ifndef EDGE_EVENT_H
+#define EDGE_EVENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+typedef enum {
+    EVENT_LEVEL_DEBUG,
+    EVENT_LEVEL_INFO,
+    EVENT_LEVEL_WARN,
+    EVENT_LEVEL_ERROR
+} event_level_t;
+
+/* X(symbol, number, name, level) */
+#define EVENT_CATALOGUE(X)                                                    \
+    X(STARTED, 100, "started", INFO)                                          \
+    X(STOPPING, 101, "stopping", INFO)                                        \
+    X(STOPPED, 102, "stopped", INFO)                                          \
+    X(HURRIED, 103, "hurried", WARN)                                          \
+    X(SETTINGS_REFUSED, 110, "settings_refused", ERROR)                       \
+    X(LISTEN_FAILED, 111, "listen_failed", ERROR)                             \
+    X(CONFIG_IN_FORCE, 200, "config_in_force", INFO)                          \
+    X(CONFIG_REFUSED, 201, "config_refused", ERROR)                           \
+    X(CONFIG_OLDER, 202, "config_older_ignored", WARN)                        \
+    X(CONFIG_FROM_PEER, 203, "config_from_peer", INFO)                        \
+    X(CONFIG_CHANGED, 204, "config_changed_by_operator", INFO)                \
+    X(CONFIG_UNTRUSTED, 205, "config_untrusted", ERROR)                       \
+    X(CONFIG_TRUSTED, 206, "config_trusted_again", INFO)                      \
+    X(STORE_DOWN, 300, "store_down", ERROR)                                   \
+    X(STORE_BACK, 301, "store_back", INFO)                                    \
+    X(VMLIST_DOWN, 310, "vm_list_down", WARN)                                 \
+    X(VMLIST_BACK, 311, "vm_list_back", INFO)                                 \
+    X(TOPOLOGY, 312, "topology_changed", INFO)                                \
+    X(PARTITION, 313, "partition_changed", INFO)                              \
+    X(LEASE_HELD, 400, "lease_held", INFO)                                    \
+    X(LEASE_LOST, 401, "lease_lost", WARN)                                    \
+    X(MEMBER_JOINED, 402, "member_joined", INFO)                              \
+    X(MEMBER_LEFT, 403, "member_left", INFO)                                  \
+    X(MEMBER_REMOVED, 404, "member_removed", WARN)                            \
+    X(OWNERS_CHANGED, 405, "owners_changed", INFO)                            \
+    X(PEER_UP, 410, "peer_up", INFO)                                          \
+    X(PEER_DOWN, 411, "peer_down", WARN)                                      \
+    X(PEER_SUSPECT, 412, "peer_suspect", WARN)                                \
+    X(UPSTREAM_COLD, 500, "upstream_cold", WARN)                              \
+    X(UPSTREAM_WARM, 501, "upstream_warm", INFO)                              \
+    X(UPSTREAM_REPLY, 502, "upstream_bad_reply", WARN)                        \
+    X(QUARANTINE, 503, "request_quarantined", ERROR)                          \
+    X(REQUEST_REFUSED, 600, "request_refused", DEBUG)                         \
+    X(OPERATOR_DENIED, 601, "operator_denied", WARN)                          \
+    X(INPUT_REFUSED, 602, "input_refused", WARN)
+
+#define EVENT_SYMBOL(symbol, number, name, level) EVENT_##symbol,
+typedef enum { EVENT_CATALOGUE(EVENT_SYMBOL) EVENT_COUNT } event_t;
+#undef EVENT_SYMBOL
+
+enum { EVENT_TEXT_MAX = 240, EVENT_RECENT_MAX = 64 };
+
+/* One logged event, for status. */
+typedef struct {
+    event_t event;
+    int64_t at_us; /* wall clock */
+    char text[EVENT_TEXT_MAX];
+} event_record_t;
+
+/* Number and name of an event: 411, "peer_down". */
+int event_number(event_t event);
+const char *event_name(event_t event);
+
+/* Level of a name ("debug", "info", "warn", "error"); false: none such. */
+bool event_level_parse(const char *name, event_level_t *level);
+
+/*
+ * Start logging to a file, or to the standard error when path is NULL.
+ * daemon is put on each line. False when the file cannot be written.
+ */
+bool event_log_open(event_level_t level, const char *path, const char *daemon);
+void event_log_close(void);
+
+void event_log(event_t event, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/* How often the event was logged, whatever the level. */
+uint64_t event_count(event_t event);
+
+/* The latest events above debug level, newest first; returns how many. */
+size_t event_recent(event_record_t *out, size_t max);
+
+#endif
--- /dev/null
+++ b/edge/upstream.c
@@ -0,0 +1,406 @@
+#include "edge/upstream.h"
+#include "edge/event.h"
+#include "edge/wire.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <utlist.h>
+
+enum {
+    URL_SIZE = 160,
+    PATH_SIZE = WIRE_ID_SIZE + 16,
+    CONNECT_TIMEOUT_MS = 1000,
+    REPLY_GRACE_MS = 50, /* past the deadline, for a reply under way */
+    CACHED_CONNECTIONS = 4096,
+    IDLE_CONNECTION_S = 30, /* shorter than a server's own idle limit */
+    US_PER_MS = 1000
+};
+
+/* One HTTP request with the parts it carries. */
+typedef struct call {
+    upstream_client_t *client;
+    CURL *easy;
+    char *request;
+    size_t request_size;
+    size_t request_sent;
+    char *reply;
+    size_t reply_size;
+    bool too_large;
+    int64_t sent_us;
+    size_t count; /* parts; 0: a cancellation */
+    part_request_t parts[UPSTREAM_CALL_PARTS_MAX];
+    struct call *prev;
+    struct call *next;
+} call_t;
+
+struct upstream_client {
+    upstream_callbacks_t callbacks;
+    CURLM *multi;
+    struct curl_slist *headers;
+    call_t *calls;
+    upstream_totals_t totals;
+};
+
+static int64_t
+monotonic_us(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+static upstream_client_t *
+upstream_http_new(const upstream_callbacks_t *callbacks, error_t *err)
+{
+    upstream_client_t *client = calloc(1, sizeof(*client));
+    CURLM *multi = curl_multi_init();
+    if (client == NULL || multi == NULL) {
+        free(client);
+        curl_multi_cleanup(multi);
+        error_set(err, STATUS_NO_MEMORY, "start upstream client", "-",
+                  "no memory");
+        return NULL;
+    }
+    client->callbacks = *callbacks;
+    client->multi = multi;
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, (long)CACHED_CONNECTIONS);
+    client->headers =
+        curl_slist_append(NULL, "Content-Type: application/json");
+    /* A server that waits for "continue" could be sent the body twice. */
+    client->headers = curl_slist_append(client->headers, "Expect:");
+    return client;
+}
+
+static void
+call_free(call_t *call)
+{
+    DL_DELETE(call->client->calls, call);
+    curl_multi_remove_handle(call->client->multi, call->easy);
+    curl_easy_cleanup(call->easy);
+    free(call->request);
+    free(call->reply);
+    free(call);
+}
+
+static void
+upstream_http_free(upstream_client_t *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    call_t *call = NULL;
+    call_t *next = NULL;
+    DL_FOREACH_SAFE(client->calls, call, next)
+    {
+        call_free(call);
+    }
+    curl_multi_cleanup(client->multi);
+    curl_slist_free_all(client->headers);
+    free(client);
+}
+
+/*
+ * The body can be read once only: libcurl repeats a request whose reused
+ * connection died before a reply, and to do so it must rewind the body.
+ */
+static size_t
+call_read(char *buffer, size_t size, size_t count, void *context)
+{
+    call_t *call = context;
+    size_t left = call->request_size - call->request_sent;
+    size_t room = size * count;
+    size_t chunk = left < room ? left : room;
+    memcpy(buffer, call->request + call->request_sent, chunk);
+    call->request_sent += chunk;
+    return chunk;
+}
+
+static int
+call_refuse_seek(void *context, curl_off_t offset, int origin)
+{
+    (void)context;
+    (void)offset;
+    (void)origin;
+    return CURL_SEEKFUNC_FAIL;
+}
+
+static size_t
+call_write(char *data, size_t size, size_t count, void *context)
+{
+    call_t *call = context;
+    size_t bytes = size * count;
+    if (call->reply_size + bytes > WIRE_REPLY_MAX) {
+        call->too_large = true;
+        return 0;
+    }
+    char *grown = realloc(call->reply, call->reply_size + bytes);
+    if (grown == NULL) {
+        return 0;
+    }
+    memcpy(grown + call->reply_size, data, bytes);
+    call->reply = grown;
+    call->reply_size += bytes;
+    return bytes;
+}
+
+static void
+call_set_options(call_t *call)
+{
+    CURL *easy = call->easy;
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, call_write);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)IDLE_CONNECTION_S);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->client->headers);
+}
+
+static call_t *
+call_new(upstream_client_t *client)
+{
+    call_t *call = calloc(1, sizeof(*call));
+    CURL *easy = curl_easy_init();
+    if (call == NULL || easy == NULL) {
+        free(call);
+        curl_easy_cleanup(easy);
+        return NULL;
+    }
+    call->client = client;
+    call->easy = easy;
+    DL_APPEND(client->calls, call);
+    call_set_options(call);
+    return call;
+}
+
+static void
+call_target(call_t *call, const upstream_info_t *target, const char *path)
+{
+    char url[URL_SIZE];
+    snprintf(url, sizeof(url), "http://%s:%u%s", target->address, target->port,
+             path);
+    curl_easy_setopt(call->easy, CURLOPT_URL, url);
+}
+
+static void
+call_set_body(call_t *call, bool once)
+{
+    CURL *easy = call->easy;
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, call_read);
+    curl_easy_setopt(easy, CURLOPT_READDATA, call);
+    curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, call_refuse_seek);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     (curl_off_t)call->request_size);
+    if (once) {
+        /* A reused connection may be closed under the request. */
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+}
+
+static void
+deliver(upstream_client_t *client, const part_reply_t *reply,
+        const wire_reply_t *whole, int64_t service_us)
+{
+    gate_result_t result = {
+        .status = reply->status,
+        .service_us = service_us,
+        .boot = whole->boot,
+        .cold = whole->cold,
+        .retry_after_us = whole->retry_after_us,
+    };
+    part_reply_t timed = *reply;
+    timed.service_us = service_us;
+    client->callbacks.result(client->callbacks.context, &timed, &result);
+}
+
+static void
+deliver_failure(upstream_client_t *client, const part_request_t *parts,
+                size_t count, part_status_t status, bool not_run,
+                int64_t service_us)
+{
+    wire_reply_t whole = {.boot = 0};
+    for (size_t i = 0; i < count; i++) {
+        part_reply_t reply = {
+            .id = parts[i].id,
+            .status = status,
+            .not_run = not_run,
+        };
+        deliver(client, &reply, &whole, service_us);
+    }
+}
+
+static void
+call_answered(call_t *call, long http_status, int64_t service_us)
+{
+    upstream_client_t *client = call->client;
+    part_reply_t replies[UPSTREAM_CALL_PARTS_MAX];
+    wire_reply_t whole;
+    error_t err = ERROR_INIT;
+    status_t status =
+        wire_reply_parse(call->reply, call->reply_size, http_status,
+                         call->parts, call->count, &whole, replies, &err);
+    if (status != STATUS_OK) {
+        client->totals.bad_replies++;
+        event_log(EVENT_UPSTREAM_REPLY, "%s", error_text(&err));
+    }
+    if (whole.partition.shard_count > 0) {
+        client->callbacks.partition(client->callbacks.context,
+                                    &whole.partition);
+    }
+    free(whole.partition.shards);
+    for (size_t i = 0; i < call->count; i++) {
+        deliver(client, &replies[i], &whole, service_us);
+    }
+}
+
+static void
+call_count_traffic(call_t *call, long *request_bytes, long *http_status)
+{
+    upstream_totals_t *totals = &call->client->totals;
+    long connects = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
+    curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, request_bytes);
+    curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, http_status);
+    totals->connects += (uint64_t)connects;
+    totals->bytes_sent += call->request_sent;
+    totals->bytes_received += call->reply_size;
+}
+
+static void
+call_ended(call_t *call, CURLcode code)
+{
+    long request_bytes = 0;
+    long http_status = 0;
+    int64_t service_us = monotonic_us() - call->sent_us;
+    call_count_traffic(call, &request_bytes, &http_status);
+    if (call->count == 0) {
+        return;
+    }
+    if (code == CURLE_OK) {
+        call_answered(call, http_status, service_us);
+        return;
+    }
+    /* Nothing of the request was written: no upstream saw it. */
+    bool unsent = request_bytes == 0 && call->request_sent == 0;
+    part_status_t status = call->too_large ? PART_BAD_REPLY : PART_LOST;
+    deliver_failure(call->client, call->parts, call->count, status, unsent,
+                    service_us);
+}
+
+static int64_t
+latest_deadline_us(const part_request_t *requests, size_t count)
+{
+    int64_t latest_us = requests[0].deadline_us;
+    for (size_t i = 1; i < count; i++) {
+        if (requests[i].deadline_us > latest_us) {
+            latest_us = requests[i].deadline_us;
+        }
+    }
+    return latest_us;
+}
+
+static void
+upstream_http_send(upstream_client_t *client, const upstream_info_t *target,
+                   const part_request_t *requests, size_t count,
+                   int64_t now_us)
+{
+    size_t size;
+    char *text = wire_request_format(requests, count, now_us, &size);
+    call_t *call = text == NULL ? NULL : call_new(client);
+    if (call == NULL) {
+        free(text);
+        deliver_failure(client, requests, count, PART_LOST, true, 0);
+        return;
+    }
+    call->count = count;
+    memcpy(call->parts, requests, count * sizeof(*requests));
+    for (size_t i = 0; i < count; i++) {
+        /* The payload is copied into the text; the caller may free it. */
+        call->parts[i].body = NULL;
+    }
+    call->request = text;
+    call->request_size = size;
+    call->sent_us = now_us;
+    call_target(call, target, "/v1/parts");
+    call_set_body(call, requests[0].once);
+    int64_t left_us = latest_deadline_us(requests, count) - now_us;
+    long left_ms = left_us > 0 ? (long)(left_us / US_PER_MS) : 0;
+    curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, left_ms + REPLY_GRACE_MS);
+    client->totals.calls++;
+    client->totals.parts += count;
+    curl_multi_add_handle(client->multi, call->easy);
+}
+
+static void
+upstream_http_cancel(upstream_client_t *client, const upstream_info_t *target,
+                     attempt_id_t id)
+{
+    call_t *call = call_new(client);
+    if (call == NULL) {
+        return;
+    }
+    char path[PATH_SIZE];
+    char text[WIRE_ID_SIZE];
+    wire_id_format(id, text);
+    snprintf(path, sizeof(path), "/v1/parts/%s", text);
+    call_target(call, target, path);
+    curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+    curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+    curl_multi_add_handle(client->multi, call->easy);
+}
+
+static void
+upstream_http_run(upstream_client_t *client)
+{
+    int running;
+    int left;
+    CURLMsg *message;
+    curl_multi_perform(client->multi, &running);
+    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        call_t *call;
+        CURLcode code = message->data.result;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &call);
+        call_ended(call, code);
+        call_free(call);
+    }
+}
+
+static void
+upstream_http_wait(upstream_client_t *client, int timeout_ms)
+{
+    curl_multi_poll(client->multi, NULL, 0, timeout_ms, NULL);
+}
+
+static void
+upstream_http_wake(upstream_client_t *client)
+{
+    curl_multi_wakeup(client->multi);
+}
+
+static upstream_totals_t
+upstream_http_totals(const upstream_client_t *client)
+{
+    return client->totals;
+}
+
+const upstream_ops_t upstream_http_ops = {
+    .new = upstream_http_new,
+    .free = upstream_http_free,
+    .send = upstream_http_send,
+    .cancel = upstream_http_cancel,
+    .wait = upstream_http_wait,
+    .run = upstream_http_run,
+    .wake = upstream_http_wake,
+    .totals = upstream_http_totals,
+};
--- a/proto/message.h
+++ b/proto/message.h
@@ -126,6 +126,7 @@
     ASK_STATUS,  /* the receiver's share of the fleet status */
     ASK_EXPLAIN, /* what the receiver knows of one query */
     ASK_CANCEL,  /* cancel a query that runs at the receiver */
+    ASK_ROSTER,  /* a roster document; not answered */
     ASK_KIND_COUNT
 } ask_kind_t;
 
