--- a/t/t0401-table.c
+++ b/t/t0401-table.c
@@ -1,5 +1,5 @@
 /* The operators' table: what is accepted, and where a fault is named. */
-#include "core/table.h"
+#include "core/table_row.h"
 #include "t/lib/suite.h"
 
 #include <stdio.h>
@@ -196,6 +196,31 @@
 }
 END_TEST
 
+/* The operators' page shows a table that is accepted and every column. */
+START_TEST(test_page)
+{
+    static char page[65536];
+    FILE *stream = fopen("docs/OPERATING.md", "re");
+    ck_assert_ptr_nonnull(stream);
+    page[fread(page, 1, sizeof(page) - 1, stream)] = '\0';
+    fclose(stream);
+    char *start = strstr(page, "rows:\n  - service");
+    ck_assert_ptr_nonnull(start);
+    config_t *config;
+    error_t err = ERROR_INIT;
+    size_t size = (size_t)(strstr(start, "```") - start);
+    ck_assert_msg(table_parse_yaml(start, size, &config, NULL, &err) ==
+                      STATUS_OK,
+                  "%s", error_text(&err));
+    for (size_t i = 0; i < TABLE_COLUMN_COUNT; i++) {
+        char row[64];
+        snprintf(row, sizeof(row), "| `%s` | ", table_columns[i].name);
+        ck_assert_msg(strstr(page, row) != NULL, "%s", row);
+    }
+    config_put(config);
+}
+END_TEST
+
 START_TEST(test_out_names)
 {
     config_t *config = config_new();
@@ -229,5 +254,6 @@
     tcase_add_test(tests, test_yaml_doubled_service);
     tcase_add_test(tests, test_defaults_and_round_trip);
     tcase_add_test(tests, test_out_names);
+    tcase_add_test(tests, test_page);
     return suite_run("table", tests);
 }
--- a/t/t0403-settings.c
+++ b/t/t0403-settings.c
@@ -167,6 +167,26 @@
 }
 END_TEST
 
+/* The settings that the operators' page shows are accepted. */
+START_TEST(test_page)
+{
+    static char page[65536];
+    FILE *stream = fopen("docs/OPERATING.md", "re");
+    ck_assert_ptr_nonnull(stream);
+    page[fread(page, 1, sizeof(page) - 1, stream)] = '\0';
+    fclose(stream);
+    char *start = strstr(page, "```yaml\n");
+    ck_assert_ptr_nonnull(start);
+    start += strlen("```yaml\n");
+    settings_t settings;
+    error_t err = ERROR_INIT;
+    size_t size = (size_t)(strstr(start, "```") - start);
+    ck_assert_msg(settings_parse("page", start, size, &settings, &err) ==
+                      STATUS_OK,
+                  "%s", error_text(&err));
+}
+END_TEST
+
 START_TEST(test_secret_equal)
 {
     ck_assert(secret_equal("abc", 3, "abc", 3));
@@ -187,6 +207,7 @@
     tcase_add_loop_test(tests, test_check, 0,
                         sizeof(checks) / sizeof(checks[0]));
     tcase_add_test(tests, test_whole);
+    tcase_add_test(tests, test_page);
     tcase_add_test(tests, test_secret_equal);
     return suite_run("settings", tests);
 }
