cli: query, table, zone, vm, status, entries and explain

Cause: operators and callers need a tool whose exit code tells what happened, and that never sends a change or a once query twice.

Names in messages and the shared key's bound now follow core and settings.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,8 @@
 # What the daemon is made of, less its main, for tests that run it in-process.
 DAEMON_LIB_OBJ := $(filter-out $(B)/daemon/yuccarund.o,$(DAEMON_OBJ))
 CLI_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard cli/*.c)))
+# What the tool is made of, less its main, for tests that run it in-process.
+CLI_LIB_OBJ := $(filter-out $(B)/cli/yuccarun.o,$(CLI_OBJ))
 STANDIN_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard standin/lib/*.c)))
 STANDIN_BIN := $(patsubst standin/%.c,$(B)/standin-%,$(sort $(wildcard standin/*.c)))
 BENCH_BIN := $(patsubst bench/%.c,$(B)/bench-%,$(sort $(wildcard bench/*.c)))
@@ -83,7 +85,7 @@
 $(B)/bench-%: $(B)/bench/%.o $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/t/t%: $(B)/t/t%.o $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(LIB)
+$(B)/t/t%: $(B)/t/t%.o $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
 deps:
--- /dev/null
+++ b/cli/commands.c
@@ -0,0 +1,125 @@
+#include "cli/cli.h"
+
+#include <string.h>
+
+const cli_command_t cli_commands[] = {
+    {"query", NULL, "run one query and print its answer", query_run},
+    {"entries", NULL, "which addresses callers should use", entries_run},
+    {"table", "show", "print the table in force", table_show_run},
+    {"table", "diff", "compare a file with the table in force",
+     table_diff_run},
+    {"table", "apply", "replace the table by a file", table_apply_run},
+    {"zone", "show", "availability zones and their state", zone_show_run},
+    {"zone", "out", "take an availability zone out", zone_out_run},
+    {"zone", "in", "bring an availability zone back", zone_in_run},
+    {"vm", "show", "VMs and their state", vm_show_run},
+    {"vm", "out", "take a VM out", vm_out_run},
+    {"vm", "in", "bring a VM back", vm_in_run},
+    {"status", NULL, "the whole fleet as one daemon sees it", status_run},
+    {"explain", NULL, "what the fleet did with one query", explain_run},
+    {0},
+};
+
+static void
+print_commands(FILE *out)
+{
+    fprintf(out, "Usage: yuccarun COMMAND [ARGUMENTS]\n\nCommands:\n");
+    for (const cli_command_t *c = cli_commands; c->group != NULL; c++) {
+        char name[32];
+        snprintf(name, sizeof(name), "%s %s", c->group,
+                 c->action == NULL ? "" : c->action);
+        fprintf(out, "  %-14s%s\n", name, c->help);
+    }
+    fprintf(out, "\nyuccarun COMMAND --help prints the arguments.\n");
+}
+
+/* The next word that is no option, skipping an option's value. */
+static int
+find_word(int argc, char **argv, int from)
+{
+    for (int i = from; i < argc; i++) {
+        if (argv[i][0] != '-') {
+            return i;
+        }
+        if (strcmp(argv[i], "--daemon") == 0 ||
+            strcmp(argv[i], "--token-file") == 0 ||
+            strcmp(argv[i], "--timeout") == 0) {
+            i++;
+        }
+    }
+    return argc;
+}
+
+static const cli_command_t *
+find_command(const char *group, const char *action)
+{
+    for (const cli_command_t *c = cli_commands; c->group != NULL; c++) {
+        bool same_action = c->action == NULL ||
+                           (action != NULL && strcmp(c->action, action) == 0);
+        if (strcmp(c->group, group) == 0 && same_action) {
+            return c;
+        }
+    }
+    return NULL;
+}
+
+static cli_exit_t
+run_command(const cli_command_t *command, int argc, char **argv, FILE *out,
+            FILE *err)
+{
+    char name[32];
+    snprintf(name, sizeof(name), "%s%s%s", command->group,
+             command->action == NULL ? "" : " ",
+             command->action == NULL ? "" : command->action);
+    cli_t cli = {
+        .command = name,
+        .help = command->help,
+        .out = out,
+        .err = err,
+        .timeout_s = CLI_TIMEOUT_S,
+    };
+    return command->run(&cli, argc, argv);
+}
+
+/* argv without the words at two places; returns the new argc. */
+static int
+remove_words(int argc, char **argv, char **out, int first, int second)
+{
+    int kept = 0;
+    for (int i = 0; i < argc; i++) {
+        if (i != first && i != second) {
+            out[kept++] = argv[i];
+        }
+    }
+    out[kept] = NULL;
+    return kept;
+}
+
+cli_exit_t
+cli_main(int argc, char **argv, FILE *out, FILE *err)
+{
+    enum { ARGC_MAX = 128 };
+    char *rest[ARGC_MAX + 1];
+    if (argc > ARGC_MAX) {
+        fprintf(err, "yuccarun: more than %d arguments\n", ARGC_MAX);
+        return CLI_USAGE;
+    }
+    int group = find_word(argc, argv, 1);
+    if (group == argc) {
+        bool help = argc > 1 && strcmp(argv[1], "--help") == 0;
+        print_commands(help ? out : err);
+        return help ? CLI_OK : CLI_USAGE;
+    }
+    int action = find_word(argc, argv, group + 1);
+    const cli_command_t *command =
+        find_command(argv[group], action < argc ? argv[action] : NULL);
+    if (command == NULL) {
+        fprintf(err, "yuccarun: no command \"%s%s%s\"\n", argv[group],
+                action < argc ? " " : "", action < argc ? argv[action] : "");
+        print_commands(err);
+        return CLI_USAGE;
+    }
+    int second = command->action == NULL ? -1 : action;
+    int kept = remove_words(argc, argv, rest, group, second);
+    return run_command(command, kept, rest, out, err);
+}
--- /dev/null
+++ b/cli/print.c
@@ -0,0 +1,252 @@
+#include "cli/print.h"
+
+#include <ctype.h>
+#include <stdbool.h>
+#include <string.h>
+
+enum { COLUMNS_MAX = 32, CELL_SIZE = 96, INDENT = 2 };
+
+typedef struct {
+    const char *names[COLUMNS_MAX];
+    int widths[COLUMNS_MAX];
+    size_t count;
+} columns_t;
+
+static bool
+is_scalar(const json_t *value)
+{
+    return !json_is_object(value) && !json_is_array(value);
+}
+
+static bool
+is_table(const json_t *value)
+{
+    return json_is_array(value) && json_is_object(json_array_get(value, 0));
+}
+
+/* Control characters from a daemon do not reach the terminal. */
+static void
+clean(char *text)
+{
+    for (; *text != '\0'; text++) {
+        if (iscntrl((unsigned char)*text)) {
+            *text = '?';
+        }
+    }
+}
+
+static void
+format_scalar(char out[CELL_SIZE], const json_t *value)
+{
+    switch (json_typeof(value)) {
+    case JSON_STRING:
+        snprintf(out, CELL_SIZE, "%s", json_string_value(value));
+        break;
+    case JSON_INTEGER:
+        snprintf(out, CELL_SIZE, "%" JSON_INTEGER_FORMAT,
+                 json_integer_value(value));
+        break;
+    case JSON_REAL:
+        snprintf(out, CELL_SIZE, "%.4g", json_real_value(value));
+        break;
+    case JSON_TRUE:
+        snprintf(out, CELL_SIZE, "yes");
+        break;
+    case JSON_FALSE:
+        snprintf(out, CELL_SIZE, "no");
+        break;
+    default:
+        snprintf(out, CELL_SIZE, "-");
+    }
+    clean(out);
+}
+
+/* Append ", " and the text as far as it fits. */
+static void
+join(char out[CELL_SIZE], const char *text)
+{
+    size_t used = strlen(out);
+    snprintf(out + used, CELL_SIZE - used, "%s%s", used > 0 ? ", " : "", text);
+}
+
+static void
+format_cell(char out[CELL_SIZE], const json_t *value)
+{
+    char cell[CELL_SIZE];
+    out[0] = '\0';
+    if (value == NULL) {
+        snprintf(out, CELL_SIZE, "-");
+        return;
+    }
+    if (is_scalar(value)) {
+        format_scalar(out, value);
+        return;
+    }
+    for (size_t i = 0; i < json_array_size(value); i++) {
+        format_cell(cell, json_array_get(value, i));
+        join(out, cell);
+    }
+    const char *key;
+    const json_t *member;
+    json_object_foreach((json_t *)value, key, member)
+    {
+        char pair[CELL_SIZE * 2];
+        format_cell(cell, member);
+        snprintf(pair, sizeof(pair), "%s=%s", key, cell);
+        clean(pair);
+        join(out, pair);
+    }
+}
+
+static size_t
+column_find(const columns_t *columns, const char *name)
+{
+    size_t i = 0;
+    while (i < columns->count && strcmp(columns->names[i], name) != 0) {
+        i++;
+    }
+    return i;
+}
+
+static void
+columns_take(columns_t *columns, const json_t *row)
+{
+    const char *key;
+    json_t *value;
+    json_object_foreach((json_t *)row, key, value)
+    {
+        char cell[CELL_SIZE];
+        size_t at = column_find(columns, key);
+        if (at == COLUMNS_MAX) {
+            continue;
+        }
+        if (at == columns->count) {
+            columns->names[at] = key;
+            columns->widths[at] = (int)strlen(key);
+            columns->count++;
+        }
+        format_cell(cell, value);
+        if ((int)strlen(cell) > columns->widths[at]) {
+            columns->widths[at] = (int)strlen(cell);
+        }
+    }
+}
+
+static void
+print_row(FILE *out, const columns_t *columns, const json_t *row, int indent)
+{
+    for (size_t i = 0; i < columns->count; i++) {
+        char cell[CELL_SIZE];
+        if (row == NULL) {
+            snprintf(cell, sizeof(cell), "%s", columns->names[i]);
+            clean(cell);
+        }
+        else {
+            format_cell(cell, json_object_get(row, columns->names[i]));
+        }
+        bool last = i + 1 == columns->count;
+        fprintf(out, "%*s%-*s", i == 0 ? indent : 2, "",
+                last ? 0 : columns->widths[i], cell);
+    }
+    fprintf(out, "\n");
+}
+
+static void
+print_table_at(FILE *out, const json_t *rows, int indent)
+{
+    columns_t columns = {0};
+    for (size_t i = 0; i < json_array_size(rows); i++) {
+        columns_take(&columns, json_array_get(rows, i));
+    }
+    if (columns.count == 0) {
+        fprintf(out, "%*s(none)\n", indent, "");
+        return;
+    }
+    print_row(out, &columns, NULL, indent);
+    for (size_t i = 0; i < json_array_size(rows); i++) {
+        print_row(out, &columns, json_array_get(rows, i), indent);
+    }
+}
+
+void
+print_table(FILE *out, const json_t *rows)
+{
+    print_table_at(out, rows, 0);
+}
+
+/* An object of objects is a table too, with the key as first column. */
+static json_t *
+rows_of_object(const json_t *object)
+{
+    json_t *rows = json_array();
+    const char *key;
+    json_t *member;
+    json_object_foreach((json_t *)object, key, member)
+    {
+        json_t *row = json_pack("{s:s}", "name", key);
+        json_object_update_missing(row, member);
+        json_array_append_new(rows, row);
+    }
+    return rows;
+}
+
+static bool
+has_objects(const json_t *object)
+{
+    void *first = json_object_iter((json_t *)object);
+    return first != NULL && json_is_object(json_object_iter_value(first));
+}
+
+static void
+print_member(FILE *out, const char *key, const json_t *value, int indent)
+{
+    char cell[CELL_SIZE];
+    snprintf(cell, sizeof(cell), "%s", key);
+    clean(cell);
+    fprintf(out, "%*s%s:", indent, "", cell);
+    if (is_table(value)) {
+        fprintf(out, "\n");
+        print_table_at(out, value, indent + INDENT);
+    }
+    else if (json_is_object(value) && has_objects(value)) {
+        json_t *rows = rows_of_object(value);
+        fprintf(out, "\n");
+        print_table_at(out, rows, indent + INDENT);
+        json_decref(rows);
+    }
+    else {
+        format_cell(cell, value);
+        fprintf(out, " %s\n", cell[0] == '\0' ? "none" : cell);
+    }
+}
+
+void
+print_object(FILE *out, const json_t *object)
+{
+    const char *key;
+    json_t *value;
+    json_object_foreach((json_t *)object, key, value)
+    {
+        print_member(out, key, value, 0);
+    }
+}
+
+void
+print_json(FILE *out, const json_t *value)
+{
+    json_dumpf(value, out, JSON_INDENT(2));
+    fprintf(out, "\n");
+}
+
+void
+print_names(FILE *out, const json_t *names)
+{
+    if (json_array_size(names) == 0) {
+        fprintf(out, "none");
+    }
+    for (size_t i = 0; i < json_array_size(names); i++) {
+        char cell[CELL_SIZE];
+        format_cell(cell, json_array_get(names, i));
+        fprintf(out, "%s%s", i == 0 ? "" : ", ", cell);
+    }
+}
--- a/cli/yuccarun.c
+++ b/cli/yuccarun.c
@@ -1,5 +1,7 @@
+#include "cli/cli.h"
+
 int
-main(void)
+main(int argc, char **argv)
 {
-    return 0;
+    return (int)cli_main(argc, argv, stdout, stderr);
 }
--- a/proto/auth.h
+++ b/proto/auth.h
@@ -20,7 +20,7 @@
 #include "proto/frame.h"
 #include "proto/message.h"
 
-enum { AUTH_KEY_MIN_BYTES = 16, AUTH_KEY_MAX_BYTES = 256 };
+enum { AUTH_KEY_MIN_BYTES = 16, AUTH_KEY_MAX_BYTES = 512 };
 
 /* The key from the settings; owned by the caller. */
 typedef struct {
--- a/proto/message.c
+++ b/proto/message.c
@@ -1,3 +1,4 @@
+#include "core/name.h"
 #include "proto/codec.h"
 #include "proto/frame.h"
 
@@ -72,8 +73,7 @@
     if (size == 0) {
         return may_be_empty;
     }
-    return size < NAME_SIZE &&
-           strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789.-") == size;
+    return size < NAME_SIZE && name_valid(text);
 }
 
 bool
