daemon: carry operators' changes and say who has confirmed

The operators' endpoints had no daemon behind them: a zone could not be taken out.

The node now hands them the configuration in force, runs a change through the store and puts an accepted one into force at once; the next heartbeat tells the peers, and what heartbeats tell of each member's version is the confirmation that the operator sees.

--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -163,6 +163,16 @@
     return taken;
 }
 
+config_t *
+fleet_current_config(fleet_t *fleet)
+{
+    pthread_mutex_lock(&fleet->lock);
+    config_t *config =
+        fleet->config == NULL ? NULL : config_get(fleet->config);
+    pthread_mutex_unlock(&fleet->lock);
+    return config;
+}
+
 void
 fleet_take_config_text(fleet_t *fleet, const char *text, size_t size,
                        const char *source)
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -55,6 +55,9 @@
 /* Take a configuration that the store has accepted; false: it is not newer. */
 bool fleet_config(fleet_t *fleet, config_t *config);
 
+/* The configuration in force, to be put back; NULL: none. */
+config_t *fleet_current_config(fleet_t *fleet);
+
 /* The newest view, to be put back; NULL: none yet. */
 world_t *fleet_world(fleet_t *fleet);
 
--- a/daemon/fleet_peers.c
+++ b/daemon/fleet_peers.c
@@ -45,10 +45,7 @@
 static void
 send_config(fleet_t *fleet, const char *peer, uint64_t incarnation)
 {
-    pthread_mutex_lock(&fleet->lock);
-    config_t *config =
-        fleet->config == NULL ? NULL : config_get(fleet->config);
-    pthread_mutex_unlock(&fleet->lock);
+    config_t *config = fleet_current_config(fleet);
     char *text = config == NULL ? NULL : config_format_json(config);
     if (text != NULL) {
         message_t message = {
--- a/daemon/fleet_platform.c
+++ b/daemon/fleet_platform.c
@@ -167,10 +167,7 @@
 static void
 read_partitions(fleet_t *fleet, const store_client_t *store)
 {
-    pthread_mutex_lock(&fleet->lock);
-    config_t *config =
-        fleet->config == NULL ? NULL : config_get(fleet->config);
-    pthread_mutex_unlock(&fleet->lock);
+    config_t *config = fleet_current_config(fleet);
     for (size_t i = 0; config != NULL && i < config->row_count &&
                        !atomic_load(&fleet->stopping);
          i++) {
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -139,6 +139,9 @@
         .query_body_max_bytes = node->settings.limits_query_body_max_bytes,
     };
     status_t status = caller_edge_register(&node->caller, node->http, err);
+    if (status == STATUS_OK) {
+        status = node_serve_operators(node, err);
+    }
     if (status != STATUS_OK) {
         return status;
     }
@@ -256,6 +259,7 @@
     }
     ulfius_clean_instance(node->http);
     free(node->http);
+    operator_free(node->operators);
 }
 
 void
--- a/daemon/node_state.h
+++ b/daemon/node_state.h
@@ -9,6 +9,7 @@
 #include "daemon/node.h"
 #include "daemon/worker.h"
 #include "edge/caller.h"
+#include "edge/operator.h"
 
 struct _u_instance;
 
@@ -22,6 +23,7 @@
     atomic_uint next_worker;
     asks_t asks;
     caller_edge_t caller;
+    operator_t *operators;
     struct _u_instance *http;
     bool http_started;
     char key[SETTINGS_KEY_MAX_BYTES];
@@ -64,6 +66,9 @@
 bool node_ready(void *context);
 char *node_metrics(void *context);
 
+/* node_operator.c */
+status_t node_serve_operators(node_t *node, error_t *err);
+
 /* Ask the daemon of that incarnation and wait; NULL: no answer. */
 json_t *node_ask(node_t *node, uint64_t incarnation, ask_kind_t kind,
                  const char *json, int64_t timeout_us, unsigned *status);
