--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -142,6 +142,9 @@
                               const roster_heartbeat_t *heartbeat,
                               int64_t now_us);
 
+/* End of the grant to this daemon that a member has in force; 0: none. */
+int64_t roster_grant_until(const roster_t *roster, const char *name);
+
 /*
  * Whether what this daemon's heartbeats say has changed since the last call
  * so that others wait for it: send to all members now.
--- a/fleet/roster_lease.c
+++ b/fleet/roster_lease.c
@@ -215,6 +215,13 @@
     roster_take_grant(roster, peer, heartbeat, now_us);
 }
 
+int64_t
+roster_grant_until(const roster_t *roster, const char *name)
+{
+    int i = roster_doc_find(&roster->doc, name);
+    return i < 0 ? 0 : roster->peers[i].grant_until_us;
+}
+
 void
 roster_leave(roster_t *roster)
 {
