daemon: run what may not be repeated at most once

A request marked once ran like any other: sent again by its caller to another daemon it would have run twice.

A second signal during a shutdown now cancels what runs, and its callers are told the truth.

--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -300,6 +300,14 @@
     return true;
 }
 
+void
+coordinator_cancel_all(coordinator_t *c, reason_t reason)
+{
+    for (uint32_t i = 0; i < c->settings.queries_max; i++) {
+        coordinator_cancel(c, c->slots[i].sequence, reason);
+    }
+}
+
 static void
 slot_reply(coordinator_t *c, slot_t *slot, const part_reply_t *reply,
            int64_t now_us)
--- a/daemon/coordinator.h
+++ b/daemon/coordinator.h
@@ -57,6 +57,8 @@
 bool coordinator_cancel(coordinator_t *coordinator, uint64_t sequence,
                         reason_t reason);
 
+void coordinator_cancel_all(coordinator_t *coordinator, reason_t reason);
+
 void coordinator_reply(coordinator_t *coordinator, const part_reply_t *reply,
                        int64_t now_us);
 
--- a/daemon/mail.h
+++ b/daemon/mail.h
@@ -25,6 +25,7 @@
 typedef enum {
     MAIL_QUERY,        /* run a query */
     MAIL_CANCEL_QUERY, /* cancel the query of sequence */
+    MAIL_CANCEL_ALL,   /* cancel every query */
     MAIL_PARTS,        /* admit parts of a coordinator */
     MAIL_REPLIES,      /* replies to this daemon's parts */
     MAIL_CANCEL_PARTS, /* a coordinator gives up parts */
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -13,6 +13,7 @@
 enum {
     US_PER_MS = 1000,
     POLL_NS = 10000000,
+    CANCEL_WAIT_US = 2000000,
     INCARNATION_RANDOM_BITS = 10,
     RAMP_STEP_US = 50000,
     RAMP_SUCCESSES = 8,
@@ -183,6 +184,7 @@
     if (read_secrets(node, err) != STATUS_OK ||
         start_fleet(node, err) != STATUS_OK ||
         start_workers(node, err) != STATUS_OK ||
+        node_start_once(node, err) != STATUS_OK ||
         start_net(node, err) != STATUS_OK ||
         fleet_start(node->fleet, node->net, err) != STATUS_OK ||
         start_http(node, err) != STATUS_OK) {
@@ -207,11 +209,12 @@
     return count;
 }
 
-/* Wait until the time, until hurried, or until done says so. */
+/* Wait until the time, until the flag is set, or until done says so. */
 static void
-wait_until(node_t *node, int64_t until_us, bool (*done)(node_t *node))
+wait_until(node_t *node, int64_t until_us, const atomic_bool *flag,
+           bool (*done)(node_t *node))
 {
-    while (clock_now_us() < until_us && !atomic_load(&node->hurried) &&
+    while (clock_now_us() < until_us && (flag == NULL || !atomic_load(flag)) &&
            (done == NULL || !done(node))) {
         struct timespec pause = {.tv_nsec = POLL_NS};
         nanosleep(&pause, NULL);
@@ -219,11 +222,30 @@
 }
 
 static bool
-has_ended(node_t *node)
+has_left(node_t *node)
 {
     return pending(node) == 0 && fleet_left(node->fleet);
 }
 
+static bool
+has_answered(node_t *node)
+{
+    return atomic_load(&node->callers) == 0;
+}
+
+/* What still runs is cancelled, and its callers are told the truth. */
+static void
+cancel_all(node_t *node)
+{
+    for (unsigned i = 0; i < node->worker_count; i++) {
+        mail_t *mail = mail_new(MAIL_CANCEL_ALL);
+        if (mail != NULL) {
+            worker_post(node->workers[i], mail);
+        }
+    }
+    wait_until(node, clock_now_us() + CANCEL_WAIT_US, NULL, has_answered);
+}
+
 bool
 node_leave(node_t *node)
 {
@@ -234,10 +256,13 @@
               node->settings.drain_keep_ms, node->settings.drain_most_ms);
     atomic_store(&node->leaving, true);
     fleet_leave(node->fleet);
-    wait_until(node, now_us + keep_us, NULL);
+    wait_until(node, now_us + keep_us, &node->hurried, NULL);
     fleet_refuse_queries(node->fleet);
-    wait_until(node, now_us + most_us, has_ended);
+    wait_until(node, now_us + most_us, &node->hurried, has_left);
     size_t cut = pending(node);
+    if (cut > 0) {
+        cancel_all(node);
+    }
     event_log(EVENT_STOPPED, "cut=%zu", cut);
     return cut == 0;
 }
@@ -274,6 +299,7 @@
         worker_free(node->workers[i]);
     }
     free(node->workers);
+    node_stop_once(node);
     fleet_free(node->fleet);
     asks_release(&node->asks);
     free(node);
--- a/daemon/node_query.c
+++ b/daemon/node_query.c
@@ -62,8 +62,8 @@
     worker_post(node->workers[worker], mail);
 }
 
-static uint64_t
-fingerprint(const caller_query_t *query)
+uint64_t
+node_fingerprint(const caller_query_t *query)
 {
     uint64_t seed = XXH64(query->service, strlen(query->service),
                           query->range.lo ^ (query->range.hi << 1));
@@ -84,9 +84,9 @@
     return deadline_ms;
 }
 
-static void
-request_fill(node_t *node, const caller_query_t *query, int64_t now_us,
-             query_request_t *request)
+void
+node_fill_request(node_t *node, const caller_query_t *query, int64_t now_us,
+                  query_request_t *request)
 {
     uint32_t deadline_ms = query->deadline_ms != 0
                                ? query->deadline_ms
@@ -95,7 +95,7 @@
         .range = query->range,
         .deadline_us = now_us + (int64_t)deadline_ms * US_PER_MS,
         .once = query->once,
-        .fingerprint = fingerprint(query),
+        .fingerprint = node_fingerprint(query),
         .body = query->body,
         .body_size = query->body_size,
     };
@@ -103,9 +103,8 @@
     memcpy(request->tenant, query->tenant, NAME_SIZE);
 }
 
-/* Run a query here and wait for its end. */
-static void
-run_here(node_t *node, const query_request_t *request, query_answer_t *answer,
+void
+node_run(node_t *node, const query_request_t *request, query_answer_t *answer,
          uint64_t *sequence)
 {
     wait_t wait = {
@@ -125,21 +124,31 @@
     pthread_mutex_destroy(&wait.lock);
 }
 
-json_t *
-node_query(void *context, const caller_query_t *query, unsigned *status)
+static json_t *
+query_repeatable(node_t *node, const query_request_t *request,
+                 int64_t started_us, unsigned *status)
 {
-    node_t *node = context;
-    int64_t started_us = clock_now_us();
-    query_request_t request;
     query_answer_t answer;
     uint64_t sequence = 0;
-    atomic_fetch_add(&node->callers, 1);
-    request_fill(node, query, started_us, &request);
-    run_here(node, &request, &answer, &sequence);
+    node_run(node, request, &answer, &sequence);
     *status = answer_http_status(&answer);
     json_t *json = answer_json(&answer, node->incarnation, sequence,
                                clock_now_us() - started_us);
     json_object_set_new(json, "daemon", json_string(node->settings.name));
+    return json;
+}
+
+json_t *
+node_query(void *context, const caller_query_t *query, unsigned *status)
+{
+    node_t *node = context;
+    int64_t started_us = clock_now_us();
+    query_request_t request;
+    atomic_fetch_add(&node->callers, 1);
+    node_fill_request(node, query, started_us, &request);
+    json_t *json = query->once
+                       ? node_query_once(node, query, &request, status)
+                       : query_repeatable(node, &request, started_us, status);
     atomic_fetch_sub(&node->callers, 1);
     return json;
 }
@@ -179,11 +188,3 @@
         node_ask(node, incarnation, ASK_CANCEL, text, ASK_CANCEL_US, status);
     return json != NULL ? json : json_pack("{s:s}", "error", "unreachable");
 }
-
-json_t *
-node_ticket(void *context, unsigned *status)
-{
-    (void)context;
-    *status = HTTP_NOT_FOUND;
-    return json_pack("{s:s}", "error", "no tickets yet");
-}
--- a/daemon/node_route.c
+++ b/daemon/node_route.c
@@ -227,8 +227,8 @@
     return settled == UINT64_MAX ? 0 : settled;
 }
 
-static void
-send_answer(node_t *node, const char *peer, uint64_t incarnation, uint64_t id,
+void
+node_answer(node_t *node, const char *peer, uint64_t incarnation, uint64_t ask,
             unsigned status, json_t *json)
 {
     char *text = json == NULL ? NULL : json_dumps(json, JSON_COMPACT);
@@ -236,7 +236,7 @@
         .type = MESSAGE_ANSWER,
         .answer =
             {
-                .id = id,
+                .id = ask,
                 .status = text == NULL ? HTTP_UNAVAILABLE : status,
                 .json = text == NULL ? "" : text,
                 .size = text == NULL ? 0 : strlen(text),
@@ -266,19 +266,22 @@
     const ask_t *ask = &message->ask;
     json_t *json;
     switch (ask->kind) {
+    case ASK_QUERY:
+        node_take_passed_query(node, peer, incarnation, ask);
+        break;
     case ASK_STATUS:
-        send_answer(node, peer, incarnation, ask->id, HTTP_OK,
+        node_answer(node, peer, incarnation, ask->id, HTTP_OK,
                     node_own_status(node));
         break;
     case ASK_EXPLAIN:
         json = node_own_explain(node, ask_sequence(ask));
-        send_answer(node, peer, incarnation, ask->id,
+        node_answer(node, peer, incarnation, ask->id,
                     json == NULL ? HTTP_NOT_FOUND : HTTP_OK,
                     json == NULL ? json_object() : json);
         break;
     case ASK_CANCEL:
         node_cancel_here(node, ask_sequence(ask));
-        send_answer(node, peer, incarnation, ask->id, HTTP_ACCEPTED,
+        node_answer(node, peer, incarnation, ask->id, HTTP_ACCEPTED,
                     json_object());
         break;
     default:
--- a/daemon/node_state.h
+++ b/daemon/node_state.h
@@ -4,8 +4,10 @@
 #ifndef DAEMON_NODE_STATE_H
 #define DAEMON_NODE_STATE_H
 
+#include "core/once.h"
 #include "daemon/asks.h"
 #include "daemon/fleet.h"
+#include "daemon/intents.h"
 #include "daemon/node.h"
 #include "daemon/worker.h"
 #include "edge/caller.h"
@@ -22,6 +24,9 @@
     unsigned worker_count;
     atomic_uint next_worker;
     asks_t asks;
+    pthread_mutex_t once_lock;
+    once_t *once;
+    intents_t *intents;
     caller_edge_t caller;
     operator_t *operators;
     struct _u_instance *http;
@@ -44,6 +49,10 @@
 /* Send to a member by incarnation; false: not sent and never will be. */
 bool node_send(node_t *node, uint64_t incarnation, const message_t *message);
 
+/* Answer a question of a peer; json is released. */
+void node_answer(node_t *node, const char *peer, uint64_t incarnation,
+                 uint64_t ask, unsigned status, json_t *json);
+
 /* node_query.c */
 
 /* Start a query on some worker; the waiter is told its end. */
@@ -52,11 +61,31 @@
 json_t *node_query(void *context, const caller_query_t *query,
                    unsigned *status);
 json_t *node_cancel(void *context, const char *query, unsigned *status);
-json_t *node_ticket(void *context, unsigned *status);
+
+/* Run a query here and wait for its end. */
+void node_run(node_t *node, const query_request_t *request,
+              query_answer_t *answer, uint64_t *sequence);
+
+/* What the query asks of the core, its deadline counted from now. */
+void node_fill_request(node_t *node, const caller_query_t *query,
+                       int64_t now_us, query_request_t *request);
+
+/* Hash of a query's content. */
+uint64_t node_fingerprint(const caller_query_t *query);
 
 /* Cancel a query that runs here; false: its name is of another daemon. */
 bool node_cancel_here(node_t *node, uint64_t sequence);
 
+/* node_once.c */
+status_t node_start_once(node_t *node, error_t *err);
+void node_stop_once(node_t *node);
+json_t *node_ticket(void *context, unsigned *status);
+json_t *node_query_once(node_t *node, const caller_query_t *query,
+                        const query_request_t *request, unsigned *status);
+/* A request that may run once, passed on by another daemon. */
+void node_take_passed_query(node_t *node, const char *peer,
+                            uint64_t incarnation, const ask_t *ask);
+
 /* node_status.c */
 json_t *node_entries(void *context, const char *zone, unsigned *status);
 json_t *node_explain(void *context, const char *query, unsigned *status);
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -65,6 +65,9 @@
         coordinator_cancel(worker->coordinator, mail->sequence,
                            REASON_CANCELLED);
         break;
+    case MAIL_CANCEL_ALL:
+        coordinator_cancel_all(worker->coordinator, REASON_LEAVING);
+        break;
     case MAIL_PARTS:
         take_parts(worker, mail, now_us);
         break;
--- a/edge/upstream.c
+++ b/edge/upstream.c
@@ -202,6 +202,8 @@
     if (once) {
         /* A reused connection may be closed under the request. */
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        /* Kept, each would add to the connections that the table bounds. */
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
 }
 
