test: fuzz every decoder and parser; docs: inner protocol and manual pages

Cause: input from peers, callers, operators, upstreams and the platform may be anything; the protocol and both programs lacked a page.

Change: thirteen libFuzzer targets, each with a small corpus that check replays whole and cut short; a benchmark of the messages and the transport; docs/INNER.md and the manual pages.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make check      run every test: plain, address+undefined, thread sanitizer
 #   make demo       a small fleet on loopback answers queries under faults
 #   make lint       formatter and linters, changing nothing
+#   make fuzz       every decoder and parser, FUZZ_SECONDS=20 each
 #   make format     rewrite sources with the formatter
 #   make install    DESTDIR= and PREFIX= as usual
 #
@@ -23,6 +24,8 @@
 CFLAGS_plain := -O2
 CFLAGS_asan := -O1 -fsanitize=address,undefined -fno-sanitize-recover=undefined
 CFLAGS_tsan := -O1 -fsanitize=thread
+CFLAGS_fuzz := -O1 -fsanitize=fuzzer-no-link,address,undefined \
+	-fno-sanitize-recover=undefined
 CFLAGS ?= -g
 ALL_CFLAGS := -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -D_GNU_SOURCE -D__error_t_defined -I. -pthread $(CFLAGS) \
@@ -42,7 +45,8 @@
 STANDIN_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard standin/lib/*.c)))
 STANDIN_BIN := $(patsubst standin/%.c,$(B)/standin-%,$(sort $(wildcard standin/*.c)))
 BENCH_BIN := $(patsubst bench/%.c,$(B)/bench-%,$(sort $(wildcard bench/*.c)))
-TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard t/lib/*.c)))
+TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard t/lib/*.c))) \
+	$(B)/t/fuzz/targets.o
 TEST_BIN := $(patsubst t/%.c,$(B)/t/%,$(sort $(wildcard t/t[0-9]*.c)))
 # Only tests that start threads run under the thread sanitizer.
 TSAN_TEST_BIN := $(patsubst t/%.c,build/tsan/t/%,$(shell \
@@ -99,6 +103,15 @@
 
 tsan-tests: $(TSAN_TEST_BIN)
 
+# FUZZ_SECONDS for each target; FUZZ_TARGETS= names some of t/fuzz/corpus.
+FUZZ_SECONDS ?= 20
+fuzz: deps
+	$(MAKE) VARIANT=fuzz CC=clang build/fuzz/fuzz
+	sh t/fuzz/run $(FUZZ_SECONDS) $(FUZZ_TARGETS)
+
+build/fuzz/fuzz: build/fuzz/t/fuzz/main.o build/fuzz/t/fuzz/targets.o $(LIB)
+	$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
+
 demo: deps
 	$(MAKE) all
 	sh demo/run
--- /dev/null
+++ b/bench/proto.c
@@ -0,0 +1,277 @@
+/*
+ * Cost of the inner protocol: bytes and processor time to encode, decode and
+ * seal, a message and a part; and of the transport over loopback.
+ *
+ *     bench-proto [SECONDS-PER-LINE]
+ */
+#include "net/peer.h"
+#include "proto/frame.h"
+#include "proto/message.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum { BATCH_MAX = 400, LOOPBACK_MESSAGES = 20000 };
+
+static double
+seconds(clockid_t clock)
+{
+    struct timespec now;
+    clock_gettime(clock, &now);
+    return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
+}
+
+/* Parts of one query for one owner, each at another upstream and range. */
+static void
+make_requests(part_request_t *requests, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        requests[i] = (part_request_t){
+            .id = {.incarnation = 0x7f3a5c9e12345678, .sequence = 1000000 + i},
+            .service = "ledger-desk",
+            .tenant = "kiosk-7",
+            .class = CLASS_DESK,
+            .query = 0x1122334455667788,
+            .fingerprint = 0x8877665544332211,
+            .version = 17,
+            .generation = 3,
+            .range = {.lo = i << 20, .hi = (i + 1) << 20},
+            .deadline_us = 300000,
+            .body = "balance of 20551",
+            .body_size = 16,
+        };
+        snprintf(requests[i].upstream, NAME_SIZE, "ledger-desk-g%zu-r1", i);
+    }
+}
+
+static void
+make_replies(part_reply_t *replies, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        replies[i] = (part_reply_t){
+            .id = {.incarnation = 0x7f3a5c9e12345678, .sequence = 1000000 + i},
+            .version = 17,
+            .generation = 3,
+            .range = {.lo = i << 20, .hi = (i + 1) << 20},
+            .count = 390,
+            .sum = UINT64_C(0x123456789abcdef0) + i,
+            .held = {17, 16},
+            .service_us = 2400,
+            .queue_us = 120,
+        };
+    }
+}
+
+static void
+fail(const char *what, error_t *err)
+{
+    fprintf(stderr, "bench-proto: %s: %s\n", what, error_text(err));
+    exit(1);
+}
+
+/* One line: bytes and microseconds of encode, decode and seal. */
+static void
+measure(const char *name, const message_t *message, size_t parts,
+        double span_s)
+{
+    error_t err = ERROR_INIT;
+    uint8_t *bytes;
+    size_t size = 0;
+    uint8_t key[PROOF_BYTES] = {1};
+    uint8_t mac[FRAME_MAC_BYTES];
+    auth_stream_t *stream = auth_stream_new(key);
+    double spent[3] = {0};
+    double until = seconds(CLOCK_MONOTONIC) + span_s;
+    uint64_t rounds = 0;
+    for (; seconds(CLOCK_MONOTONIC) < until; rounds++) {
+        message_t out;
+        double t0 = seconds(CLOCK_THREAD_CPUTIME_ID);
+        if (message_encode(message, 0, &bytes, &size, &err) != STATUS_OK) {
+            fail("encode", &err);
+        }
+        double t1 = seconds(CLOCK_THREAD_CPUTIME_ID);
+        if (message_decode((uint8_t)message->type, bytes, size, 0, &out,
+                           &err) != STATUS_OK) {
+            fail("decode", &err);
+        }
+        message_release(&out);
+        double t2 = seconds(CLOCK_THREAD_CPUTIME_ID);
+        (void)auth_stream_seal(stream, bytes, size, mac);
+        double t3 = seconds(CLOCK_THREAD_CPUTIME_ID);
+        spent[0] += t1 - t0;
+        spent[1] += t2 - t1;
+        spent[2] += t3 - t2;
+        free(bytes);
+    }
+    auth_stream_free(stream);
+    size_t wire = frame_size(size, FRAME_MAC_BYTES);
+    double each = 1e6 / (double)rounds;
+    printf("%-22s %8zu %8.1f %10.2f %10.2f %8.2f %10.3f\n", name, wire,
+           (double)wire / (double)parts, spent[0] * each, spent[1] * each,
+           spent[2] * each,
+           (spent[0] + spent[1] + 2 * spent[2]) * each / (double)parts);
+}
+
+static void
+measure_messages(double span_s)
+{
+    static part_request_t requests[BATCH_MAX];
+    static part_reply_t replies[BATCH_MAX];
+    static const size_t counts[] = {1, 10, 40, BATCH_MAX};
+    make_requests(requests, BATCH_MAX);
+    make_replies(replies, BATCH_MAX);
+    printf("%-22s %8s %8s %10s %10s %8s %10s\n", "message", "bytes", "/part",
+           "encode us", "decode us", "MAC us", "us/part");
+    for (size_t i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
+        char name[32];
+        message_t m = {.type = MESSAGE_PARTS,
+                       .parts = {.requests = requests, .count = counts[i]}};
+        snprintf(name, sizeof(name), "parts of %zu", counts[i]);
+        measure(name, &m, counts[i], span_s);
+        m = (message_t){.type = MESSAGE_REPLIES,
+                        .replies = {.replies = replies, .count = counts[i]}};
+        snprintf(name, sizeof(name), "replies of %zu", counts[i]);
+        measure(name, &m, counts[i], span_s);
+    }
+    static const uint8_t heard[163] = {0xff};
+    static const uint64_t quarantined[2] = {1, 2};
+    message_t m = {
+        .type = MESSAGE_HEARTBEAT,
+        .heartbeat = {.roster_version = 900,
+                      .config_version = 12,
+                      .load_permille = 345,
+                      .heard = heard,
+                      .heard_size = 1},
+    };
+    measure("heartbeat, 8 members", &m, 1, span_s);
+    m.heartbeat.heard_size = sizeof(heard);
+    m.heartbeat.quarantined = quarantined;
+    m.heartbeat.quarantined_count = 2;
+    measure("heartbeat, 1300", &m, 1, span_s);
+}
+
+static atomic_uint arrived;
+static atomic_bool up;
+
+static void
+on_message(void *ctx, const char *peer, uint64_t incarnation,
+           message_t *message)
+{
+    (void)ctx;
+    (void)peer;
+    (void)incarnation;
+    (void)message;
+    atomic_fetch_add(&arrived, 1);
+}
+
+static void
+on_up(void *ctx, const char *peer, uint64_t incarnation)
+{
+    (void)ctx;
+    (void)peer;
+    (void)incarnation;
+    atomic_store(&up, true);
+}
+
+static void
+on_down(void *ctx, const char *peer, uint64_t incarnation, bool reachable,
+        const error_t *err)
+{
+    (void)ctx;
+    (void)peer;
+    (void)incarnation;
+    (void)reachable;
+    (void)err;
+}
+
+static void
+on_refused(void *ctx, const error_t *err)
+{
+    (void)ctx;
+    (void)err;
+}
+
+static peer_net_t *
+open_net(const char *name, uint64_t incarnation)
+{
+    static const peer_ops_t ops = {on_message, on_up, on_down, on_refused};
+    static const uint8_t key[] = "0123456789abcdef";
+    peer_net_settings_t settings = {
+        .self = {.zone = "north-1", .incarnation = incarnation},
+        .address = "127.0.0.1",
+        .key = {.bytes = key, .size = 16},
+    };
+    snprintf(settings.self.name, NAME_SIZE, "%s", name);
+    error_t err = ERROR_INIT;
+    peer_net_t *net = peer_net_new(&settings, &ops, NULL, &err);
+    if (net == NULL) {
+        fail("transport", &err);
+    }
+    return net;
+}
+
+static void
+pause_us(long us)
+{
+    struct timespec span = {.tv_nsec = us * 1000};
+    nanosleep(&span, NULL);
+}
+
+/* Send as fast as the queue allows; the rate and each side's time. */
+static void
+measure_loopback(size_t parts)
+{
+    static part_request_t requests[BATCH_MAX];
+    make_requests(requests, parts);
+    peer_net_t *a = open_net("a1", 1);
+    peer_net_t *b = open_net("b1", 2);
+    peer_address_t to = {.name = "b1",
+                         .incarnation = 2,
+                         .address = "127.0.0.1",
+                         .port = peer_net_port(b)};
+    atomic_store(&arrived, 0);
+    atomic_store(&up, false);
+    (void)peer_net_set_peers(a, &to, 1, NULL);
+    while (!atomic_load(&up)) {
+        pause_us(1000);
+    }
+    message_t m = {.type = MESSAGE_PARTS,
+                   .parts = {.requests = requests, .count = parts}};
+    double start = seconds(CLOCK_MONOTONIC);
+    for (unsigned sent = 0; sent < LOOPBACK_MESSAGES;) {
+        if (peer_net_send(a, "b1", 2, &m, NULL) == STATUS_OK) {
+            sent++;
+        }
+        else {
+            pause_us(100);
+        }
+    }
+    while (atomic_load(&arrived) < LOOPBACK_MESSAGES) {
+        pause_us(100);
+    }
+    double took = seconds(CLOCK_MONOTONIC) - start;
+    peer_counters_t from = peer_net_counters(a);
+    peer_counters_t at = peer_net_counters(b);
+    printf("loopback, parts of %zu: %.0f messages/s, transport thread %.2f us "
+           "a message sent, %.2f us received\n",
+           parts, LOOPBACK_MESSAGES / took,
+           (double)from.cpu_us / LOOPBACK_MESSAGES,
+           (double)at.cpu_us / LOOPBACK_MESSAGES);
+    peer_net_free(a);
+    peer_net_free(b);
+}
+
+int
+main(int argc, char **argv)
+{
+    double span_s = argc > 1 ? strtod(argv[1], NULL) : 0.5;
+    measure_messages(span_s);
+    measure_loopback(1);
+    measure_loopback(40);
+    return 0;
+}
