test: show that a read is repeated where a write is not

Cause: the test that a PUT is sent once passed also if no layer would ever repeat anything, and nothing looked for Expect.

Change: on the same server, reads use the kept connection and libcurl sends them again by itself when it breaks; writes are seen once each, without Expect.

--- a/t/lib/raw_server.c
+++ b/t/lib/raw_server.c
@@ -8,7 +8,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { REQUEST_MAX = 65536, URL_SIZE = 64 };
+enum {
+    REQUEST_MAX = 65536,
+    LAST_SIZE = 1024,
+    /* bytes kept of the last request */ URL_SIZE = 64
+};
 
 struct raw_server {
     int listener;
@@ -17,8 +21,8 @@
     char url[URL_SIZE];
     pthread_t thread;
     pthread_mutex_t lock;
-    pthread_cond_t changed;
     unsigned int requests;
+    char last[LAST_SIZE];
     bool stopping;
     int connection; /* being served; -1: none */
 };
@@ -93,7 +97,8 @@
     while (text != NULL && request_read(fd, text)) {
         pthread_mutex_lock(&server->lock);
         server->requests++;
-        pthread_cond_broadcast(&server->changed);
+        memcpy(server->last, text, strnlen(text, LAST_SIZE - 1) + 1);
+        server->last[LAST_SIZE - 1] = '\0';
         pthread_mutex_unlock(&server->lock);
         served++;
         if (server->reply != NULL && served == 1) {
@@ -145,7 +150,6 @@
     snprintf(server->url, sizeof(server->url), "http://127.0.0.1:%u",
              (unsigned int)port);
     pthread_mutex_init(&server->lock, NULL);
-    pthread_cond_init(&server->changed, NULL);
     pthread_create(&server->thread, NULL, server_run, server);
     return server;
 }
@@ -162,7 +166,6 @@
     shutdown(server->listener, SHUT_RDWR);
     pthread_join(server->thread, NULL);
     close(server->listener);
-    pthread_cond_destroy(&server->changed);
     pthread_mutex_destroy(&server->lock);
     free(server);
 }
@@ -182,12 +185,11 @@
     return requests;
 }
 
-void
-raw_server_wait(raw_server_t *server, unsigned int requests)
+bool
+raw_server_saw(raw_server_t *server, const char *text)
 {
     pthread_mutex_lock(&server->lock);
-    while (server->requests < requests) {
-        pthread_cond_wait(&server->changed, &server->lock);
-    }
+    bool saw = strcasestr(server->last, text) != NULL;
     pthread_mutex_unlock(&server->lock);
+    return saw;
 }
--- a/t/lib/raw_server.h
+++ b/t/lib/raw_server.h
@@ -27,8 +27,8 @@
 /* Whole requests read so far. */
 unsigned int raw_server_requests(raw_server_t *server);
 
-/* Wait until so many requests were read. */
-void raw_server_wait(raw_server_t *server, unsigned int requests);
+/* Whether the last request read has this text in it, in any case. */
+bool raw_server_saw(raw_server_t *server, const char *text);
 
 /* A port of loopback that nobody listens on. */
 uint16_t raw_server_free_port(void);
--- a/t/t0404-store.c
+++ b/t/t0404-store.c
@@ -294,19 +294,28 @@
 
 /*
  * The server keeps the connection after the first answer, reads the next
- * request and closes without an answer: a write must not be sent again.
+ * request of it and closes without an answer. libcurl then sends a read again
+ * by itself, which shows that it was on the kept connection; it must not do
+ * so with a write.
  */
-START_TEST(test_put_is_sent_once)
+START_TEST(test_kept_connection)
 {
     raw_server_t *server = raw_server_new(HEAD("200", "4") "true", true);
     store_client_t store;
+    store_value_t value;
     error_t err = ERROR_INIT;
     store_http_init(&store, raw_server_url(server), PATIENT_MS, NULL, &err);
     for (unsigned int i = 1; i <= 3; i++) {
         ck_assert_int_eq(store_cas_put(&store, "a", "{}", 2, 3, &err),
                          STATUS_OK);
         ck_assert_uint_eq(raw_server_requests(server), i);
+        ck_assert(raw_server_saw(server, "PUT /v1/kv/a?cas=3 HTTP/1.1"));
+        ck_assert(!raw_server_saw(server, "Expect:"));
     }
+    store_get(&store, "a", &value, &err);
+    ck_assert_uint_eq(raw_server_requests(server), 4);
+    store_get(&store, "a", &value, &err);
+    ck_assert_uint_eq(raw_server_requests(server), 6);
     store_release(&store);
     raw_server_free(server);
 }
@@ -383,7 +392,7 @@
     tcase_add_loop_test(tests, test_contract, 0, 2 * CONTRACT_COUNT);
     tcase_add_loop_test(tests, test_replies, 0,
                         sizeof(reply_cases) / sizeof(reply_cases[0]));
-    tcase_add_test(tests, test_put_is_sent_once);
+    tcase_add_test(tests, test_kept_connection);
     tcase_add_test(tests, test_nobody_listens);
     tcase_add_test(tests, test_watch_sees_a_write);
     return suite_run("store", tests);
