core: tell at once what cannot be served, and let weights decide who yields

Parts behind an upstream that drains waited for their deadlines; now they come back at once as gone, and so do parts that a shed holds back beyond their deadline. When the queue is full, the service of that class that waits with more than its weight yields.

--- a/core/cold.c
+++ b/core/cold.c
@@ -184,13 +184,15 @@
 }
 
 void
-cold_advise(cold_t *cold, bool is_cold, bool draining, int64_t now_us)
+cold_advise(cold_t *cold, const cold_limits_t *limits, bool is_cold,
+            bool draining, int64_t now_us)
 {
     if (is_cold && !cold->advised_cold) {
         cold->advised_us = now_us;
     }
     if (draining && !cold->advised_drain) {
         cold->drain_us = now_us;
+        cold_turn(cold, limits, now_us);
     }
     cold->advised_cold = is_cold;
     cold->advised_drain = draining;
@@ -220,6 +222,12 @@
     return drained_us > cold->hold_until_us ? drained_us : cold->hold_until_us;
 }
 
+bool
+cold_is_draining(const cold_t *cold, int64_t now_us)
+{
+    return now_us < cold_drained_until(cold);
+}
+
 bool
 cold_is_weak(const cold_t *cold, int64_t now_us)
 {
--- a/core/cold.h
+++ b/core/cold.h
@@ -66,8 +66,12 @@
 void cold_reply(cold_t *cold, const cold_limits_t *limits,
                 const cold_reply_t *reply, int64_t now_us);
 
-/* Learn what the health endpoint said last. */
-void cold_advise(cold_t *cold, bool is_cold, bool draining, int64_t now_us);
+/*
+ * Learn what the health endpoint said last. One that begins to drain gets
+ * nothing new for a while; if it is still there then, it starts cold.
+ */
+void cold_advise(cold_t *cold, const cold_limits_t *limits, bool is_cold,
+                 bool draining, int64_t now_us);
 
 /* Slots in force; 0 while new work is held back. */
 uint32_t cold_bound(const cold_t *cold, const cold_limits_t *limits,
@@ -76,6 +80,9 @@
 /* When new work may go again, by the clock alone; now_us or earlier: now. */
 int64_t cold_held_until(const cold_t *cold);
 
+/* Whether it is said to drain, not long enough for that to be doubted. */
+bool cold_is_draining(const cold_t *cold, int64_t now_us);
+
 /* Whether hedges must stay away. */
 bool cold_is_weak(const cold_t *cold, int64_t now_us);
 
--- a/core/gate.c
+++ b/core/gate.c
@@ -15,7 +15,7 @@
     static const heap_t empty = HEAP_INIT;
     static const part_list_t none = {HEAP_NONE, HEAP_NONE};
     gate->settings = *settings;
-    gate->worst = gate->give_up = gate->timers = gate->open = empty;
+    gate->give_up = gate->timers = gate->open = empty;
     gate->free = gate->refused = gate->held = none;
     gate->quarantine =
         quarantine_new(settings->crash_limit, settings->quarantine_us);
@@ -57,17 +57,17 @@
 
 /* Why a part for this target is refused whatever the load. */
 static part_status_t
-target_refusal(const gate_t *gate, uint32_t target, const char *upstream)
+target_refusal(const gate_t *gate, uint32_t index, const char *upstream,
+               int64_t now_us)
 {
-    if (target != HEAP_NONE && gate->targets[target].gone) {
-        return PART_GONE;
-    }
-    if (target != HEAP_NONE && gate->targets[target].owned) {
-        return PART_OK;
-    }
-    bool listed = gate->topology != NULL &&
-                  topology_upstream(gate->topology, upstream) >= 0;
-    return listed ? PART_NOT_OWNER : PART_GONE;
+    const target_t *target = index == HEAP_NONE ? NULL : &gate->targets[index];
+    if (target == NULL || !target->owned) {
+        bool listed = gate->topology != NULL &&
+                      topology_upstream(gate->topology, upstream) >= 0;
+        return listed ? PART_NOT_OWNER : PART_GONE;
+    }
+    bool leaving = target->gone || cold_is_draining(&target->cold, now_us);
+    return leaving ? PART_GONE : PART_OK;
 }
 
 static int64_t
@@ -77,19 +77,21 @@
 }
 
 /*
- * Why a part that cannot go at once is refused rather than queued; PART_OK:
- * it may wait.
+ * Why a part is refused rather than sent or queued; PART_OK: it is not. One
+ * that must wait is held to the stricter estimate, since it would take the
+ * place of another.
  */
 static part_status_t
 queue_refusal(const gate_t *gate, const target_t *target,
-              const part_request_t *request, int64_t wait_us, int64_t now_us)
+              const part_request_t *request, bool may_start, int64_t wait_us,
+              int64_t now_us)
 {
     if (gate->flows[target->flow].limit == 0 ||
         gate->services[gate->flows[target->flow].service].limit == 0) {
         return PART_LIMITED;
     }
-    int64_t end_us = now_us + wait_us + target->estimate_us;
-    if (end_us > request->deadline_us) {
+    int64_t service_us = may_start ? target->estimate_us : target->safe_us;
+    if (now_us + wait_us + service_us > request->deadline_us) {
         return target->cold.ramping ? PART_COLD : PART_EXPIRED;
     }
     return PART_OK;
@@ -110,8 +112,7 @@
     entry->fingerprint = request->fingerprint;
     entry->order = gate->next_order++;
     entry->deadline_us = request->deadline_us;
-    entry->give_up_us =
-        request->deadline_us - gate->targets[target].estimate_us;
+    entry->give_up_us = request->deadline_us - gate->targets[target].safe_us;
     entry->queued_us = now_us;
     return part;
 }
@@ -161,30 +162,31 @@
     return refuse(request, status, retry_after_us(wait_us), refusal);
 }
 
-/* Wait, if need be in the place of the worst part that waits. */
+/* Wait; when too many do, the one that must yield may be this. */
 static gate_verdict_t
 submit_wait(gate_t *gate, uint32_t part, bool held,
             const part_request_t *request, int64_t now_us,
             part_reply_t *refusal)
 {
-    if (gate->waiting_count >= gate->settings.queue_max) {
-        uint32_t worst = gate->worst.root;
-        if (worst == HEAP_NONE || order_by_target.before(gate, worst, part)) {
-            int64_t wait_us =
-                target_wait_us(gate, &gate->targets[gate->parts[part].target],
-                               request->class, now_us);
-            return submit_drop(gate, part, request, PART_LIMITED, wait_us,
-                               now_us, refusal);
-        }
-        part_refuse(gate, worst, PART_LIMITED, now_us);
-    }
     if (held) {
         part_hold(gate, part);
     }
     else {
         part_queue(gate, part, now_us);
     }
-    return GATE_WAIT;
+    if (gate->waiting_count <= gate->settings.queue_max) {
+        return GATE_WAIT;
+    }
+    uint32_t victim = queue_victim(gate);
+    if (victim != part) {
+        part_refuse(gate, victim, PART_LIMITED, now_us);
+        return GATE_WAIT;
+    }
+    part_unqueue(gate, part, now_us);
+    const target_t *target = &gate->targets[gate->parts[part].target];
+    int64_t wait_us = target_wait_us(gate, target, request->class, now_us);
+    return submit_drop(gate, part, request, PART_LIMITED, wait_us, now_us,
+                       refusal);
 }
 
 static gate_verdict_t
@@ -207,7 +209,7 @@
         return GATE_SEND;
     }
     part_status_t status =
-        queue_refusal(gate, target, request, wait_us, now_us);
+        queue_refusal(gate, target, request, may_start, wait_us, now_us);
     if (status != PART_OK) {
         return submit_drop(gate, part, request, status, wait_us, now_us,
                            refusal);
@@ -231,7 +233,8 @@
         return GATE_REFUSE;
     }
     uint32_t target = target_find(gate, request->upstream);
-    part_status_t status = target_refusal(gate, target, request->upstream);
+    part_status_t status =
+        target_refusal(gate, target, request->upstream, now_us);
     if (status != PART_OK) {
         return refuse(request, status, 0, refusal);
     }
@@ -276,6 +279,7 @@
     uint64_t count = target->hist.count;
     if (count % ESTIMATE_SAMPLES == 0 || count < ESTIMATE_SAMPLES) {
         target->estimate_us = hist_quantile(&target->hist, 0.5);
+        target->safe_us = hist_quantile(&target->hist, 0.9);
     }
     if (count >= DECAY_SAMPLES) {
         hist_decay(&target->hist);
@@ -310,6 +314,7 @@
     part_learn(gate, part, result, now_us);
     target_learn(target, result, restarted, now_us);
     target_end(gate, part, now_us);
+    target_refuse_hopeless(gate, gate->parts[part].target, now_us);
     part_release(gate, part, now_us);
     part_forget(gate, part);
 }
--- a/core/gate_config.c
+++ b/core/gate_config.c
@@ -89,7 +89,8 @@
     }
     service_t *service = &plan->services[plan->service_count];
     const table_row_t *row = config_row(plan->config, name);
-    *service = (service_t){.first_flow = HEAP_NONE, .weight = 1};
+    *service =
+        (service_t){.first_flow = HEAP_NONE, .weight = 1, .worst = HEAP_INIT};
     memcpy(service->name, name, strlen(name) + 1);
     if (row != NULL && row->weight > 0) {
         service->weight = row->weight;
@@ -165,7 +166,9 @@
         memcpy(target->name, name, strlen(name) + 1);
     }
     target->owned = false;
+    target->gone = false;
     target->queue = (heap_t)HEAP_INIT;
+    target->waiting_parts = (part_list_t){HEAP_NONE, HEAP_NONE};
     target->runnable = false;
     target->timed = false;
     memset(target->waiting, 0, sizeof(target->waiting));
@@ -304,8 +307,7 @@
 static void
 parts_requeue(gate_t *gate, int64_t now_us)
 {
-    gate->worst = gate->give_up = gate->timers = gate->open =
-        (heap_t)HEAP_INIT;
+    gate->give_up = gate->timers = gate->open = (heap_t)HEAP_INIT;
     gate->held = (part_list_t){HEAP_NONE, HEAP_NONE};
     gate->waiting_count = 0;
     for (uint32_t i = 0; i < gate->part_count; i++) {
--- a/core/gate_queue.c
+++ b/core/gate_queue.c
@@ -212,13 +212,22 @@
 {
     target_t *target = &gate->targets[part->target];
     target->waiting[part->class] += (uint32_t)change;
-    gate->flows[target->flow].waiting[part->class] += (uint32_t)change;
+    flow_t *flow = &gate->flows[target->flow];
+    flow->waiting[part->class] += (uint32_t)change;
+    gate->services[flow->service].waiting[part->class] += (uint32_t)change;
+}
+
+static heap_t *
+part_worst_heap(gate_t *gate, uint32_t part)
+{
+    const target_t *target = &gate->targets[gate->parts[part].target];
+    return &gate->services[gate->flows[target->flow].service].worst;
 }
 
 static void
 part_enter_common(gate_t *gate, uint32_t part)
 {
-    heap_push(&gate->worst, &order_by_worst, gate, part);
+    heap_push(part_worst_heap(gate, part), &order_by_worst, gate, part);
     heap_push(&gate->give_up, &order_by_give_up, gate, part);
     part_count_waiting(gate, &gate->parts[part], 1);
     gate->waiting_count++;
@@ -233,6 +242,7 @@
     entry->state = PART_STATE_WAITING;
     part_enter_common(gate, part);
     heap_push(&target->queue, &order_by_target, gate, part);
+    list_append(gate, &target->waiting_parts, part);
     if (target->queue.root != first) {
         target_update(gate, entry->target, now_us);
     }
@@ -251,7 +261,7 @@
 {
     gate_part_t *entry = &gate->parts[part];
     target_t *target = &gate->targets[entry->target];
-    heap_remove(&gate->worst, &order_by_worst, gate, part);
+    heap_remove(part_worst_heap(gate, part), &order_by_worst, gate, part);
     heap_remove(&gate->give_up, &order_by_give_up, gate, part);
     part_count_waiting(gate, entry, -1);
     gate->waiting_count--;
@@ -260,6 +270,7 @@
         return;
     }
     bool was_first = target->queue.root == part;
+    list_remove(gate, &target->waiting_parts, part);
     heap_remove(&target->queue, &order_by_target, gate, part);
     if (was_first) {
         target_update(gate, entry->target, now_us);
@@ -277,6 +288,71 @@
     part_release(gate, part, now_us);
 }
 
+/* A suspect that goes may move others of the list, so that it starts anew. */
+static void
+list_refuse_hopeless(gate_t *gate, const part_list_t *list, uint32_t target,
+                     int64_t now_us)
+{
+    const cold_t *cold = &gate->targets[target].cold;
+    bool draining = cold_is_draining(cold, now_us);
+    int64_t held_until_us = cold_held_until(cold);
+    uint32_t part = list->first;
+    while (part != HEAP_NONE) {
+        const gate_part_t *entry = &gate->parts[part];
+        uint32_t next = entry->list_next;
+        bool suspect = entry->suspect;
+        bool late = entry->give_up_us <= held_until_us;
+        if (entry->target == target && (draining || late)) {
+            part_refuse(gate, part, draining ? PART_GONE : PART_COLD, now_us);
+            next = suspect ? list->first : next;
+        }
+        part = next;
+    }
+}
+
+void
+target_refuse_hopeless(gate_t *gate, uint32_t target, int64_t now_us)
+{
+    if (cold_held_until(&gate->targets[target].cold) <= now_us) {
+        return;
+    }
+    const part_list_t *waiting = &gate->targets[target].waiting_parts;
+    list_refuse_hopeless(gate, waiting, target, now_us);
+    list_refuse_hopeless(gate, &gate->held, target, now_us);
+}
+
+/* Class first, then who waits with more than its weight, then the part. */
+static bool
+service_yields_before(const gate_t *gate, const service_t *one,
+                      const service_t *other)
+{
+    const gate_part_t *first = &gate->parts[one->worst.root];
+    const gate_part_t *second = &gate->parts[other->worst.root];
+    if (first->class != second->class) {
+        return first->class > second->class;
+    }
+    uint64_t load = (uint64_t)one->waiting[first->class] * other->weight;
+    uint64_t rival = (uint64_t)other->waiting[first->class] * one->weight;
+    if (load != rival) {
+        return load > rival;
+    }
+    return part_worse(gate, one->worst.root, other->worst.root);
+}
+
+uint32_t
+queue_victim(const gate_t *gate)
+{
+    const service_t *victim = NULL;
+    for (uint32_t i = 0; i < gate->service_count; i++) {
+        const service_t *service = &gate->services[i];
+        if (service->worst.root != HEAP_NONE &&
+            (victim == NULL || service_yields_before(gate, service, victim))) {
+            victim = service;
+        }
+    }
+    return victim == NULL ? HEAP_NONE : victim->worst.root;
+}
+
 void
 target_start(gate_t *gate, uint32_t part, int64_t now_us)
 {
--- a/core/gate_report.c
+++ b/core/gate_report.c
@@ -14,8 +14,10 @@
     gate->now_us = now_us;
     uint32_t target = target_find(gate, upstream);
     if (target != HEAP_NONE) {
-        cold_advise(&gate->targets[target].cold, cold, draining, now_us);
+        target_t *advised = &gate->targets[target];
+        cold_advise(&advised->cold, &advised->limits, cold, draining, now_us);
         target_update(gate, target, now_us);
+        target_refuse_hopeless(gate, target, now_us);
     }
 }
 
--- a/core/gate_state.h
+++ b/core/gate_state.h
@@ -80,11 +80,13 @@
     crash_watch_t crash;
     hist_t hist;
     int64_t estimate_us; /* median service time; 0: not known */
+    int64_t safe_us;     /* nine of ten take no longer */
     uint64_t sent;
     uint64_t refused;
     heap_t queue;
-    bool runnable; /* in its flow's heap */
-    bool timed;    /* in the gate's heap of timers */
+    part_list_t waiting_parts; /* the same parts in any order */
+    bool runnable;             /* in its flow's heap */
+    bool timed;                /* in the gate's heap of timers */
     int64_t timer_us;
     heap_link_t by_flow;
     heap_link_t by_timer;
@@ -109,6 +111,8 @@
     uint32_t limit;
     uint32_t in_use;
     uint32_t weight;
+    uint32_t waiting[CLASS_COUNT];
+    heap_t worst; /* waiting parts, the first to yield first */
     uint32_t first_flow;
 } service_t;
 
@@ -125,7 +129,6 @@
     uint32_t part_hash_size;
     uint64_t next_order;
     size_t waiting_count;
-    heap_t worst;
     heap_t give_up;
     part_list_t refused;
     part_list_t held;
@@ -177,6 +180,10 @@
 /* Turn a waiting or held part into a refusal for gate_next. */
 void part_refuse(gate_t *gate, uint32_t part, part_status_t status,
                  int64_t now_us);
+/* Refuse what waits for a target that drains or is held back too long. */
+void target_refuse_hopeless(gate_t *gate, uint32_t target, int64_t now_us);
+/* The part to give up when too many wait; HEAP_NONE when none does. */
+uint32_t queue_victim(const gate_t *gate);
 /* Whether the target could take the part now, but for the pools. */
 bool target_admits(const gate_t *gate, const target_t *target,
                    const gate_part_t *part, int64_t now_us);
--- a/t/t0202-gate-random.c
+++ b/t/t0202-gate-random.c
@@ -198,18 +198,33 @@
     }
 }
 
+/* Take zone a out or in, and own some upstreams only. */
 static void
-act_zone(model_t *model)
+act_configure(model_t *model)
 {
-    bool out = draw(model, 3) == 0;
-    config_t *config = config_copy(model->fixture.config);
-    config_put(model->fixture.config);
-    model->fixture.config = config;
-    ck_assert_int_eq(config_set_zone(config, "a", out, NULL), STATUS_OK);
-    for (uint32_t i = 0; i < FIXTURE_UPSTREAMS; i += 2) {
-        model->out[i] = out;
+    bool zone_out = draw(model, 3) == 0;
+    fixture_t *fixture = &model->fixture;
+    config_t *config = config_copy(fixture->config);
+    config_put(fixture->config);
+    fixture->config = config;
+    ck_assert_int_eq(config_set_zone(config, "a", zone_out, NULL), STATUS_OK);
+    fixture->owned_count = 0;
+    for (uint32_t i = 0; i < FIXTURE_UPSTREAMS; i++) {
+        bool owned = draw(model, 4) != 0;
+        model->out[i] = !owned || (zone_out && i % 2 == 0);
+        if (owned) {
+            fixture->owned[fixture->owned_count++] = i;
+        }
     }
-    fixture_configure(&model->fixture, model->now_us);
+    fixture_configure(fixture, model->now_us);
+}
+
+static void
+act_advise(model_t *model)
+{
+    uint32_t upstream = (uint32_t)draw(model, FIXTURE_UPSTREAMS);
+    gate_advise(model->fixture.gate, upstream_name(model, upstream),
+                draw(model, 4) == 0, draw(model, 8) == 0, model->now_us);
 }
 
 static void
@@ -244,11 +259,14 @@
     else if (kind < 960) {
         act_finish(model);
     }
-    else if (kind < 998) {
+    else if (kind < 990) {
         act_cancel(model);
     }
+    else if (kind < 998) {
+        act_advise(model);
+    }
     else {
-        act_zone(model);
+        act_configure(model);
     }
     if (draw(model, 3) != 0) {
         drain(model);
