--- a/core/gate_queue.c
+++ b/core/gate_queue.c
@@ -389,7 +389,7 @@
     flow_t *flow = &gate->flows[target->flow];
     service_t *service = &gate->services[flow->service];
     target->in_progress--;
-    target->alone = target->alone && !entry->suspect;
+    target->alone = false;
     flow->in_use--;
     service->in_use--;
     target_update(gate, entry->target, now_us);
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -176,8 +176,7 @@
         entry->alone++;
     }
     bool refused = now_us < entry->refused_until_us;
-    if (refused || entry->alone == 0 ||
-        entry_crashes(quarantine, entry) < quarantine->limit) {
+    if (refused || entry_crashes(quarantine, entry) < quarantine->limit) {
         return;
     }
     entry_refuse(quarantine, entry, now_us);
--- a/t/lib/gate_fixture.c
+++ b/t/lib/gate_fixture.c
@@ -112,7 +112,7 @@
 fixture_warm(fixture_t *fixture, const gate_step_t *step)
 {
     gate_result_t good = {.status = PART_OK, .service_us = MS, .boot = 7};
-    int64_t now_us = 0;
+    int64_t now_us = fixture->warmed_us;
     part_reply_t refusal;
     for (uint32_t i = 0;
          i < 40 || fixture_report(fixture, step->upstream).cold; i++) {
@@ -124,6 +124,7 @@
             gate_submit(fixture->gate, &request, now_us, &refusal), GATE_SEND);
         gate_finish(fixture->gate, request.id, &good, now_us + MS);
     }
+    fixture->warmed_us = now_us + MS;
 }
 
 static void
@@ -213,6 +214,10 @@
         fixture->owned_count = 0;
         fixture_configure(fixture, now_us);
         break;
+    case OP_OWN:
+        fixture->owned_count = FIXTURE_UPSTREAMS;
+        fixture_configure(fixture, now_us);
+        break;
     case OP_SLOTS:
         ck_assert_msg(fixture_report(fixture, step->upstream).slots ==
                           step->slots,
--- a/t/lib/gate_fixture.h
+++ b/t/lib/gate_fixture.h
@@ -19,6 +19,7 @@
     topology_t *topology;
     uint32_t owned[FIXTURE_UPSTREAMS];
     size_t owned_count;
+    int64_t warmed_us; /* when the last OP_WARM ended */
 } fixture_t;
 
 typedef enum {
@@ -31,6 +32,7 @@
     OP_ADVISE, /* cold by result.cold; draining by result.reset */
     OP_ZONE,   /* zone named by upstream: out when result.cold, else in */
     OP_DISOWN, /* own nothing */
+    OP_OWN,    /* own everything */
     OP_SLOTS,  /* expects slots in force */
     OP_WAKEUP  /* expects gate_wakeup at at_ms + deadline_ms */
 } op_t;
--- a/t/t0201-gate.c
+++ b/t/t0201-gate.c
@@ -33,7 +33,9 @@
         .op = OP_SLOTS, .upstream = (up), .slots = (n), __VA_ARGS__           \
     }
 #define D0 "desk-0"
+#define D1 "desk-1"
 #define D2 "desk-2"
+#define D3 "desk-3"
 #define DESK CLASS_DESK
 #define BATCH CLASS_BATCH
 
@@ -115,10 +117,30 @@
     {"ramps by evidence and not faster than the step",
      {SUBMIT(1, D0, DESK, 99, SEND), FINISH(1, GOOD), SLOTS(D0, 1),
       SUBMIT(2, D0, DESK, 99, SEND), FINISH(2, GOOD), SLOTS(D0, 2),
-      SUBMIT(3, D0, DESK, 99, SEND), FINISH(3, GOOD),
-      SUBMIT(4, D0, DESK, 99, SEND), FINISH(4, GOOD, .at_ms = 9), SLOTS(D0, 2),
+      SUBMIT(3, D0, DESK, 99, SEND), FINISH(3, GOOD, .at_ms = 10),
+      SLOTS(D0, 2), SUBMIT(4, D0, DESK, 99, SEND),
+      FINISH(4, GOOD, .at_ms = 10), SLOTS(D0, 3),
       SUBMIT(5, D0, DESK, 99, SEND), FINISH(5, GOOD, .at_ms = 10),
+      SUBMIT(6, D0, DESK, 99, SEND), FINISH(6, GOOD, .at_ms = 19),
       SLOTS(D0, 3)}},
+    {"service slots bind across zones, and what is free goes to any",
+     {WARM(D0), WARM(D2), WARM(D1), WARM(D3), SUBMIT(1, D0, DESK, 99, SEND),
+      SUBMIT(2, D0, DESK, 99, SEND), SUBMIT(3, D0, DESK, 99, SEND),
+      SUBMIT(4, D2, DESK, 99, SEND), SUBMIT(5, D2, DESK, 99, SEND),
+      SUBMIT(6, D2, DESK, 99, SEND), SUBMIT(7, D1, DESK, 99, SEND),
+      SUBMIT(8, D1, DESK, 99, SEND), SUBMIT(9, D3, DESK, 99, SEND),
+      SUBMIT(10, D3, DESK, 99, SEND), SUBMIT(11, D3, DESK, 99, WAIT), IDLE,
+      FINISH(1, GOOD), NEXT(11, SEND)}},
+    {"back in service or owned again is a cold start",
+     {WARM(D0),
+      WARM(D1),
+      {.op = OP_ZONE, .upstream = "a", .result.cold = true},
+      {.op = OP_ZONE, .upstream = "a", .result.cold = false},
+      SLOTS(D0, 1),
+      SUBMIT(1, D1, DESK, 99, SEND),
+      {.op = OP_DISOWN},
+      {.op = OP_OWN},
+      SLOTS(D1, 1)}},
     {"a warm upstream that says cold drops at once",
      {WARM(D0), SLOTS(D0, 4), SUBMIT(1, D0, DESK, 99, SEND),
       SUBMIT(2, D0, DESK, 99, SEND), SUBMIT(3, D0, DESK, 99, SEND),
