cli: settle a change that got no answer by its own id

Cause: a lost reply to a change left the operator to guess; a fresh fleet has no configuration, which daemons answer with 503 and not 404.

Without a certain answer the tool looks for the id in the history of the table in force: found, it ends as if the answer had come; else it ends with 3 and names the id, with which the command can be repeated without a second effect. A daemon without a configuration is based on version 0, where a store that has one answers with a conflict. Warnings are printed.

--- a/cli/change.h
+++ b/cli/change.h
@@ -6,17 +6,23 @@
 
 #include "cli/request.h"
 
+/* The arguments that every change has. */
+typedef struct {
+    struct arg_str *by;
+    struct arg_str *id;
+} change_args_t;
+
+void change_arguments(cli_args_t *args, change_args_t *change);
+
 /*
- * Send a change once and print who has confirmed it and who has not. *reply
- * is the answer, for what the caller prints besides; release it.
+ * Send a change once and print who has confirmed it and who has not; who
+ * makes it and its id are added to body. A change that got no certain answer
+ * is looked for by its id in the configuration that daemons have; it is never
+ * sent again. *reply is the answer, for what the caller prints besides;
+ * release it.
  */
 cli_exit_t change_send(const cli_t *cli, const char *verb, const char *path,
-                       json_t *body, cli_reply_t *reply);
-
-/* The argument --by. */
-struct arg_str *change_by_arg(cli_args_t *args);
-
-/* Who makes the change: --by, else $USER when that is a name. */
-const char *change_by(const struct arg_str *by);
+                       json_t *body, const change_args_t *change,
+                       cli_reply_t *reply);
 
 #endif
--- a/cli/state.c
+++ b/cli/state.c
@@ -13,7 +13,7 @@
 
 static cli_exit_t
 state_change(const cli_t *cli, const state_kind_t *kind, const char *name,
-             const char *state, const char *by)
+             const char *state, const change_args_t *change)
 {
     char path[128];
     if (!name_valid(name)) {
@@ -21,9 +21,9 @@
                         NAME_ALLOWED);
     }
     snprintf(path, sizeof(path), "%s/%s", kind->path, name);
-    json_t *body = json_pack("{s:s, s:s}", "state", state, "by", by);
+    json_t *body = json_pack("{s:s}", "state", state);
     cli_reply_t reply;
-    cli_exit_t code = change_send(cli, "POST", path, body, &reply);
+    cli_exit_t code = change_send(cli, "POST", path, body, change, &reply);
     cli_reply_release(&reply);
     json_decref(body);
     return code;
@@ -37,9 +37,10 @@
     cli_exit_t code;
     struct arg_str *name =
         cli_arg(&args, arg_str1(NULL, NULL, kind->what, "its name"));
-    struct arg_str *by = change_by_arg(&args);
+    change_args_t change;
+    change_arguments(&args, &change);
     if (cli_parse(cli, &args, argc, argv, &code)) {
-        code = state_change(cli, kind, name->sval[0], state, change_by(by));
+        code = state_change(cli, kind, name->sval[0], state, &change);
     }
     cli_args_release(&args);
     return code;
--- a/cli/table.c
+++ b/cli/table.c
@@ -122,7 +122,9 @@
     cli_reply_t reply;
     cli_request_t request = {.verb = "GET", .path = "/v1/table"};
     cli_exit_t code = cli_send(cli, &request, &reply);
-    if (code == CLI_OK && reply.status != 200 && reply.status != 404) {
+    /* 503: no configuration here. If the store has one, it is a conflict. */
+    bool none = reply.status == 503 || reply.status == 404;
+    if (code == CLI_OK && reply.status != 200 && !none) {
         code = cli_reply_fail(cli, &reply);
     }
     *based_on = reply.status == 200 ? version_of(reply.body) : 0;
@@ -131,12 +133,13 @@
 }
 
 static cli_exit_t
-table_send(const cli_t *cli, json_t *rows, json_int_t based_on, const char *by)
+table_send(const cli_t *cli, json_t *rows, json_int_t based_on,
+           const change_args_t *change)
 {
-    json_t *body = json_pack("{s:I, s:O, s:s}", "based_on", based_on, "rows",
-                             rows, "by", by);
+    json_t *body = json_pack("{s:I, s:O}", "based_on", based_on, "rows", rows);
     cli_reply_t reply;
-    cli_exit_t code = change_send(cli, "PUT", "/v1/table", body, &reply);
+    cli_exit_t code =
+        change_send(cli, "PUT", "/v1/table", body, change, &reply);
     if (code == CLI_CONFLICT && !cli->json) {
         fprintf(cli->out, "your file against the table in force:\n");
         rows_diff(cli->out, json_object_get(reply.body, "rows"), rows);
@@ -156,7 +159,8 @@
     struct arg_int *told = cli_arg(
         &args, arg_int0(NULL, "based-on", "VERSION",
                         "version it changes [the file's, else in force]"));
-    struct arg_str *by = change_by_arg(&args);
+    change_args_t change;
+    change_arguments(&args, &change);
     rows_file_t file = {0};
     if (cli_parse(cli, &args, argc, argv, &code)) {
         json_int_t based_on = 0;
@@ -165,7 +169,7 @@
             code = find_based_on(cli, told, file.based, &based_on);
         }
         if (code == CLI_OK) {
-            code = table_send(cli, file.rows, based_on, change_by(by));
+            code = table_send(cli, file.rows, based_on, &change);
         }
     }
     json_decref(file.rows);
--- a/t/t0604-cli.c
+++ b/t/t0604-cli.c
@@ -175,7 +175,8 @@
     "\"service_slots\":120,\"tenant_slots\":60,\"added_load_percent\":5}"
 #define DOCUMENT                                                              \
     "{\"version\":12,\"by\":\"ann\",\"rows\":[" ROW                           \
-    "],\"zones\":{\"south-1\":\"out\"},\"vms\":{}}"
+    "],\"history\":[{\"version\":12,\"change\":\"mine\"}],"                   \
+    "\"zones\":{\"south-1\":\"out\"},\"vms\":{}}"
 #define ANSWER(outcome, reason)                                               \
     "{\"query\":\"1f-2\",\"outcome\":\"" outcome "\",\"reason\":\"" reason    \
     "\",\"version\":17,\"generation\":3,\"asked\":10,\"covered\":9,"          \
@@ -336,7 +337,7 @@
      2,
      "\"based_on\":12"},
     {"table apply FILE",
-     {{"GET /v1/table", 404, "{}"},
+     {{"GET /v1/table", 503, "{\"error\":\"none\"}"},
       {"PUT /v1/table", 200,
        "{\"version\":1,\"confirmed\":[\"a1\"],\"waiting\":[\"b1\"]}"}},
      CLI_PARTIAL,
@@ -357,17 +358,48 @@
      1,
      "\"based_on\":9"},
     {"table apply FILE --based-on 7",
-     {{"PUT /v1/table", 0, NULL}},
+     {{"PUT /v1/table", 0, NULL}, {"GET /v1/table", 200, DOCUMENT}},
      CLI_UNKNOWN,
-     "it may have had its effect",
-     1,
+     "repeat the command with --change op-",
+     2,
      NULL},
     {"table apply FILE --based-on 7",
-     {{"PUT /v1/table", 504, "{\"error\":\"store\"}"}},
+     {{"PUT /v1/table", 0, NULL}, {"GET /v1/table", 0, NULL}},
      CLI_UNKNOWN,
-     "may be in force",
-     1,
+     "not found in force",
+     2,
+     NULL},
+    {"table apply FILE --based-on 7 --change mine",
+     {{"PUT /v1/table", 0, NULL},
+      {"GET /v1/table", 200, DOCUMENT},
+      {"GET /v1/zones", 200, "{\"confirmed\":[\"a1\"],\"waiting\":[]}"}},
+     CLI_OK,
+     "found in force by its id\naccepted:  version 12",
+     3,
+     NULL},
+    {"table apply FILE --based-on 7 --change mine",
+     {{"PUT /v1/table", 504, "{\"error\":\"store\"}"},
+      {"GET /v1/table", 200, DOCUMENT},
+      {"GET /v1/zones", 200, "{\"waiting\":[\"b1\"]}"}},
+     CLI_PARTIAL,
+     "waiting:   b1",
+     3,
+     NULL},
+    {"zone out south-1 --change mine",
+     {{"POST /v1/zones/south-1", 0, NULL},
+      {"GET /v1/table", 200, DOCUMENT},
+      {"GET /v1/zones", 503, "{}"}},
+     CLI_PARTIAL,
+     "accepted:  version 12",
+     3,
      NULL},
+    {"zone out south-1 --change mine",
+     {{"POST /v1/zones/south-1", 200,
+       "{\"version\":13,\"waiting\":[],\"warning\":\"no such zone\"}"}},
+     CLI_OK,
+     "warning:   no such zone",
+     1,
+     "\"change\":\"mine\""},
     {"table apply FILE --based-on 7",
      {{"PUT /v1/table", 401, "{}"}},
      CLI_DENIED,
@@ -392,13 +424,13 @@
      CLI_OK,
      "version 13",
      1,
-     "{\"state\":\"out\",\"by\":\"bob\"}"},
+     "{\"state\":\"out\",\"by\":\"bob\",\"change\":\"op-"},
     {"vm in ledger-desk-g0-r1 --by bob",
      {{"POST /v1/vms/ledger-desk-g0-r1", 503, "{\"error\":\"no store\"}"}},
      CLI_NOT_RUN,
      "no store",
      1,
-     "{\"state\":\"in\",\"by\":\"bob\"}"},
+     "{\"state\":\"in\",\"by\":\"bob\",\"change\":\"op-"},
     {"zone out south-1 --token-file TOKEN",
      {{"POST /v1/zones/south-1", 200, "{\"version\":13,\"waiting\":[]}"}},
      CLI_OK,
@@ -542,7 +574,8 @@
     server_stop(&first);
     server_stop(&second);
     ck_assert_int_eq(code, CLI_UNKNOWN);
-    ck_assert_uint_eq(first.requests, 1);
+    ck_assert_uint_eq(first.requests, 2);
+    ck_assert(strncmp(first.last, "GET /v1/table", 13) == 0);
     ck_assert_uint_eq(second.requests, 0);
     free(output);
 }
