--- a/standin/report.c
+++ b/standin/report.c
@@ -3,6 +3,8 @@
  * line as one JSON object.
  *
  *     standin-report LOAD COUNT [ZONE COUNT_AT_COMMAND COUNT_AT_RETURN]
+ *     standin-report --phase [NAME LOAD]   one line, or the heading
+ *     standin-report --upstreams COUNT     what the upstreams counted
  *
  * LOAD is the result of standin-load, the others are replies of the
  * upstreams' GET /count: at the end, when the operator took ZONE out and when
@@ -14,6 +16,7 @@
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 
 typedef struct {
     json_t *load;
@@ -81,20 +84,11 @@
 static void
 print_upstreams(const figures_t *figures)
 {
-    static const char *const names[] = {"started",
-                                        "repeated",
-                                        "shed",
-                                        "cold_excess",
-                                        "cold_violations",
-                                        "slot_violations",
-                                        "no_version",
-                                        "moved",
-                                        "expired",
-                                        "failed",
-                                        "cancelled",
-                                        "crashes",
-                                        "connections",
-                                        "connections_refused"};
+    static const char *const names[] = {
+        "started",    "repeated",    "doubled",         "drain_violations",
+        "shed",       "cold_excess", "cold_violations", "slot_violations",
+        "no_version", "moved",       "expired",         "failed",
+        "cancelled",  "crashes",     "connections",     "connections_refused"};
     (void)printf("\nat the upstreams:");
     for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
         (void)printf(" %s %lld", names[i], total(figures, names[i]));
@@ -134,6 +128,54 @@
         zone_out_ms(figures));
 }
 
+static void
+print_phase_heading(void)
+{
+    (void)printf("%-16s %7s %7s %7s %7s %7s %5s %5s %5s %6s %9s %7s %7s\n",
+                 "phase", "queries", "whole", "partial", "refused", "unknown",
+                 "lost", "late", "wrong", "false", "coverage", "p50 ms",
+                 "p99 ms");
+}
+
+static void
+print_phase(const char *name, const json_t *load)
+{
+    (void)printf("%-16s %7lld %7lld %7lld %7lld %7lld %5lld %5lld %5lld "
+                 "%6lld %9.5f %7.1f %7.1f\n",
+                 name, integer(load, "queries"), integer(load, "whole"),
+                 integer(load, "partial"), integer(load, "refused"),
+                 integer(load, "unknown"), integer(load, "lost"),
+                 integer(load, "late"), integer(load, "wrong"),
+                 integer(load, "false_not_run"), real(load, "coverage"),
+                 real(load, "p50_ms"), real(load, "p99_ms"));
+}
+
+static int
+run_phase(int argc, char **argv)
+{
+    if (argc != 4) {
+        print_phase_heading();
+        return 0;
+    }
+    json_t *load = json_load_file(argv[3], 0, NULL);
+    if (load != NULL) {
+        print_phase(argv[2], load);
+    }
+    json_decref(load);
+    return load != NULL ? 0 : 1;
+}
+
+static int
+run_upstreams(const char *path)
+{
+    figures_t figures = {.count = json_load_file(path, 0, NULL)};
+    if (figures.count != NULL) {
+        print_upstreams(&figures);
+    }
+    json_decref(figures.count);
+    return figures.count != NULL ? 0 : 1;
+}
+
 static bool
 figures_read(figures_t *figures, int argc, char **argv)
 {
@@ -173,6 +215,12 @@
 int
 main(int argc, char **argv)
 {
+    if (argc >= 2 && strcmp(argv[1], "--phase") == 0) {
+        return run_phase(argc, argv);
+    }
+    if (argc == 3 && strcmp(argv[1], "--upstreams") == 0) {
+        return run_upstreams(argv[2]);
+    }
     if (argc != 3 && argc != 6) {
         (void)fprintf(stderr, "usage: standin-report LOAD COUNT "
                               "[ZONE COUNT_AT_COMMAND COUNT_AT_RETURN]\n");
