standin: serve above 1024 open files

Cause: ulfius starts its server with select(); with 254 listening ports the stand-in's control port refused every call once the process had more than 1024 files open, as any program on ulfius_start_framework does. Change: the stand-ins start their servers with poll().

--- a/standin/lib/service.c
+++ b/standin/lib/service.c
@@ -50,10 +50,28 @@
     return ulfius_init_instance(http, port, address, NULL) == U_OK;
 }
 
+bool
+service_start(struct _u_instance *http)
+{
+    /* The library's own start uses select(), which fails above 1024 files. */
+    unsigned flags = MHD_USE_THREAD_PER_CONNECTION |
+                     MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
+    struct MHD_OptionItem options[] = {
+        {.option = MHD_OPTION_NOTIFY_COMPLETED,
+         .value = (intptr_t)mhd_request_completed},
+        {.option = MHD_OPTION_URI_LOG_CALLBACK,
+         .value = (intptr_t)ulfius_uri_logger},
+        {.option = MHD_OPTION_SOCK_ADDR, .ptr_value = http->bind_address},
+        {.option = MHD_OPTION_END},
+    };
+    return ulfius_start_framework_with_mhd_options(http, flags, options) ==
+           U_OK;
+}
+
 int
 service_run(struct _u_instance *http)
 {
-    bool started = ulfius_start_framework(http) == U_OK;
+    bool started = service_start(http);
     if (started) {
         service_wait();
         ulfius_stop_framework(http);
--- a/standin/lib/service.h
+++ b/standin/lib/service.h
@@ -33,6 +33,9 @@
 bool service_init(struct _u_instance *http, struct sockaddr_in *address,
                   uint16_t port);
 
+/* Start to serve; false when the port cannot be listened on. */
+bool service_start(struct _u_instance *http);
+
 /* Serve until told to stop, then release the instance; exit status. */
 int service_run(struct _u_instance *http);
 
