fleet: let a restarted daemon say in the roster that its predecessor is gone

A member whose process died cannot acknowledge, and when all are replaced at once no majority of the old ones is left to agree to anything. The evidence was a heartbeat from the old address, which needs a connection to a process that is no member, and the daemons only connect to members.

A process that listens on the address of the entry with its name now marks that entry replaced in the document; after grant_us and drain_us it counts as having acknowledged, and a process that finds itself marked stops.

--- a/fleet/roster.c
+++ b/fleet/roster.c
@@ -47,17 +47,6 @@
     return i;
 }
 
-/* This process listens where the member did, so that one is cut off. */
-static bool
-member_is_predecessor(const roster_t *roster, const roster_member_t *member)
-{
-    const roster_member_t *self = &roster->self;
-    return member->incarnation != self->incarnation &&
-           member->peer_port == self->peer_port &&
-           strcmp(member->name, self->name) == 0 &&
-           strcmp(member->address, self->address) == 0;
-}
-
 /* Carry what is known of members over to a document with others. */
 static void
 roster_carry_peers(roster_t *roster, const roster_doc_t *doc, int64_t now_us)
@@ -78,9 +67,6 @@
                 peers[i].changed_us = now_us;
             }
         }
-        else if (member_is_predecessor(roster, member)) {
-            peers[i].replaced_us = now_us;
-        }
     }
     memcpy(roster->peers, peers, sizeof(peers));
 }
@@ -155,6 +141,9 @@
         if (known->renewals != doc->members[i].renewals) {
             roster->peers[i].changed_us = now_us;
         }
+        if (doc->members[i].replaced && roster->peers[i].replaced_us == 0) {
+            roster->peers[i].replaced_us = now_us;
+        }
         *known = doc->members[i];
     }
 }
@@ -319,6 +308,33 @@
     roster_doc_add(doc, &self);
 }
 
+/* This process listens where the member did, so that one is cut off. */
+static bool
+member_is_predecessor(const roster_t *roster, const roster_member_t *member)
+{
+    const roster_member_t *self = &roster->self;
+    return member->incarnation != self->incarnation &&
+           member->peer_port == self->peer_port &&
+           strcmp(member->name, self->name) == 0 &&
+           strcmp(member->address, self->address) == 0;
+}
+
+/*
+ * Tell the others that the member which had this daemon's name and address is
+ * cut off from both, and can neither grant nor be granted anything.
+ */
+static bool
+roster_write_claim(roster_t *roster)
+{
+    int old = roster_doc_find(&roster->sent, roster->self.name);
+    if (old < 0 || roster->sent.members[old].replaced ||
+        !member_is_predecessor(roster, &roster->sent.members[old])) {
+        return false;
+    }
+    roster->sent.members[old].replaced = true;
+    return true;
+}
+
 /* The one change of membership that this write makes, if any. */
 static bool
 roster_write_change(roster_t *roster, int64_t now_us)
@@ -422,7 +438,8 @@
         return ROSTER_READ;
     }
     roster->sent = roster->doc;
-    bool change = roster_write_change(roster, now_us);
+    bool change =
+        roster_write_claim(roster) || roster_write_change(roster, now_us);
     if (!change && !roster_is_due(roster, now_us)) {
         roster_sleep(roster, now_us);
         return ROSTER_IDLE;
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -84,9 +84,6 @@
     int64_t echo_us;  /* newest sent_us from the receiver; 0: none */
     bool granting;    /* permits the receiver to act by version */
     bool holding;     /* the sender may act */
-    /* Not sent: where the sender listens, as its connection has shown. */
-    char address[ADDRESS_SIZE];
-    uint16_t peer_port;
 } roster_heartbeat_t;
 
 typedef enum {
--- a/fleet/roster_doc.c
+++ b/fleet/roster_doc.c
@@ -65,6 +65,7 @@
         .seen = (uint64_t)seen,
         .joined = (uint64_t)joined,
         .leaving = leaving != 0,
+        .replaced = json_is_true(json_object_get(object, "replaced")),
     };
     return copy_text(member->name, sizeof(member->name), name) &&
            copy_text(member->zone, sizeof(member->zone), zone) &&
@@ -149,13 +150,17 @@
     char incarnation[HEX_SIZE];
     snprintf(incarnation, sizeof(incarnation), "%016" PRIx64,
              member->incarnation);
-    return json_pack(
+    json_t *object = json_pack(
         "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:b}", "name", member->name,
         "incarnation", incarnation, "zone", member->zone, "address",
         member->address, "http_port", (int)member->http_port, "peer_port",
         (int)member->peer_port, "renewals", (json_int_t)member->renewals,
         "seen", (json_int_t)member->seen, "joined", (json_int_t)member->joined,
         "leaving", (int)member->leaving);
+    if (member->replaced) {
+        json_object_set_new(object, "replaced", json_true());
+    }
+    return object;
 }
 
 char *
--- a/fleet/roster_doc.h
+++ b/fleet/roster_doc.h
@@ -3,9 +3,10 @@
  * store under yuccarun/roster/GROUP and changed by compare-and-swap.
  *
  * The version rises by one with each change of membership or of a leaving
- * flag, and a version makes exactly one such change; renewals, and what a
- * member reports in `seen`, change without a new version. Two documents with
- * the same version have the same members, so a version names a membership.
+ * flag, and a version makes exactly one such change; renewals, what a member
+ * reports in `seen` and that it was replaced change without a new version. Two
+ * documents with the same version have the same members, so a version names a
+ * membership.
  *
  *     roster_doc_t doc;
  *     if (roster_doc_parse(text, size, &doc, &err) != STATUS_OK) ...
@@ -34,6 +35,7 @@
     uint64_t seen;     /* version it has adopted and released work for */
     uint64_t joined;   /* version that added it */
     bool leaving;      /* owns nothing any more */
+    bool replaced;     /* another process listens on its address */
 } roster_member_t;
 
 typedef struct {
--- a/fleet/roster_lease.c
+++ b/fleet/roster_lease.c
@@ -142,23 +142,6 @@
            now_us - heartbeat->echo_us < roster->settings.grant_us;
 }
 
-/* Another process answers where a member should be. */
-static void
-roster_note_stranger(roster_t *roster, const roster_heartbeat_t *heartbeat,
-                     int64_t now_us)
-{
-    int i = roster_doc_find(&roster->doc, heartbeat->name);
-    if (i < 0 || !roster_echo_is_fresh(roster, heartbeat, now_us)) {
-        return;
-    }
-    const roster_member_t *member = &roster->doc.members[i];
-    if (member->peer_port == heartbeat->peer_port &&
-        strcmp(member->address, heartbeat->address) == 0 &&
-        roster->peers[i].replaced_us == 0) {
-        roster->peers[i].replaced_us = now_us;
-    }
-}
-
 static void
 roster_take_grant(roster_t *roster, roster_peer_t *peer,
                   const roster_heartbeat_t *heartbeat, int64_t now_us)
@@ -199,7 +182,6 @@
     }
     int i = roster_find(roster, heartbeat->name, heartbeat->incarnation);
     if (i < 0) {
-        roster_note_stranger(roster, heartbeat, now_us);
         return;
     }
     roster_peer_t *peer = &roster->peers[i];
@@ -268,9 +250,11 @@
 int64_t
 roster_act_until(const roster_t *roster, int64_t now_us)
 {
-    bool member = roster->self_index >= 0 && roster->renewed;
-    if (!member || roster->leaving ||
-        roster->doc.members[roster->self_index].leaving) {
+    if (roster->self_index < 0 || !roster->renewed || roster->leaving) {
+        return 0;
+    }
+    const roster_member_t *self = &roster->doc.members[roster->self_index];
+    if (self->leaving || self->replaced) {
         return 0;
     }
     int64_t held_us = roster->renewed_us + roster->settings.hold_us;
--- a/t/lib/roster_world.c
+++ b/t/lib/roster_world.c
@@ -245,9 +245,6 @@
     };
     if (heartbeat != NULL) {
         message->heartbeat = *heartbeat;
-        memcpy(message->heartbeat.address, world->nodes[from].self.address,
-               ADDRESS_SIZE);
-        message->heartbeat.peer_port = world->nodes[from].self.peer_port;
     }
 }
 
--- a/t/t0302-roster-doc.c
+++ b/t/t0302-roster-doc.c
@@ -24,6 +24,7 @@
         .seen = INT64_MAX,
         .joined = INT64_MAX,
         .leaving = true,
+        .replaced = true,
     };
     fill(member.name, sizeof(member.name), 'a');
     member.name[0] = (char)('A' + i);
@@ -54,7 +55,7 @@
     free(again);
     ck_assert_uint_eq(back.members[31].incarnation, UINT64_MAX - 31);
     ck_assert_uint_eq(back.members[31].renewals, INT64_MAX);
-    ck_assert(back.members[31].leaving);
+    ck_assert(back.members[31].leaving && back.members[31].replaced);
     ck_assert_str_eq(back.removed_name, doc.removed_name);
     roster_doc_remove(&back, 3);
     ck_assert_uint_eq(back.count, ROSTER_MEMBERS_MAX - 1);
