daemon: go by a configuration only while it is known to be the newest

A daemon cut off from the store and its peers went on with an old configuration for ever, so that a zone taken out could get new work; while the store was out an operator could not take a zone out at all; entry addresses named members that could not be reached.

--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -198,7 +198,8 @@
     if (world != NULL && world->leaving) {
         return REASON_LEAVING;
     }
-    if (world == NULL || world->config == NULL || !world->trusted) {
+    if (world == NULL || world->config == NULL ||
+        atomic_load(c->settings.trust_until_us) <= now_us) {
         return REASON_NO_CONFIG;
     }
     const table_row_t *row = config_row(world->config, request->service);
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -9,11 +9,7 @@
 #include <string.h>
 #include <time.h>
 
-enum {
-    TICK_US = 20000,
-    CONFIG_TEXT_SIZE_MAX = CONFIG_TEXT_MAX,
-    US_PER_S = 1000000
-};
+enum { TICK_US = 20000, US_PER_S = 1000000 };
 
 static roster_member_t
 self_member(const fleet_settings_t *settings)
@@ -49,6 +45,10 @@
     rules.seed = settings->incarnation;
     roster_member_t self = self_member(settings);
     fleet->roster = roster_new(&rules, &self);
+    confsync_settings_t sync = CONFSYNC_SETTINGS_DEFAULT;
+    member_settings_t silence = MEMBER_SETTINGS_DEFAULT;
+    confsync_init(&fleet->sync, &sync);
+    member_table_init(&fleet->members, &silence);
     fleet->store_up = true;
     fleet->vmlist_up = true;
     fleet->dirty = true;
@@ -69,6 +69,7 @@
     world_put(fleet->world);
     topology_put(fleet->topology);
     config_put(fleet->config);
+    config_put(fleet->effective);
     roster_free(fleet->roster);
     for (size_t i = 0; i < fleet->partition_count; i++) {
         free(fleet->partitions[i].shards);
@@ -86,6 +87,12 @@
     return &fleet->act_until_us;
 }
 
+const atomic_llong *
+fleet_trust_until_us(const fleet_t *fleet)
+{
+    return &fleet->trust_until_us;
+}
+
 static struct timespec
 timespec_of(int64_t at_us)
 {
@@ -130,68 +137,6 @@
     }
 }
 
-/* Lock held. */
-static bool
-take_config(fleet_t *fleet, config_t *config, event_t event,
-            const char *source)
-{
-    uint64_t have = fleet->config == NULL ? 0 : fleet->config->version;
-    if (config->version <= have) {
-        if (config->version < have) {
-            event_log(EVENT_CONFIG_OLDER,
-                      "version=%" PRIu64 " have=%" PRIu64 " from=%s",
-                      config->version, have, source);
-        }
-        return false;
-    }
-    config_put(fleet->config);
-    fleet->config = config_get(config);
-    fleet->dirty = true;
-    fleet->beat_due_us = 0;
-    pthread_cond_broadcast(&fleet->changed);
-    event_log(event, "version=%" PRIu64 " change=%s by=%s from=%s",
-              config->version, config->change, config->by, source);
-    return true;
-}
-
-bool
-fleet_config(fleet_t *fleet, config_t *config)
-{
-    pthread_mutex_lock(&fleet->lock);
-    bool taken = take_config(fleet, config, EVENT_CONFIG_IN_FORCE, "operator");
-    pthread_mutex_unlock(&fleet->lock);
-    return taken;
-}
-
-config_t *
-fleet_current_config(fleet_t *fleet)
-{
-    pthread_mutex_lock(&fleet->lock);
-    config_t *config =
-        fleet->config == NULL ? NULL : config_get(fleet->config);
-    pthread_mutex_unlock(&fleet->lock);
-    return config;
-}
-
-void
-fleet_take_config_text(fleet_t *fleet, const char *text, size_t size,
-                       const char *source)
-{
-    config_t *config;
-    error_t err = ERROR_INIT;
-    if (config_parse_json(text, size, &config, &err) != STATUS_OK) {
-        event_log(EVENT_CONFIG_REFUSED, "from=%s %s", source,
-                  error_text(&err));
-        return;
-    }
-    bool peer = strcmp(source, "store") != 0;
-    pthread_mutex_lock(&fleet->lock);
-    take_config(fleet, config,
-                peer ? EVENT_CONFIG_FROM_PEER : EVENT_CONFIG_IN_FORCE, source);
-    pthread_mutex_unlock(&fleet->lock);
-    config_put(config);
-}
-
 /* Lock held. */
 static void
 rebuild_topology(fleet_t *fleet, const char *cause)
@@ -338,7 +283,7 @@
     if (world == NULL) {
         return NULL;
     }
-    world->trusted = fleet->config != NULL;
+    world->trusted = fleet->trusted;
     world->leaving = fleet->refusing;
     if (fleet->world != NULL &&
         fleet->world->roster_version != world->roster_version) {
@@ -356,15 +301,46 @@
 static void
 update_lease(fleet_t *fleet, int64_t now_us)
 {
+    int64_t trust_us = confsync_trust_until(&fleet->sync);
     int64_t until_us = roster_act_until(fleet->roster, now_us);
-    atomic_store(&fleet->act_until_us, until_us);
     bool held = until_us > now_us;
-    if (held == fleet->held) {
-        return;
+    atomic_store(&fleet->trust_until_us, trust_us);
+    /* Work goes upstream only under a lease and a trusted configuration. */
+    atomic_store(&fleet->act_until_us,
+                 until_us < trust_us ? until_us : trust_us);
+    if (held != fleet->held) {
+        fleet->held = held;
+        event_log(held ? EVENT_LEASE_HELD : EVENT_LEASE_LOST,
+                  "roster=%" PRIu64, roster_version(fleet->roster));
+    }
+    bool trusted = fleet->config != NULL && trust_us > now_us;
+    if (trusted != fleet->trusted) {
+        fleet->trusted = trusted;
+        fleet->dirty = true;
+        event_log(trusted ? EVENT_CONFIG_TRUSTED : EVENT_CONFIG_UNTRUSTED,
+                  "version=%" PRIu64, fleet->sync.version);
+    }
+}
+
+/* Follow the roster's members and note who went silent. Lock held. */
+static void
+update_members(fleet_t *fleet, int64_t now_us)
+{
+    const char *self = fleet->settings.settings->name;
+    member_change_t changes[ROSTER_MEMBERS_MAX];
+    if (roster_version(fleet->roster) != fleet->members_version) {
+        fleet->members_version = roster_version(fleet->roster);
+        const roster_doc_t *doc = roster_members(fleet->roster);
+        member_table_sync(&fleet->members, doc, self, now_us);
+        confsync_take_members(&fleet->sync, doc, self);
+    }
+    size_t count = member_table_tick(&fleet->members, now_us, changes,
+                                     ROSTER_MEMBERS_MAX);
+    for (size_t i = 0; i < count && i < ROSTER_MEMBERS_MAX; i++) {
+        event_log(EVENT_MEMBER_STATE, "member=%s from=%s to=%s",
+                  changes[i].name, member_state_name(changes[i].from),
+                  member_state_name(changes[i].to));
     }
-    fleet->held = held;
-    event_log(held ? EVENT_LEASE_HELD : EVENT_LEASE_LOST, "roster=%" PRIu64,
-              roster_version(fleet->roster));
 }
 
 static void
@@ -423,13 +399,12 @@
 }
 
 static void
-send_beat(fleet_t *fleet, const beat_t *beat, uint64_t config_version,
+send_beat(fleet_t *fleet, const beat_t *beat, const confsync_word_t *word,
           bool store_failing)
 {
     heartbeat_buffer_t buffer;
     message_t message;
-    heartbeat_message(&beat->lease, config_version, store_failing, &buffer,
-                      &message);
+    heartbeat_message(&beat->lease, word, store_failing, &buffer, &message);
     error_t ignored = ERROR_INIT;
     peer_net_send(fleet->net, beat->name, beat->incarnation, &message,
                   &ignored);
@@ -456,6 +431,7 @@
     int64_t now_us = clock_now_us();
     release_settled(fleet, now_us);
     pthread_mutex_lock(&fleet->lock);
+    update_members(fleet, now_us);
     update_lease(fleet, now_us);
     uint64_t version = roster_version(fleet->roster);
     bool moved = fleet->world == NULL ||
@@ -466,8 +442,8 @@
     bool peers_changed = fleet->peers_version != version;
     fleet->peers_version = version;
     size_t count = collect_beats(fleet, now_us, beats);
-    uint64_t config_version =
-        fleet->config == NULL ? 0 : fleet->config->version;
+    confsync_word_t word;
+    confsync_word(&fleet->sync, now_us, &word);
     bool failing = !fleet->store_up;
     pthread_mutex_unlock(&fleet->lock);
     if (peers_changed) {
@@ -478,7 +454,7 @@
         world_put(world);
     }
     for (size_t i = 0; i < count; i++) {
-        send_beat(fleet, &beats[i], config_version, failing);
+        send_beat(fleet, &beats[i], &word, failing);
     }
 }
 
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -20,6 +20,8 @@
 #include "daemon/world.h"
 #include "edge/settings.h"
 #include "edge/store.h"
+#include "fleet/hold.h"
+#include "fleet/member.h"
 #include "net/peer.h"
 
 enum { FLEET_PEERS_MAX = ROSTER_MEMBERS_MAX };
@@ -42,8 +44,12 @@
 status_t fleet_start(fleet_t *fleet, peer_net_t *net, error_t *err);
 void fleet_stop(fleet_t *fleet);
 
-/* Until when the lease permits sending work; read by workers. */
+/*
+ * Until when lease and configuration permit sending work upstream, and until
+ * when the configuration may be gone by; read by workers.
+ */
 const atomic_llong *fleet_act_until_us(const fleet_t *fleet);
+const atomic_llong *fleet_trust_until_us(const fleet_t *fleet);
 
 /* A heartbeat, configuration, roster or partition from a peer. */
 void fleet_message(fleet_t *fleet, const char *peer, uint64_t incarnation,
@@ -55,6 +61,20 @@
 /* Take a configuration that the store has accepted; false: it is not newer. */
 bool fleet_config(fleet_t *fleet, config_t *config);
 
+/*
+ * Keep a zone or VM out, or let it in again, on all daemons that can be
+ * reached, before and without the store. False: there is no room, no
+ * configuration, or nothing held that could be let in.
+ */
+bool fleet_hold(fleet_t *fleet, hold_kind_t kind, const char *name, bool out,
+                const char *by);
+
+/* Whether a hold keeps the zone or VM out now. */
+bool fleet_is_held(fleet_t *fleet, hold_kind_t kind, const char *name);
+
+/* The connection to a peer ended. */
+void fleet_peer_down(fleet_t *fleet, const char *peer, bool reachable);
+
 /* The configuration in force, to be put back; NULL: none. */
 config_t *fleet_current_config(fleet_t *fleet);
 
@@ -75,6 +95,7 @@
     uint64_t incarnation;
     uint64_t config_version; /* last told; 0: never heard */
     int64_t silent_us;       /* since its last heartbeat */
+    member_state_t state;
     bool leaving;
     bool self;
 } fleet_member_t;
@@ -82,6 +103,10 @@
 /* Members of the roster; returns how many there are. */
 size_t fleet_members(fleet_t *fleet, fleet_member_t *out, size_t max);
 
+/* Whether each member of a view can be reached, as far as known here. */
+void fleet_member_states(fleet_t *fleet, const world_t *world,
+                         member_state_t states[ROSTER_MEMBERS_MAX]);
+
 /* Facts for status and metrics. */
 typedef struct {
     uint64_t config_version;
--- a/daemon/fleet_peers.c
+++ b/daemon/fleet_peers.c
@@ -3,6 +3,7 @@
 #include "daemon/heartbeat.h"
 #include "edge/event.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -30,7 +31,7 @@
                              ? &fleet->peers[fleet->peer_count++]
                              : oldest;
     *peer = (fleet_peer_t){.incarnation = incarnation, .heard_us = now_us};
-    strncpy(peer->name, name, NAME_SIZE - 1);
+    snprintf(peer->name, sizeof(peer->name), "%s", name);
     return peer;
 }
 
@@ -107,45 +108,110 @@
     return false;
 }
 
+static void
+send_holds(fleet_t *fleet, const char *peer, uint64_t incarnation)
+{
+    pthread_mutex_lock(&fleet->lock);
+    char *text = hold_set_format(&fleet->holds);
+    pthread_mutex_unlock(&fleet->lock);
+    if (text == NULL) {
+        return;
+    }
+    message_t message = {
+        .type = MESSAGE_ASK,
+        .ask =
+            {
+                .kind = ASK_HOLDS,
+                .json = text,
+                .size = strlen(text),
+            },
+    };
+    send_to(fleet, peer, incarnation, &message);
+    free(text);
+}
+
+/* What a heartbeat calls for, decided under the lock and done without it. */
+typedef struct {
+    bool answer;       /* the sender is no member: it needs one to act */
+    bool send_roster;  /* it is behind */
+    bool send_holds;   /* it has other holds */
+    bool send_request; /* it has a newer configuration */
+    uint64_t have;
+    bool failing;
+    roster_heartbeat_t lease;
+    confsync_word_t word;
+} beat_response_t;
+
+/* Take the heartbeat's facts. Lock held. */
+static void
+note_heartbeat(fleet_t *fleet, const roster_heartbeat_t *lease,
+               const confsync_word_t *word, beat_response_t *response)
+{
+    int64_t now_us = clock_now_us();
+    note_peer(fleet, lease->name, lease->incarnation, now_us)->config_version =
+        word->version;
+    roster_heartbeat_receive(fleet->roster, lease, now_us);
+    member_heard(&fleet->members, lease->name, lease->incarnation,
+                 lease->echo_us, now_us);
+    confsync_heard(&fleet->sync, lease->name, lease->incarnation, word,
+                   lease->echo_us,
+                   roster_grant_until(fleet->roster, lease->name), now_us);
+    *response = (beat_response_t){
+        .answer =
+            !is_member(roster_members(fleet->roster), lease->incarnation),
+        .send_roster = lease->version < roster_version(fleet->roster),
+        .send_holds = word->version == fleet->sync.version &&
+                      word->holds != fleet->sync.holds,
+        .send_request = confsync_is_newer(&fleet->sync, word->version),
+        .have = fleet->sync.version,
+        .failing = !fleet->store_up,
+    };
+    confsync_word(&fleet->sync, now_us, &response->word);
+    if (response->answer) {
+        roster_heartbeat_answer(fleet->roster, lease, now_us,
+                                &response->lease);
+    }
+}
+
 static void
 take_heartbeat(fleet_t *fleet, const char *peer, uint64_t incarnation,
                const heartbeat_t *heartbeat)
 {
     roster_heartbeat_t lease;
-    roster_heartbeat_t answer;
-    int64_t now_us = clock_now_us();
-    if (!heartbeat_lease(peer, incarnation, heartbeat, &lease)) {
+    confsync_word_t word;
+    beat_response_t response;
+    if (!heartbeat_lease(peer, incarnation, heartbeat, &lease) ||
+        !heartbeat_word(heartbeat, &word)) {
         return;
     }
     pthread_mutex_lock(&fleet->lock);
-    note_peer(fleet, peer, incarnation, now_us)->config_version =
-        heartbeat->config_version;
-    roster_heartbeat_receive(fleet->roster, &lease, now_us);
-    bool stranger = !is_member(roster_members(fleet->roster), incarnation);
-    if (stranger) {
-        roster_heartbeat_answer(fleet->roster, &lease, now_us, &answer);
-    }
-    bool behind = lease.version < roster_version(fleet->roster);
-    uint64_t have = fleet->config == NULL ? 0 : fleet->config->version;
-    bool failing = !fleet->store_up;
+    note_heartbeat(fleet, &lease, &word, &response);
     pthread_mutex_unlock(&fleet->lock);
-    if (stranger) {
+    if (response.answer) {
         heartbeat_buffer_t buffer;
         message_t message;
-        heartbeat_message(&answer, have, failing, &buffer, &message);
+        heartbeat_message(&response.lease, &response.word, response.failing,
+                          &buffer, &message);
         send_to(fleet, peer, incarnation, &message);
     }
-    if (behind) {
+    if (response.send_roster) {
         send_roster(fleet, peer, incarnation);
     }
-    if (heartbeat->config_version > have) {
-        request_config(fleet, peer, incarnation, have);
+    if (response.send_holds) {
+        send_holds(fleet, peer, incarnation);
+    }
+    if (response.send_request) {
+        request_config(fleet, peer, incarnation, response.have);
     }
 }
 
 static void
 take_ask(fleet_t *fleet, const ask_t *ask)
 {
+    if (ask->kind == ASK_HOLDS) {
+        fleet_take_holds(fleet, ask->json, ask->size);
+        return;
+    }
     if (ask->kind != ASK_ROSTER) {
         return;
     }
@@ -155,6 +221,17 @@
     pthread_mutex_unlock(&fleet->lock);
 }
 
+void
+fleet_peer_down(fleet_t *fleet, const char *peer, bool reachable)
+{
+    if (reachable) {
+        return;
+    }
+    pthread_mutex_lock(&fleet->lock);
+    member_failed(&fleet->members, peer, clock_now_us());
+    pthread_mutex_unlock(&fleet->lock);
+}
+
 void
 fleet_message(fleet_t *fleet, const char *peer, uint64_t incarnation,
               const message_t *message)
@@ -205,6 +282,7 @@
         };
         memcpy(out[i].name, member->name, NAME_SIZE);
         memcpy(out[i].zone, member->zone, NAME_SIZE);
+        out[i].state = member_state(&fleet->members, member->name);
         if (out[i].self) {
             out[i].config_version =
                 fleet->config == NULL ? 0 : fleet->config->version;
@@ -222,6 +300,17 @@
     return count;
 }
 
+void
+fleet_member_states(fleet_t *fleet, const world_t *world,
+                    member_state_t states[ROSTER_MEMBERS_MAX])
+{
+    pthread_mutex_lock(&fleet->lock);
+    for (size_t i = 0; i < world->member_count; i++) {
+        states[i] = member_state(&fleet->members, world->members[i].name);
+    }
+    pthread_mutex_unlock(&fleet->lock);
+}
+
 void
 fleet_facts(fleet_t *fleet, fleet_facts_t *facts)
 {
--- a/daemon/fleet_platform.c
+++ b/daemon/fleet_platform.c
@@ -7,16 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum {
-    CONFIG_WATCH_MS = 10000,
-    RETRY_US = 500000,
-    PARTITION_POLL_US = 2000000,
-    US_PER_MS = 1000,
-    IDLE_MAX_US = 200000
-};
+enum { PARTITION_POLL_US = 2000000, US_PER_MS = 1000, IDLE_MAX_US = 200000 };
 
-static bool
-open_store(fleet_t *fleet, store_client_t *store)
+bool
+fleet_open_store(fleet_t *fleet, store_client_t *store)
 {
     const settings_t *settings = fleet->settings.settings;
     error_t err = ERROR_INIT;
@@ -29,18 +23,18 @@
     return status == STATUS_OK;
 }
 
-static bool
-status_is_answer(status_t status)
+bool
+fleet_status_is_answer(status_t status)
 {
     return status == STATUS_OK || status == STATUS_NOT_FOUND ||
            status == STATUS_CONFLICT;
 }
 
-static void
-note_store(fleet_t *fleet, status_t status, error_t *err)
+void
+fleet_note_store(fleet_t *fleet, status_t status, error_t *err)
 {
     pthread_mutex_lock(&fleet->lock);
-    fleet_store_state(fleet, status_is_answer(status), err);
+    fleet_store_state(fleet, fleet_status_is_answer(status), err);
     pthread_mutex_unlock(&fleet->lock);
 }
 
@@ -55,7 +49,7 @@
                        value.size, clock_now_us());
     pthread_mutex_unlock(&fleet->lock);
     store_value_release(&value);
-    note_store(fleet, status, &err);
+    fleet_note_store(fleet, status, &err);
 }
 
 static void
@@ -70,7 +64,7 @@
     pthread_mutex_lock(&fleet->lock);
     roster_write_result(fleet->roster, status, clock_now_us());
     pthread_mutex_unlock(&fleet->lock);
-    note_store(fleet, status, &err);
+    fleet_note_store(fleet, status, &err);
 }
 
 /* One step with the store, or a wait until the next is due. */
@@ -102,7 +96,7 @@
     char key[STORE_KEY_MAX_BYTES];
     snprintf(key, sizeof(key), "yuccarun/roster/%u",
              fleet->settings.settings->group);
-    if (!open_store(fleet, &store)) {
+    if (!fleet_open_store(fleet, &store)) {
         return NULL;
     }
     while (!atomic_load(&fleet->stopping)) {
@@ -112,36 +106,6 @@
     return NULL;
 }
 
-void *
-fleet_config_main(void *context)
-{
-    fleet_t *fleet = context;
-    store_client_t store;
-    uint64_t index = 0;
-    if (!open_store(fleet, &store)) {
-        return NULL;
-    }
-    while (!atomic_load(&fleet->stopping)) {
-        store_value_t value;
-        error_t err = ERROR_INIT;
-        status_t status =
-            store_watch(&store, STORE_KEY_CONFIG, index,
-                        index == 0 ? 0 : CONFIG_WATCH_MS, &value, &err);
-        if (status == STATUS_OK) {
-            fleet_take_config_text(fleet, value.text, value.size, "store");
-        }
-        bool answered = status_is_answer(status);
-        bool waited = answered && value.watch_index != 0 && index != 0;
-        index = answered ? value.watch_index : 0;
-        store_value_release(&value);
-        if (!waited) {
-            fleet_sleep(fleet, RETRY_US);
-        }
-    }
-    store_release(&store);
-    return NULL;
-}
-
 static void
 read_partition(fleet_t *fleet, const store_client_t *store,
                const char *service)
@@ -210,7 +174,7 @@
     vmlist_client_t vmlist;
     error_t err = ERROR_INIT;
     int64_t partitions_due_us = 0;
-    if (!open_store(fleet, &store)) {
+    if (!fleet_open_store(fleet, &store)) {
         return NULL;
     }
     if (vmlist_http_init(&vmlist, settings->vmlist_url,
--- a/daemon/fleet_state.h
+++ b/daemon/fleet_state.h
@@ -6,6 +6,8 @@
 #define DAEMON_FLEET_STATE_H
 
 #include "daemon/fleet.h"
+#include "fleet/confsync.h"
+#include "fleet/hold.h"
 
 #include <pthread.h>
 
@@ -17,17 +19,33 @@
     int64_t heard_us;
 } fleet_peer_t;
 
+/* A hold that this daemon was told of by an operator and must store. */
+typedef struct {
+    hold_kind_t kind;
+    char name[NAME_SIZE];
+    char by[NAME_SIZE];
+} fleet_hold_t;
+
 struct fleet {
     fleet_settings_t settings;
     peer_net_t *net;
     store_counters_t counters;
     atomic_llong act_until_us;
+    atomic_llong trust_until_us;
     atomic_bool stopping;
     pthread_mutex_t lock;
     pthread_cond_t changed; /* something waits to be published or sent */
 
     roster_t *roster;
-    config_t *config;
+    member_table_t members;
+    uint64_t members_version; /* roster that members and sync follow */
+    confsync_t sync;
+    hold_set_t holds;
+    fleet_hold_t own_holds[HOLDS_MAX];
+    size_t own_hold_count;
+    config_t *config;    /* as accepted by the store */
+    config_t *effective; /* with the holds applied */
+    bool trusted;
     upstream_info_t *upstreams;
     size_t upstream_count;
     partition_t *partitions;
@@ -62,9 +80,16 @@
 /* Note whether the store answered; logs the change. Lock held. */
 void fleet_store_state(fleet_t *fleet, bool up, error_t *err);
 
-/* Take what the store holds under the configuration's key. */
+/* Take a configuration that a peer sent. */
 void fleet_take_config_text(fleet_t *fleet, const char *text, size_t size,
-                            const char *source);
+                            const char *peer);
+
+/* Take what a peer holds out of service. */
+void fleet_take_holds(fleet_t *fleet, const char *text, size_t size);
+
+bool fleet_open_store(fleet_t *fleet, store_client_t *store);
+void fleet_note_store(fleet_t *fleet, status_t status, error_t *err);
+bool fleet_status_is_answer(status_t status);
 
 /* Replace the list of upstreams, which the fleet then owns. */
 void fleet_take_upstreams(fleet_t *fleet, upstream_info_t *upstreams,
--- a/daemon/heartbeat.c
+++ b/daemon/heartbeat.c
@@ -14,7 +14,11 @@
     AT_FLAGS = 32
 };
 
+/* Offsets of the fields within the word's bytes; the version comes first. */
+enum { AT_HOLDS = 8, AT_TRUST = 16 };
+
 #define LEASE_KEY "lease"
+#define WORD_KEY "config"
 
 static void
 put_word(uint8_t *out, uint64_t word)
@@ -46,52 +50,92 @@
                     (lease->holding ? FLAG_HOLDING : 0);
 }
 
+static void
+word_encode(const confsync_word_t *word, uint8_t out[HEARTBEAT_WORD_BYTES])
+{
+    put_word(out, word->version);
+    put_word(out + AT_HOLDS, word->holds);
+    put_word(out + AT_TRUST, (uint64_t)word->trust_us);
+}
+
 void
-heartbeat_message(const roster_heartbeat_t *lease, uint64_t config_version,
+heartbeat_message(const roster_heartbeat_t *lease, const confsync_word_t *word,
                   bool store_failing, heartbeat_buffer_t *buffer,
                   message_t *message)
 {
     lease_encode(lease, buffer->lease);
-    buffer->pair = (pair_t){
+    word_encode(word, buffer->word);
+    buffer->pairs[0] = (pair_t){
         .key = LEASE_KEY,
         .value = buffer->lease,
         .size = sizeof(buffer->lease),
     };
+    buffer->pairs[1] = (pair_t){
+        .key = WORD_KEY,
+        .value = buffer->word,
+        .size = sizeof(buffer->word),
+    };
     *message = (message_t){
         .type = MESSAGE_HEARTBEAT,
         .heartbeat =
             {
                 .roster_version = lease->version,
-                .config_version = config_version,
+                .config_version = word->version,
                 .store_failing = store_failing,
-                .pairs = &buffer->pair,
-                .pair_count = 1,
+                .pairs = buffer->pairs,
+                .pair_count = HEARTBEAT_PAIRS,
             },
     };
 }
 
-bool
-heartbeat_lease(const char *peer, uint64_t incarnation,
-                const heartbeat_t *heartbeat, roster_heartbeat_t *lease)
+/* The value of a pair of exactly this size; NULL: there is none. */
+static const uint8_t *
+find_pair(const heartbeat_t *heartbeat, const char *key, size_t size)
 {
     for (size_t i = 0; i < heartbeat->pair_count; i++) {
         const pair_t *pair = &heartbeat->pairs[i];
-        if (strcmp(pair->key, LEASE_KEY) != 0 ||
-            pair->size != HEARTBEAT_LEASE_BYTES) {
-            continue;
+        if (strcmp(pair->key, key) == 0 && pair->size == size) {
+            return pair->value;
         }
-        uint8_t flags = pair->value[AT_FLAGS];
-        *lease = (roster_heartbeat_t){
-            .incarnation = incarnation,
-            .version = get_word(pair->value + AT_VERSION),
-            .seen = get_word(pair->value + AT_SEEN),
-            .sent_us = (int64_t)get_word(pair->value + AT_SENT),
-            .echo_us = (int64_t)get_word(pair->value + AT_ECHO),
-            .granting = (flags & FLAG_GRANTING) != 0,
-            .holding = (flags & FLAG_HOLDING) != 0,
-        };
-        snprintf(lease->name, sizeof(lease->name), "%s", peer);
-        return true;
     }
-    return false;
+    return NULL;
+}
+
+bool
+heartbeat_lease(const char *peer, uint64_t incarnation,
+                const heartbeat_t *heartbeat, roster_heartbeat_t *lease)
+{
+    const uint8_t *value =
+        find_pair(heartbeat, LEASE_KEY, HEARTBEAT_LEASE_BYTES);
+    if (value == NULL) {
+        return false;
+    }
+    uint8_t flags = value[AT_FLAGS];
+    *lease = (roster_heartbeat_t){
+        .incarnation = incarnation,
+        .version = get_word(value + AT_VERSION),
+        .seen = get_word(value + AT_SEEN),
+        .sent_us = (int64_t)get_word(value + AT_SENT),
+        .echo_us = (int64_t)get_word(value + AT_ECHO),
+        .granting = (flags & FLAG_GRANTING) != 0,
+        .holding = (flags & FLAG_HOLDING) != 0,
+    };
+    snprintf(lease->name, sizeof(lease->name), "%s", peer);
+    return true;
+}
+
+bool
+heartbeat_word(const heartbeat_t *heartbeat, confsync_word_t *word)
+{
+    const uint8_t *value =
+        find_pair(heartbeat, WORD_KEY, HEARTBEAT_WORD_BYTES);
+    if (value == NULL) {
+        return false;
+    }
+    *word = (confsync_word_t){
+        .version = get_word(value),
+        .holds = get_word(value + AT_HOLDS),
+        .trust_us = (int64_t)get_word(value + AT_TRUST),
+    };
+    return true;
 }
--- a/daemon/heartbeat.h
+++ b/daemon/heartbeat.h
@@ -7,24 +7,33 @@
 #ifndef DAEMON_HEARTBEAT_H
 #define DAEMON_HEARTBEAT_H
 
+#include "fleet/confsync.h"
 #include "fleet/roster.h"
 #include "proto/message.h"
 
-enum { HEARTBEAT_LEASE_BYTES = 33 };
+enum {
+    HEARTBEAT_LEASE_BYTES = 33,
+    HEARTBEAT_WORD_BYTES = 24,
+    HEARTBEAT_PAIRS = 2
+};
 
 /* The arrays that a heartbeat message points to; outlives its sending. */
 typedef struct {
     uint8_t lease[HEARTBEAT_LEASE_BYTES];
-    pair_t pair;
+    uint8_t word[HEARTBEAT_WORD_BYTES];
+    pair_t pairs[HEARTBEAT_PAIRS];
 } heartbeat_buffer_t;
 
 /* Fill message from both; buffer backs it. */
 void heartbeat_message(const roster_heartbeat_t *lease,
-                       uint64_t config_version, bool store_failing,
+                       const confsync_word_t *word, bool store_failing,
                        heartbeat_buffer_t *buffer, message_t *message);
 
 /* The lease's part of a heartbeat; false: it has none that can be read. */
 bool heartbeat_lease(const char *peer, uint64_t incarnation,
                      const heartbeat_t *heartbeat, roster_heartbeat_t *lease);
 
+/* What the sender says of its configuration; false: nothing to be read. */
+bool heartbeat_word(const heartbeat_t *heartbeat, confsync_word_t *word);
+
 #endif
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -61,6 +61,7 @@
                 },
             .upstream = &upstream_http_ops,
             .act_until_us = fleet_act_until_us(node->fleet),
+            .trust_until_us = fleet_trust_until_us(node->fleet),
             .drain_us = DRAIN_US,
             .seed = node->incarnation + i,
             .route = node_route(node),
--- a/daemon/node_once.c
+++ b/daemon/node_once.c
@@ -2,6 +2,7 @@
 #include "daemon/clock.h"
 #include "daemon/node_state.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -415,7 +416,7 @@
         .ask = ask->id,
         .begun = {.started_us = clock_now_us()},
     };
-    strncpy(passed.peer, peer, NAME_SIZE - 1);
+    snprintf(passed.peer, sizeof(passed.peer), "%s", peer);
     error_t err = ERROR_INIT;
     caller_query_t query;
     json_t *root =
--- a/daemon/node_operator.c
+++ b/daemon/node_operator.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-enum { CONFIRM_MS_MAX = 10000 };
+enum { CONFIRM_MS_MAX = 10000, HELD_TIMEOUT_US = 3000000 };
 
 static config_t *
 current(void *context)
@@ -43,6 +43,10 @@
     node_t *node = context;
     store_client_t store;
     change_settings_t rules = CHANGE_SETTINGS_DEFAULT;
+    if (edit->kind != CHANGE_ROWS && edit->out) {
+        /* The hold is at work already; the store may follow later. */
+        rules.timeout_us = HELD_TIMEOUT_US;
+    }
     rules.seed = node->incarnation ^ (uint64_t)clock_now_us();
     if (store_http_init(&store, node->settings.store_url,
                         node->settings.store_timeout_ms,
@@ -59,6 +63,27 @@
     return change;
 }
 
+static hold_kind_t
+hold_kind(const change_edit_t *edit)
+{
+    return edit->kind == CHANGE_ZONE ? HOLD_ZONE : HOLD_VM;
+}
+
+static bool
+hold(void *context, const change_edit_t *edit)
+{
+    node_t *node = context;
+    return fleet_hold(node->fleet, hold_kind(edit), edit->name, edit->out,
+                      edit->by);
+}
+
+static bool
+is_held(void *context, const change_edit_t *edit)
+{
+    node_t *node = context;
+    return fleet_is_held(node->fleet, hold_kind(edit), edit->name);
+}
+
 static bool
 is_known(void *context, change_kind_t kind, const char *name)
 {
@@ -88,6 +113,7 @@
 {
     (void)context;
     event_t event = result == OPERATOR_DENIED     ? EVENT_OPERATOR_DENIED
+                    : result == OPERATOR_HELD     ? EVENT_HOLDS
                     : result == OPERATOR_ACCEPTED ? EVENT_CONFIG_CHANGED
                                                   : EVENT_CONFIG_REFUSED;
     event_log(event, "result=%s %s", operator_result_name(result),
@@ -98,6 +124,8 @@
     .current = current,
     .confirmations = confirmations,
     .run_change = run_change,
+    .hold = hold,
+    .is_held = is_held,
     .is_known = is_known,
     .report = report,
 };
--- a/daemon/node_route.c
+++ b/daemon/node_route.c
@@ -343,6 +343,7 @@
     node_t *node = context;
     event_log(EVENT_PEER_DOWN, "peer=%s reachable=%d cause=%s", peer,
               reachable ? 1 : 0, err->message);
+    fleet_peer_down(node->fleet, peer, reachable);
     asks_peer_down(&node->asks, incarnation);
     for (unsigned i = 0; i < node->worker_count; i++) {
         mail_t *mail = mail_new(MAIL_PEER_DOWN);
--- a/daemon/node_status.c
+++ b/daemon/node_status.c
@@ -3,12 +3,12 @@
 #include "daemon/metrics.h"
 #include "daemon/node_state.h"
 #include "edge/event.h"
+#include "fleet/entries.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 enum {
     HTTP_OK = 200,
@@ -56,43 +56,34 @@
                      member->zone);
 }
 
-/* A place in the order of entries: near first, then spread. */
-static uint64_t
-entry_rank(const world_t *world, const roster_member_t *member,
-           const char *zone, uint64_t spread)
-{
-    bool out = world->config != NULL &&
-               (config_zone_is_out(world->config, member->zone) ||
-                config_vm_is_out(world->config, member->name));
-    uint64_t rank = XXH64(member->name, strlen(member->name), spread) >> 4;
-    rank |= strcmp(member->zone, zone) == 0 ? 0 : UINT64_C(1) << 60;
-    rank |= out || member->leaving ? UINT64_C(1) << 61 : 0;
-    return rank;
-}
-
 static json_t *
-entries_json(node_t *node, const world_t *world, const char *zone)
+entries_json(node_t *node, const world_t *world, const char *zone,
+             uint32_t *keep_ms)
 {
+    member_state_t states[ROSTER_MEMBERS_MAX];
+    entry_candidate_t candidates[ROSTER_MEMBERS_MAX];
+    size_t picked[ENTRIES_MAX];
     json_t *entries = json_array();
-    uint64_t spread = (uint64_t)atomic_fetch_add(&node->next_worker, 1);
-    uint64_t last = 0;
-    for (size_t taken = 0; taken < world->member_count; taken++) {
-        uint64_t best = UINT64_MAX;
-        size_t index = 0;
-        for (size_t i = 0; i < world->member_count; i++) {
-            uint64_t rank =
-                entry_rank(world, &world->members[i], zone, spread);
-            if (rank < best && (taken == 0 || rank > last)) {
-                best = rank;
-                index = i;
-            }
-        }
-        bool excluded = (best & (UINT64_C(1) << 61)) != 0;
-        if (best == UINT64_MAX || (excluded && json_array_size(entries) > 0)) {
-            break;
-        }
-        last = best;
-        json_array_append_new(entries, entry_json(&world->members[index]));
+    fleet_member_states(node->fleet, world, states);
+    for (size_t i = 0; i < world->member_count; i++) {
+        const roster_member_t *member = &world->members[i];
+        candidates[i] = (entry_candidate_t){
+            .name = member->name,
+            .zone = member->zone,
+            .state = states[i],
+            .leaving = member->leaving ||
+                       ((int)i == world->self && atomic_load(&node->leaving)),
+            .out = world->config != NULL &&
+                   (config_zone_is_out(world->config, member->zone) ||
+                    config_vm_is_out(world->config, member->name)),
+        };
+    }
+    uint64_t seed = atomic_fetch_add(&node->next_worker, 1);
+    size_t count =
+        entries_pick(candidates, world->member_count, zone,
+                     node->incarnation ^ seed, picked, ENTRIES_MAX, keep_ms);
+    for (size_t i = 0; i < count; i++) {
+        json_array_append_new(entries, entry_json(&world->members[picked[i]]));
     }
     return entries;
 }
@@ -102,12 +93,17 @@
 {
     node_t *node = context;
     world_t *world = fleet_world(node->fleet);
+    uint32_t keep_ms = ENTRIES_KEEP_POOR_MS;
     *status = HTTP_OK;
-    json_t *entries =
-        world == NULL ? json_array() : entries_json(node, world, zone);
+    json_t *entries = world == NULL
+                          ? json_array()
+                          : entries_json(node, world, zone, &keep_ms);
     world_put(world);
+    if (keep_ms > node->settings.drain_keep_ms) {
+        keep_ms = node->settings.drain_keep_ms;
+    }
     return json_pack("{s:o, s:i}", "entries", entries, "keep_ms",
-                     (int)node->settings.drain_keep_ms);
+                     (int)keep_ms);
 }
 
 json_t *
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -188,6 +188,7 @@
         .worker = worker->settings.index,
         .queries_max = worker->settings.queries_max,
         .seed = worker->settings.seed,
+        .trust_until_us = worker->settings.trust_until_us,
         .stats = worker->stats,
         .sink =
             {
--- a/daemon/worker.h
+++ b/daemon/worker.h
@@ -42,6 +42,7 @@
     gate_settings_t gate;
     const upstream_ops_t *upstream;
     const atomic_llong *act_until_us;
+    const atomic_llong *trust_until_us;
     int64_t drain_us;
     uint64_t seed;
     route_t route;
--- a/edge/event.h
+++ b/edge/event.h
@@ -41,6 +41,8 @@
     X(CONFIG_CHANGED, 204, "config_changed_by_operator", INFO)                \
     X(CONFIG_UNTRUSTED, 205, "config_untrusted", ERROR)                       \
     X(CONFIG_TRUSTED, 206, "config_trusted_again", INFO)                      \
+    X(CONFIG_WRITTEN_BACK, 208, "config_written_back", WARN)                  \
+    X(HOLDS, 207, "holds_changed", WARN)                                      \
     X(STORE_DOWN, 300, "store_down", ERROR)                                   \
     X(STORE_BACK, 301, "store_back", INFO)                                    \
     X(VMLIST_DOWN, 310, "vm_list_down", WARN)                                 \
@@ -55,7 +57,7 @@
     X(OWNERS_CHANGED, 405, "owners_changed", INFO)                            \
     X(PEER_UP, 410, "peer_up", INFO)                                          \
     X(PEER_DOWN, 411, "peer_down", WARN)                                      \
-    X(PEER_SUSPECT, 412, "peer_suspect", WARN)                                \
+    X(MEMBER_STATE, 412, "member_state", WARN)                                \
     X(UPSTREAM_COLD, 500, "upstream_cold", WARN)                              \
     X(UPSTREAM_WARM, 501, "upstream_warm", INFO)                              \
     X(UPSTREAM_REPLY, 502, "upstream_bad_reply", WARN)                        \
--- a/edge/operator.c
+++ b/edge/operator.c
@@ -17,6 +17,7 @@
 
 enum {
     HTTP_OK = 200,
+    HTTP_ACCEPTED = 202,
     HTTP_BAD_REQUEST = 400,
     HTTP_UNAUTHORIZED = 401,
     HTTP_CONFLICT = 409,
@@ -42,6 +43,7 @@
     [OPERATOR_BAD_REQUEST] = "bad_request",
     [OPERATOR_ACCEPTED] = "accepted",
     [OPERATOR_CONFLICT] = "conflict",
+    [OPERATOR_HELD] = "held",
     [OPERATOR_REFUSED] = "refused",
     [OPERATOR_UNKNOWN] = "unknown",
 };
@@ -218,6 +220,29 @@
         "by", outcome->other.by, "rows", operator_rows_body(outcome->config));
 }
 
+/* The store did not take it, and the daemons keep it out meanwhile. */
+static int
+reply_held(operator_t *operators, const struct _u_request *request,
+           struct _u_response *response, const change_edit_t *edit,
+           const change_outcome_t *outcome)
+{
+    json_t *body = json_pack("{s:b, s:s, s:s}", "held", 1, "change", edit->id,
+                             "error", outcome->err.message);
+    return reply(operators, request, response, OPERATOR_HELD, HTTP_ACCEPTED,
+                 body);
+}
+
+static bool
+outcome_is_held(operator_t *operators, const change_edit_t *edit,
+                const change_outcome_t *outcome)
+{
+    bool stored = outcome->status == STATUS_OK ||
+                  outcome->status == STATUS_CONFLICT ||
+                  outcome->status == STATUS_INVALID;
+    return !stored && edit->kind != CHANGE_ROWS && edit->out &&
+           operators->ops->is_held(operators->daemon, edit);
+}
+
 /* Answer with the final outcome of a change. */
 static int
 reply_outcome(operator_t *operators, const struct _u_request *request,
@@ -225,6 +250,9 @@
               const change_outcome_t *outcome)
 {
     json_t *body;
+    if (outcome_is_held(operators, edit, outcome)) {
+        return reply_held(operators, request, response, edit, outcome);
+    }
     switch (outcome->status) {
     case STATUS_OK:
         confirmations_wait(operators, outcome->version);
@@ -271,6 +299,10 @@
         snprintf(edit->id, sizeof(edit->id), "%016" PRIx64 "-%" PRIu64,
                  operators->settings.incarnation, number);
     }
+    if (edit->kind != CHANGE_ROWS) {
+        /* What only takes work away need not wait for the store. */
+        operators->ops->hold(operators->daemon, edit);
+    }
     error_t err = ERROR_INIT;
     change_t *change =
         operators->ops->run_change(operators->daemon, edit, &err);
--- a/edge/operator.h
+++ b/edge/operator.h
@@ -36,6 +36,7 @@
     OPERATOR_DENIED,      /* no token or a wrong one */
     OPERATOR_BAD_REQUEST, /* the request or the table breaks a rule */
     OPERATOR_ACCEPTED,
+    OPERATOR_HELD, /* kept out by the daemons, not yet in the store */
     OPERATOR_CONFLICT,
     OPERATOR_REFUSED, /* proven not in force: store down, too many at once */
     OPERATOR_UNKNOWN, /* the store did not confirm */
@@ -58,6 +59,15 @@
     change_t *(*run_change)(void *daemon, const change_edit_t *edit,
                             error_t *err);
 
+    /*
+     * Keep the zone or VM of an edit out on all daemons at once, or let it in
+     * again, without the store; true when that is now so.
+     */
+    bool (*hold)(void *daemon, const change_edit_t *edit);
+
+    /* Whether the zone or VM of an edit is kept out without the store. */
+    bool (*is_held)(void *daemon, const change_edit_t *edit);
+
     /* Whether a zone or VM of this name was seen in the VM list. */
     bool (*is_known)(void *daemon, change_kind_t kind, const char *name);
 
--- a/proto/message.h
+++ b/proto/message.h
@@ -127,6 +127,7 @@
     ASK_EXPLAIN, /* what the receiver knows of one query */
     ASK_CANCEL,  /* cancel a query that runs at the receiver */
     ASK_ROSTER,  /* a roster document; not answered */
+    ASK_HOLDS,   /* zones and VMs held out; not answered */
     ASK_KIND_COUNT
 } ask_kind_t;
 
--- a/t/t0407-operator.c
+++ b/t/t0407-operator.c
@@ -31,6 +31,8 @@
     config_t *config;
     char reported[ERROR_TEXT_MAX];
     unsigned int reports;
+    bool holds; /* it can keep a zone out without the store */
+    bool held;
 } fake_daemon_t;
 
 static config_t *
@@ -75,6 +77,27 @@
     return change;
 }
 
+static bool
+daemon_hold(void *user, const change_edit_t *edit)
+{
+    fake_daemon_t *daemon = user;
+    pthread_mutex_lock(&daemon->lock);
+    daemon->held = daemon->holds && edit->out;
+    pthread_mutex_unlock(&daemon->lock);
+    return daemon->holds;
+}
+
+static bool
+daemon_is_held(void *user, const change_edit_t *edit)
+{
+    (void)edit;
+    fake_daemon_t *daemon = user;
+    pthread_mutex_lock(&daemon->lock);
+    bool held = daemon->held;
+    pthread_mutex_unlock(&daemon->lock);
+    return held;
+}
+
 static bool
 daemon_is_known(void *user, change_kind_t kind, const char *name)
 {
@@ -97,6 +120,8 @@
     .current = daemon_current,
     .confirmations = daemon_confirmations,
     .run_change = daemon_run_change,
+    .hold = daemon_hold,
+    .is_held = daemon_is_held,
     .is_known = daemon_is_known,
     .report = daemon_report,
 };
@@ -521,6 +546,16 @@
     free(text);
     ck_assert_uint_eq(operator_count(bench.operators, OPERATOR_REFUSED), 1);
     ck_assert_uint_eq(operator_count(bench.operators, OPERATOR_UNKNOWN), 1);
+    /* What daemons keep out by themselves is said so, and only that. */
+    bench.daemon.holds = true;
+    fake_store_script(bench.daemon.store, down, 15);
+    ck_assert_int_eq(bench_send(&bench, &request, &text), 202);
+    ck_assert_ptr_nonnull(strstr(text, "\"held\":true"));
+    free(text);
+    request.body = "{\"state\":\"in\",\"by\":\"carol\"}";
+    fake_store_script(bench.daemon.store, down, 15);
+    ck_assert_int_eq(bench_send(&bench, &request, &text), 503);
+    free(text);
     bench_release(&bench);
 }
 END_TEST
