core: count no crash for what was never sent

A part that a dead upstream's port refused was remembered as lost, and when the upstream came back with a new boot id the part counted as a suspect, or as alone in a crash. gate_result_t gains not_run for it, and such a part is no sample of the service time either.

--- a/core/gate.c
+++ b/core/gate.c
@@ -271,7 +271,8 @@
 static void
 target_measure(target_t *target, const gate_result_t *result)
 {
-    bool timed_out = result->status == PART_LOST && !result->reset;
+    bool timed_out =
+        result->status == PART_LOST && !result->reset && !result->not_run;
     if ((result->status != PART_OK && !timed_out) || result->service_us <= 0) {
         return;
     }
--- a/core/gate.h
+++ b/core/gate.h
@@ -49,6 +49,7 @@
     uint64_t boot;          /* upstream's boot id, 0: not seen */
     bool cold;              /* the reply said the upstream is cold */
     bool reset;             /* PART_LOST: connection broke, no timeout */
+    bool not_run;           /* PART_LOST: nothing of it was ever sent */
     int64_t retry_after_us; /* from a shed reply, 0: no advice */
 } gate_result_t;
 
--- a/core/gate_suspect.c
+++ b/core/gate_suspect.c
@@ -72,7 +72,7 @@
     if (result->status == PART_OK) {
         quarantine_pass(gate->quarantine, entry->fingerprint, now_us);
     }
-    else if (result->status == PART_LOST) {
+    else if (result->status == PART_LOST && !result->not_run) {
         bool restarted = entry->boot != 0 && entry->boot != target->boot;
         crash_loss_t loss = {.fingerprint = entry->fingerprint,
                              .alone = entry->started_alone &&
--- a/t/t0206-quarantine.c
+++ b/t/t0206-quarantine.c
@@ -35,6 +35,14 @@
     {                                                                         \
         .op = OP_FINISH, .part = (n), .result = {.status = PART_LOST }        \
     }
+#define UNSENT(n)                                                             \
+    {                                                                         \
+        .op = OP_FINISH, .part = (n), .result = {                             \
+            .status = PART_LOST,                                              \
+            .reset = true,                                                    \
+            .not_run = true                                                   \
+        }                                                                     \
+    }
 #define WARM(up)                                                              \
     {                                                                         \
         .op = OP_WARM, .upstream = (up)                                       \
@@ -77,6 +85,10 @@
     {"a timeout across a restart makes a suspect",
      {WARM(D0), WARM(D2), SUBMIT(1, D0, 5, SEND), SUBMIT(2, D0, 6, SEND),
       GOOD(2, 8), TIMEOUT(1), SUBMIT(3, D0, 5, SEND), SUBMIT(4, D2, 5, WAIT)}},
+    {"what was never sent did not crash it",
+     {WARM(D0), SUBMIT(1, D0, 5, SEND), UNSENT(1), SUBMIT(2, D0, 5, SEND),
+      UNSENT(2), SUBMIT(3, D0, 6, SEND), GOOD(3, 8), SUBMIT(4, D0, 5, SEND),
+      GOOD(4, 8), SUBMIT(5, D2, 5, SEND)}},
     {"a suspect cancelled while it waits gives way to the next",
      {WARM(D0),
       WARM(D2),
