--- a/core/intent.c
+++ b/core/intent.c
@@ -79,6 +79,12 @@
     return at;
 }
 
+static bool
+list_has(const hash_list_t *list, uint64_t hash)
+{
+    return list_find(list, hash) < list->count;
+}
+
 static void
 list_forget(hash_list_t *list, uint64_t hash)
 {
@@ -135,6 +141,9 @@
         verdict.writer = writer;
         return verdict;
     }
+    if (list_has(&log->pending, hash) || list_has(&log->flight, hash)) {
+        return verdict;
+    }
     if (waiting >= INTENT_PENDING_MAX) {
         verdict.status = INTENT_FULL;
         return verdict;
@@ -147,7 +156,7 @@
 intent_withdraw(intent_log_t *log, uint64_t hash)
 {
     if (log->withdrawn.count < INTENT_PENDING_MAX &&
-        list_find(&log->withdrawn, hash) == log->withdrawn.count) {
+        !list_has(&log->withdrawn, hash)) {
         log->withdrawn.hashes[log->withdrawn.count++] = hash;
     }
 }
@@ -164,7 +173,7 @@
         return false;
     }
     return *writer != log->settings.incarnation ||
-           list_find(&log->withdrawn, hash) == log->withdrawn.count;
+           !list_has(&log->withdrawn, hash);
 }
 
 /* Answer the pending ids that are taken. */
--- a/core/intent.h
+++ b/core/intent.h
@@ -67,7 +67,9 @@
 
 /*
  * An id that this incarnation has not run (once_begin_id says so) is to run.
- * Any status but INTENT_WAIT is final.
+ * Any status but INTENT_WAIT is final. An id that waits already joins that:
+ * there is one verdict for both. Whoever no longer wants to run an id when
+ * INTENT_RUN comes for it must withdraw it.
  */
 intent_verdict_t intent_submit(intent_log_t *log, uint64_t hash);
 
--- a/t/t0208-intent.c
+++ b/t/t0208-intent.c
@@ -165,6 +165,32 @@
 }
 END_TEST
 
+/* Two that wait for one id get one verdict, also after a write is lost. */
+START_TEST(test_joined)
+{
+    intent_log_t *log = intent_log_new(&settings, 0);
+    intent_action_t action;
+    intent_verdict_t verdict;
+    uint64_t id = 5;
+    ck_assert_int_eq(intent_submit(log, id).status, INTENT_WAIT);
+    ck_assert_int_eq(intent_submit(log, id).status, INTENT_WAIT);
+    intent_action(log, 0, &action);
+    intent_read_done(log, STATUS_NOT_FOUND, NULL, 0, 0, 0);
+    ck_assert_int_eq(intent_action(log, 0, &action), INTENT_DO_WRITE);
+    ck_assert_int_eq(intent_submit(log, id).status, INTENT_WAIT);
+    intent_write_done(log, STATUS_UNKNOWN, 0, 1);
+    ck_assert_int_eq(intent_action(log, 1, &action), INTENT_DO_READ);
+    intent_read_done(log, STATUS_NOT_FOUND, NULL, 0, 0, 1);
+    ck_assert_int_eq(intent_submit(log, id).status, INTENT_WAIT);
+    ck_assert_int_eq(intent_action(log, GAP_US, &action), INTENT_DO_WRITE);
+    intent_write_done(log, STATUS_OK, 1, GAP_US);
+    ck_assert(intent_take(log, &verdict));
+    ck_assert_int_eq(verdict.status, INTENT_RUN);
+    ck_assert(!intent_take(log, &verdict));
+    intent_log_free(log);
+}
+END_TEST
+
 enum {
     DAEMONS = 3,
     IDS = 60,
@@ -374,6 +400,7 @@
     tcase_add_test(tests, test_bucket_too_large);
     tcase_add_loop_test(tests, test_write, 0,
                         sizeof(write_cases) / sizeof(write_cases[0]));
+    tcase_add_test(tests, test_joined);
     tcase_add_loop_test(tests, test_at_most_once, 0, 200);
     return suite_run("intent", tests);
 }
