net: drop what waited in the sockets while the daemon was paused

Cause: the wire carries the time left, so a daemon paused for a minute took parts and heartbeats a minute old for fresh ones when it resumed.

Change: the transport's thread wakes twice a second and between messages; a gap of 2 s or more closes all connections unread, with on_down, and they are made anew.

Conclusion: no work older than a pause is begun.

--- a/net/channel.c
+++ b/net/channel.c
@@ -231,8 +231,14 @@
 {
     connection_event_t event;
     do {
+        int64_t now_us = peer_clock_us();
+        if (!peer_alive(net, now_us)) {
+            return error_set(err, STATUS_TIMEOUT, "peer receive",
+                             channel->connection->address,
+                             "this daemon was paused");
+        }
         status_t status =
-            connection_next(channel->connection, peer_clock_us(), &event, err);
+            connection_next(channel->connection, now_us, &event, err);
         if (status == STATUS_OK && event.kind != CONNECTION_IDLE) {
             status = channel_handle(net, channel, &event, err);
         }
--- a/net/loop.c
+++ b/net/loop.c
@@ -14,6 +14,7 @@
     LOOP_EVENTS_MAX = 128,
     LOOP_ACCEPTS_MAX = 16, /* in one round */
     LOOP_HANDSHAKE_CHECK_MS = 100,
+    LOOP_ALIVE_MS = 500, /* the thread runs at least this often */
     LOOP_DRAIN_CHECK_MS = 2
 };
 
@@ -34,6 +35,16 @@
     }
 }
 
+bool
+peer_alive(peer_net_t *net, int64_t now_us)
+{
+    if (now_us - net->alive_us > PEER_NET_PAUSE_US) {
+        net->was_paused = true;
+    }
+    net->alive_us = now_us;
+    return !net->was_paused;
+}
+
 static void
 close_for(peer_net_t *net, channel_t *channel, status_t status,
           const char *message)
@@ -270,17 +281,31 @@
     if (draining) {
         return LOOP_DRAIN_CHECK_MS;
     }
-    int64_t next_us = dialer_wakeup(&net->dialer);
-    int64_t left_ms = next_us == INT64_MAX ? -1 : (next_us - now_us) / 1000;
-    if (next_us != INT64_MAX && left_ms < 0) {
-        left_ms = 0;
-    }
     bool check = handshakes || net->accept_paused;
-    if (check && (left_ms < 0 || left_ms > LOOP_HANDSHAKE_CHECK_MS)) {
-        left_ms = LOOP_HANDSHAKE_CHECK_MS;
+    int64_t most_ms = check ? LOOP_HANDSHAKE_CHECK_MS : LOOP_ALIVE_MS;
+    int64_t next_us = dialer_wakeup(&net->dialer);
+    if (next_us <= now_us) {
+        return 0;
     }
     /* Rounded up: waking early would spin. */
-    return left_ms < 0 ? -1 : (int)left_ms + 1;
+    int64_t left_ms = (next_us - now_us) / 1000;
+    return (int)(left_ms < most_ms ? left_ms + 1 : most_ms);
+}
+
+/* What arrived during a pause is not acted upon. */
+static void
+close_after_pause(peer_net_t *net)
+{
+    if (!net->was_paused) {
+        return;
+    }
+    channel_t *next;
+    for (channel_t *c = net->channels; c != NULL; c = next) {
+        next = c->next;
+        close_for(net, c, STATUS_TIMEOUT, "this daemon was paused");
+    }
+    net->was_paused = false;
+    net->alive_us = peer_clock_us();
 }
 
 static bool
@@ -302,6 +327,8 @@
     struct epoll_event events[LOOP_EVENTS_MAX];
     int count = epoll_wait(net->epoll_fd, events, LOOP_EVENTS_MAX, timeout_ms);
     bool go_on = true;
+    (void)peer_alive(net, peer_clock_us());
+    close_after_pause(net);
     for (int i = 0; i < count; i++) {
         if (events[i].data.ptr == &net->wake_fd) {
             go_on = take_wake(net);
@@ -316,6 +343,7 @@
     if (net->accept_paused) {
         watch_listener(net, true);
     }
+    close_after_pause(net);
     channels_sweep(net);
     return go_on;
 }
@@ -325,6 +353,7 @@
 {
     peer_net_t *net = arg;
     bool go_on = true;
+    net->alive_us = peer_clock_us();
     while (go_on) {
         int64_t now_us = peer_clock_us();
         take_new_peers(net, now_us);
--- a/net/peer.h
+++ b/net/peer.h
@@ -17,6 +17,10 @@
  * set. A peer is named by name and incarnation: a message for one incarnation
  * never reaches another.
  *
+ * After a pause of the whole daemon what waits in the sockets is as old as the
+ * pause, while its deadlines would count from now: all connections are closed
+ * unread, with on_down, and made anew.
+ *
  * A message that peer_net_send accepted is either handed to the peer's
  * socket, or on_down is called after it was accepted. on_down means: what was
  * sent to this peer, or was coming from it, may be lost. So note what is in
@@ -38,6 +42,9 @@
 
 #define PEER_NET_HANDSHAKE_MAX_US INT64_C(2000000)
 
+/* A thread that did not run for this long takes its daemon for paused. */
+#define PEER_NET_PAUSE_US INT64_C(2000000)
+
 typedef struct {
     identity_t self;
     char address[ADDRESS_SIZE]; /* to listen on */
--- a/net/peer_private.h
+++ b/net/peer_private.h
@@ -51,12 +51,20 @@
     channel_t *closed;   /* to be freed */
     size_t strangers;    /* channels in their handshake, accepted only */
     bool accept_paused;
+    int64_t alive_us; /* when the thread last ran */
+    bool was_paused;  /* what lies in the sockets is stale */
     peer_link_t *waiting[PEER_NET_PEERS_MAX];
 };
 
 /* Monotonic time. */
 int64_t peer_clock_us(void);
 
+/*
+ * The thread runs at this time: notes whether it had stopped for longer than
+ * PEER_NET_PAUSE_US. False: it had, and the channels are to be closed.
+ */
+bool peer_alive(peer_net_t *net, int64_t now_us);
+
 /*
  * Start to watch a new channel's socket; dialed is NULL for an accepted one.
  * NULL: failed, and the connection is freed.
--- a/t/t0603-peer.c
+++ b/t/t0603-peer.c
@@ -376,6 +376,33 @@
 }
 END_TEST
 
+/* A daemon paused while a message came in drops it and connects anew. */
+START_TEST(test_paused)
+{
+    node_t a;
+    node_t b;
+    node_start(&a, "a1", 1, 0, right_key);
+    node_start(&b, "b1", 2, 0, right_key);
+    node_dial(&a, &b, 0);
+    node_wait(&a, &a.ups, 1);
+    node_block(&b, true);
+    for (uint64_t i = 1; i <= 3; i++) {
+        ck_assert_int_eq(node_send(&a, &b, i), STATUS_OK);
+    }
+    struct timespec pause = {.tv_sec = PEER_NET_PAUSE_US / 1000000 + 1};
+    nanosleep(&pause, NULL);
+    node_block(&b, false); /* the first one was in its hands already */
+    node_wait(&a, &a.unreachable, 1);
+    node_wait(&b, &b.unreachable, 1);
+    node_wait(&a, &a.ups, 2);
+    ck_assert_uint_eq(node_read(&b, &b.messages), 1);
+    ck_assert_int_eq(node_send(&a, &b, 2), STATUS_OK);
+    node_wait(&b, &b.messages, 2);
+    node_stop(&a);
+    node_stop(&b);
+}
+END_TEST
+
 static int
 connect_to(uint16_t port)
 {
@@ -585,6 +612,7 @@
     tcase_add_test(tests, test_unnamed);
     tcase_add_test(tests, test_wrong_key);
     tcase_add_test(tests, test_queue_bound);
+    tcase_add_test(tests, test_paused);
     tcase_add_loop_test(tests, test_stranger, 0, CASES(stranger_cases));
     tcase_add_test(tests, test_many_strangers);
     tcase_add_loop_test(tests, test_splicer, 0, CASES(splice_cases));
