core: keep the rule for labels and failed reads in one place

Cause: the characters of a change's id were checked in three files, and two adapters turned a read without an answer into unavailable by themselves.

Change: label_valid beside name_valid; http_client_get says unavailable.

Conclusion: one rule, one place.

--- a/core/config_json.c
+++ b/core/config_json.c
@@ -56,13 +56,9 @@
         return STATUS_OK;
     }
     const char *text = json_string_value(value);
-    if (text == NULL || strlen(text) >= size ||
-        strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789.-") !=
-            strlen(text)) {
+    if (text == NULL || !label_valid(text, size)) {
         return error_set(err, STATUS_INVALID, parse_step, key,
-                         "allowed are at most %zu characters of a-z, 0-9, "
-                         "'.' and '-'",
-                         size - 1);
+                         "allowed are at most %zu " LABEL_ALLOWED, size - 1);
     }
     memcpy(out, text, strlen(text) + 1);
     return STATUS_OK;
--- a/core/name.c
+++ b/core/name.c
@@ -3,11 +3,17 @@
 #include <string.h>
 
 bool
-name_valid(const char *name)
+label_valid(const char *text, size_t size)
 {
     static const char allowed[] = "abcdefghijklmnopqrstuvwxyz0123456789.-";
-    size_t length = strspn(name, allowed);
-    return length > 0 && length < NAME_SIZE && name[length] == '\0';
+    size_t length = strspn(text, allowed);
+    return length < size && text[length] == '\0';
+}
+
+bool
+name_valid(const char *name)
+{
+    return name[0] != '\0' && label_valid(name, NAME_SIZE);
 }
 
 void
--- a/core/name.h
+++ b/core/name.h
@@ -11,6 +11,14 @@
 /* Whether the name keeps the rule that NAME_ALLOWED words. */
 bool name_valid(const char *name);
 
+#define LABEL_ALLOWED "characters of a-z, 0-9, '.' and '-'"
+
+/*
+ * Whether text, which may be empty, is of the characters of names and fits,
+ * its NUL included, in size bytes: ids of changes, for example.
+ */
+bool label_valid(const char *text, size_t size);
+
 /*
  * Copy text of unknown origin for a message: what is not printable ASCII
  * becomes '?', what does not fit in size bytes is cut.
--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -181,7 +181,14 @@
 http_client_get(http_client_t *client, const http_call_t *call,
                 http_reply_t *reply, error_t *err)
 {
-    return client_perform(client->get, call, reply, err);
+    status_t status = client_perform(client->get, call, reply, err);
+    if (status != STATUS_UNKNOWN) {
+        return status;
+    }
+    if (err != NULL) {
+        err->status = STATUS_UNAVAILABLE;
+    }
+    return STATUS_UNAVAILABLE;
 }
 
 status_t
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -13,9 +13,10 @@
  * layer sends it again. One client per thread.
  *
  * Any status code of the server is STATUS_OK here. Otherwise:
- * STATUS_UNAVAILABLE: proven that nothing was sent; STATUS_TIMEOUT and
- * STATUS_UNKNOWN: sent, no whole answer; STATUS_TOO_LARGE: the answer passes
- * body_max (the call may have had its effect).
+ * STATUS_UNAVAILABLE: proven that a PUT was not sent, or a GET failed;
+ * STATUS_TIMEOUT, STATUS_UNKNOWN: a PUT was sent, there is no whole answer;
+ * STATUS_TOO_LARGE: the answer passes body_max (the call may have had its
+ * effect).
  */
 #ifndef EDGE_HTTP_CLIENT_H
 #define EDGE_HTTP_CLIENT_H
--- a/edge/operator_request.c
+++ b/edge/operator_request.c
@@ -64,11 +64,9 @@
     if (change == NULL) {
         return STATUS_OK;
     }
-    if (id == NULL || id[0] == '\0' || strlen(id) >= sizeof(edit->id) ||
-        strspn(id, "abcdefghijklmnopqrstuvwxyz0123456789.-") != strlen(id)) {
+    if (id == NULL || id[0] == '\0' || !label_valid(id, sizeof(edit->id))) {
         return request_fault(fault, "change",
-                             "allowed are 1 to 63 characters of a-z, 0-9, "
-                             "'.' and '-'");
+                             "allowed are 1 to 63 " LABEL_ALLOWED);
     }
     memcpy(edit->id, id, strlen(id) + 1);
     return STATUS_OK;
--- a/edge/store_http.c
+++ b/edge/store_http.c
@@ -166,12 +166,6 @@
         status = reply_read(&reply, call.step, key, value, err);
         value->watch_index = reply.index;
     }
-    else if (status == STATUS_UNKNOWN) {
-        status = STATUS_UNAVAILABLE; /* a read has no effect */
-        if (err != NULL) {
-            err->status = status;
-        }
-    }
     call_count(http, kind, &reply,
                status != STATUS_OK && status != STATUS_NOT_FOUND);
     http_reply_release(&reply);
--- a/edge/vmlist_http.c
+++ b/edge/vmlist_http.c
@@ -83,12 +83,6 @@
     if (status == STATUS_OK) {
         status = reply_read(&reply, http->url, upstreams, count, err);
     }
-    else if (status == STATUS_UNKNOWN) {
-        status = STATUS_UNAVAILABLE; /* a read has no effect */
-        if (err != NULL) {
-            err->status = status;
-        }
-    }
     call_count(http->counters, &reply, status != STATUS_OK);
     http_reply_release(&reply);
     return status;
--- a/fleet/change.c
+++ b/fleet/change.c
@@ -41,20 +41,13 @@
     change_outcome_t outcome;
 };
 
-static bool
-label_valid(const char *text)
-{
-    return text[0] != '\0' &&
-           strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789.-") ==
-               strlen(text);
-}
-
 static status_t
 edit_check(const change_edit_t *edit, error_t *err)
 {
-    if (!label_valid(edit->id) || !name_valid(edit->by)) {
+    if (edit->id[0] == '\0' || !label_valid(edit->id, CHANGE_ID_SIZE) ||
+        !name_valid(edit->by)) {
         return error_set(err, STATUS_INVALID, step_name, "edit",
-                         "change and by have to be of a-z, 0-9, '.' and '-'");
+                         "change and by have to be " LABEL_ALLOWED);
     }
     if (edit->kind != CHANGE_ROWS) {
         if (!name_valid(edit->name)) {
