--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -4,19 +4,26 @@
 out=build/demo
 control=http://127.0.0.1:19999
 store=http://127.0.0.1:18500
-pids=
+platform= # process ids
+fleet=
 
-finish() {
-    status=$?
-    trap - EXIT
-    # A stopped process ends only once it goes on.
-    for pid in $pids; do
+# stop PIDS: end the processes and wait for them.
+stop() {
+    for pid in $1; do
+        # A stopped process ends only once it goes on.
         kill -CONT "$pid" 2>/dev/null || true
         kill "$pid" 2>/dev/null || true
     done
-    for pid in $pids; do
+    for pid in $1; do
         wait "$pid" 2>/dev/null || true
     done
+}
+
+finish() {
+    status=$?
+    trap - EXIT
+    stop "$fleet"
+    stop "$platform"
     exit "$status"
 }
 
@@ -27,7 +34,16 @@
     shift
     "$@" >>"$out/$name.log" 2>&1 &
     started=$!
-    pids="$started $pids"
+}
+
+start_platform_part() {
+    start "$@"
+    platform="$started $platform"
+}
+
+start_fleet_part() {
+    start "$@"
+    fleet="$started $fleet"
 }
 
 call() {
@@ -35,8 +51,8 @@
 }
 
 operator() {
-    "$bin/yuccarun" --entry http://127.0.0.1:18001 \
-        --token-file "$out/operator.token" "$@"
+    "$bin/yuccarun" "$@" --by demo --token-file "$out/operator.token" \
+        --daemon http://127.0.0.1:18001 --daemon http://127.0.0.1:18002
 }
 
 secret() {
@@ -44,7 +60,7 @@
 }
 
 start_daemon() {
-    start "a$1" "$bin/yuccarund" --config "demo/a$1.yaml"
+    start_fleet_part "a$1" "$bin/yuccarund" --config "demo/a$1.yaml"
 }
 
 wait_ready() {
@@ -56,11 +72,11 @@
     rm -f "$out"/*.json "$out"/*.log
     secret "$out/peer.key"
     secret "$out/operator.token"
-    start store "$bin/standin-store" 18500
-    start vmlist "$bin/standin-vmlist" 18501 500
+    start_platform_part store "$bin/standin-store" 18500
+    start_platform_part vmlist "$bin/standin-vmlist" 18501 500
     call --wait GET "$store/count"
     call --wait GET http://127.0.0.1:18501/v1/vms
-    start upstream "$bin/standin-upstream" --control 19999 --base-port 20000 \
+    start_platform_part upstream "$bin/standin-upstream" --control 19999 --base-port 20000 \
         --store "$store" --vmlist http://127.0.0.1:18501 \
         --entry a1,bengal-1,127.0.0.1,18001 \
         --entry a2,south-1,127.0.0.1,18002 \
@@ -88,7 +104,7 @@
 
 # start_load FILE SEED SECONDS RATE ABORTS: its process id in $load.
 start_load() {
-    start load "$bin/standin-load" --entries http://127.0.0.1:18001 \
+    start_fleet_part load "$bin/standin-load" --entries http://127.0.0.1:18001 \
         --entries http://127.0.0.1:18002 --entries http://127.0.0.1:18003 \
         --audit "$control" --seed "$2" --seconds "$3" --rate "$4" \
         --abort-per-mille "$5" --retries 3 --json "$out/$1"
--- a/standin/lib/caller.c
+++ b/standin/lib/caller.c
@@ -23,7 +23,7 @@
     RESENDS_MAX = 4,
     EXAMPLES_MAX = 5,
 
-    ABORT_SPAN_US = 20000,
+    ABORT_SPAN_US = 8000,
     CONNECTIONS_MAX = 512
 };
 
@@ -160,6 +160,7 @@
                            .verdict = *verdict,
                            .asked = key_range_size(call->plan.range),
                            .took_us = now_us - call->begun_us,
+                           .at_us = call->begun_us - caller->start_us,
                            .deadline_us = call_deadline_ms(caller) * 1000};
     tally_add(&caller->tally, &entry);
     keep_example(caller, call, verdict);
--- a/standin/lib/tally.c
+++ b/standin/lib/tally.c
@@ -72,6 +72,19 @@
     row_add_latency(row, entry->took_us);
 }
 
+static void
+count_second(tally_t *tally, const tally_entry_t *entry)
+{
+    size_t second = (size_t)(entry->at_us / (US_PER_MS * US_PER_MS));
+    if (second >= TALLY_SECONDS_MAX) {
+        return;
+    }
+    if (second >= tally->seconds) {
+        tally->seconds = second + 1;
+    }
+    tally->not_whole[second] += entry->verdict.outcome != OUTCOME_WHOLE;
+}
+
 void
 tally_add(tally_t *tally, const tally_entry_t *entry)
 {
@@ -80,6 +93,7 @@
         row_add(row, entry);
     }
     row_add(&tally->all, entry);
+    count_second(tally, entry);
     const char *reason = entry->verdict.reason;
     if (entry->verdict.outcome != OUTCOME_WHOLE && reason[0] != '\0') {
         json_int_t before =
@@ -141,6 +155,12 @@
         tally_row_t *row = &tally->rows[i];
         json_object_set_new(services, row->service, row_json(row));
     }
+    json_t *seconds = json_array();
+    for (size_t i = 0; i < tally->seconds; i++) {
+        json_array_append_new(seconds,
+                              json_integer((json_int_t)tally->not_whole[i]));
+    }
+    json_object_set_new(result, "not_whole_by_second", seconds);
     json_object_set(result, "reasons", tally->reasons);
     json_object_set_new(result, "services", services);
     return result;
--- a/standin/lib/tally.h
+++ b/standin/lib/tally.h
@@ -15,7 +15,7 @@
 
 #include <jansson.h>
 
-enum { TALLY_SERVICES_MAX = 16 };
+enum { TALLY_SERVICES_MAX = 16, TALLY_SECONDS_MAX = 3600 };
 
 /* The end of one query. */
 typedef struct {
@@ -24,6 +24,7 @@
     uint64_t asked;    /* keys */
     int64_t took_us;   /* from when it was due to be sent */
     int64_t deadline_us;
+    int64_t at_us; /* when it was due, from the start of the run */
 } tally_entry_t;
 
 typedef struct {
@@ -46,6 +47,8 @@
     tally_row_t rows[TALLY_SERVICES_MAX];
     size_t row_count;
     json_t *reasons; /* of what was not whole: name to count */
+    uint64_t not_whole[TALLY_SECONDS_MAX]; /* by second of the run */
+    size_t seconds;
 } tally_t;
 
 void tally_init(tally_t *tally);
@@ -53,8 +56,9 @@
 void tally_add(tally_t *tally, const tally_entry_t *entry);
 
 /*
- * Totals, "reasons" and "services". "coverage" is the mean over every query,
- * one without an answer counting 0; latencies are of answered queries.
+ * Totals, "reasons", "services" and "not_whole_by_second". "coverage" is the
+ * mean over every query, one without an answer counting 0; latencies are of
+ * answered queries.
  */
 json_t *tally_json(tally_t *tally);
 
--- a/standin/report.c
+++ b/standin/report.c
@@ -69,16 +69,31 @@
 {
     const char *name = NULL;
     json_t *value = NULL;
-    (void)printf("\nreasons of what was not whole:");
+    (void)printf("  reasons of what was not whole:");
     json_object_foreach(json_object_get(figures->load, "reasons"), name, value)
     {
         (void)printf(" %s %lld", name, json_integer_value(value));
     }
-    (void)printf("\nfalse refusals %lld, sent again %lld, connections closed "
-                 "on purpose %lld\n",
-                 integer(figures->load, "false_not_run"),
-                 integer(figures->load, "sent_again"),
-                 integer(figures->load, "aborted"));
+    (void)printf(
+        "\n  false refusals %lld, sent again %lld, connections closed "
+        "on purpose %lld\n",
+        integer(figures->load, "false_not_run"),
+        integer(figures->load, "sent_again"),
+        integer(figures->load, "aborted"));
+}
+
+static void
+print_seconds(const figures_t *figures)
+{
+    size_t second = 0;
+    json_t *value = NULL;
+    (void)printf("  not whole, by second:");
+    json_array_foreach(json_object_get(figures->load, "not_whole_by_second"),
+                       second, value)
+    {
+        (void)printf(" %lld", json_integer_value(value));
+    }
+    (void)printf("\n");
 }
 
 static void
@@ -158,8 +173,13 @@
         return 0;
     }
     json_t *load = json_load_file(argv[3], 0, NULL);
+    figures_t figures = {.load = load};
     if (load != NULL) {
         print_phase(argv[2], load);
+        if (integer(load, "whole") < integer(load, "queries")) {
+            print_reasons(&figures);
+            print_seconds(&figures);
+        }
     }
     json_decref(load);
     return load != NULL ? 0 : 1;
@@ -205,6 +225,7 @@
 {
     print_services(figures);
     print_reasons(figures);
+    print_seconds(figures);
     print_upstreams(figures);
     json_t *json = summary(figures);
     (void)json_dumpf(json, stdout, JSON_COMPACT | JSON_REAL_PRECISION(6));
