test: show that no layer writes a request upstream twice

libcurl repeats a request whose reused connection died before a reply. The adapter gives it a body that cannot be read again; nothing showed that this holds.

A scripted server now counts the requests it reads whole: closed after reading, half an answer, redirect, failed expectation, authentication, a shed, garbage. Each part has one result and the server has read it once.

--- /dev/null
+++ b/t/t0701-upstream.c
@@ -0,0 +1,232 @@
+/*
+ * The upstream adapter against a server that counts what it reads: no request
+ * is ever written twice, and every part gets one truthful result.
+ */
+#include "edge/upstream.h"
+#include "t/lib/script_server.h"
+#include "t/lib/suite.h"
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+enum { WAIT_MS = 20, ROUNDS_MAX = 400, DEADLINE_US = 2000000 };
+
+#define OK_BODY                                                               \
+    "{\"upstream\":\"u\",\"boot\":\"7\",\"cold\":false,\"parts\":["           \
+    "{\"id\":\"%s\",\"status\":\"ok\",\"lo\":0,\"hi\":100,\"version\":3,"     \
+    "\"generation\":1,\"held\":[3],\"count\":5,\"sum\":\"9\"}]}"
+
+#define GOOD                                                                  \
+    {                                                                         \
+        .answer = OK_BODY, .echo_id = true                                    \
+    }
+
+typedef struct {
+    unsigned results;
+    part_reply_t reply;
+    gate_result_t result;
+} results_t;
+
+static void
+on_result(void *context, const part_reply_t *reply,
+          const gate_result_t *result)
+{
+    results_t *results = context;
+    results->results++;
+    results->reply = *reply;
+    results->result = *result;
+}
+
+static void
+on_partition(void *context, const partition_t *partition)
+{
+    (void)context;
+    (void)partition;
+}
+
+static int64_t
+now_us(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+static part_request_t
+make_request(uint64_t sequence, bool once)
+{
+    part_request_t request = {
+        .id = {.incarnation = 1, .sequence = sequence},
+        .service = "desk",
+        .upstream = "u",
+        .once = once,
+        .range = {0, 100},
+        .deadline_us = now_us() + DEADLINE_US,
+        .body = "refund",
+        .body_size = 6,
+    };
+    return request;
+}
+
+/* Send one part and wait for its result. */
+static void
+run_one(upstream_client_t *client, const upstream_info_t *target,
+        const part_request_t *request, results_t *results)
+{
+    unsigned before = results->results;
+    upstream_http_ops.send(client, target, request, 1, now_us());
+    for (int i = 0; i < ROUNDS_MAX && results->results == before; i++) {
+        upstream_http_ops.wait(client, WAIT_MS);
+        upstream_http_ops.run(client);
+    }
+    ck_assert_uint_eq(results->results, before + 1);
+}
+
+typedef struct {
+    const char *name;
+    script_step_t second; /* what the server does with the second request */
+    part_status_t status;
+    bool once;
+    bool not_run;
+    unsigned connections; /* libcurl may try again; the body has no rewind */
+} twice_case_t;
+
+static const twice_case_t twice_cases[] = {
+    {"closed after reading", {.close = true}, PART_LOST, false, false, 2},
+    {"closed after reading, once", {.close = true}, PART_LOST, true, false, 2},
+    {"half an answer",
+     {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{",
+      .close = true},
+     PART_LOST,
+     true,
+     false,
+     2},
+    {"redirect",
+     {.answer = "HTTP/1.1 307 Temporary Redirect\r\nLocation: "
+                "/v1/parts\r\nContent-Length: 0\r\n\r\n"},
+     PART_BAD_REPLY,
+     true,
+     false,
+     2},
+    {"expectation failed",
+     {.answer = "HTTP/1.1 417 Expectation Failed\r\nContent-Length: "
+                "0\r\n\r\n"},
+     PART_BAD_REPLY,
+     true,
+     false,
+     2},
+    {"asked to authenticate",
+     {.answer = "HTTP/1.1 401 Unauthorized\r\nWWW-Authenticate: Basic "
+                "realm=\"x\"\r\nContent-Length: 0\r\n\r\n"},
+     PART_BAD_REPLY,
+     true,
+     false,
+     2},
+    {"shed",
+     {.answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: "
+                "25\r\n\r\n{\"boot\":\"7\",\"shed\":true} "},
+     PART_SHED,
+     false,
+     true,
+     1},
+    {"not json",
+     {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"},
+     PART_BAD_REPLY,
+     false,
+     false,
+     1},
+    {"good", GOOD, PART_OK, true, false, 2},
+};
+
+/*
+ * The first request leaves a connection that the second may reuse, which is
+ * when libcurl sends a request a second time by itself.
+ */
+START_TEST(test_never_written_twice)
+{
+    const twice_case_t *c = &twice_cases[_i];
+    script_step_t script[] = {GOOD, c->second, GOOD};
+    script_server_t *server = script_server_new(script, 3);
+    upstream_info_t target = {.name = "u", .address = "127.0.0.1"};
+    results_t results = {.results = 0};
+    upstream_callbacks_t callbacks = {&results, on_result, on_partition};
+    error_t err = ERROR_INIT;
+    target.port = script_server_port(server);
+    upstream_client_t *client = upstream_http_ops.new(&callbacks, &err);
+    part_request_t first = make_request(1, false);
+    part_request_t second = make_request(2, c->once);
+    run_one(client, &target, &first, &results);
+    ck_assert_int_eq(results.reply.status, PART_OK);
+    ck_assert_uint_eq(results.reply.sum, 9);
+    run_one(client, &target, &second, &results);
+    ck_assert_msg(results.reply.status == c->status, "%s: %s", c->name,
+                  part_status_name(results.reply.status));
+    ck_assert_msg(results.reply.not_run == c->not_run, "%s", c->name);
+    ck_assert_msg(script_server_requests(server) == 2, "%s: read %u times",
+                  c->name, script_server_requests(server) - 1);
+    ck_assert(!script_server_saw(server, "Expect:"));
+    ck_assert_msg(script_server_connections(server) == c->connections,
+                  "%s: %u connections", c->name,
+                  script_server_connections(server));
+    upstream_http_ops.free(client);
+    script_server_free(server);
+}
+END_TEST
+
+START_TEST(test_unreachable_is_proven_not_run)
+{
+    script_step_t script[] = {GOOD};
+    script_server_t *server = script_server_new(script, 1);
+    upstream_info_t target = {.name = "u", .address = "127.0.0.1"};
+    results_t results = {.results = 0};
+    upstream_callbacks_t callbacks = {&results, on_result, on_partition};
+    error_t err = ERROR_INIT;
+    target.port = script_server_port(server);
+    script_server_free(server);
+    upstream_client_t *client = upstream_http_ops.new(&callbacks, &err);
+    part_request_t request = make_request(1, true);
+    run_one(client, &target, &request, &results);
+    ck_assert_int_eq(results.reply.status, PART_LOST);
+    ck_assert(results.reply.not_run);
+    upstream_http_ops.free(client);
+}
+END_TEST
+
+START_TEST(test_silence_ends_at_the_deadline)
+{
+    script_step_t script[] = {{.answer = NULL}};
+    script_server_t *server = script_server_new(script, 1);
+    upstream_info_t target = {.name = "u", .address = "127.0.0.1"};
+    results_t results = {.results = 0};
+    upstream_callbacks_t callbacks = {&results, on_result, on_partition};
+    error_t err = ERROR_INIT;
+    target.port = script_server_port(server);
+    upstream_client_t *client = upstream_http_ops.new(&callbacks, &err);
+    part_request_t request = make_request(1, true);
+    request.deadline_us = now_us() + 50000;
+    run_one(client, &target, &request, &results);
+    ck_assert_int_eq(results.reply.status, PART_LOST);
+    ck_assert(!results.reply.not_run);
+    ck_assert_uint_eq(script_server_requests(server), 1);
+    upstream_http_ops.free(client);
+    script_server_free(server);
+}
+END_TEST
+
+int
+main(void)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    TCase *tests = tcase_create("upstream");
+    tcase_set_timeout(tests, 60);
+    tcase_add_loop_test(tests, test_never_written_twice, 0,
+                        sizeof(twice_cases) / sizeof(twice_cases[0]));
+    tcase_add_test(tests, test_unreachable_is_proven_not_run);
+    tcase_add_test(tests, test_silence_ends_at_the_deadline);
+    int code = suite_run("upstream", tests);
+    curl_global_cleanup();
+    return code;
+}
