daemon: commit a bucket's intents at one home daemon

Every daemon wrote its own intents to each of the 64 buckets, at most 100 times a second each, so that the store's load grew with the fleet; a verdict that nobody waited for any more kept the id for good; what broke was not told apart from what timed out, and what was never sent counted as a loss.

A bucket's intents now go through the member that rendezvous hashing names, which other daemons ask, with 200 ms between two writes to a bucket (at most 320 a second for any fleet); the store's compare-and-swap still decides when members disagree. A run that nobody waits for is withdrawn. Call failures say whether the connection broke and whether anything was written.

--- a/daemon/intents.c
+++ b/daemon/intents.c
@@ -8,7 +8,7 @@
 #include <time.h>
 
 enum {
-    COMMIT_GAP_US = 10000, /* ids of so long share one write */
+    COMMIT_GAP_US = 200000, /* between two writes to one bucket */
     GENERATION_US = 60000000,
     HORIZON_GENERATIONS = 15, /* an id is known for a quarter of an hour */
     IDLE_WAIT_US = 200000,
@@ -17,16 +17,19 @@
     NS_PER_US = 1000
 };
 
-/* A thread that waits for the verdict on one id. */
+/* Who waits for the verdict on one id. */
 typedef struct waiter {
     struct waiter *next;
+    uint64_t hash;
+    int64_t until_us;
+    intents_done_t done;
+    void *context;
     intent_verdict_t verdict; /* INTENT_WAIT until settled */
 } waiter_t;
 
 struct intents {
     pthread_mutex_t lock;
-    pthread_cond_t work;    /* for the thread */
-    pthread_cond_t settled; /* for waiters */
+    pthread_cond_t work;
     pthread_t thread;
     bool started;
     bool stopping;
@@ -45,17 +48,71 @@
     };
 }
 
-/* Lock held. */
+/*
+ * Lock held. Without a waiter nothing will run the request here, so that
+ * others may.
+ */
 static void
-settle(intents_t *intents, const intent_verdict_t *verdict)
+settle(intents_t *intents, intent_log_t *log, const intent_verdict_t *verdict)
 {
+    bool awaited = false;
     for (waiter_t *waiter = intents->waiters; waiter != NULL;
          waiter = waiter->next) {
-        if (waiter->verdict.hash == verdict->hash) {
+        if (waiter->hash == verdict->hash) {
             waiter->verdict = *verdict;
+            awaited = true;
         }
     }
-    pthread_cond_broadcast(&intents->settled);
+    if (!awaited && verdict->status == INTENT_RUN) {
+        intent_withdraw(log, verdict->hash);
+    }
+}
+
+/* Take out the waiters that are settled or too late. Lock held. */
+static waiter_t *
+take_settled(intents_t *intents, int64_t now_us)
+{
+    waiter_t *settled = NULL;
+    waiter_t **link = &intents->waiters;
+    while (*link != NULL) {
+        waiter_t *waiter = *link;
+        if (waiter->verdict.status == INTENT_WAIT &&
+            now_us < waiter->until_us && !intents->stopping) {
+            link = &waiter->next;
+            continue;
+        }
+        *link = waiter->next;
+        waiter->next = settled;
+        settled = waiter;
+    }
+    return settled;
+}
+
+static void
+tell(waiter_t *waiter)
+{
+    if (waiter->verdict.status == INTENT_WAIT) {
+        waiter->verdict.status = INTENT_STORE;
+    }
+    waiter->done(waiter->context, &waiter->verdict);
+    free(waiter);
+}
+
+/* Call back whoever can be; the lock is held, but not while calling. */
+static void
+tell_settled(intents_t *intents)
+{
+    waiter_t *settled = take_settled(intents, clock_now_us());
+    if (settled == NULL) {
+        return;
+    }
+    pthread_mutex_unlock(&intents->lock);
+    while (settled != NULL) {
+        waiter_t *next = settled->next;
+        tell(settled);
+        settled = next;
+    }
+    pthread_mutex_lock(&intents->lock);
 }
 
 static void
@@ -102,7 +159,7 @@
     }
     bool worked = what != INTENT_DO_NOTHING;
     while (intent_take(log, &verdict)) {
-        settle(intents, &verdict);
+        settle(intents, log, &verdict);
         worked = true;
     }
     return worked;
@@ -126,13 +183,15 @@
             int64_t wakeup_us = intent_wakeup(log, now_us);
             next_us = wakeup_us < next_us ? wakeup_us : next_us;
         }
-        if (!worked) {
+        tell_settled(intents);
+        if (!worked && !intents->stopping) {
             int64_t soonest_us = now_us + SHORT_WAIT_US;
             struct timespec until =
                 timespec_of(next_us > soonest_us ? next_us : soonest_us);
             pthread_cond_timedwait(&intents->work, &intents->lock, &until);
         }
     }
+    tell_settled(intents);
     pthread_mutex_unlock(&intents->lock);
     return NULL;
 }
@@ -159,7 +218,6 @@
     intents->incarnation = incarnation;
     pthread_mutex_init(&intents->lock, NULL);
     init_condition(&intents->work);
-    init_condition(&intents->settled);
     if (pthread_create(&intents->thread, NULL, intents_main, intents) != 0) {
         error_set(err, STATUS_INTERNAL, "start intents", "-", "no thread");
         intents_free(intents);
@@ -187,7 +245,6 @@
     }
     store_release(&intents->store);
     pthread_cond_destroy(&intents->work);
-    pthread_cond_destroy(&intents->settled);
     pthread_mutex_destroy(&intents->lock);
     free(intents);
 }
@@ -209,43 +266,80 @@
     return intents->logs[bucket];
 }
 
-static void
-wait_for(intents_t *intents, waiter_t *waiter, int64_t until_us)
+static waiter_t *
+waiter_new(uint64_t hash, int64_t until_us, intents_done_t done, void *context)
 {
-    struct timespec until = timespec_of(until_us);
-    waiter->next = intents->waiters;
-    intents->waiters = waiter;
-    pthread_cond_signal(&intents->work);
-    while (waiter->verdict.status == INTENT_WAIT &&
-           clock_now_us() < until_us) {
-        pthread_cond_timedwait(&intents->settled, &intents->lock, &until);
+    waiter_t *waiter = calloc(1, sizeof(*waiter));
+    if (waiter != NULL) {
+        waiter->hash = hash;
+        waiter->until_us = until_us;
+        waiter->done = done;
+        waiter->context = context;
+        waiter->verdict.hash = hash;
     }
-    waiter_t **link = &intents->waiters;
-    while (*link != waiter) {
-        link = &(*link)->next;
+    return waiter;
+}
+
+void
+intents_submit(intents_t *intents, uint64_t hash, int64_t until_us,
+               intents_done_t done, void *context)
+{
+    intent_verdict_t verdict = {.hash = hash, .status = INTENT_STORE};
+    waiter_t *waiter = waiter_new(hash, until_us, done, context);
+    pthread_mutex_lock(&intents->lock);
+    intent_log_t *log = waiter == NULL ? NULL : log_of(intents, hash);
+    if (log != NULL && !intents->stopping) {
+        verdict = intent_submit(log, hash);
     }
-    *link = waiter->next;
-    if (waiter->verdict.status == INTENT_WAIT) {
-        waiter->verdict.status = INTENT_STORE;
+    bool waits = verdict.status == INTENT_WAIT;
+    if (waits) {
+        waiter->verdict = verdict;
+        waiter->next = intents->waiters;
+        intents->waiters = waiter;
+        pthread_cond_signal(&intents->work);
+    }
+    pthread_mutex_unlock(&intents->lock);
+    if (!waits) {
+        free(waiter);
+        done(context, &verdict);
     }
 }
 
+/* A thread that waits for its verdict. */
+typedef struct {
+    pthread_mutex_t lock;
+    pthread_cond_t told;
+    bool done;
+    intent_verdict_t verdict;
+} commit_t;
+
+static void
+on_committed(void *context, const intent_verdict_t *verdict)
+{
+    commit_t *commit = context;
+    pthread_mutex_lock(&commit->lock);
+    commit->verdict = *verdict;
+    commit->done = true;
+    pthread_cond_signal(&commit->told);
+    pthread_mutex_unlock(&commit->lock);
+}
+
 intent_verdict_t
 intents_commit(intents_t *intents, uint64_t hash, int64_t until_us)
 {
-    waiter_t waiter = {
-        .verdict = {.hash = hash, .status = INTENT_STORE},
+    commit_t commit = {
+        .lock = PTHREAD_MUTEX_INITIALIZER,
+        .told = PTHREAD_COND_INITIALIZER,
     };
-    pthread_mutex_lock(&intents->lock);
-    intent_log_t *log = log_of(intents, hash);
-    if (log != NULL) {
-        waiter.verdict = intent_submit(log, hash);
+    intents_submit(intents, hash, until_us, on_committed, &commit);
+    pthread_mutex_lock(&commit.lock);
+    while (!commit.done) {
+        pthread_cond_wait(&commit.told, &commit.lock);
     }
-    if (waiter.verdict.status == INTENT_WAIT) {
-        wait_for(intents, &waiter, until_us);
-    }
-    pthread_mutex_unlock(&intents->lock);
-    return waiter.verdict;
+    pthread_mutex_unlock(&commit.lock);
+    pthread_cond_destroy(&commit.told);
+    pthread_mutex_destroy(&commit.lock);
+    return commit.verdict;
 }
 
 void
--- a/daemon/intents.h
+++ b/daemon/intents.h
@@ -24,9 +24,15 @@
 void intents_free(intents_t *intents); /* NULL ok */
 
 /*
- * Wait until the id's intent is settled, or until the monotonic time; then
- * the status is INTENT_STORE: this daemon will not run it.
+ * Ask for the id's intent. done is called once, in the thread of the intents
+ * or at once in the caller's, with the verdict; after the monotonic time
+ * until_us its status is INTENT_STORE: this daemon will not run it.
  */
+typedef void (*intents_done_t)(void *context, const intent_verdict_t *verdict);
+void intents_submit(intents_t *intents, uint64_t hash, int64_t until_us,
+                    intents_done_t done, void *context);
+
+/* As intents_submit, and wait for the verdict. */
 intent_verdict_t intents_commit(intents_t *intents, uint64_t hash,
                                 int64_t until_us);
 
--- a/daemon/node_once.c
+++ b/daemon/node_once.c
@@ -2,6 +2,7 @@
 #include "daemon/clock.h"
 #include "daemon/node_state.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -204,15 +205,16 @@
  * whether the request ran there, now or before, is not known.
  */
 static json_t *
-forward(node_t *node, uint64_t incarnation, const caller_query_t *query,
-        int64_t deadline_us, unsigned *status)
+forward(node_t *node, uint64_t incarnation, ask_kind_t kind,
+        const caller_query_t *query, int64_t deadline_us, unsigned *status)
 {
     char *text = forward_text(query);
     if (text == NULL) {
+        *status = NODE_ASK_NOT_SENT;
         return NULL;
     }
     int64_t left_us = deadline_us - clock_now_us();
-    json_t *json = node_ask(node, incarnation, ASK_QUERY, text,
+    json_t *json = node_ask(node, incarnation, kind, text,
                             left_us + ASK_GRACE_US, status);
     free(text);
     return json;
@@ -290,6 +292,14 @@
     return once_json(node, &answer, sequence, begun->started_us);
 }
 
+static json_t *
+settled_json(node_t *node, const query_answer_t *answer, const begun_t *begun,
+             unsigned *status)
+{
+    *status = answer_http_status(answer);
+    return once_json(node, answer, 0, begun->started_us);
+}
+
 static json_t *
 run_with_intent(node_t *node, const caller_query_t *query,
                 const query_request_t *request, const begun_t *begun,
@@ -303,16 +313,84 @@
     unbegin(node, begun);
     json_t *json = NULL;
     if (verdict.status == INTENT_ALREADY) {
-        json =
-            forward(node, verdict.writer, query, request->deadline_us, status);
+        json = forward(node, verdict.writer, ASK_OUTCOME, query,
+                       request->deadline_us, status);
     }
     if (json != NULL) {
         return json;
     }
     query_answer_t answer;
     settle_intent(&answer, verdict.status);
-    *status = answer_http_status(&answer);
-    return once_json(node, &answer, 0, begun->started_us);
+    return settled_json(node, &answer, begun, status);
+}
+
+/*
+ * The daemon that commits the intents of an id's bucket, so that a bucket has
+ * one writer as long as members agree. The store decides when they do not.
+ */
+static uint64_t
+home_of(node_t *node, uint64_t hash)
+{
+    char name[NAME_SIZE];
+    owner_key_t keys[ROSTER_MEMBERS_MAX];
+    uint64_t incarnations[ROSTER_MEMBERS_MAX];
+    size_t count = 0;
+    world_t *world = fleet_world(node->fleet);
+    for (size_t i = 0; world != NULL && i < world->member_count; i++) {
+        const roster_member_t *member = &world->members[i];
+        if (!member->leaving) {
+            keys[count] = owner_key(member->name, member->zone);
+            incarnations[count++] = member->incarnation;
+        }
+    }
+    world_put(world);
+    snprintf(name, sizeof(name), "once-%u", bucket_of(hash));
+    int home = owner_pick(keys, count, owner_key(name, ""));
+    return home < 0 ? node->incarnation : incarnations[home];
+}
+
+/* The home's answer names another daemon that holds the intent: ask it. */
+static json_t *
+follow_writer(node_t *node, json_t *json, const caller_query_t *query,
+              int64_t deadline_us, unsigned *status)
+{
+    const char *writer = json_string_value(json_object_get(json, "writer"));
+    if (writer == NULL) {
+        return json;
+    }
+    unsigned told = *status;
+    json_t *outcome = forward(node, strtoull(writer, NULL, 16), ASK_OUTCOME,
+                              query, deadline_us, &told);
+    if (outcome == NULL) {
+        json_object_del(json, "writer");
+        return json;
+    }
+    json_decref(json);
+    *status = told;
+    return outcome;
+}
+
+/* The id is new here: its home runs it, or this daemon when that is not up. */
+static json_t *
+run_id(node_t *node, const caller_query_t *query,
+       const query_request_t *request, const begun_t *begun, unsigned *status)
+{
+    uint64_t home = home_of(node, begun->hash);
+    if (home == node->incarnation) {
+        return run_with_intent(node, query, request, begun, status);
+    }
+    json_t *json =
+        forward(node, home, ASK_QUERY, query, request->deadline_us, status);
+    if (json == NULL && *status == NODE_ASK_NOT_SENT) {
+        return run_with_intent(node, query, request, begun, status);
+    }
+    unbegin(node, begun);
+    if (json != NULL) {
+        return follow_writer(node, json, query, request->deadline_us, status);
+    }
+    query_answer_t answer;
+    settle(&answer, OUTCOME_UNKNOWN, REASON_LOST, RETRY_AFTER_US);
+    return settled_json(node, &answer, begun, status);
 }
 
 json_t *
@@ -327,21 +405,20 @@
         by_ticket ? begin_ticket(node, query, &begun, &home, &outcome)
                   : begin_id(node, query, &begun, &outcome);
     if (verdict == ONCE_RUN) {
-        return by_ticket
-                   ? run_begun(node, request, &begun, status)
-                   : run_with_intent(node, query, request, &begun, status);
+        return by_ticket ? run_begun(node, request, &begun, status)
+                         : run_id(node, query, request, &begun, status);
     }
     json_t *json = NULL;
     if (verdict == ONCE_ELSEWHERE) {
-        json = forward(node, home, query, request->deadline_us, status);
+        json = forward(node, home, ASK_QUERY, query, request->deadline_us,
+                       status);
     }
     if (json != NULL) {
         return json;
     }
     query_answer_t answer;
     settle_verdict(&answer, verdict, &outcome);
-    *status = answer_http_status(&answer);
-    return once_json(node, &answer, 0, begun.started_us);
+    return settled_json(node, &answer, &begun, status);
 }
 
 /* A request that another daemon passed on, until it is answered. */
@@ -351,84 +428,136 @@
     uint64_t incarnation;
     uint64_t ask;
     begun_t begun;
+    query_request_t request;
+    char body[PART_BODY_MAX];
 } passed_t;
 
 static void
-on_passed_done(void *context, uint64_t sequence, const query_answer_t *answer)
+answer_passed(passed_t *passed, const query_answer_t *answer,
+              uint64_t sequence)
 {
-    passed_t *passed = context;
-    note_outcome(passed->node, &passed->begun, answer, sequence);
     node_answer(
         passed->node, passed->peer, passed->incarnation, passed->ask,
         answer_http_status(answer),
         once_json(passed->node, answer, sequence, passed->begun.started_us));
+}
+
+static void
+on_passed_done(void *context, uint64_t sequence, const query_answer_t *answer)
+{
+    passed_t *passed = context;
+    note_outcome(passed->node, &passed->begun, answer, sequence);
+    answer_passed(passed, answer, sequence);
     free(passed);
 }
 
 static void
-start_passed(const passed_t *from, const query_request_t *request)
+run_passed(passed_t *passed)
 {
-    passed_t *passed = malloc(sizeof(*passed));
-    if (passed == NULL) {
-        unbegin(from->node, &from->begun);
+    query_waiter_t waiter = {.context = passed, .done = on_passed_done};
+    node_submit(passed->node, &passed->request, &waiter);
+}
+
+/* Another daemon holds the intent: the asker is told which. */
+static void
+answer_passed_elsewhere(passed_t *passed, uint64_t writer)
+{
+    char text[24];
+    query_answer_t answer;
+    settle(&answer, OUTCOME_UNKNOWN, REASON_LOST, 0);
+    json_t *json =
+        once_json(passed->node, &answer, 0, passed->begun.started_us);
+    snprintf(text, sizeof(text), "%" PRIx64, writer);
+    json_object_set_new(json, "writer", json_string(text));
+    node_answer(passed->node, passed->peer, passed->incarnation, passed->ask,
+                answer_http_status(&answer), json);
+}
+
+static void
+on_passed_intent(void *context, const intent_verdict_t *verdict)
+{
+    passed_t *passed = context;
+    if (verdict->status == INTENT_RUN) {
+        run_passed(passed);
         return;
     }
-    *passed = *from;
-    query_waiter_t waiter = {.context = passed, .done = on_passed_done};
-    node_submit(passed->node, request, &waiter);
+    unbegin(passed->node, &passed->begun);
+    if (verdict->status == INTENT_ALREADY) {
+        answer_passed_elsewhere(passed, verdict->writer);
+    }
+    else {
+        query_answer_t answer;
+        settle_intent(&answer, verdict->status);
+        answer_passed(passed, &answer, 0);
+    }
+    free(passed);
 }
 
+/* The verdict is to run: passed is then owned by what runs. */
 static void
-take_passed(passed_t *passed, const caller_query_t *query)
+start_passed(passed_t *passed, const caller_query_t *query, bool by_ticket)
+{
+    node_fill_request(passed->node, query, passed->begun.started_us,
+                      &passed->request);
+    memcpy(passed->body, query->body, query->body_size);
+    passed->request.body = passed->body;
+    if (by_ticket) {
+        run_passed(passed);
+        return;
+    }
+    intents_submit(passed->node->intents, passed->begun.hash,
+                   passed->request.deadline_us, on_passed_intent, passed);
+}
+
+static void
+take_passed(passed_t *passed, const caller_query_t *query, bool may_run)
 {
     node_t *node = passed->node;
-    query_request_t request;
     once_outcome_t outcome;
     uint64_t home = 0;
     bool by_ticket = query->ticket[0] != '\0';
     once_verdict_t verdict =
         by_ticket ? begin_ticket(node, query, &passed->begun, &home, &outcome)
                   : begin_id(node, query, &passed->begun, &outcome);
-    if (verdict == ONCE_RUN && by_ticket) {
-        node_fill_request(node, query, passed->begun.started_us, &request);
-        start_passed(passed, &request);
+    if (verdict == ONCE_RUN && may_run) {
+        start_passed(passed, query, by_ticket);
         return;
     }
     if (verdict == ONCE_RUN) {
-        /* Asked only for what it knows: running needs an intent of its own. */
         unbegin(node, &passed->begun);
         verdict = ONCE_FORGOTTEN;
     }
     query_answer_t answer;
     settle_verdict(&answer, verdict, &outcome);
-    node_answer(node, passed->peer, passed->incarnation, passed->ask,
-                answer_http_status(&answer),
-                once_json(node, &answer, 0, passed->begun.started_us));
+    answer_passed(passed, &answer, 0);
+    free(passed);
 }
 
 void
 node_take_passed_query(node_t *node, const char *peer, uint64_t incarnation,
                        const ask_t *ask)
 {
-    passed_t passed = {
-        .node = node,
-        .incarnation = incarnation,
-        .ask = ask->id,
-        .begun = {.started_us = clock_now_us()},
-    };
-    snprintf(passed.peer, sizeof(passed.peer), "%s", peer);
     error_t err = ERROR_INIT;
     caller_query_t query;
+    passed_t *passed = calloc(1, sizeof(*passed));
+    if (passed == NULL) {
+        return;
+    }
+    passed->node = node;
+    passed->incarnation = incarnation;
+    passed->ask = ask->id;
+    passed->begun.started_us = clock_now_us();
+    snprintf(passed->peer, sizeof(passed->peer), "%s", peer);
     json_t *root =
         json_loadb(ask->json, ask->size, JSON_REJECT_DUPLICATES, NULL);
-    status_t status = caller_query_parse(
-        root, node->settings.limits_query_body_max_bytes, &query, &err);
+    status_t status = caller_query_parse(root, PART_BODY_MAX, &query, &err);
     if (status == STATUS_OK && query.once) {
-        take_passed(&passed, &query);
+        take_passed(passed, &query, ask->kind == ASK_QUERY);
     }
     else {
         node_answer(node, peer, incarnation, ask->id, HTTP_BAD_REQUEST,
                     json_pack("{s:s}", "error", err.message));
+        free(passed);
     }
     json_decref(root);
 }
--- a/daemon/node_route.c
+++ b/daemon/node_route.c
@@ -267,6 +267,7 @@
     json_t *json;
     switch (ask->kind) {
     case ASK_QUERY:
+    case ASK_OUTCOME:
         node_take_passed_query(node, peer, incarnation, ask);
         break;
     case ASK_STATUS:
--- a/daemon/node_state.h
+++ b/daemon/node_state.h
@@ -98,6 +98,12 @@
 /* node_operator.c */
 status_t node_serve_operators(node_t *node, error_t *err);
 
+/* What *status is when node_ask returns NULL. */
+enum {
+    NODE_ASK_NOT_SENT = 0,   /* and never will be */
+    NODE_ASK_NO_ANSWER = 504 /* it may have had its effect */
+};
+
 /* Ask the daemon of that incarnation and wait; NULL: no answer. */
 json_t *node_ask(node_t *node, uint64_t incarnation, ask_kind_t kind,
                  const char *json, int64_t timeout_us, unsigned *status);
--- a/daemon/node_status.c
+++ b/daemon/node_status.c
@@ -35,10 +35,10 @@
                 .size = strlen(json),
             },
     };
-    int64_t wait_us =
-        id != 0 && node_send(node, incarnation, &message) ? timeout_us : 0;
+    bool sent = id != 0 && node_send(node, incarnation, &message);
     ask_reply_t reply;
-    if (!asks_wait(&node->asks, id, wait_us, &reply)) {
+    if (!asks_wait(&node->asks, id, sent ? timeout_us : 0, &reply)) {
+        *status = sent ? NODE_ASK_NO_ANSWER : NODE_ASK_NOT_SENT;
         return NULL;
     }
     *status = reply.status;
--- a/edge/upstream.c
+++ b/edge/upstream.c
@@ -207,15 +207,24 @@
     }
 }
 
+/* How a call that got no whole answer ended. */
+typedef struct {
+    part_status_t status;
+    bool not_run; /* nothing of it was written */
+    bool reset;   /* the connection broke, rather than the time ran out */
+} failure_t;
+
 static void
 deliver(upstream_client_t *client, const part_reply_t *reply,
-        const wire_reply_t *whole, int64_t service_us)
+        const wire_reply_t *whole, bool reset, int64_t service_us)
 {
     gate_result_t result = {
         .status = reply->status,
         .service_us = service_us,
         .boot = whole->boot,
         .cold = whole->cold,
+        .reset = reset,
+        .not_run = reply->not_run,
         .retry_after_us = whole->retry_after_us,
     };
     part_reply_t timed = *reply;
@@ -225,17 +234,16 @@
 
 static void
 deliver_failure(upstream_client_t *client, const part_request_t *parts,
-                size_t count, part_status_t status, bool not_run,
-                int64_t service_us)
+                size_t count, const failure_t *failure, int64_t service_us)
 {
     wire_reply_t whole = {.boot = 0};
     for (size_t i = 0; i < count; i++) {
         part_reply_t reply = {
             .id = parts[i].id,
-            .status = status,
-            .not_run = not_run,
+            .status = failure->status,
+            .not_run = failure->not_run,
         };
-        deliver(client, &reply, &whole, service_us);
+        deliver(client, &reply, &whole, failure->reset, service_us);
     }
 }
 
@@ -259,7 +267,7 @@
     }
     free(whole.partition.shards);
     for (size_t i = 0; i < call->count; i++) {
-        deliver(client, &replies[i], &whole, service_us);
+        deliver(client, &replies[i], &whole, false, service_us);
     }
 }
 
@@ -290,10 +298,13 @@
         call_answered(call, http_status, service_us);
         return;
     }
-    /* Nothing of the request was written: no upstream saw it. */
-    bool unsent = request_bytes == 0 && call->request_sent == 0;
-    part_status_t status = call->too_large ? PART_BAD_REPLY : PART_LOST;
-    deliver_failure(call->client, call->parts, call->count, status, unsent,
+    failure_t failure = {
+        .status = call->too_large ? PART_BAD_REPLY : PART_LOST,
+        /* Nothing of the request was written: no upstream saw it. */
+        .not_run = request_bytes == 0 && call->request_sent == 0,
+        .reset = !call->too_large && code != CURLE_OPERATION_TIMEDOUT,
+    };
+    deliver_failure(call->client, call->parts, call->count, &failure,
                     service_us);
 }
 
@@ -318,8 +329,9 @@
     char *text = wire_request_format(requests, count, now_us, &size);
     call_t *call = text == NULL ? NULL : call_new(client);
     if (call == NULL) {
+        failure_t failure = {.status = PART_LOST, .not_run = true};
         free(text);
-        deliver_failure(client, requests, count, PART_LOST, true, 0);
+        deliver_failure(client, requests, count, &failure, 0);
         return;
     }
     call->count = count;
--- a/proto/message.h
+++ b/proto/message.h
@@ -122,12 +122,13 @@
 
 /* What an Ask wants; a receiver answers STATUS_INVALID to a kind unknown. */
 typedef enum {
-    ASK_QUERY,   /* run a query whose ticket is the receiver's */
+    ASK_QUERY,   /* run a query that is the receiver's to run once */
     ASK_STATUS,  /* the receiver's share of the fleet status */
     ASK_EXPLAIN, /* what the receiver knows of one query */
     ASK_CANCEL,  /* cancel a query that runs at the receiver */
     ASK_ROSTER,  /* a roster document; not answered */
     ASK_HOLDS,   /* zones and VMs held out; not answered */
+    ASK_OUTCOME, /* what became of a request named by an id */
     ASK_KIND_COUNT
 } ask_kind_t;
 
