core: know a query that crashes upstreams by its own losses

A query over many shards crashed the upstream of every part, then that of every retry, and each owner saw only its own few crashes: 15 such queries with 30 resends crashed upstreams 396 times, and one upstream that had just restarted was sent two parts where it bears one.

A broken connection is now taken for a restart, so that the upstream's bound drops at once. A query that has lost two parts repeats one part at a time, and two of those lost in turn end it and put its fingerprint in quarantine in the whole fleet; one that is answered lets the rest follow. A fingerprint known here is refused before anything is sent, with the time that is left, and is then truly not run.

The quarantine's case of a refunded break ran its last two parts on the upstream that had broken, which now bears one; it runs the second on another upstream of the gate, where a suspect would wait just the same.

--- a/core/gate.c
+++ b/core/gate.c
@@ -291,9 +291,10 @@
 target_learn(target_t *target, const gate_result_t *result, bool restarted,
              int64_t now_us)
 {
+    /* A broken connection is how a restart first shows. */
     cold_reply_t reply = {.kind = reply_kind(result->status),
                           .cold = result->cold,
-                          .restarted = restarted,
+                          .restarted = restarted || result->reset,
                           .service_us = result->service_us,
                           .retry_after_us = result->retry_after_us};
     target_measure(target, result);
--- a/core/gate.h
+++ b/core/gate.h
@@ -111,6 +111,10 @@
 /* A fingerprint other owners found to crash upstreams, or a crash seen. */
 void gate_quarantine(gate_t *gate, uint64_t fingerprint, int64_t now_us);
 
+/* How long the fingerprint is still refused, in microseconds; 0: it is not. */
+int64_t gate_quarantine_left_us(const gate_t *gate, uint64_t fingerprint,
+                                int64_t now_us);
+
 /* Fingerprints this gate put in quarantine since the last call; the count. */
 size_t gate_new_quarantines(gate_t *gate, uint64_t *out, size_t max);
 
--- a/core/gate_report.c
+++ b/core/gate_report.c
@@ -27,6 +27,13 @@
     quarantine_set(gate->quarantine, fingerprint, now_us);
 }
 
+int64_t
+gate_quarantine_left_us(const gate_t *gate, uint64_t fingerprint,
+                        int64_t now_us)
+{
+    return quarantine_left_us(gate->quarantine, fingerprint, now_us);
+}
+
 size_t
 gate_new_quarantines(gate_t *gate, uint64_t *out, size_t max)
 {
--- a/core/query.c
+++ b/core/query.c
@@ -15,6 +15,9 @@
     SETTLE_US = 20000, /* for an owner or a partition to be known */
     BUDGET_WAIT_US = 10000,
     BUDGET_WAITS_MAX = 3,
+    SUSPECT_LOSSES = 2, /* losses after which the query may be their cause */
+    SUSPECT_TRIES = 2,  /* repeats lost one by one before it is given up */
+    SUSPECT_WAIT_US = 20000,    /* for the end of the repeat that went ahead */
     HEDGE_FALLBACK_DIVISOR = 4, /* of the time left, while nothing is known */
     ATTEMPTS_START = 16
 };
@@ -26,6 +29,7 @@
     uint32_t piece;
     uint32_t epoch; /* restart it belongs to */
     bool cancel_due;
+    bool repeat; /* an earlier attempt may have run */
 } try_t;
 
 struct query {
@@ -49,6 +53,9 @@
     uint32_t hedges;
     uint32_t retries;
     uint32_t dropped;
+    uint32_t losses;       /* since a repeat last succeeded */
+    uint32_t repeats_lost; /* while under suspicion */
+    uint32_t repeats_open;
     bool moved; /* a replica is at a newer generation */
     bool finished;
     reason_t reason;
@@ -137,6 +144,7 @@
     attempt_t *attempt = &query->attempts[index];
     try_t *try = &query->tries[index];
     attempt->open = false;
+    query->repeats_open -= try->repeat ? 1 : 0;
     if (try->epoch == query->epoch) {
         query->pieces[try->piece].open--;
     }
@@ -325,7 +333,9 @@
     query->tries[slot] = (try_t){
         .piece = (uint32_t)index,
         .epoch = query->epoch,
+        .repeat = piece->repeats,
     };
+    query->repeats_open += piece->repeats ? 1 : 0;
     context->replicas->replicas[upstream].in_progress++;
     piece->tried |= plan_position_bit(position);
     piece->open++;
@@ -447,7 +457,11 @@
     }
 }
 
-/* A repeat of work that may have run is added load and needs a token. */
+/*
+ * A repeat of work that may have run is added load and needs a token. When
+ * several parts were lost the query itself may crash what runs it: then one
+ * repeat goes ahead, and the others wait for its end.
+ */
 static bool
 piece_may_repeat(query_t *query, const query_context_t *context,
                  piece_t *piece, int64_t now_us)
@@ -455,6 +469,10 @@
     if (!piece->repeats) {
         return true;
     }
+    if (query->losses >= SUSPECT_LOSSES && query->repeats_open > 0) {
+        piece->not_before_us = now_us + SUSPECT_WAIT_US;
+        return false;
+    }
     if (take_added(context, 1, now_us)) {
         query->retries++;
         return true;
@@ -664,6 +682,41 @@
     piece_cancel_open(query, context, index);
 }
 
+/* A repeat was answered: the losses were not the query's doing. */
+static void
+query_clear_suspicion(query_t *query)
+{
+    query->losses = 0;
+    query->repeats_lost = 0;
+    for (size_t i = 0; i < query->piece_count; i++) {
+        if (query->pieces[i].state == PIECE_WAITING &&
+            query->pieces[i].repeats) {
+            query->pieces[i].not_before_us = 0;
+        }
+    }
+}
+
+/* Repeats were lost one after another: nothing more is repeated. */
+static void
+query_give_up_repeats(query_t *query)
+{
+    for (size_t i = 0; i < query->piece_count; i++) {
+        if (query->pieces[i].state == PIECE_WAITING &&
+            query->pieces[i].repeats) {
+            piece_fail(&query->pieces[i], REASON_LOST);
+        }
+    }
+}
+
+static void
+query_note_loss(query_t *query, bool repeat)
+{
+    query->losses++;
+    if (repeat && query->losses > SUSPECT_LOSSES) {
+        query->repeats_lost++;
+    }
+}
+
 static reason_t
 reason_of(part_status_t status)
 {
@@ -771,12 +824,19 @@
     }
     attempt_close(query, context, index);
     uint32_t piece = query->tries[index].piece;
+    bool repeat = query->tries[index].repeat;
+    if (checked.status == PART_LOST && !checked.not_run) {
+        query_note_loss(query, repeat);
+    }
     if (query->finished || !current ||
         query->pieces[piece].state == PIECE_DONE) {
         return;
     }
     if (checked.status == PART_OK) {
         piece_merge(query, context, piece, &checked);
+        if (repeat) {
+            query_clear_suspicion(query);
+        }
     }
     else if (checked.status == PART_QUARANTINED) {
         query_finish(query, REASON_QUARANTINED);
@@ -784,6 +844,9 @@
     else {
         piece_unanswered(query, piece, &checked, now_us);
     }
+    if (query->repeats_lost >= SUSPECT_TRIES) {
+        query_give_up_repeats(query);
+    }
     query->cursor = 0;
 }
 
@@ -869,6 +932,7 @@
         .retries = query->retries,
         .restarts = query->epoch,
         .dropped = query->dropped,
+        .suspect = query->repeats_lost >= SUSPECT_TRIES,
         .retry_after_us = query->retry_after_us,
     };
     answer->reason =
--- a/core/query.h
+++ b/core/query.h
@@ -82,6 +82,7 @@
     uint32_t retries;
     uint32_t restarts;
     uint32_t dropped; /* replies that matched no open attempt */
+    bool suspect;     /* its repeats were lost too: it may be the cause */
     int64_t retry_after_us;
 } query_answer_t;
 
--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -362,6 +362,13 @@
     gate_quarantine(a->gate, fingerprint, now_us);
 }
 
+int64_t
+admission_quarantine_left_us(const admission_t *a, uint64_t fingerprint,
+                             int64_t now_us)
+{
+    return gate_quarantine_left_us(a->gate, fingerprint, now_us);
+}
+
 size_t
 admission_new_quarantines(admission_t *a, uint64_t *out, size_t max)
 {
--- a/daemon/admission.h
+++ b/daemon/admission.h
@@ -56,6 +56,10 @@
 void admission_quarantine(admission_t *admission, uint64_t fingerprint,
                           int64_t now_us);
 
+/* How long the fingerprint is still refused, in microseconds; 0: it is not. */
+int64_t admission_quarantine_left_us(const admission_t *admission,
+                                     uint64_t fingerprint, int64_t now_us);
+
 /* Fingerprints newly found here, to be told to other owners. */
 size_t admission_new_quarantines(admission_t *admission, uint64_t *out,
                                  size_t max);
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -212,6 +212,10 @@
     if (request->deadline_us <= now_us) {
         return REASON_DEADLINE;
     }
+    if (c->settings.sink.quarantine_left_us(
+            c->settings.sink.context, request->fingerprint, now_us) > 0) {
+        return REASON_QUARANTINED;
+    }
     return has_room(c, row->class) ? REASON_NONE : REASON_OVERLOAD;
 }
 
@@ -247,10 +251,14 @@
 
 static void
 refuse(coordinator_t *c, const query_request_t *request,
-       const query_waiter_t *waiter, reason_t reason)
+       const query_waiter_t *waiter, reason_t reason, int64_t now_us)
 {
     query_answer_t answer;
-    answer_refuse(&answer, reason, RETRY_AFTER_US);
+    int64_t quarantine_us = c->settings.sink.quarantine_left_us(
+        c->settings.sink.context, request->fingerprint, now_us);
+    answer_refuse(&answer, reason,
+                  reason == REASON_QUARANTINED ? quarantine_us
+                                               : RETRY_AFTER_US);
     answer.asked = key_range_size(request->range);
     end_query(c, request, waiter, 0, &answer, 0);
     free((char *)request->body);
@@ -264,7 +272,7 @@
     slot_t *slot = reason == REASON_NONE ? slot_take(c) : NULL;
     if (slot == NULL) {
         refuse(c, request, waiter,
-               reason == REASON_NONE ? REASON_OVERLOAD : reason);
+               reason == REASON_NONE ? REASON_OVERLOAD : reason, now_us);
         return;
     }
     attempt_id_t id = {
@@ -277,7 +285,7 @@
     }
     if (slot->query == NULL) {
         slot_release(c, slot);
-        refuse(c, request, waiter, REASON_OVERLOAD);
+        refuse(c, request, waiter, REASON_OVERLOAD, now_us);
         return;
     }
     slot->request = *request;
@@ -544,6 +552,10 @@
     record->ended_us = now_us;
     record->answer = answer;
     explain_attempts(c, slot, record);
+    if (answer.suspect) {
+        c->settings.sink.quarantine(c->settings.sink.context,
+                                    slot->request.fingerprint);
+    }
     end_query(c, &slot->request, &slot->waiter, slot->sequence, &answer,
               now_us - slot->started_us);
     slot_release(c, slot);
--- a/daemon/coordinator.h
+++ b/daemon/coordinator.h
@@ -25,6 +25,11 @@
     bool (*send)(void *context, uint64_t owner, const part_request_t *requests,
                  size_t count);
     void (*cancel)(void *context, uint64_t owner, attempt_id_t id);
+    /* How long a fingerprint is still refused; 0: it is not. */
+    int64_t (*quarantine_left_us)(void *context, uint64_t fingerprint,
+                                  int64_t now_us);
+    /* A query seems to crash the upstreams that run it. */
+    void (*quarantine)(void *context, uint64_t fingerprint);
 } part_sink_t;
 
 typedef struct {
--- a/daemon/node_once.c
+++ b/daemon/node_once.c
@@ -333,7 +333,7 @@
 {
     char name[NAME_SIZE];
     owner_key_t keys[ROSTER_MEMBERS_MAX];
-    uint64_t incarnations[ROSTER_MEMBERS_MAX];
+    uint64_t incarnations[ROSTER_MEMBERS_MAX] = {0};
     size_t count = 0;
     world_t *world = fleet_world(node->fleet);
     for (size_t i = 0; world != NULL && i < world->member_count; i++) {
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -163,6 +163,24 @@
     worker->settings.route.cancel(worker->settings.route.context, owner, id);
 }
 
+static int64_t
+quarantine_left_us(void *context, uint64_t fingerprint, int64_t now_us)
+{
+    worker_t *worker = context;
+    return admission_quarantine_left_us(worker->admission, fingerprint,
+                                        now_us);
+}
+
+static void
+route_quarantine(void *context, uint64_t fingerprint)
+{
+    worker_t *worker = context;
+    event_log(EVENT_QUARANTINE, "fingerprint=%016" PRIx64 " by=coordinator",
+              fingerprint);
+    worker->settings.route.quarantine(worker->settings.route.context,
+                                      &fingerprint, 1);
+}
+
 static void
 route_replies(void *context, uint64_t coordinator, const part_reply_t *replies,
               size_t count)
@@ -195,6 +213,8 @@
                 .context = worker,
                 .send = route_parts,
                 .cancel = route_cancel,
+                .quarantine_left_us = quarantine_left_us,
+                .quarantine = route_quarantine,
             },
     };
     worker->coordinator = coordinator_new(&settings);
--- a/t/t0110-query.c
+++ b/t/t0110-query.c
@@ -242,7 +242,7 @@
 } ending_case_t;
 
 static const ending_case_t ending_cases[] = {
-    {"lost is retried", false, PART_LOST, false, 2, OUTCOME_UNKNOWN},
+    {"lost is retried", false, PART_LOST, false, 1, OUTCOME_UNKNOWN},
     {"lost once is not", true, PART_LOST, false, 0, OUTCOME_UNKNOWN},
     {"failed once is not", true, PART_FAILED, false, 0, OUTCOME_UNKNOWN},
     {"garbled once is not", true, PART_BAD_REPLY, false, 0, OUTCOME_UNKNOWN},
@@ -296,6 +296,41 @@
 }
 END_TEST
 
+/*
+ * All that the query touches is lost: it may be what crashes them, so one
+ * repeat goes at a time and two of those lost end it. One that is answered
+ * lets the rest follow.
+ */
+START_TEST(test_losses_are_repeated_one_by_one)
+{
+    for (int innocent = 0; innocent < 2; innocent++) {
+        fixture_t f;
+        query_action_t sends[8];
+        fixture_init(&f, false);
+        ck_assert_uint_eq(take_sends(&f, 0, sends, 8), 2);
+        answer(&f, &sends[0], PART_LOST, false, 10);
+        answer(&f, &sends[1], PART_LOST, false, 10);
+        ck_assert_uint_eq(take_sends(&f, 20, sends, 8), 1);
+        if (innocent) {
+            answer(&f, &sends[0], PART_OK, false, 30);
+            ck_assert_uint_eq(take_sends(&f, 40, sends, 8), 1);
+            answer(&f, &sends[0], PART_OK, false, 50);
+            ck_assert_int_eq(final_answer(&f, 60).outcome, OUTCOME_WHOLE);
+        }
+        else {
+            answer(&f, &sends[0], PART_LOST, false, 30);
+            ck_assert_uint_eq(take_sends(&f, 30000, sends, 8), 1);
+            answer(&f, &sends[0], PART_LOST, false, 30010);
+            query_answer_t result = final_answer(&f, 30020);
+            ck_assert_int_eq(result.outcome, OUTCOME_UNKNOWN);
+            ck_assert_uint_eq(result.attempts, 4);
+            ck_assert(result.suspect);
+        }
+        fixture_release(&f);
+    }
+}
+END_TEST
+
 START_TEST(test_partial_lists_what_is_missing)
 {
     fixture_t f;
@@ -473,6 +508,7 @@
                         sizeof(ending_cases) / sizeof(ending_cases[0]));
     tcase_add_test(tests, test_not_run_needs_proof);
     tcase_add_test(tests, test_partial_lists_what_is_missing);
+    tcase_add_test(tests, test_losses_are_repeated_one_by_one);
     tcase_add_test(tests, test_hedge);
     tcase_add_test(tests, test_hedge_needs_budget);
     tcase_add_test(tests, test_version_changes);
--- a/t/t0206-quarantine.c
+++ b/t/t0206-quarantine.c
@@ -77,7 +77,7 @@
      {WARM(D0), WARM(D2), SUBMIT(1, D0, 5, SEND), BROKEN(1),
       SUBMIT(2, D0, 6, SEND), GOOD(2, 7), SUBMIT(3, D0, 5, SEND), BROKEN(3),
       SUBMIT(4, D0, 6, SEND), GOOD(4, 7), SUBMIT(5, D0, 5, SEND),
-      SUBMIT(6, D0, 5, SEND)}},
+      SUBMIT(6, D2, 5, SEND)}},
     {"the first of two in progress is not alone",
      {WARM(D0), WARM(D2), SUBMIT(1, D0, 5, SEND), SUBMIT(2, D0, 6, SEND),
       SUBMIT(3, D2, 5, SEND), SUBMIT(4, D2, 6, SEND), BROKEN(1), BROKEN(2),
