bench: measure a mesh of transports

Cause: the transport's cost against the number of peers was not known.

Change: the benchmark connects 8, 32 and 64 transports with each other and sends a heartbeat a second from each to each.

--- a/bench/proto.c
+++ b/bench/proto.c
@@ -1,6 +1,7 @@
 /*
  * Cost of the inner protocol: bytes and processor time to encode, decode and
- * seal, a message and a part; and of the transport over loopback.
+ * seal, a message and a part; of the transport over loopback; and of a mesh of
+ * transports that send each other a heartbeat a second.
  *
  *     bench-proto [SECONDS-PER-LINE]
  */
@@ -15,8 +16,14 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
-enum { BATCH_MAX = 400, LOOPBACK_MESSAGES = 20000 };
+enum {
+    BATCH_MAX = 400,
+    LOOPBACK_MESSAGES = 20000,
+    MESH_MAX = 64,
+    MESH_BEATS = 3
+};
 
 static double
 seconds(clockid_t clock)
@@ -156,7 +163,7 @@
 }
 
 static atomic_uint arrived;
-static atomic_bool up;
+static atomic_uint ups;
 
 static void
 on_message(void *ctx, const char *peer, uint64_t incarnation,
@@ -175,7 +182,7 @@
     (void)ctx;
     (void)peer;
     (void)incarnation;
-    atomic_store(&up, true);
+    atomic_fetch_add(&ups, 1);
 }
 
 static void
@@ -235,9 +242,9 @@
                          .address = "127.0.0.1",
                          .port = peer_net_port(b)};
     atomic_store(&arrived, 0);
-    atomic_store(&up, false);
+    atomic_store(&ups, 0);
     (void)peer_net_set_peers(a, &to, 1, NULL);
-    while (!atomic_load(&up)) {
+    while (atomic_load(&ups) < 2) {
         pause_us(1000);
     }
     message_t m = {.type = MESSAGE_PARTS,
@@ -266,6 +273,88 @@
     peer_net_free(b);
 }
 
+static void
+mesh_dial(peer_net_t **nets, const peer_address_t *peers, unsigned count)
+{
+    for (unsigned i = 0; i < count; i++) {
+        (void)peer_net_set_peers(nets[i], peers, count, NULL);
+    }
+}
+
+static void
+mesh_beat(peer_net_t **nets, const peer_address_t *peers, unsigned count)
+{
+    static const uint8_t heard[MESH_MAX / 8] = {0xff};
+    message_t m = {.type = MESSAGE_HEARTBEAT,
+                   .heartbeat = {.roster_version = 900,
+                                 .config_version = 12,
+                                 .heard = heard,
+                                 .heard_size = (count + 7) / 8}};
+    for (unsigned i = 0; i < count; i++) {
+        for (unsigned j = 0; j < count; j++) {
+            if (i != j) {
+                (void)peer_net_send(nets[i], peers[j].name,
+                                    peers[j].incarnation, &m, NULL);
+            }
+        }
+    }
+}
+
+static int64_t
+mesh_cpu_us(peer_net_t **nets, unsigned count)
+{
+    int64_t sum_us = 0;
+    for (unsigned i = 0; i < count; i++) {
+        sum_us += peer_net_counters(nets[i]).cpu_us;
+    }
+    return sum_us;
+}
+
+/* Everyone knows everyone: time to connect, and a heartbeat a second. */
+static void
+measure_mesh(unsigned count)
+{
+    peer_net_t *nets[MESH_MAX];
+    peer_address_t peers[MESH_MAX] = {0};
+    atomic_store(&ups, 0);
+    atomic_store(&arrived, 0);
+    for (unsigned i = 0; i < count; i++) {
+        peers[i].incarnation = i + 1;
+        snprintf(peers[i].name, NAME_SIZE, "a%u", i);
+        snprintf(peers[i].address, ADDRESS_SIZE, "127.0.0.1");
+        nets[i] = open_net(peers[i].name, peers[i].incarnation);
+        peers[i].port = peer_net_port(nets[i]);
+    }
+    double start = seconds(CLOCK_MONOTONIC);
+    mesh_dial(nets, peers, count);
+    while (atomic_load(&ups) < count * (count - 1)) {
+        pause_us(100);
+    }
+    double connected = seconds(CLOCK_MONOTONIC);
+    int64_t connect_us = mesh_cpu_us(nets, count);
+    for (unsigned beat = 1; beat <= MESH_BEATS; beat++) {
+        mesh_beat(nets, peers, count);
+        while (atomic_load(&arrived) < beat * count * (count - 1)) {
+            pause_us(100);
+        }
+        sleep(1);
+    }
+    int64_t beat_us = mesh_cpu_us(nets, count) - connect_us;
+    uint64_t dials = 0;
+    for (unsigned i = 0; i < count; i++) {
+        dials += peer_net_counters(nets[i]).dials;
+    }
+    printf("mesh of %u: connected after %.0f ms, %" PRIu64 " dials for %u "
+           "pairs, thread time a daemon %.1f ms to connect, %.2f ms a second "
+           "of heartbeats\n",
+           count, (connected - start) * 1000, dials, count * (count - 1) / 2,
+           (double)connect_us / count / 1000,
+           (double)beat_us / count / MESH_BEATS / 1000);
+    for (unsigned i = 0; i < count; i++) {
+        peer_net_free(nets[i]);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -273,5 +362,8 @@
     measure_messages(span_s);
     measure_loopback(1);
     measure_loopback(40);
+    measure_mesh(8);
+    measure_mesh(32);
+    measure_mesh(MESH_MAX);
     return 0;
 }
