cli: print tables inside a row below it, and times as dates

Cause: yuccarun status against a running fleet squeezed each daemon's events and limited upstreams into one cell.

Change: a table inside a row is counted in its cell and printed under the row's name; at_us is shown as a UTC time.

--- a/cli/print.c
+++ b/cli/print.c
@@ -3,6 +3,7 @@
 #include <ctype.h>
 #include <stdbool.h>
 #include <string.h>
+#include <time.h>
 
 enum { COLUMNS_MAX = 32, CELL_SIZE = 96, INDENT = 2 };
 
@@ -82,6 +83,10 @@
         format_scalar(out, value);
         return;
     }
+    if (is_table(value)) {
+        snprintf(out, CELL_SIZE, "%zu below", json_array_size(value));
+        return;
+    }
     for (size_t i = 0; i < json_array_size(value); i++) {
         format_cell(cell, json_array_get(value, i));
         join(out, cell);
@@ -98,6 +103,19 @@
     }
 }
 
+/* A member of a row; the daemons' wall-clock times are made readable. */
+static void
+format_member(char out[CELL_SIZE], const char *key, const json_t *value)
+{
+    struct tm utc;
+    time_t at_s = (time_t)(json_integer_value(value) / 1000000);
+    bool is_time = strcmp(key, "at_us") == 0 && json_is_integer(value);
+    if (!is_time || gmtime_r(&at_s, &utc) == NULL ||
+        strftime(out, CELL_SIZE, "%Y-%m-%dT%H:%M:%SZ", &utc) == 0) {
+        format_cell(out, value);
+    }
+}
+
 static size_t
 column_find(const columns_t *columns, const char *name)
 {
@@ -125,7 +143,7 @@
             columns->widths[at] = (int)strlen(key);
             columns->count++;
         }
-        format_cell(cell, value);
+        format_member(cell, key, value);
         if ((int)strlen(cell) > columns->widths[at]) {
             columns->widths[at] = (int)strlen(cell);
         }
@@ -142,7 +160,8 @@
             clean(cell);
         }
         else {
-            format_cell(cell, json_object_get(row, columns->names[i]));
+            format_member(cell, columns->names[i],
+                          json_object_get(row, columns->names[i]));
         }
         bool last = i + 1 == columns->count;
         fprintf(out, "%*s%-*s", i == 0 ? indent : 2, "",
@@ -151,6 +170,26 @@
     fprintf(out, "\n");
 }
 
+static void print_table_at(FILE *out, const json_t *rows, int indent);
+
+/* What does not fit a cell: tables inside the row, under the row's name. */
+static void
+print_nested(FILE *out, const json_t *row, int indent)
+{
+    char name[CELL_SIZE];
+    const char *key;
+    json_t *value;
+    void *first = json_object_iter((json_t *)row);
+    format_cell(name, json_object_iter_value(first));
+    json_object_foreach((json_t *)row, key, value)
+    {
+        if (is_table(value)) {
+            fprintf(out, "%*s%s %s:\n", indent, "", name, key);
+            print_table_at(out, value, indent + INDENT);
+        }
+    }
+}
+
 static void
 print_table_at(FILE *out, const json_t *rows, int indent)
 {
@@ -166,6 +205,9 @@
     for (size_t i = 0; i < json_array_size(rows); i++) {
         print_row(out, &columns, json_array_get(rows, i), indent);
     }
+    for (size_t i = 0; i < json_array_size(rows); i++) {
+        print_nested(out, json_array_get(rows, i), indent);
+    }
 }
 
 void
--- a/cli/print.h
+++ b/cli/print.h
@@ -9,7 +9,8 @@
 
 /*
  * An array of objects as a table; columns are the keys in the order they
- * first appear. Prints "(none)" for an empty one.
+ * first appear. Tables inside a row follow below, under the row's first value.
+ * Prints "(none)" for an empty one.
  */
 void print_table(FILE *out, const json_t *rows);
 
--- a/t/t0604-cli.c
+++ b/t/t0604-cli.c
@@ -298,6 +298,16 @@
      "b?1",
      1,
      NULL},
+    {"status",
+     {{"GET /v1/status", 200,
+       "{\"daemons\":[{\"daemon\":\"a1\",\"events\":[{\"number\":503,\"at_"
+       "us\":1796337420233521}]},"
+       "{\"daemon\":\"b1\",\"events\":[]}]}"}},
+     CLI_OK,
+     "  a1      1 below\n  b1      \n  a1 events:\n    number  at_us\n    503 "
+     "    2026-12-03T22:37:00Z\n",
+     1,
+     NULL},
     {"status",
      {{"GET /v1/status", 0, NULL}},
      CLI_UNAVAILABLE,
