daemon: start from peers while the store is out, and pass on partitions

A daemon that started while the store was out knew nobody: the settings' peers were read and not used. A query coordinated by a daemon that the roster does not name yet got no replies, since owners looked its name up in the roster. A partition that changed was known only with the next poll of the store: with the store out every query of the service failed until it was back.

The settings' peers are dialled until a roster is known; on connecting, a daemon that lacks them asks for roster, configuration and partitions. Replies find daemons that are no members. A moved part tells the whole partition of its generation (docs/PROTOCOL.md; the stand-in told only the shards that the part touched, which no reader could use), and what is new is passed to the members. More than one roster group is refused by the settings until work is routed between groups: two would both have owned every upstream.

--- a/core/part.h
+++ b/core/part.h
@@ -23,7 +23,6 @@
 enum {
     NAME_SIZE = 32,       /* bytes of any name, its NUL included */
     PART_BODY_MAX = 4096, /* bytes of a query's payload */
-    PART_MOVED_MAX = 64,  /* shards listed in a reply that moved */
     PART_HELD_MAX = 4     /* index versions a replica reports */
 };
 
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -198,8 +198,8 @@
     return partition;
 }
 
-void
-fleet_partition(fleet_t *fleet, const partition_t *partition)
+bool
+fleet_take_partition(fleet_t *fleet, const partition_t *partition)
 {
     pthread_mutex_lock(&fleet->lock);
     partition_t *have = find_partition(fleet, partition->service);
@@ -220,6 +220,7 @@
         rebuild_topology(fleet, "partition");
     }
     pthread_mutex_unlock(&fleet->lock);
+    return shards != NULL;
 }
 
 world_t *
@@ -346,10 +347,13 @@
 static void
 tell_peers_to_net(fleet_t *fleet)
 {
-    peer_address_t peers[FLEET_PEERS_MAX];
+    peer_address_t peers[FLEET_PEERS_MAX + SETTINGS_PEERS_MAX];
+    const settings_t *settings = fleet->settings.settings;
     pthread_mutex_lock(&fleet->lock);
     const roster_doc_t *doc = roster_members(fleet->roster);
     size_t count = 0;
+    size_t seeds = 0;
+    memset(peers, 0, sizeof(peers));
     for (size_t i = 0; i < doc->count; i++) {
         const roster_member_t *member = &doc->members[i];
         peer_address_t *peer = &peers[count++];
@@ -361,8 +365,15 @@
         memcpy(peer->address, member->address, ADDRESS_SIZE);
     }
     pthread_mutex_unlock(&fleet->lock);
+    /* Until a roster is known, the settings say whom to ask for it. */
+    for (size_t i = 0; count == 0 && i < settings->peer_count; i++) {
+        peers[i].port = settings->peers[i].port;
+        memcpy(peers[i].address, settings->peers[i].address, ADDRESS_SIZE);
+        seeds++;
+    }
     error_t err = ERROR_INIT;
-    if (peer_net_set_peers(fleet->net, peers, count, &err) != STATUS_OK) {
+    if (peer_net_set_peers(fleet->net, peers, count + seeds, &err) !=
+        STATUS_OK) {
         event_log(EVENT_INPUT_REFUSED, "%s", error_text(&err));
     }
 }
@@ -439,8 +450,9 @@
                  fleet->owners_waiting;
     world_t *world =
         fleet->dirty || moved ? rebuild_world(fleet, now_us) : NULL;
-    bool peers_changed = fleet->peers_version != version;
+    bool peers_changed = fleet->peers_version != version || !fleet->peers_told;
     fleet->peers_version = version;
+    fleet->peers_told = true;
     size_t count = collect_beats(fleet, now_us, beats);
     confsync_word_t word;
     confsync_word(&fleet->sync, now_us, &word);
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -55,7 +55,7 @@
 void fleet_message(fleet_t *fleet, const char *peer, uint64_t incarnation,
                    const message_t *message);
 
-/* A partition that an upstream told of. */
+/* A partition that an upstream told of; peers are told what is new. */
 void fleet_partition(fleet_t *fleet, const partition_t *partition);
 
 /* Take a configuration that the store has accepted; false: it is not newer. */
@@ -72,6 +72,9 @@
 /* Whether a hold keeps the zone or VM out now. */
 bool fleet_is_held(fleet_t *fleet, hold_kind_t kind, const char *name);
 
+/* A peer can be sent to: what this daemon lacks is asked of it. */
+void fleet_peer_up(fleet_t *fleet, const char *peer, uint64_t incarnation);
+
 /* The connection to a peer ended. */
 void fleet_peer_down(fleet_t *fleet, const char *peer, bool reachable);
 
@@ -100,6 +103,10 @@
     bool self;
 } fleet_member_t;
 
+/* Name of a daemon heard from, a member or not; false: never heard. */
+bool fleet_peer_name(fleet_t *fleet, uint64_t incarnation,
+                     char name[NAME_SIZE]);
+
 /* Members of the roster; returns how many there are. */
 size_t fleet_members(fleet_t *fleet, fleet_member_t *out, size_t max);
 
--- a/daemon/fleet_peers.c
+++ b/daemon/fleet_peers.c
@@ -1,8 +1,10 @@
+#include "core/name.h"
 #include "daemon/clock.h"
 #include "daemon/fleet_state.h"
 #include "daemon/heartbeat.h"
 #include "edge/event.h"
 
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -43,6 +45,18 @@
     peer_net_send(fleet->net, peer, incarnation, message, &ignored);
 }
 
+/* One-way: what it carries is taken, or what it asks for is sent. */
+static void
+send_ask(fleet_t *fleet, const char *peer, uint64_t incarnation,
+         ask_kind_t kind, const char *text)
+{
+    message_t message = {
+        .type = MESSAGE_ASK,
+        .ask = {.kind = kind, .json = text, .size = strlen(text)},
+    };
+    send_to(fleet, peer, incarnation, &message);
+}
+
 static void
 send_config(fleet_t *fleet, const char *peer, uint64_t incarnation)
 {
@@ -84,16 +98,7 @@
     if (text == NULL) {
         return;
     }
-    message_t message = {
-        .type = MESSAGE_ASK,
-        .ask =
-            {
-                .kind = ASK_ROSTER,
-                .json = text,
-                .size = strlen(text),
-            },
-    };
-    send_to(fleet, peer, incarnation, &message);
+    send_ask(fleet, peer, incarnation, ASK_ROSTER, text);
     free(text);
 }
 
@@ -117,16 +122,7 @@
     if (text == NULL) {
         return;
     }
-    message_t message = {
-        .type = MESSAGE_ASK,
-        .ask =
-            {
-                .kind = ASK_HOLDS,
-                .json = text,
-                .size = strlen(text),
-            },
-    };
-    send_to(fleet, peer, incarnation, &message);
+    send_ask(fleet, peer, incarnation, ASK_HOLDS, text);
     free(text);
 }
 
@@ -206,19 +202,141 @@
 }
 
 static void
-take_ask(fleet_t *fleet, const ask_t *ask)
+take_roster(fleet_t *fleet, const ask_t *ask)
 {
-    if (ask->kind == ASK_HOLDS) {
-        fleet_take_holds(fleet, ask->json, ask->size);
-        return;
+    pthread_mutex_lock(&fleet->lock);
+    roster_adopt(fleet->roster, ask->json, ask->size, clock_now_us());
+    pthread_cond_broadcast(&fleet->changed);
+    pthread_mutex_unlock(&fleet->lock);
+}
+
+static char *
+partition_text(const partition_t *partition)
+{
+    json_t *shards = json_array();
+    for (size_t i = 0; i < partition->shard_count; i++) {
+        const shard_t *shard = &partition->shards[i];
+        json_array_append_new(shards,
+                              json_pack("{s:I, s:I, s:i}", "lo",
+                                        (json_int_t)shard->range.lo, "hi",
+                                        (json_int_t)shard->range.hi, "group",
+                                        (int)shard->group));
+    }
+    json_t *root = json_pack(
+        "{s:s, s:{s:I, s:o}}", "service", partition->service, "partition",
+        "generation", (json_int_t)partition->generation, "shards", shards);
+    char *text = root == NULL ? NULL : json_dumps(root, JSON_COMPACT);
+    json_decref(root);
+    return text;
+}
+
+static void
+send_partition(fleet_t *fleet, const char *peer, uint64_t incarnation,
+               const partition_t *partition)
+{
+    char *text = partition_text(partition);
+    if (text != NULL) {
+        send_ask(fleet, peer, incarnation, ASK_PARTITION, text);
     }
-    if (ask->kind != ASK_ROSTER) {
+    free(text);
+}
+
+static void
+send_partitions(fleet_t *fleet, const char *peer, uint64_t incarnation)
+{
+    pthread_mutex_lock(&fleet->lock);
+    topology_t *topology = topology_get(fleet->topology);
+    pthread_mutex_unlock(&fleet->lock);
+    for (size_t i = 0; i < topology->partition_count; i++) {
+        send_partition(fleet, peer, incarnation, &topology->partitions[i]);
+    }
+    topology_put(topology);
+}
+
+static void
+take_partition(fleet_t *fleet, const ask_t *ask)
+{
+    partition_t partition = {.shard_count = 0};
+    error_t err = ERROR_INIT;
+    json_t *root =
+        json_loadb(ask->json, ask->size, JSON_REJECT_DUPLICATES, NULL);
+    const char *service = json_string_value(json_object_get(root, "service"));
+    char *text = json_dumps(json_object_get(root, "partition"), JSON_COMPACT);
+    if (service == NULL || !name_valid(service) || text == NULL) {
+        event_log(EVENT_INPUT_REFUSED, "a partition of a peer");
+    }
+    else if (partition_parse(service, text, strlen(text), &partition, &err) ==
+             STATUS_OK) {
+        fleet_take_partition(fleet, &partition);
+        free(partition.shards);
+    }
+    else {
+        event_log(EVENT_INPUT_REFUSED, "%s", error_text(&err));
+    }
+    free(text);
+    json_decref(root);
+}
+
+void
+fleet_partition(fleet_t *fleet, const partition_t *partition)
+{
+    if (!fleet_take_partition(fleet, partition)) {
         return;
     }
+    fleet_member_t members[FLEET_PEERS_MAX];
+    size_t count = fleet_members(fleet, members, FLEET_PEERS_MAX);
+    for (size_t i = 0; i < count; i++) {
+        if (!members[i].self) {
+            send_partition(fleet, members[i].name, members[i].incarnation,
+                           partition);
+        }
+    }
+}
+
+static void
+take_ask(fleet_t *fleet, const char *peer, uint64_t incarnation,
+         const ask_t *ask)
+{
+    switch (ask->kind) {
+    case ASK_HOLDS:
+        fleet_take_holds(fleet, ask->json, ask->size);
+        break;
+    case ASK_ROSTER:
+        take_roster(fleet, ask);
+        break;
+    case ASK_PARTITIONS:
+        send_partitions(fleet, peer, incarnation);
+        break;
+    case ASK_PARTITION:
+        take_partition(fleet, ask);
+        break;
+    default:
+        break;
+    }
+}
+
+/*
+ * A daemon that starts while the store is out knows neither roster nor
+ * configuration: a heartbeat of version 0 has the peer send its roster.
+ */
+void
+fleet_peer_up(fleet_t *fleet, const char *peer, uint64_t incarnation)
+{
+    roster_heartbeat_t lease = {.sent_us = clock_now_us()};
+    heartbeat_buffer_t buffer;
+    message_t message;
+    confsync_word_t word;
     pthread_mutex_lock(&fleet->lock);
-    roster_adopt(fleet->roster, ask->json, ask->size, clock_now_us());
-    pthread_cond_broadcast(&fleet->changed);
+    bool lacks = fleet->config == NULL || roster_version(fleet->roster) == 0;
+    confsync_word(&fleet->sync, lease.sent_us, &word);
     pthread_mutex_unlock(&fleet->lock);
+    if (!lacks) {
+        return;
+    }
+    heartbeat_message(&lease, &word, false, &buffer, &message);
+    send_to(fleet, peer, incarnation, &message);
+    request_config(fleet, peer, incarnation, 0);
+    send_ask(fleet, peer, incarnation, ASK_PARTITIONS, "{}");
 }
 
 void
@@ -248,7 +366,7 @@
                                message->config_push.size, peer);
         break;
     case MESSAGE_ASK:
-        take_ask(fleet, &message->ask);
+        take_ask(fleet, peer, incarnation, &message->ask);
         break;
     default:
         break;
@@ -266,6 +384,18 @@
     return NULL;
 }
 
+bool
+fleet_peer_name(fleet_t *fleet, uint64_t incarnation, char name[NAME_SIZE])
+{
+    pthread_mutex_lock(&fleet->lock);
+    const fleet_peer_t *peer = find_peer(fleet, incarnation);
+    if (peer != NULL) {
+        memcpy(name, peer->name, NAME_SIZE);
+    }
+    pthread_mutex_unlock(&fleet->lock);
+    return peer != NULL;
+}
+
 size_t
 fleet_members(fleet_t *fleet, fleet_member_t *out, size_t max)
 {
--- a/daemon/fleet_platform.c
+++ b/daemon/fleet_platform.c
@@ -118,7 +118,7 @@
     if (store_get(store, key, &value, &err) == STATUS_OK) {
         if (partition_parse(service, value.text, value.size, &partition,
                             &err) == STATUS_OK) {
-            fleet_partition(fleet, &partition);
+            fleet_take_partition(fleet, &partition);
             free(partition.shards);
         }
         else {
--- a/daemon/fleet_state.h
+++ b/daemon/fleet_state.h
@@ -53,13 +53,13 @@
     topology_t *topology;
     world_t *world;
     bool dirty;          /* the world must be built anew */
-    bool peers_dirty;    /* the set of peers must be told to the net */
     bool owners_waiting; /* an upstream waits to be let go by another */
     bool refusing;
     bool held; /* the lease permitted acting when last looked */
     bool store_up;
     bool vmlist_up;
-    uint64_t peers_version;
+    uint64_t peers_version; /* roster that the net was told */
+    bool peers_told;
     uint64_t released_version;
     int64_t beat_due_us;
     fleet_peer_t peers[FLEET_PEERS_MAX];
@@ -91,6 +91,9 @@
 void fleet_note_store(fleet_t *fleet, status_t status, error_t *err);
 bool fleet_status_is_answer(status_t status);
 
+/* Take a partition; false: it is not newer than what is known. */
+bool fleet_take_partition(fleet_t *fleet, const partition_t *partition);
+
 /* Replace the list of upstreams, which the fleet then owns. */
 void fleet_take_upstreams(fleet_t *fleet, upstream_info_t *upstreams,
                           size_t count);
--- a/daemon/node_route.c
+++ b/daemon/node_route.c
@@ -20,15 +20,20 @@
     if (world == NULL) {
         return false;
     }
-    bool sent = false;
+    char name[NAME_SIZE] = "";
     int member = world_member(world, incarnation);
     if (member != WORLD_NO_MEMBER) {
-        error_t ignored = ERROR_INIT;
-        sent = peer_net_send(node->net, world->members[member].name,
-                             incarnation, message, &ignored) == STATUS_OK;
+        memcpy(name, world->members[member].name, NAME_SIZE);
     }
     world_put(world);
-    return sent;
+    /* One that has just started coordinates before the roster names it. */
+    if (member == WORLD_NO_MEMBER &&
+        !fleet_peer_name(node->fleet, incarnation, name)) {
+        return false;
+    }
+    error_t ignored = ERROR_INIT;
+    return peer_net_send(node->net, name, incarnation, message, &ignored) ==
+           STATUS_OK;
 }
 
 /* Post parts to the workers that admit for their upstreams. */
@@ -332,7 +337,8 @@
 static void
 on_up(void *context, const char *peer, uint64_t incarnation)
 {
-    (void)context;
+    node_t *node = context;
+    fleet_peer_up(node->fleet, peer, incarnation);
     event_log(EVENT_PEER_UP, "peer=%s incarnation=%016llx", peer,
               (unsigned long long)incarnation);
 }
--- a/edge/settings.c
+++ b/edge/settings.c
@@ -58,7 +58,7 @@
     REQUIRED("", "name", SETTING_NAME, name),
     REQUIRED("", "zone", SETTING_NAME, zone),
     NUMBER("", "shards", shards, 1, 64, 4),
-    NUMBER("", "group", group, 0, 1023, 0),
+    NUMBER("", "group", group, 0, 0, 0),
     REQUIRED("", "key_file", SETTING_PATH, key_file),
     REQUIRED("", "token_file", SETTING_PATH, token_file),
     TEXT("", "peers", SETTING_PEERS, peers, ""),
--- a/proto/message.h
+++ b/proto/message.h
@@ -122,13 +122,15 @@
 
 /* What an Ask wants; a receiver answers STATUS_INVALID to a kind unknown. */
 typedef enum {
-    ASK_QUERY,   /* run a query that is the receiver's to run once */
-    ASK_STATUS,  /* the receiver's share of the fleet status */
-    ASK_EXPLAIN, /* what the receiver knows of one query */
-    ASK_CANCEL,  /* cancel a query that runs at the receiver */
-    ASK_ROSTER,  /* a roster document; not answered */
-    ASK_HOLDS,   /* zones and VMs held out; not answered */
-    ASK_OUTCOME, /* what became of a request named by an id */
+    ASK_QUERY,      /* run a query that is the receiver's to run once */
+    ASK_STATUS,     /* the receiver's share of the fleet status */
+    ASK_EXPLAIN,    /* what the receiver knows of one query */
+    ASK_CANCEL,     /* cancel a query that runs at the receiver */
+    ASK_ROSTER,     /* a roster document; not answered */
+    ASK_HOLDS,      /* zones and VMs held out; not answered */
+    ASK_OUTCOME,    /* what became of a request named by an id */
+    ASK_PARTITIONS, /* send what is known of partitions; not answered */
+    ASK_PARTITION,  /* a service's partition; not answered */
     ASK_KIND_COUNT
 } ask_kind_t;
 
--- a/standin/lib/wire.c
+++ b/standin/lib/wire.c
@@ -74,18 +74,15 @@
                      (json_int_t)shard.range.hi, "group", (int)shard.group);
 }
 
-/* The shards of the present generation that touch range. */
+/* All shards of a generation. */
 static json_t *
-format_shards(const service_plan_t *service, uint64_t generation,
-              key_range_t range, size_t max)
+format_shards(const service_plan_t *service, uint64_t generation)
 {
     json_t *list = json_array();
     size_t count = plan_shard_count(service, generation);
-    for (size_t i = 0; i < count && json_array_size(list) < max; i++) {
+    for (size_t i = 0; i < count; i++) {
         shard_t shard = plan_shard(service, generation, i);
-        if (key_range_size(key_range_intersect(shard.range, range)) > 0) {
-            json_array_append_new(list, format_shard(shard));
-        }
+        json_array_append_new(list, format_shard(shard));
     }
     return list;
 }
@@ -107,14 +104,13 @@
 }
 
 static void
-format_moved(const replica_t *replica, const run_part_t *part, json_t *json)
+format_moved(const replica_t *replica, json_t *json)
 {
     uint64_t generation = replica->state.generation;
     json_object_set_new(json, "generation",
                         json_integer((json_int_t)generation));
     json_object_set_new(json, "shards",
-                        format_shards(replica->plan->service, generation,
-                                      part->range, PART_MOVED_MAX));
+                        format_shards(replica->plan->service, generation));
 }
 
 /* A reply that crossed with another one carries that one's id. */
@@ -138,7 +134,7 @@
         format_answer(replica, part, json);
     }
     if (part->status == RUN_MOVED) {
-        format_moved(replica, part, json);
+        format_moved(replica, json);
     }
     if (part->status == RUN_NO_VERSION) {
         json_object_set_new(json, "held", format_held(&replica->state));
@@ -247,10 +243,8 @@
 json_t *
 wire_format_partition(const service_plan_t *service, uint64_t generation)
 {
-    key_range_t whole = {.lo = 0, .hi = KEY_END};
     return json_pack("{s:I, s:o}", "generation", (json_int_t)generation,
-                     "shards",
-                     format_shards(service, generation, whole, SHARDS_MAX));
+                     "shards", format_shards(service, generation));
 }
 
 json_t *
--- a/t/t0403-settings.c
+++ b/t/t0403-settings.c
@@ -37,6 +37,7 @@
      "key shards: found '65', allowed is a whole number from 1 to 64"},
     {"number below", WHOLE "shards: 0\n", "f.yaml:8", "found '0'"},
     {"negative", WHOLE "group: -1\n", "f.yaml:8", "found '-1'"},
+    {"second group", WHOLE "group: 1\n", "f.yaml:8", "found '1'"},
     {"no number", WHOLE "shards: four\n", "f.yaml:8", "found 'four'"},
     {"list for a number", WHOLE "shards: [4]\n", "f.yaml:8",
      "found 'a list or pairs'"},
