--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -102,11 +102,16 @@
     done
 }
 
-# start_load FILE SEED SECONDS RATE ABORTS: its process id in $load.
+# start_load FILE SEED SECONDS RATE [OPTION...]: its process id in $load.
 start_load() {
+    file=$1
+    load_seed=$2
+    load_seconds=$3
+    load_rate=$4
+    shift 4
     start_fleet_part load "$bin/standin-load" --entries http://127.0.0.1:18001 \
         --entries http://127.0.0.1:18002 --entries http://127.0.0.1:18003 \
-        --audit "$control" --seed "$2" --seconds "$3" --rate "$4" \
-        --abort-per-mille "$5" --retries 3 --json "$out/$1"
+        --audit "$control" --seed "$load_seed" --seconds "$load_seconds" \
+        --rate "$load_rate" --retries 3 --json "$out/$file" "$@"
     load=$started
 }
--- a/standin/lib/call.h
+++ b/standin/lib/call.h
@@ -47,7 +47,7 @@
 void call_transfer(call_t *call, CURLM *multi, const char *url,
                    int64_t timeout_ms);
 
-/* Write the query as request text; deadline_ms 0 leaves it to the row. */
+/* Write the query as request text; deadline_ms 0 leaves it to the table. */
 void call_format_query(call_t *call, int64_t deadline_ms);
 
 /* Carry out a POST of text and wait; false when it was lost. */
--- a/standin/lib/caller.h
+++ b/standin/lib/caller.h
@@ -30,7 +30,7 @@
     unsigned callers;         /* at most this many queries at one time */
     uint64_t count;           /* queries to send; 0: no bound */
     double seconds;           /* time to send for; 0: no bound */
-    int64_t deadline_ms;      /* of every query; 0: the row's */
+    int64_t deadline_ms;      /* of every query; 0: the mix says */
     unsigned retries;         /* of refused queries */
     unsigned abort_per_mille; /* connections closed on purpose */
     uint64_t poison;          /* every how many queries one is poisoned */
--- a/standin/lib/mix.h
+++ b/standin/lib/mix.h
@@ -17,6 +17,7 @@
     char service[NAME_SIZE];
     unsigned weight;
     unsigned once_percent;
+    int64_t deadline_ms; /* 0: not given */
 } mix_row_t;
 
 typedef struct {
@@ -33,10 +34,13 @@
     unsigned tenant;
 } query_plan_t;
 
-/* Every service of both deployments. */
+/* Every service of both deployments, with the deadlines of the demo table. */
 extern const char mix_default[];
 
-/* Read "SERVICE=WEIGHT[:ONCE_PERCENT],..."; false when it is malformed. */
+/*
+ * Read "SERVICE=WEIGHT[:ONCE_PERCENT[:DEADLINE_MS]],..."; false when it is
+ * malformed.
+ */
 bool mix_parse(const char *text, mix_t *mix);
 
 query_plan_t mix_query(const mix_t *mix, uint64_t seed, uint64_t number);
--- a/standin/load.c
+++ b/standin/load.c
@@ -101,7 +101,8 @@
         .zone = arg_str0("z", "zone", "NAME", "zone of the callers"),
         .audit = arg_str0(NULL, "audit", "URL",
                           "control port of the upstreams: check refusals"),
-        .mix = arg_str0("m", "mix", "SERVICE=WEIGHT[:ONCE%],...", "queries"),
+        .mix =
+            arg_str0("m", "mix", "SERVICE=WEIGHT[:ONCE%[:MS]],...", "queries"),
         .seed = arg_int0("s", "seed", "N", "of the queries"),
         .rate = arg_dbl0("r", "rate", "N", "queries a second; open loop"),
         .callers = arg_int0("c", "callers", "N", "queries at one time"),
--- a/t/t0503-verdict.c
+++ b/t/t0503-verdict.c
@@ -130,6 +130,8 @@
     mix_t mix;
     ck_assert(!mix_parse("a", &mix) && !mix_parse("a=0", &mix));
     ck_assert(!mix_parse("a=1:101", &mix) && !mix_parse("", &mix));
+    ck_assert(mix_parse(mix_default, &mix));
+    ck_assert(mix.row_count == 8 && mix.rows[2].deadline_ms == 2000);
     ck_assert(mix_parse("a=1,b=3:50", &mix));
     int of_b = 0;
     int once = 0;
