standin: send a crashing query again as it was

Cause: each resend of a crashing query had a new body, so that nothing could know it again: 768 crashes from ten queries in one phase. Change: its body stays.

--- a/standin/lib/caller.c
+++ b/standin/lib/caller.c
@@ -107,7 +107,8 @@
         /* A body is counted upstream: one for each time it is sent. */
         (void)snprintf(call->body, sizeof(call->body), "query:%llu:%llu:%u",
                        (unsigned long long)caller->options->seed,
-                       (unsigned long long)call->number, call->sends);
+                       (unsigned long long)call->number,
+                       call->poisoned ? 0 : call->sends);
     }
     call_format_query(call, call_deadline_ms(caller, call));
     double abort = draw(caller, PURPOSE_ABORT) * 1000;
