--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -109,6 +109,10 @@
     static fleet_plan_t plan;
     static fleet_plan_t smaller;
     static size_t owned[DAEMONS_MAX];
+    static owner_key_t upstreams[UPSTREAMS];
+    for (size_t i = 0; i < UPSTREAMS; i++) {
+        upstreams[i] = numbered_key("server-", i, i % ZONES);
+    }
     memset(owned, 0, sizeof(owned));
     plan_fill(&plan, daemons, daemons);
     plan_fill(&smaller, daemons, 1);
@@ -117,13 +121,12 @@
     size_t most = 0;
     double start_ns = clock_ns();
     for (size_t i = 0; i < UPSTREAMS; i++) {
-        owned[plan_owner(&plan, numbered_key("server-", i, i % ZONES))]++;
+        owned[plan_owner(&plan, upstreams[i])]++;
     }
     double pick_ns = (clock_ns() - start_ns) / UPSTREAMS;
     for (size_t i = 0; i < UPSTREAMS; i++) {
-        owner_key_t upstream = numbered_key("server-", i, i % ZONES);
-        size_t before = plan_owner(&plan, upstream);
-        moved += before != plan_owner(&smaller, upstream) ? 1 : 0;
+        size_t before = plan_owner(&plan, upstreams[i]);
+        moved += before != plan_owner(&smaller, upstreams[i]) ? 1 : 0;
         lost += before == 1 ? 1 : 0;
     }
     for (size_t i = 0; i < daemons; i++) {
