core: set how a query hedges and picks replicas by a policy

Cause: baselines such as no hedging, a fixed delay or a random replica could not be run against the same decision code. Change: query_context_t has an optional query_policy_t, passed through coordinator_settings_t; NULL or zeroed is what the daemon did before.

--- a/core/plan.c
+++ b/core/plan.c
@@ -163,8 +163,11 @@
             continue;
         }
         uint64_t spread = XXH64(&i, sizeof(i), choice->seed);
-        uint64_t cost = replica_cost(&choice->replicas->replicas[first + i],
-                                     spread, now_us);
+        uint64_t cost =
+            choice->random
+                ? spread >> 1
+                : replica_cost(&choice->replicas->replicas[first + i], spread,
+                               now_us);
         if (cost < best_cost) {
             best_cost = cost;
             best = (uint32_t)(first + i);
--- a/core/plan.h
+++ b/core/plan.h
@@ -57,7 +57,8 @@
     const char *service;
     uint64_t version; /* replicas known not to hold it are left out */
     uint64_t seed;
-    bool hedge; /* leave out replicas that shed or are cold */
+    bool hedge;  /* leave out replicas that shed or are cold */
+    bool random; /* any replica that fits, whatever its cost */
 } plan_choice_t;
 
 /*
--- a/core/query.c
+++ b/core/query.c
@@ -221,6 +221,13 @@
     piece->reason = (int)reason;
 }
 
+static const query_policy_t *
+query_policy(const query_context_t *context)
+{
+    static const query_policy_t usual = {.hedge = QUERY_HEDGE_BY_HISTOGRAM};
+    return context->policy != NULL ? context->policy : &usual;
+}
+
 static plan_choice_t
 query_choice(const query_t *query, const query_context_t *context, bool hedge)
 {
@@ -232,6 +239,7 @@
         .version = query->version,
         .seed = XXH64(&salt, sizeof(salt), context->seed ^ query->id.sequence),
         .hedge = hedge,
+        .random = query_policy(context)->random_replica,
     };
 }
 
@@ -301,9 +309,13 @@
 hedge_time(const query_t *query, const query_context_t *context,
            uint32_t upstream, int64_t now_us)
 {
-    if (query->request.once) {
+    const query_policy_t *policy = query_policy(context);
+    if (query->request.once || policy->hedge == QUERY_HEDGE_NONE) {
         return NEVER_US;
     }
+    if (policy->hedge == QUERY_HEDGE_FIXED) {
+        return now_us + policy->hedge_delay_us;
+    }
     int64_t left = query->request.deadline_us - now_us;
     const replica_t *replica = &context->replicas->replicas[upstream];
     return now_us +
--- a/core/query.h
+++ b/core/query.h
@@ -44,6 +44,19 @@
     size_t body_size;
 } query_request_t;
 
+typedef enum {
+    QUERY_HEDGE_BY_HISTOGRAM, /* at a high quantile of the replica's replies */
+    QUERY_HEDGE_FIXED,        /* after hedge_delay_us */
+    QUERY_HEDGE_NONE
+} query_hedge_t;
+
+/* How a query hedges and picks replicas; zeroed: as the daemon does. */
+typedef struct {
+    query_hedge_t hedge;
+    int64_t hedge_delay_us;
+    bool random_replica; /* any that fits, whatever its cost */
+} query_policy_t;
+
 /* What a query decides with; all of it outlives the query's call only. */
 typedef struct {
     const config_t *config;
@@ -51,6 +64,7 @@
     budget_t *budget;       /* added load of the service */
     uint32_t added_percent; /* what the budget allows, of first sends */
     uint64_t seed;
+    const query_policy_t *policy; /* NULL: as zeroed */
 } query_context_t;
 
 typedef enum {
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -173,6 +173,7 @@
         .budget = budget,
         .added_percent = row == NULL ? 0 : row->added_load_percent,
         .seed = c->settings.seed,
+        .policy = &c->settings.policy,
     };
     return budget;
 }
--- a/daemon/coordinator.h
+++ b/daemon/coordinator.h
@@ -37,6 +37,7 @@
     unsigned worker;
     uint32_t queries_max;
     uint64_t seed;
+    query_policy_t policy;
     const atomic_llong *trust_until_us; /* of the configuration */
     part_sink_t sink;
     stats_t *stats;
--- a/t/t0110-query.c
+++ b/t/t0110-query.c
@@ -376,6 +376,60 @@
 }
 END_TEST
 
+/* When a piece that stays silent is hedged, by policy. */
+typedef struct {
+    const char *name;
+    query_policy_t policy;
+    int64_t hedged_us; /* 0: never */
+} policy_case_t;
+
+static const policy_case_t policy_cases[] = {
+    {"by histogram, nothing known", {.hedge_delay_us = 700}, DEADLINE_US / 4},
+    {"fixed", {QUERY_HEDGE_FIXED, 700, false}, 700},
+    {"none", {QUERY_HEDGE_NONE, 700, false}, 0},
+};
+
+START_TEST(test_policy)
+{
+    const policy_case_t *c = &policy_cases[_i];
+    fixture_t f;
+    query_action_t sends[8];
+    fixture_init(&f, false);
+    f.context.policy = &c->policy;
+    ck_assert_uint_eq(take_sends(&f, 0, sends, 8), 2);
+    int64_t last_us = c->hedged_us > 0 ? c->hedged_us : DEADLINE_US;
+    ck_assert_msg(take_sends(&f, last_us - 1, sends, 8) == 0, "%s", c->name);
+    size_t expected = c->hedged_us > 0 ? 2 : 0;
+    ck_assert_msg(take_sends(&f, last_us, sends, 8) == expected, "%s",
+                  c->name);
+    fixture_release(&f);
+}
+END_TEST
+
+START_TEST(test_random_replica)
+{
+    /* A costly replica is never first by cost, and at times at random. */
+    for (int random = 0; random < 2; random++) {
+        query_policy_t policy = {.random_replica = random == 1};
+        size_t costly = 0;
+        for (uint64_t seed = 0; seed < 64; seed++) {
+            fixture_t f;
+            query_action_t sends[8];
+            fixture_init(&f, false);
+            f.context.policy = &policy;
+            f.context.seed = seed;
+            f.replicas.replicas[0].in_progress = 100;
+            ck_assert_uint_eq(take_sends(&f, 0, sends, 8), 2);
+            for (size_t i = 0; i < 2; i++) {
+                costly += sends[i].upstream == 0 ? 1 : 0;
+            }
+            fixture_release(&f);
+        }
+        ck_assert(random == 1 ? costly > 5 : costly == 0);
+    }
+}
+END_TEST
+
 START_TEST(test_hedge_needs_budget)
 {
     fixture_t f;
@@ -511,6 +565,9 @@
     tcase_add_test(tests, test_losses_are_repeated_one_by_one);
     tcase_add_test(tests, test_hedge);
     tcase_add_test(tests, test_hedge_needs_budget);
+    tcase_add_loop_test(tests, test_policy, 0,
+                        sizeof(policy_cases) / sizeof(policy_cases[0]));
+    tcase_add_test(tests, test_random_replica);
     tcase_add_test(tests, test_version_changes);
     tcase_add_test(tests, test_partition_changes);
     tcase_add_test(tests, test_zone_out);
