bench: run both deployments in virtual time over the decision core

Cause: nothing showed the tail latency, coverage and added load of the tier. Change: bench-service drives coordinator_t and admission_t of eight daemons at today's sizes. The upstreams have slots, a bounded queue, connections that cost time to open, stragglers and cold starts. The scenarios' upstreams were not taken: they hold 64 upstreams and 3 daemons, look runs up in one list and have no queue.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 STANDIN_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard standin/lib/*.c)))
 STANDIN_BIN := $(patsubst standin/%.c,$(B)/standin-%,$(sort $(wildcard standin/*.c)))
 BENCH_BIN := $(patsubst bench/%.c,$(B)/bench-%,$(sort $(wildcard bench/*.c)))
+BENCH_SERVICE_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard bench/service/*.c)))
 TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard t/lib/*.c))) \
 	$(B)/t/fuzz/targets.o
 TEST_BIN := $(patsubst t/%.c,$(B)/t/%,$(sort $(wildcard t/t[0-9]*.c)))
@@ -86,6 +87,8 @@
 $(B)/standin-%: $(B)/standin/%.o $(STANDIN_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(B)/bench-service: $(BENCH_SERVICE_OBJ)
+
 $(B)/bench-%: $(B)/bench/%.o $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
 
--- /dev/null
+++ b/bench/service.c
@@ -0,0 +1,47 @@
+/* Thin start: ours and no hedging beside the ideal. */
+#include "bench/service/trial.h"
+
+#include <stdio.h>
+
+int
+main(int argc, char **argv)
+{
+    (void)argc;
+    static const variant_t variants[] = {
+        {.name = "ours"},
+        {.name = "no hedging", .policy = {.hedge = QUERY_HEDGE_NONE}},
+    };
+    const char *name = argv[1] != NULL ? argv[1] : "sonar";
+    for (int v = 0; v < 2; v++) {
+        trial_settings_t settings = {.deployment = plan_deployment(name),
+                                     .variant = &variants[v],
+                                     .load = {0.6, 0.6, 0.6, 0.6},
+                                     .warm_us = 1000000,
+                                     .measure_us = 2000000,
+                                     .straggle_one_in = 100,
+                                     .seed = 1};
+        trial_result_t *result = trial_run(&settings);
+        for (int i = 0; i < PLAN_SERVICES; i++) {
+            const trial_service_t *s = &result->services[i];
+            printf(
+                "%-12s %-14s q %6lu p50 %6ld/%6ld p99 %6ld/%6ld p999 "
+                "%6ld/%6ld cov %.4f hedge %.2f%% retry %.2f%% refused %lu\n",
+                variants[v].name, settings.deployment->services[i].name,
+                s->sent, hist_quantile(&s->latency, 0.5),
+                hist_quantile(&s->ideal, 0.5),
+                hist_quantile(&s->latency, 0.99),
+                hist_quantile(&s->ideal, 0.99),
+                hist_quantile(&s->latency, 0.999),
+                hist_quantile(&s->ideal, 0.999),
+                (double)s->covered_keys / (double)s->asked_keys,
+                100.0 * (double)s->hedges / (double)s->firsts,
+                100.0 * (double)s->retries / (double)s->firsts, s->refused);
+        }
+        printf("wrong %lu doubled %lu cut %lu starts %lu sheds %lu falls %lu "
+               "events %lu took %.1f s\n",
+               result->wrong, result->doubled, result->cut, result->starts,
+               result->sheds, result->falls, result->events, result->took_s);
+        trial_free(result);
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/service/callers.c
@@ -0,0 +1,286 @@
+#include "bench/service/sim.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { SAMPLES = 4000, PERCENT = 100, ONCE_PERCENT = 50 };
+
+typedef struct {
+    double pieces;
+    double keys;
+} size_mean_t;
+
+static size_t
+piece_of(const service_plan_t *service, uint64_t lo)
+{
+    size_t count = plan_shard_count(service, SIM_GENERATION);
+    size_t piece = (size_t)(lo * count / KEY_END);
+    while (piece + 1 < count &&
+           plan_shard(service, SIM_GENERATION, piece).range.hi <= lo) {
+        piece++;
+    }
+    return piece;
+}
+
+static size_mean_t
+measure_sizes(const sim_t *sim, uint32_t service)
+{
+    const service_plan_t *plan = &sim->settings->deployment->services[service];
+    size_mean_t sum = {0, 0};
+    for (uint64_t i = 0; i < SAMPLES; i++) {
+        query_plan_t query =
+            mix_query(&sim->mixes[service], sim->settings->seed, i);
+        size_t first = piece_of(plan, query.range.lo);
+        size_t last = piece_of(plan, query.range.hi - 1);
+        sum.pieces += (double)(last - first + 1);
+        sum.keys += (double)key_range_size(query.range);
+    }
+    return (size_mean_t){sum.pieces / SAMPLES, sum.keys / SAMPLES};
+}
+
+static double
+capacity_qps(const sim_t *sim, uint32_t service)
+{
+    const service_plan_t *plan = &sim->settings->deployment->services[service];
+    double slots = (double)plan->groups * plan->replicas * plan->slots;
+    double part_us = upstream_mean_us(sim->settings, plan);
+    return slots * 1e6 / part_us / measure_sizes(sim, service).pieces;
+}
+
+static bool
+is_part_once(const char *service)
+{
+    return strcmp(service, "refund-line") == 0 ||
+           strcmp(service, "recon-night") == 0;
+}
+
+void
+callers_start(sim_t *sim)
+{
+    for (uint32_t i = 0; i < PLAN_SERVICES; i++) {
+        const char *name = sim->settings->deployment->services[i].name;
+        char text[NAME_SIZE * 2];
+        snprintf(text, sizeof(text), "%s=1:%d", name,
+                 is_part_once(name) ? ONCE_PERCENT : 0);
+        mix_parse(text, &sim->mixes[i]);
+        sim->result->services[i].capacity_qps = capacity_qps(sim, i);
+        if (sim->settings->load[i] > 0) {
+            sim_push(sim, EVENT_ARRIVAL, SIM_START_US, i);
+        }
+    }
+}
+
+void
+callers_stop(sim_t *sim)
+{
+    for (uint64_t i = 0; i < sim->numbers; i++) {
+        free(sim->callers[i]);
+    }
+    free(sim->callers);
+}
+
+/* The answer if every part went at once to the replica fastest for it. */
+static int64_t
+ideal_us(const sim_t *sim, const caller_t *caller)
+{
+    const service_plan_t *plan =
+        &sim->settings->deployment->services[caller->service];
+    const char *zone = sim->daemons[caller->daemon].zone;
+    key_range_t range = caller->request.range;
+    int64_t slowest_us = 0;
+    size_t last = piece_of(plan, range.hi - 1);
+    for (size_t i = piece_of(plan, range.lo); i <= last; i++) {
+        shard_t shard = plan_shard(plan, SIM_GENERATION, i);
+        key_range_t piece = key_range_intersect(shard.range, range);
+        size_t first;
+        size_t count =
+            topology_group(sim->topology, plan->name, shard.group, &first);
+        int64_t fastest_us = INT64_MAX;
+        for (size_t u = first; u < first + count; u++) {
+            int64_t us =
+                upstream_service_us(sim, (uint32_t)u, caller->number,
+                                    piece.lo) +
+                2 * sim_way_us(sim, zone, sim->upstreams[u].plan->zone);
+            fastest_us = us < fastest_us ? us : fastest_us;
+        }
+        slowest_us = fastest_us > slowest_us ? fastest_us : slowest_us;
+    }
+    return slowest_us + 2 * sim_client_us(sim);
+}
+
+static void
+remember(sim_t *sim, caller_t *caller)
+{
+    if (sim->numbers == sim->caller_capacity) {
+        sim->caller_capacity = sim->caller_capacity * 2 + 1024;
+        caller_t **grown =
+            realloc(sim->callers, sim->caller_capacity * sizeof(*grown));
+        if (grown == NULL) {
+            exit(1);
+        }
+        sim->callers = grown;
+    }
+    sim->callers[sim->numbers++] = caller;
+}
+
+static bool
+is_measured(const sim_t *sim)
+{
+    int64_t from_us = SIM_START_US + sim->settings->warm_us;
+    return sim->now_us >= from_us &&
+           sim->now_us < from_us + sim->settings->measure_us;
+}
+
+static void
+send_query(sim_t *sim, uint32_t service)
+{
+    const mix_t *mix = &sim->mixes[service];
+    uint64_t number = sim->numbers;
+    query_plan_t plan = mix_query(mix, sim->settings->seed + service, number);
+    caller_t *caller = sim_alloc(1, sizeof(*caller));
+    *caller = (caller_t){
+        .sim = sim,
+        .service = service,
+        .daemon = (uint32_t)(sim_draw(sim) * SIM_DAEMONS),
+        .sent_us = sim->now_us,
+        .number = number,
+        .measured = is_measured(sim),
+    };
+    const table_row_t *row =
+        config_row(sim->daemons[0].config, plan.row->service);
+    caller->request = (query_request_t){
+        .range = plan.range,
+        .deadline_us = sim->now_us + (int64_t)row->deadline_ms * 1000,
+        .once = plan.once,
+        .fingerprint = number,
+    };
+    memcpy(caller->request.service, plan.row->service, NAME_SIZE);
+    snprintf(caller->request.tenant, NAME_SIZE, "tenant-%u", plan.tenant);
+    remember(sim, caller);
+    sim_push(sim, EVENT_SUBMIT, sim->now_us + sim_client_us(sim),
+             caller->daemon)
+        ->item = caller;
+}
+
+void
+callers_arrival(sim_t *sim, uint32_t service)
+{
+    if (sim->now_us >= sim->end_us) {
+        return;
+    }
+    send_query(sim, service);
+    double qps = sim->result->services[service].capacity_qps *
+                 sim->settings->load[service];
+    double gap_us = -log(1 - sim_draw(sim)) * 1e6 / qps;
+    sim_push(sim, EVENT_ARRIVAL, sim->now_us + 1 + (int64_t)gap_us, service);
+}
+
+static bool
+answer_is_right(const caller_t *caller, const query_answer_t *answer)
+{
+    key_range_t range = caller->request.range;
+    if (answer->count != answer->covered ||
+        answer->asked != key_range_size(range)) {
+        return false;
+    }
+    return answer->outcome != OUTCOME_WHOLE ||
+           (answer->covered == answer->asked &&
+            answer->sum == range.hi * range.hi - range.lo * range.lo);
+}
+
+static void
+count_bucket(sim_t *sim, const caller_t *caller, const query_answer_t *answer,
+             int64_t took_us)
+{
+    int64_t from_us = SIM_START_US + sim->settings->warm_us;
+    size_t index = (size_t)((caller->sent_us - from_us) / TRIAL_BUCKET_US);
+    if (index >= sim->result->bucket_count ||
+        trial_class(caller->request.service) == CLASS_BATCH) {
+        return;
+    }
+    trial_bucket_t *bucket = &sim->result->buckets[index];
+    bucket->asked_keys += answer->asked;
+    bucket->covered_keys += answer->covered;
+    if (answer->covered > 0) {
+        hist_add(&bucket->latency, took_us);
+    }
+}
+
+static bool
+is_refusal(const query_answer_t *answer)
+{
+    return answer->outcome == OUTCOME_NOT_RUN &&
+           answer->reason != REASON_CANCELLED;
+}
+
+static void
+count_answer(sim_t *sim, const caller_t *caller, const query_answer_t *answer)
+{
+    trial_service_t *service = &sim->result->services[caller->service];
+    int64_t took_us = sim->now_us + sim_client_us(sim) - caller->sent_us;
+    bool whole = answer->outcome == OUTCOME_WHOLE;
+    service->sent++;
+    service->outcomes[answer->outcome]++;
+    service->refused += is_refusal(answer) ? 1 : 0;
+    service->asked_keys += answer->asked;
+    service->covered_keys += answer->covered;
+    service->firsts += answer->attempts - answer->hedges - answer->retries;
+    service->hedges += answer->hedges;
+    service->retries += answer->retries;
+    hist_add(&service->ideal, caller->ideal_us);
+    if (answer->covered > 0) {
+        hist_add(&service->latency, took_us);
+    }
+    if (whole) {
+        hist_add(&service->complete, took_us);
+        service->good_keys += answer->covered;
+    }
+    if (!whole && !is_refusal(answer)) {
+        sim->result->cut++;
+    }
+    count_bucket(sim, caller, answer, took_us);
+}
+
+static void
+on_done(void *context, uint64_t sequence, const query_answer_t *answer)
+{
+    caller_t *caller = context;
+    sim_t *sim = caller->sim;
+    (void)sequence;
+    if (caller->answers++ > 0) {
+        sim->result->doubled++;
+        return;
+    }
+    if (!answer_is_right(caller, answer)) {
+        sim->result->wrong++;
+    }
+    if (caller->measured) {
+        count_answer(sim, caller, answer);
+    }
+}
+
+void
+callers_submit(sim_t *sim, caller_t *caller)
+{
+    query_waiter_t waiter = {.context = caller, .done = on_done};
+    caller->ideal_us = ideal_us(sim, caller);
+    query_request_t request = caller->request;
+    request.body = sim_alloc(1, 1);
+    coordinator_submit(sim->daemons[caller->daemon].coordinator, &request,
+                       &waiter, sim->now_us);
+}
+
+void
+callers_started(sim_t *sim, uint64_t number, const key_range_t *range)
+{
+    caller_t *caller = sim->callers[number];
+    const service_plan_t *plan =
+        &sim->settings->deployment->services[caller->service];
+    uint64_t bit = UINT64_C(1) << (piece_of(plan, range->lo) % SIM_RUN_PIECES);
+    if (caller->request.once && (caller->started & bit) != 0) {
+        sim->result->doubled++;
+    }
+    caller->started |= bit;
+}
