net: let the last messages out before the transport is freed

Cause: a daemon that leaves freed the transport while its last replies were still queued. An owner could not answer a coordinator that its roster does not list, since a message needed the peer's name.

Change: freeing waits at most half a second until what was accepted has reached the peers' hosts; a message may be sent by incarnation alone.

--- a/net/link.c
+++ b/net/link.c
@@ -58,7 +58,7 @@
         if (link->incarnation != incarnation) {
             return NULL;
         }
-        if (strcmp(link->name, name) == 0) {
+        if (name == NULL || strcmp(link->name, name) == 0) {
             return link;
         }
     }
@@ -161,9 +161,10 @@
 links_queue(links_t *links, const char *name, uint64_t incarnation,
             uint8_t type, uint8_t *payload, size_t size, error_t *err)
 {
+    const char *peer = name == NULL ? "any" : name;
     outgoing_t *outgoing = malloc(sizeof(*outgoing));
     if (outgoing == NULL) {
-        return error_set(err, STATUS_NO_MEMORY, "peer send", name,
+        return error_set(err, STATUS_NO_MEMORY, "peer send", peer,
                          "no memory");
     }
     *outgoing = (outgoing_t){.payload = payload, .size = size, .type = type};
@@ -172,12 +173,12 @@
     pthread_mutex_lock(&links->lock);
     peer_link_t *link = links_find_locked(links, name, incarnation);
     if (link == NULL) {
-        status = error_set(err, STATUS_UNAVAILABLE, "peer send", name,
+        status = error_set(err, STATUS_UNAVAILABLE, "peer send", peer,
                            "not connected to incarnation %llx",
                            (unsigned long long)incarnation);
     }
     else if (!link_has_room(links, link, bytes)) {
-        status = error_set(err, STATUS_TOO_LARGE, "peer send", name,
+        status = error_set(err, STATUS_TOO_LARGE, "peer send", link->name,
                            "%zu bytes wait already", link->queued_bytes);
     }
     else {
--- a/net/peer.c
+++ b/net/peer.c
@@ -190,6 +190,7 @@
     if (net == NULL) {
         return;
     }
+    (void)peer_net_drain(net, PEER_NET_LINGER_US);
     pthread_mutex_lock(&net->lock);
     net->stop = true;
     peer_wake_locked(net);
--- a/net/peer.h
+++ b/net/peer.h
@@ -42,6 +42,8 @@
 
 #define PEER_NET_HANDSHAKE_MAX_US INT64_C(2000000)
 
+#define PEER_NET_LINGER_US INT64_C(500000)
+
 /* Default of pause_us. */
 #define PEER_NET_PAUSE_US INT64_C(2000000)
 
@@ -119,7 +121,12 @@
 peer_net_t *peer_net_new(const peer_net_settings_t *settings,
                          const peer_ops_t *ops, void *ctx, error_t *err);
 
-/* Stop at once, close every connection, free; calls no op. NULL ok. */
+/*
+ * Wait at most PEER_NET_LINGER_US until what was accepted for sending has
+ * reached the peers' hosts, close every connection and free. Ops may be
+ * called until it returns, but on_down is not called for these closes. NULL
+ * ok.
+ */
 void peer_net_free(peer_net_t *net);
 
 /* The port it listens on. */
@@ -134,7 +141,8 @@
                             size_t count, error_t *err);
 
 /*
- * Queue a message; deadlines in it are of CLOCK_MONOTONIC. Anything but
+ * Queue a message for a peer; with NULL as its name, for whichever has that
+ * incarnation. Deadlines in it are of CLOCK_MONOTONIC. Anything but
  * STATUS_OK means that it was not and will not be sent: STATUS_UNAVAILABLE
  * not connected, STATUS_TOO_LARGE the queue or the message is too large,
  * STATUS_INVALID the message breaks a rule.
--- a/t/t0602-handshake.c
+++ b/t/t0602-handshake.c
@@ -290,6 +290,7 @@
     dialer_init(&dialer, 5);
     ck_assert(dialer_set(&dialer, peers, 2, 0));
     dialer_up(&dialer, "c1", 3, NULL);
+    dialer_failed(&dialer, &peers[1], 0); /* it has dialed meanwhile */
     unsigned dials = 0;
     for (int64_t now_us = 0; now_us < 60000000; now_us += 1000) {
         const peer_address_t *peer = dialer_next(&dialer, now_us);
--- a/t/t0603-peer.c
+++ b/t/t0603-peer.c
@@ -273,6 +273,30 @@
 }
 END_TEST
 
+/* What was accepted before the transport is freed arrives. */
+START_TEST(test_free_lingers)
+{
+    node_t a;
+    node_t b;
+    node_start(&a, "a1", 1, 0, right_key);
+    node_start(&b, "b1", 2, 0, right_key);
+    node_dial(&a, &b, 0);
+    node_wait(&a, &a.ups, 1);
+    message_t m = {.type = MESSAGE_HEARTBEAT};
+    for (uint64_t i = 1; i <= 100; i++) {
+        m.heartbeat.config_version = i;
+        ck_assert_int_eq(peer_net_send(a.net, NULL, 2, &m, NULL), STATUS_OK);
+    }
+    ck_assert_int_eq(peer_net_send(a.net, NULL, 3, &m, NULL),
+                     STATUS_UNAVAILABLE);
+    node_stop(&a);
+    node_wait(&b, &b.unreachable, 1);
+    ck_assert_uint_eq(node_read(&b, &b.messages), 100);
+    ck_assert_uint_eq(node_read(&b, &b.out_of_order), 0);
+    node_stop(&b);
+}
+END_TEST
+
 /* A peer dies and its VM is replaced on the same address. */
 START_TEST(test_replaced)
 {
@@ -727,6 +751,7 @@
     tcase_set_timeout(tests, 0);
     tcase_add_test(tests, test_both_ways);
     tcase_add_test(tests, test_simultaneous);
+    tcase_add_test(tests, test_free_lingers);
     tcase_add_test(tests, test_replaced);
     tcase_add_test(tests, test_removed);
     tcase_add_test(tests, test_unnamed);
