--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,8 @@
 BENCH_SERVICE_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard bench/service/*.c)))
 TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard t/lib/*.c))) \
 	$(B)/t/fuzz/targets.o
+# The scenarios' runner is linked by the tests of it only.
+SCENARIO_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard t/scenario/*.c)))
 TEST_BIN := $(patsubst t/%.c,$(B)/t/%,$(sort $(wildcard t/t[0-9]*.c)))
 # Only tests that start threads run under the thread sanitizer.
 TSAN_TEST_BIN := $(patsubst t/%.c,build/tsan/t/%,$(shell \
@@ -92,6 +94,9 @@
 $(B)/bench-%: $(B)/bench/%.o $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(B)/t/t08%: $(B)/t/t08%.o $(SCENARIO_OBJ) $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
+
 $(B)/t/t%: $(B)/t/t%.o $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
--- /dev/null
+++ b/t/scenario/caller.c
@@ -0,0 +1,453 @@
+#include "t/scenario/sim.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+    COMMIT_GAP_US = 10000,
+    GENERATION_US = 60000000,
+    HORIZON = 15,
+    ATTEMPTS_WORD = 64
+};
+
+call_t *
+caller_find(const sim_t *sim, attempt_id_t id)
+{
+    for (size_t i = sim->call_count; i > 0; i--) {
+        call_t *call = sim->calls[i - 1];
+        if (call->sequence == id.sequence &&
+            call->incarnation == id.incarnation) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
+static void *
+list_add(void *list, size_t count, void *item)
+{
+    void **grown = realloc(list, (count + 1) * sizeof(*grown));
+    if (grown == NULL) {
+        abort();
+    }
+    grown[count] = item;
+    return grown;
+}
+
+static call_t *
+new_call(sim_t *sim, operation_t *operation)
+{
+    call_t *call = sim_alloc(sizeof(*call));
+    call->sim = sim;
+    call->operation = operation;
+    call->step = operation->step;
+    range_set_init(&call->started);
+    sim->calls = list_add(sim->calls, sim->call_count, call);
+    sim->call_count++;
+    return call;
+}
+
+static operation_t *
+new_operation(sim_t *sim, size_t step, int64_t number)
+{
+    const step_t *from = &sim->script->steps[step];
+    operation_t *operation = sim_alloc(sizeof(*operation));
+    operation->step = step;
+    operation->once = step_int(from, "once", 0) != 0;
+    range_set_init(&operation->ran);
+    snprintf(operation->name, NAME_SIZE, "%.18s-%u",
+             step_text(from, "name", "q"), (unsigned)number);
+    if (step_has(from, "id")) {
+        char id[FIELD_TEXT_SIZE + NAME_SIZE];
+        snprintf(id, sizeof(id), "%s-%" PRId64, step_text(from, "id", ""),
+                 number);
+        operation->once = true;
+        operation->hash = once_hash_id("-", "-", id);
+    }
+    sim->operations =
+        list_add(sim->operations, sim->operation_count, operation);
+    sim->operation_count++;
+    return operation;
+}
+
+void
+caller_query(sim_t *sim, size_t step)
+{
+    const step_t *from = &sim->script->steps[step];
+    int64_t count = step_int(from, "count", 1);
+    int64_t every_us = step_int(from, "every_us", 5000);
+    int64_t resends = step_int(from, "resends", 0);
+    int64_t resend_us = step_int(from, "resend_ms", 100) * SIM_MS;
+    for (int64_t i = 0; i < count; i++) {
+        operation_t *operation = new_operation(sim, step, i);
+        for (int64_t n = 0; n <= resends; n++) {
+            call_t *call = new_call(sim, operation);
+            call->resends_left = (size_t)(resends - n);
+            sim_push(sim, EVENT_CALL,
+                     sim->now_us + i * every_us + n * resend_us, SIM_NODES_MAX)
+                ->item = call;
+        }
+    }
+}
+
+/* The entry that the caller uses: a daemon that runs and is not leaving. */
+static size_t
+pick_node(sim_t *sim, const call_t *call)
+{
+    const step_t *from = &sim->script->steps[call->step];
+    int64_t wanted = step_int(from, "daemon", 0);
+    bool resent = (int64_t)call->resends_left < step_int(from, "resends", 0);
+    if (resent && step_has(from, "resend_daemon")) {
+        wanted = step_int(from, "resend_daemon", 0);
+    }
+    size_t first = wanted > 0 ? (size_t)wanted - 1
+                              : (size_t)sim_draw(sim, sim->node_count);
+    for (size_t i = 0; i < sim->node_count; i++) {
+        size_t at = (first + i) % sim->node_count;
+        const sim_node_t *node = &sim->nodes[at];
+        if (node->alive && (!node->leaving || i == 0)) {
+            return at;
+        }
+    }
+    return SIM_NODES_MAX;
+}
+
+static void
+call_end(call_t *call, const query_answer_t *answer)
+{
+    sim_t *sim = call->sim;
+    call->done++;
+    call->ended_us = sim->now_us;
+    call->answer = *answer;
+    if (answer->outcome != OUTCOME_WHOLE) {
+        sim_note(sim, "%s at %s: %s, %s", call->operation->name,
+                 sim->nodes[call->node].name, outcome_name(answer->outcome),
+                 reason_name(answer->reason));
+    }
+    check_answer(sim, call);
+}
+
+static void
+call_settle(call_t *call, outcome_t outcome, reason_t reason)
+{
+    query_answer_t answer = {.outcome = outcome, .reason = reason};
+    call->settled = true;
+    call_end(call, &answer);
+}
+
+static void
+note_outcome(call_t *call, const query_answer_t *answer)
+{
+    sim_node_t *node = &call->sim->nodes[call->node];
+    once_outcome_t outcome = {
+        .outcome = answer->outcome,
+        .reason = answer->reason,
+        .version = answer->version,
+        .generation = answer->generation,
+        .asked = answer->asked,
+        .covered = answer->covered,
+        .count = answer->count,
+        .sum = answer->sum,
+    };
+    once_end(node->once, call->key, &outcome, call->sim->now_us);
+    bool withdraw = call->key.by_id && answer->outcome == OUTCOME_NOT_RUN;
+    uint64_t hash = call->operation->hash;
+    if (withdraw && node->logs[bucket_of(hash)] != NULL) {
+        intent_withdraw(node->logs[bucket_of(hash)], hash);
+    }
+}
+
+static void
+on_started(void *context, uint64_t sequence)
+{
+    call_t *call = context;
+    call->sequence = sequence;
+}
+
+static void
+on_done(void *context, uint64_t sequence, const query_answer_t *answer)
+{
+    call_t *call = context;
+    if (sequence != 0 && sequence != call->sequence) {
+        sim_fail(call->sim, "%s got the answer of another request",
+                 call->operation->name);
+    }
+    if (call->ran_once) {
+        note_outcome(call, answer);
+    }
+    call_end(call, answer);
+}
+
+static void
+call_run(call_t *call)
+{
+    sim_node_t *node = &call->sim->nodes[call->node];
+    query_waiter_t waiter = {
+        .context = call,
+        .done = on_done,
+        .started = on_started,
+    };
+    query_request_t request = call->request;
+    request.body = strdup(call->body);
+    coordinator_submit(node->coordinator, &request, &waiter,
+                       call->sim->now_us);
+    node->wakeup_us = 0;
+}
+
+static void
+call_fill(sim_t *sim, call_t *call)
+{
+    const step_t *from = &sim->script->steps[call->step];
+    const char *service = step_text(from, "service", sim->services[0].name);
+    const sim_service_t *known = sim_service(sim, service);
+    int64_t deadline_ms = step_int(from, "deadline_ms",
+                                   known == NULL ? 0 : known->row.deadline_ms);
+    query_request_t *request = &call->request;
+    snprintf(call->body, sizeof(call->body), "%.31s",
+             step_text(from, "body", call->operation->name));
+    snprintf(request->service, NAME_SIZE, "%.31s", service);
+    snprintf(request->tenant, NAME_SIZE, "%.31s",
+             step_text(from, "tenant", "default"));
+    request->range.lo = (uint64_t)step_int(from, "lo", 0);
+    request->range.hi = (uint64_t)step_int(from, "hi", (int64_t)KEY_END);
+    request->deadline_us = sim->now_us + deadline_ms * SIM_MS;
+    request->once = call->operation->once;
+    request->body_size = strlen(call->body);
+    request->fingerprint = XXH64(call->body, request->body_size, 0);
+    call->sent_us = sim->now_us;
+}
+
+/* What a verdict other than to run tells the caller. */
+static void
+settle_verdict(call_t *call, once_verdict_t verdict,
+               const once_outcome_t *outcome)
+{
+    query_answer_t answer = {
+        .outcome = outcome->outcome,
+        .reason = outcome->reason,
+        .version = outcome->version,
+        .generation = outcome->generation,
+        .asked = outcome->asked,
+        .covered = outcome->covered,
+        .count = outcome->count,
+        .sum = outcome->sum,
+    };
+    switch (verdict) {
+    case ONCE_FINISHED:
+        call->settled = true;
+        call_end(call, &answer);
+        break;
+    case ONCE_RUNNING:
+        call_settle(call, OUTCOME_UNKNOWN, REASON_RUNNING);
+        break;
+    case ONCE_EXPIRED:
+        call_settle(call, OUTCOME_NOT_RUN, REASON_TICKET);
+        break;
+    case ONCE_FULL:
+        call_settle(call, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+        break;
+    default:
+        call_settle(call, OUTCOME_UNKNOWN, REASON_TICKET);
+        break;
+    }
+}
+
+/* Pass a request on to the daemon that its ticket names. */
+static void
+pass_on(sim_t *sim, call_t *call)
+{
+    int home = sim_node_find(sim, call->operation->ticket.incarnation);
+    if (home < 0 || sim->nodes[home].cut || sim->nodes[call->node].cut) {
+        call_settle(call, OUTCOME_UNKNOWN, REASON_TICKET);
+        return;
+    }
+    call->in_transit = true;
+    sim_push(sim, EVENT_CALL, sim->now_us + sim->link_delay_us, (size_t)home)
+        ->item = call;
+}
+
+static void
+begin_ticket(sim_t *sim, call_t *call)
+{
+    sim_node_t *node = &sim->nodes[call->node];
+    operation_t *operation = call->operation;
+    once_outcome_t outcome = {.outcome = OUTCOME_UNKNOWN};
+    if (operation->ticket.incarnation == 0) {
+        operation->ticket = once_issue(node->once, sim->now_us);
+    }
+    once_verdict_t verdict = once_begin_ticket(
+        node->once, &operation->ticket, call->request.fingerprint, sim->now_us,
+        &call->key, &outcome);
+    if (verdict == ONCE_RUN) {
+        call->ran_once = true;
+        call_run(call);
+    }
+    else if (verdict == ONCE_ELSEWHERE) {
+        pass_on(sim, call);
+    }
+    else {
+        settle_verdict(call, verdict, &outcome);
+    }
+}
+
+static void
+unbegin(call_t *call)
+{
+    query_answer_t answer = {.outcome = OUTCOME_NOT_RUN};
+    once_outcome_t outcome = {.outcome = answer.outcome};
+    once_end(call->sim->nodes[call->node].once, call->key, &outcome,
+             call->sim->now_us);
+}
+
+static void
+take_intent(call_t *call, intent_status_t status)
+{
+    call->waits_for_intent = false;
+    if (status == INTENT_RUN) {
+        call->ran_once = true;
+        call_run(call);
+        return;
+    }
+    unbegin(call);
+    if (status == INTENT_FULL) {
+        call_settle(call, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+    }
+    else if (status == INTENT_STORE) {
+        call_settle(call, OUTCOME_NOT_RUN, REASON_STORE);
+    }
+    else {
+        call_settle(call, OUTCOME_UNKNOWN, REASON_LOST);
+    }
+}
+
+static void
+begin_id(sim_t *sim, call_t *call)
+{
+    sim_node_t *node = &sim->nodes[call->node];
+    uint64_t hash = call->operation->hash;
+    once_outcome_t outcome = {.outcome = OUTCOME_UNKNOWN};
+    once_verdict_t verdict =
+        once_begin_id(node->once, hash, call->request.fingerprint, sim->now_us,
+                      &call->key, &outcome);
+    if (verdict != ONCE_RUN) {
+        settle_verdict(call, verdict, &outcome);
+        return;
+    }
+    intent_log_t **log = &node->logs[bucket_of(hash)];
+    if (*log == NULL) {
+        intent_settings_t settings = {.incarnation = node->incarnation,
+                                      .commit_gap_us = COMMIT_GAP_US,
+                                      .generation_us = GENERATION_US,
+                                      .horizon = HORIZON};
+        *log = intent_log_new(&settings, bucket_of(hash));
+    }
+    intent_verdict_t intent = intent_submit(*log, hash);
+    if (intent.status != INTENT_WAIT) {
+        take_intent(call, intent.status);
+        return;
+    }
+    call->waits_for_intent = true;
+    node->wakeup_us = 0;
+}
+
+void
+caller_intent(sim_t *sim, size_t node, const intent_verdict_t *verdict)
+{
+    bool taken = false;
+    for (size_t i = 0; i < sim->call_count; i++) {
+        call_t *call = sim->calls[i];
+        if (call->waits_for_intent && call->node == node &&
+            call->operation->hash == verdict->hash) {
+            taken = true;
+            take_intent(call, verdict->status);
+        }
+    }
+    if (!taken && verdict->status == INTENT_RUN) {
+        intent_withdraw(sim->nodes[node].logs[bucket_of(verdict->hash)],
+                        verdict->hash);
+    }
+}
+
+/* Callers whose id is not in the store by their deadline. */
+void
+caller_tick(sim_t *sim)
+{
+    for (size_t i = 0; i < sim->call_count; i++) {
+        call_t *call = sim->calls[i];
+        if (call->waits_for_intent && sim_node_runs(sim, call->node) &&
+            call->request.deadline_us <= sim->now_us) {
+            take_intent(call, INTENT_STORE);
+        }
+    }
+    for (size_t i = 0; i < sim->node_count; i++) {
+        if (sim_node_runs(sim, i)) {
+            config_intents(sim, i);
+        }
+    }
+}
+
+void
+caller_arrive(sim_t *sim, const sim_event_t *event)
+{
+    call_t *call = event->item;
+    if (event->node == SIM_NODES_MAX) {
+        call->node = pick_node(sim, call);
+        if (call->node == SIM_NODES_MAX) {
+            call->lost = true;
+            return;
+        }
+        call_fill(sim, call);
+        call->incarnation = sim->nodes[call->node].incarnation;
+        sim_push(sim, EVENT_CALL, sim->now_us, call->node)->item = call;
+        return;
+    }
+    if (call->lost || call->done > 0) {
+        return;
+    }
+    const sim_node_t *node = &sim->nodes[event->node];
+    if (!node->alive || node->incarnation != event->incarnation) {
+        call->lost = true;
+        return;
+    }
+    call->node = event->node;
+    call->incarnation = node->incarnation;
+    if (!call->operation->once) {
+        call_run(call);
+    }
+    else if (call->operation->hash != 0) {
+        begin_id(sim, call);
+    }
+    else {
+        begin_ticket(sim, call);
+    }
+}
+
+/* Callers of a daemon that ended get no answer from it. */
+void
+caller_node_died(sim_t *sim, size_t node)
+{
+    for (size_t i = 0; i < sim->call_count; i++) {
+        call_t *call = sim->calls[i];
+        if (call->node == node && call->sent_us != 0 && call->done == 0) {
+            call->lost = true;
+            call->waits_for_intent = false;
+        }
+    }
+}
+
+void
+caller_release(sim_t *sim)
+{
+    for (size_t i = 0; i < sim->call_count; i++) {
+        range_set_release(&sim->calls[i]->started);
+        free(sim->calls[i]);
+    }
+    for (size_t i = 0; i < sim->operation_count; i++) {
+        range_set_release(&sim->operations[i]->ran);
+        free(sim->operations[i]);
+    }
+    free(sim->calls);
+    free(sim->operations);
+}
--- /dev/null
+++ b/t/scenario/check.c
@@ -0,0 +1,519 @@
+#include "core/hist.h"
+#include "standin/lib/answer.h"
+#include "t/scenario/sim.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    ATTEMPT_BITS = 64,
+    ATTEMPTS_MAX = 512,
+    GENERATION_FACTOR = 1000,
+    INTENT_LATE_US = 150000,
+    PERCENT = 100,
+    PERMILLE = 1000
+};
+
+/* Work in progress at upstreams of a service, in one zone or in all. */
+static uint32_t
+in_progress(const sim_t *sim, const char *service, const char *zone)
+{
+    uint32_t count = 0;
+    for (size_t i = 0; i < sim->upstream_count; i++) {
+        const sim_upstream_t *upstream = &sim->upstreams[i];
+        if (strcmp(upstream->info.service, service) == 0 &&
+            (zone == NULL || strcmp(upstream->info.zone, zone) == 0)) {
+            count += upstream->running;
+        }
+    }
+    return count;
+}
+
+static void
+check_limits(sim_t *sim, const sim_upstream_t *upstream)
+{
+    const upstream_info_t *info = &upstream->info;
+    const table_row_t *row = &sim_service(sim, info->service)->row;
+    if (upstream->cold && upstream->told_us != 0 &&
+        upstream->told_us < sim->now_us &&
+        upstream->running >= upstream->cold_slots) {
+        sim_fail(sim, "%s is cold and gets part %u, bound %u", info->name,
+                 upstream->running + 1, upstream->cold_slots);
+    }
+    if (upstream->running >= upstream->slots) {
+        sim_fail(sim, "%s gets part %u, slots %u", info->name,
+                 upstream->running + 1, upstream->slots);
+    }
+    if (in_progress(sim, info->service, info->zone) >= row->zone_slots) {
+        sim_fail(sim, "%s gets more than its zone's slots", info->name);
+    }
+    if (in_progress(sim, info->service, NULL) >= row->service_slots) {
+        sim_fail(sim, "%s gets more than its service's slots", info->name);
+    }
+}
+
+static void
+check_out(sim_t *sim, const sim_upstream_t *upstream, const sim_node_t *node)
+{
+    const upstream_info_t *info = &upstream->info;
+    if (upstream->gone_us != 0 &&
+        sim->now_us > upstream->gone_us + SIM_PROMPT_US) {
+        sim_fail(sim, "%s is leaving and gets new work from %s", info->name,
+                 node->name);
+    }
+    for (size_t i = 0; i < sim->out_count; i++) {
+        const sim_out_t *out = &sim->outs[i];
+        const char *name = out->kind == HOLD_ZONE ? info->zone : info->name;
+        if (out->out && strcmp(out->name, name) == 0 &&
+            sim->now_us > out->accepted_us + SIM_PROMPT_US) {
+            sim_fail(sim, "%s of %s, which is out, gets new work from %s",
+                     info->name, name, node->name);
+        }
+    }
+}
+
+static void
+check_lease(sim_t *sim, const part_request_t *request, const sim_node_t *node)
+{
+    int64_t until_us = atomic_load(&node->act_until_us);
+    if (until_us <= sim->now_us) {
+        sim_fail(sim, "%s sends to %s after its lease has lapsed", node->name,
+                 request->upstream);
+    }
+    if (request->deadline_us > until_us + SIM_DRAIN_US) {
+        sim_fail(sim, "%s sends work that outlasts its lease", node->name);
+    }
+}
+
+static void
+note_run(sim_t *sim, call_t *call, const part_request_t *request)
+{
+    sim_service_t *service = sim_service(sim, request->service);
+    operation_t *operation = call->operation;
+    uint32_t attempt = request->id.attempt % ATTEMPTS_MAX;
+    if (operation->once &&
+        range_set_overlaps(&operation->ran, request->range)) {
+        sim_fail(sim, "%s may run once and runs again on %s", operation->name,
+                 request->upstream);
+    }
+    if (call->done > 0 && call->answer.outcome == OUTCOME_NOT_RUN) {
+        sim_fail(sim, "%s was answered not_run and runs on %s",
+                 operation->name, request->upstream);
+    }
+    service->starts++;
+    if (range_set_overlaps(&call->started, request->range)) {
+        service->extra++;
+    }
+    range_set_add(&operation->ran, request->range);
+    range_set_add(&call->started, request->range);
+    call->starts++;
+    call->started_attempts[attempt / ATTEMPT_BITS] |=
+        UINT64_C(1) << (attempt % ATTEMPT_BITS);
+}
+
+void
+check_start(sim_t *sim, const sim_upstream_t *upstream,
+            const part_request_t *request, size_t node, bool runs)
+{
+    sim->checks++;
+    check_limits(sim, upstream);
+    check_out(sim, upstream, &sim->nodes[node]);
+    check_lease(sim, request, &sim->nodes[node]);
+    call_t *call = caller_find(sim, request->id);
+    if (call == NULL) {
+        sim_fail(sim, "%s gets a part of no request", upstream->info.name);
+        return;
+    }
+    if (request->version != 0 && call->body[0] != '\0' && request->hedge &&
+        call->operation->once) {
+        sim_fail(sim, "%s may run once and is hedged", call->operation->name);
+    }
+    if (runs) {
+        note_run(sim, call, request);
+    }
+}
+
+void
+check_reply(sim_t *sim, const part_reply_t *reply)
+{
+    const call_t *call = caller_find(sim, reply->id);
+    uint32_t attempt = reply->id.attempt % ATTEMPTS_MAX;
+    sim->checks++;
+    if (call == NULL || !reply->not_run) {
+        return;
+    }
+    uint64_t bits = call->started_attempts[attempt / ATTEMPT_BITS];
+    if ((bits >> (attempt % ATTEMPT_BITS) & 1) != 0) {
+        sim_fail(sim, "%s: a part that ran is said not to have run (%s)",
+                 call->operation->name, part_status_name(reply->status));
+    }
+}
+
+/* What the answer's count and sum must be by its version and coverage. */
+static void
+check_snapshot(sim_t *sim, const call_t *call)
+{
+    const query_answer_t *answer = &call->answer;
+    key_range_t asked = call->request.range;
+    uint64_t version =
+        answer->version + answer->generation * GENERATION_FACTOR;
+    uint64_t count = answer_count(asked, answer->version);
+    uint64_t sum = answer_sum(asked, version);
+    uint64_t covered = key_range_size(asked);
+    for (size_t i = 0; i < answer->missing_count; i++) {
+        count -= answer_count(answer->missing[i], answer->version);
+        sum -= answer_sum(answer->missing[i], version);
+        covered -= key_range_size(answer->missing[i]);
+    }
+    if (covered != answer->covered) {
+        sim_fail(sim, "%s: says it covers %" PRIu64 " keys, covers %" PRIu64,
+                 call->operation->name, answer->covered, covered);
+    }
+    if (answer->covered > 0 &&
+        (count != answer->count || sum != answer->sum)) {
+        sim_fail(sim,
+                 "%s: not the snapshot of version %" PRIu64
+                 " and generation %" PRIu64,
+                 call->operation->name, answer->version, answer->generation);
+    }
+}
+
+static void
+check_outcome(sim_t *sim, const call_t *call)
+{
+    const query_answer_t *answer = &call->answer;
+    const char *name = call->operation->name;
+    if (answer->outcome == OUTCOME_NOT_RUN && call->starts > 0) {
+        sim_fail(sim, "%s: answered not_run after %" PRIu64 " starts", name,
+                 call->starts);
+    }
+    if (answer->outcome == OUTCOME_WHOLE && answer->covered != answer->asked) {
+        sim_fail(sim, "%s: whole without all keys", name);
+    }
+    if (answer->outcome == OUTCOME_PARTIAL &&
+        (answer->covered == 0 || answer->covered >= answer->asked)) {
+        sim_fail(sim, "%s: partial with %" PRIu64 " keys", name,
+                 answer->covered);
+    }
+    if (answer->reason == REASON_LEAVING ||
+        answer->reason == REASON_CANCELLED) {
+        sim_fail(sim, "%s: cut by a shutdown", name);
+    }
+}
+
+static void
+check_time(sim_t *sim, const call_t *call)
+{
+    int64_t late_us =
+        call->operation->hash != 0 ? INTENT_LATE_US : SIM_LATE_US;
+    const sim_node_t *node = &sim->nodes[call->node];
+    if (node->disturbed_us < call->sent_us &&
+        sim->now_us > call->request.deadline_us + late_us) {
+        sim_fail(sim, "%s: answered %.1f ms after its deadline",
+                 call->operation->name,
+                 (double)(sim->now_us - call->request.deadline_us) /
+                     (double)SIM_MS);
+    }
+}
+
+void
+check_answer(sim_t *sim, const call_t *call)
+{
+    sim->checks++;
+    if (call->done > 1) {
+        sim_fail(sim, "%s is answered twice", call->operation->name);
+    }
+    check_outcome(sim, call);
+    check_time(sim, call);
+    if (call->answer.covered > 0 &&
+        (!call->settled || call->answer.outcome == OUTCOME_WHOLE)) {
+        check_snapshot(sim, call);
+    }
+}
+
+void
+check_config(sim_t *sim, const sim_node_t *node, uint64_t version)
+{
+    sim->checks++;
+    if (node->config != NULL && node->config->version != node->sync.version) {
+        sim_fail(sim, "%s: version in force is not the one it speaks of",
+                 node->name);
+    }
+    (void)version;
+}
+
+void
+check_left(sim_t *sim, size_t node)
+{
+    for (size_t i = 0; i < sim->call_count; i++) {
+        const call_t *call = sim->calls[i];
+        if (call->sent_us != 0 && call->node == node && call->done == 0 &&
+            !call->lost) {
+            sim_fail(sim, "%s: its daemon exits before it is answered",
+                     call->operation->name);
+        }
+    }
+}
+
+static bool
+is_counted(const call_t *call, const step_t *step)
+{
+    const step_t *from = &call->sim->script->steps[call->step];
+    if (step_has(step, "query") && strcmp(step_text(step, "query", ""),
+                                          step_text(from, "name", "q")) != 0) {
+        return false;
+    }
+    return !step_has(step, "service") ||
+           strcmp(step_text(step, "service", ""), call->request.service) == 0;
+}
+
+static int64_t
+count_outcomes(const sim_t *sim, const step_t *step, int outcome)
+{
+    int64_t count = 0;
+    for (size_t i = 0; i < sim->call_count; i++) {
+        const call_t *call = sim->calls[i];
+        if (!is_counted(call, step) || call->done == 0) {
+            continue;
+        }
+        bool reason = !step_has(step, "reason") ||
+                      strcmp(step_text(step, "reason", ""),
+                             reason_name(call->answer.reason)) == 0;
+        if (reason && (outcome == OUTCOME_COUNT ||
+                       (int)call->answer.outcome == outcome)) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static int64_t
+quantile_ms(const sim_t *sim, const step_t *step, double quantile)
+{
+    hist_t hist = {.count = 0};
+    for (size_t i = 0; i < sim->call_count; i++) {
+        const call_t *call = sim->calls[i];
+        if (is_counted(call, step) && call->done > 0) {
+            hist_add(&hist, call->ended_us - call->sent_us);
+        }
+    }
+    return hist.count == 0 ? 0 : hist_quantile(&hist, quantile) / SIM_MS;
+}
+
+static int64_t
+count_upstreams(const sim_t *sim, const step_t *step, bool crashes)
+{
+    int64_t count = 0;
+    for (size_t i = 0; i < sim->upstream_count; i++) {
+        const sim_upstream_t *upstream = &sim->upstreams[i];
+        bool meant =
+            !step_has(step, "zone") ||
+            strcmp(step_text(step, "zone", ""), upstream->info.zone) == 0;
+        if (meant) {
+            count += (int64_t)(crashes ? upstream->crashes : upstream->starts);
+        }
+    }
+    return count;
+}
+
+static int64_t
+count_changes(const sim_t *sim, status_t status)
+{
+    int64_t count = 0;
+    for (size_t i = 0; i < sim->change_count; i++) {
+        count += sim->changes[i].done && sim->changes[i].status == status;
+    }
+    return count;
+}
+
+static int64_t
+sum_answers(const sim_t *sim, const step_t *step, const char *what)
+{
+    int64_t count = 0;
+    for (size_t i = 0; i < sim->call_count; i++) {
+        const query_answer_t *answer = &sim->calls[i]->answer;
+        if (!is_counted(sim->calls[i], step)) {
+            continue;
+        }
+        if (strcmp(what, "hedges") == 0) {
+            count += answer->hedges;
+        }
+        else if (strcmp(what, "retries") == 0) {
+            count += answer->retries;
+        }
+        else if (strcmp(what, "restarts") == 0) {
+            count += answer->restarts;
+        }
+        else {
+            count += answer->dropped;
+        }
+    }
+    return count;
+}
+
+static int64_t
+lost_calls(const sim_t *sim)
+{
+    int64_t count = 0;
+    for (size_t i = 0; i < sim->call_count; i++) {
+        count += sim->calls[i]->lost && sim->calls[i]->done == 0;
+    }
+    return count;
+}
+
+/* The figure that an expectation names; false: there is none such. */
+static bool
+measure(const sim_t *sim, const step_t *step, int64_t *value)
+{
+    const char *what = step_text(step, "count", "");
+    for (int i = 0; i < OUTCOME_COUNT; i++) {
+        if (strcmp(what, outcome_name((outcome_t)i)) == 0) {
+            *value = count_outcomes(sim, step, i);
+            return true;
+        }
+    }
+    static const char *const sums[] = {"hedges", "retries", "restarts",
+                                       "dropped"};
+    for (size_t i = 0; i < sizeof(sums) / sizeof(sums[0]); i++) {
+        if (strcmp(what, sums[i]) == 0) {
+            *value = sum_answers(sim, step, what);
+            return true;
+        }
+    }
+    if (strcmp(what, "answered") == 0) {
+        *value = count_outcomes(sim, step, OUTCOME_COUNT);
+    }
+    else if (strcmp(what, "lost") == 0) {
+        *value = lost_calls(sim);
+    }
+    else if (strcmp(what, "p50_ms") == 0) {
+        *value = quantile_ms(sim, step, 0.5);
+    }
+    else if (strcmp(what, "p99_ms") == 0) {
+        *value = quantile_ms(sim, step, 0.99);
+    }
+    else if (strcmp(what, "starts") == 0) {
+        *value = count_upstreams(sim, step, false);
+    }
+    else if (strcmp(what, "crashes") == 0) {
+        *value = count_upstreams(sim, step, true);
+    }
+    else if (strcmp(what, "changes_ok") == 0) {
+        *value = count_changes(sim, STATUS_OK);
+    }
+    else if (strcmp(what, "changes_conflict") == 0) {
+        *value = count_changes(sim, STATUS_CONFLICT);
+    }
+    else if (strcmp(what, "version") == 0) {
+        size_t at = (size_t)step_int(step, "daemon", 1) - 1;
+        *value = (int64_t)sim->nodes[at % sim->node_count].sync.version;
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+void
+check_expect(sim_t *sim, const step_t *step)
+{
+    int64_t value = 0;
+    sim->checks++;
+    if (!measure(sim, step, &value)) {
+        sim_fail(sim, "%s:%zu: nothing is counted as '%s'", sim->script->name,
+                 step->line, step_text(step, "count", ""));
+        return;
+    }
+    if (value < step_int(step, "min", INT64_MIN) ||
+        value > step_int(step, "max", INT64_MAX)) {
+        sim_fail(sim, "%s:%zu: %s %s is %" PRId64 ", expected %s to %s",
+                 sim->script->name, step->line,
+                 step_text(step, "query", "all"), step_text(step, "count", ""),
+                 value, step_text(step, "min", "any"),
+                 step_text(step, "max", "any"));
+    }
+}
+
+static void
+check_all_answered(sim_t *sim)
+{
+    for (size_t i = 0; i < sim->call_count; i++) {
+        const call_t *call = sim->calls[i];
+        const sim_node_t *node = &sim->nodes[call->node];
+        bool due = call->sent_us != 0 &&
+                   call->request.deadline_us + INTENT_LATE_US < sim->now_us;
+        if (due && call->done == 0 && !call->lost &&
+            node->disturbed_us + SIM_PROMPT_US < sim->now_us) {
+            sim_fail(sim, "%s was never answered", call->operation->name);
+        }
+    }
+}
+
+static void
+check_added_load(sim_t *sim)
+{
+    int64_t run_us = sim->now_us - SIM_START_US;
+    int64_t windows = run_us / (BUDGET_STEPS * BUDGET_STEP_US) + 2;
+    for (size_t i = 0; i < sim->service_count; i++) {
+        const sim_service_t *service = &sim->services[i];
+        uint64_t first = service->starts - service->extra;
+        uint64_t most = first * service->row.added_load_percent / PERCENT +
+                        BUDGET_FLOOR * (uint64_t)windows * sim->node_count;
+        if (service->extra > most) {
+            sim_fail(sim,
+                     "%s: added load of %" PRIu64 " on %" PRIu64
+                     " first starts",
+                     service->name, service->extra, first);
+        }
+    }
+}
+
+/* What was accepted some seconds ago is in force wherever it can be. */
+static void
+check_in_force(sim_t *sim)
+{
+    for (size_t i = 0; i < sim->node_count; i++) {
+        const sim_node_t *node = &sim->nodes[i];
+        if (!sim_node_runs(sim, i) || node->cut || node->config == NULL ||
+            node->disturbed_us + 2 * SIM_PROMPT_US > sim->now_us) {
+            continue;
+        }
+        for (size_t j = 0; j < sim->change_count; j++) {
+            const sim_change_t *change = &sim->changes[j];
+            if (change->done && change->status == STATUS_OK &&
+                change->done_us + SIM_PROMPT_US < sim->now_us &&
+                node->config->version < change->version) {
+                sim_fail(sim,
+                         "%s: version %" PRIu64 " was accepted, %" PRIu64
+                         " is in force",
+                         node->name, change->version, node->config->version);
+            }
+        }
+        for (size_t j = 0; j < sim->out_count; j++) {
+            const sim_out_t *out = &sim->outs[j];
+            bool is_out = out->kind == HOLD_ZONE
+                              ? config_zone_is_out(node->effective, out->name)
+                              : config_vm_is_out(node->effective, out->name);
+            if (out->out && !is_out &&
+                out->accepted_us + SIM_PROMPT_US < sim->now_us) {
+                sim_fail(sim, "%s: %s was taken out and is not", node->name,
+                         out->name);
+            }
+        }
+    }
+}
+
+void
+check_end(sim_t *sim)
+{
+    check_all_answered(sim);
+    check_added_load(sim);
+    check_in_force(sim);
+    for (size_t i = 0; i < sim->script->count; i++) {
+        const step_t *step = &sim->script->steps[i];
+        if (step->kind == STEP_EXPECT && step->at_us < 0) {
+            check_expect(sim, step);
+        }
+    }
+}
--- /dev/null
+++ b/t/scenario/config.c
@@ -0,0 +1,626 @@
+#include "t/scenario/sim.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    STORE_WAY_US = 1000,
+    STORE_TIMEOUT_US = 500000,
+    STORE_LOST_US = 100000,
+    STORE_SLOW_MAX_US = 1000000,
+    GRANT_US = 2500000,
+    HELD_TIMEOUT_US = 2000000,
+    STORE_KEY_SIZE = 64,
+    COMMIT_GAP_US = 10000,
+    GENERATION_US = 60000000,
+    HORIZON = 15
+};
+
+#define KEY_CONFIG "yuccarun/config"
+
+typedef enum {
+    STORE_READ_CONFIG,
+    STORE_WRITE_BACK,
+    STORE_CHANGE_READ,
+    STORE_CHANGE_WRITE,
+    STORE_INTENT_READ,
+    STORE_INTENT_WRITE
+} store_kind_t;
+
+typedef struct {
+    store_kind_t kind;
+    size_t node;
+    uint64_t incarnation;
+    size_t index; /* of the change or the bucket */
+    char key[STORE_KEY_SIZE];
+    char *text;
+    size_t size;
+    uint64_t cas;
+    int64_t sent_us;
+    bool late; /* takes effect after its caller gave up */
+    status_t status;
+    uint64_t found_index;
+} store_call_t;
+
+void
+store_call_free(void *item)
+{
+    store_call_t *call = item;
+    if (call != NULL) {
+        free(call->text);
+        free(call);
+    }
+}
+
+static bool
+is_write(const store_call_t *call)
+{
+    return call->kind == STORE_WRITE_BACK ||
+           call->kind == STORE_CHANGE_WRITE ||
+           call->kind == STORE_INTENT_WRITE;
+}
+
+static void
+store_submit(sim_t *sim, size_t node, const store_call_t *from,
+             const void *text, size_t size)
+{
+    store_call_t *call = sim_alloc(sizeof(*call));
+    *call = *from;
+    call->node = node;
+    call->incarnation = sim->nodes[node].incarnation;
+    call->sent_us = sim->now_us;
+    call->text = sim_alloc(size + 1);
+    call->size = size;
+    if (size > 0) {
+        memcpy(call->text, text, size);
+    }
+    if (sim->nodes[node].cut) {
+        call->status = STATUS_UNAVAILABLE;
+        sim_push(sim, EVENT_STORE_DONE, sim->now_us + STORE_WAY_US, node)
+            ->item = call;
+        return;
+    }
+    sim_push(sim, EVENT_STORE, sim->now_us + STORE_WAY_US, SIM_NODES_MAX)
+        ->item = call;
+}
+
+static void
+store_answer(sim_t *sim, store_call_t *call, status_t status, int64_t wait_us)
+{
+    call->status = status;
+    sim_event_t *event =
+        sim_push(sim, EVENT_STORE_DONE, sim->now_us + wait_us, call->node);
+    event->incarnation = call->incarnation;
+    event->item = call;
+}
+
+static void
+store_perform(sim_t *sim, store_call_t *call)
+{
+    bool stale = sim->store_fault == KV_FAULT_STALE;
+    if (is_write(call)) {
+        kv_write_t write = {.cas = true, .cas_index = call->cas};
+        bool done = kv_put(sim->kv, call->key, call->text, call->size, &write);
+        call->status = done ? STATUS_OK : STATUS_CONFLICT;
+        return;
+    }
+    kv_entry_t entry;
+    if (!kv_read(sim->kv, call->key, stale, &entry)) {
+        call->status = STATUS_NOT_FOUND;
+        return;
+    }
+    free(call->text);
+    call->text = sim_alloc(entry.size + 1);
+    memcpy(call->text, entry.value, entry.size);
+    call->size = entry.size;
+    call->found_index = entry.index;
+    call->status = STATUS_OK;
+}
+
+/* A copy that only tells the caller that time has run out. */
+static void
+store_time_out(sim_t *sim, const store_call_t *call)
+{
+    store_call_t *copy = sim_alloc(sizeof(*copy));
+    *copy = *call;
+    copy->text = NULL;
+    copy->size = 0;
+    store_answer(sim, copy, STATUS_TIMEOUT, STORE_TIMEOUT_US);
+}
+
+void
+config_store_event(sim_t *sim, sim_event_t *event)
+{
+    store_call_t *call = event->item;
+    if (call->late) {
+        store_perform(sim, call);
+        return;
+    }
+    event->item = NULL;
+    switch (sim->store_fault) {
+    case KV_FAULT_DOWN:
+        store_answer(sim, call, STATUS_UNAVAILABLE, STORE_WAY_US);
+        return;
+    case KV_FAULT_SLOW:
+        store_time_out(sim, call);
+        call->late = true;
+        sim_push(sim, EVENT_STORE,
+                 sim->now_us + (int64_t)sim_draw(sim, STORE_SLOW_MAX_US),
+                 SIM_NODES_MAX)
+            ->item = call;
+        return;
+    default:
+        break;
+    }
+    store_perform(sim, call);
+    bool lost = sim->store_fault == KV_FAULT_LOST_REPLY && is_write(call);
+    store_answer(sim, call, lost ? STATUS_UNKNOWN : call->status,
+                 lost ? STORE_LOST_US : STORE_WAY_US);
+}
+
+/* The configuration with the holds applied, by which work is routed. */
+static void
+follow(sim_t *sim, sim_node_t *node)
+{
+    error_t err = ERROR_INIT;
+    config_t *copy = config_copy(node->config);
+    for (size_t i = 0; i < node->holds.count; i++) {
+        const hold_t *hold = &node->holds.holds[i];
+        if (hold->out && hold->kind == HOLD_ZONE) {
+            config_set_zone(copy, hold->name, true, &err);
+        }
+        else if (hold->out) {
+            config_set_vm(copy, hold->name, true, &err);
+        }
+    }
+    config_put(node->effective);
+    node->effective = copy;
+    confsync_adopt(&node->sync, node->config->version,
+                   hold_set_digest(&node->holds));
+    sim_node_follow(sim, node->index);
+}
+
+static void
+take_config(sim_t *sim, sim_node_t *node, config_t *config)
+{
+    check_config(sim, node, config->version);
+    if (!confsync_is_newer(&node->sync, config->version)) {
+        return;
+    }
+    hold_set_drop(&node->holds, config->version);
+    confsync_adopt(&node->sync, config->version,
+                   hold_set_digest(&node->holds));
+    config_t *before = node->config;
+    node->config = config_get(config);
+    config_put(before);
+    sim_note(sim, "%s goes by configuration %" PRIu64, node->name,
+             config->version);
+    follow(sim, node);
+}
+
+void
+config_start(sim_t *sim)
+{
+    error_t err = ERROR_INIT;
+    config_t *config = config_new();
+    config->rows = sim_alloc(SIM_SERVICES_MAX * sizeof(*config->rows));
+    for (size_t i = 0; i < sim->service_count; i++) {
+        size_t at = config->row_count++;
+        while (at > 0 && strcmp(config->rows[at - 1].service,
+                                sim->services[i].name) > 0) {
+            config->rows[at] = config->rows[at - 1];
+            at--;
+        }
+        config->rows[at] = sim->services[i].row;
+    }
+    config_advance(config, CHANGE_ROWS, "first", "ops");
+    char *text = config_format_json(config);
+    kv_write_t write = {.cas = true};
+    kv_put(sim->kv, KEY_CONFIG, text, strlen(text), &write);
+    config_put(config);
+    if (config_parse_json(text, strlen(text), &sim->first_config, &err) !=
+        STATUS_OK) {
+        sim_fail(sim, "the table of the script: %s", error_text(&err));
+    }
+    free(text);
+    sim->highest_version = 1;
+}
+
+static void
+start_change(sim_t *sim, size_t node, const change_edit_t *edit)
+{
+    if (sim->change_count == SIM_CHANGES_MAX) {
+        sim_fail(sim, "too many changes for one run");
+        return;
+    }
+    error_t err = ERROR_INIT;
+    sim_change_t *made = &sim->changes[sim->change_count++];
+    *made = (sim_change_t){.edit = *edit,
+                           .node = node,
+                           .incarnation = sim->nodes[node].incarnation,
+                           .made_us = sim->now_us};
+    snprintf(made->edit.id, CHANGE_ID_SIZE, "change-%zu", sim->change_count);
+    change_settings_t rules = CHANGE_SETTINGS_DEFAULT;
+    rules.seed = sim_draw(sim, INT32_MAX);
+    if (edit->kind != CHANGE_ROWS && edit->out) {
+        rules.timeout_us = HELD_TIMEOUT_US;
+    }
+    made->change = change_new(&rules, &made->edit, sim->nodes[node].config,
+                              sim->now_us, &err);
+    if (made->change == NULL) {
+        made->done = true;
+        made->status = STATUS_INVALID;
+    }
+}
+
+static sim_out_t *
+out_of(sim_t *sim, hold_kind_t kind, const char *name)
+{
+    for (size_t i = 0; i < sim->out_count; i++) {
+        if (sim->outs[i].kind == kind &&
+            strcmp(sim->outs[i].name, name) == 0) {
+            return &sim->outs[i];
+        }
+    }
+    if (sim->out_count == SIM_OUT_MAX) {
+        abort();
+    }
+    sim_out_t *out = &sim->outs[sim->out_count++];
+    *out = (sim_out_t){.kind = kind};
+    snprintf(out->name, NAME_SIZE, "%s", name);
+    return out;
+}
+
+/* An operator was told that the zone or VM is out, or wants it back. */
+static void
+note_out(sim_t *sim, hold_kind_t kind, const char *name, bool is_out,
+         uint64_t version)
+{
+    sim_out_t *out = out_of(sim, kind, name);
+    if (version != 0 && version < out->version) {
+        return;
+    }
+    out->version = version != 0 ? version : out->version;
+    if (is_out && !out->out) {
+        out->accepted_us = sim->now_us;
+    }
+    out->out = is_out;
+}
+
+/* Keep out at once, before the store's word, as the daemon does. */
+static bool
+hold_now(sim_t *sim, sim_node_t *node, hold_kind_t kind, const char *name,
+         bool out)
+{
+    if (node->config == NULL ||
+        hold_set_is_out(&node->holds, kind, name) == out) {
+        return node->config != NULL && out;
+    }
+    if (hold_set_change(&node->holds, kind, name, out, "ops",
+                        node->sync.version) != STATUS_OK) {
+        return false;
+    }
+    if (out && node->own_hold_count < HOLDS_MAX) {
+        hold_t *own = &node->own_holds[node->own_hold_count++];
+        *own = (hold_t){.kind = kind};
+        memcpy(own->name, name, strlen(name) + 1);
+    }
+    follow(sim, node);
+    return true;
+}
+
+static config_t *
+rows_of_step(sim_t *sim, const sim_node_t *node, const step_t *step)
+{
+    config_t *rows = config_copy(node->config);
+    const char *service = step_text(step, "service", sim->services[0].name);
+    uint32_t value = (uint32_t)step_int(step, "value", 1);
+    for (size_t i = 0; i < rows->row_count; i++) {
+        if (strcmp(rows->rows[i].service, service) != 0) {
+            continue;
+        }
+        if (strcmp(step_text(step, "column", ""), "deadline_ms") == 0) {
+            rows->rows[i].deadline_ms = value;
+        }
+        else {
+            rows->rows[i].weight = value;
+        }
+    }
+    return rows;
+}
+
+void
+config_change_start(sim_t *sim, const step_t *step)
+{
+    size_t at = (size_t)step_int(step, "daemon", 1) - 1;
+    sim_node_t *node = &sim->nodes[at % sim->node_count];
+    if (!sim_node_runs(sim, node->index) || node->config == NULL) {
+        sim_note(sim, "an operator finds %s not running", node->name);
+        return;
+    }
+    change_edit_t edit = {.by = "ops", .kind = CHANGE_ROWS};
+    const char *name = step_text(step, "name", "");
+    if (step->kind == STEP_ROWS) {
+        edit.rows = rows_of_step(sim, node, step);
+        edit.based_on =
+            (uint64_t)step_int(step, "based_on", (int64_t)node->sync.version);
+        sim_note(sim, "rows changed at %s", node->name);
+        start_change(sim, node->index, &edit);
+        return;
+    }
+    hold_kind_t kind = step->kind == STEP_ZONE ? HOLD_ZONE : HOLD_VM;
+    edit.kind = kind == HOLD_ZONE ? CHANGE_ZONE : CHANGE_VM;
+    edit.out = strcmp(step_text(step, "state", "out"), "out") == 0;
+    snprintf(edit.name, NAME_SIZE, "%s", name);
+    sim_note(sim, "%s %s taken %s at %s", step_kind_name(step->kind), name,
+             edit.out ? "out" : "in", node->name);
+    bool held = hold_now(sim, node, kind, name, edit.out);
+    start_change(sim, node->index, &edit);
+    sim->changes[sim->change_count - 1].held = held;
+    if (!edit.out) {
+        note_out(sim, kind, name, false, 0);
+    }
+}
+
+static void
+end_change(sim_t *sim, sim_change_t *change)
+{
+    const change_outcome_t *outcome = change_outcome(change->change);
+    const change_edit_t *edit = &change->edit;
+    sim_node_t *node = &sim->nodes[change->node];
+    change->done = true;
+    change->done_us = sim->now_us;
+    change->status = outcome->status;
+    change->version = outcome->version;
+    sim_note(sim, "%s at %s: %s, version %" PRIu64, edit->id, node->name,
+             status_name(outcome->status), outcome->version);
+    hold_kind_t kind = edit->kind == CHANGE_ZONE ? HOLD_ZONE : HOLD_VM;
+    if (outcome->status == STATUS_OK) {
+        if (outcome->version > sim->highest_version) {
+            sim->highest_version = outcome->version;
+        }
+        take_config(sim, node, outcome->config);
+        if (edit->kind != CHANGE_ROWS) {
+            note_out(sim, kind, edit->name, edit->out, outcome->version);
+        }
+        return;
+    }
+    if (edit->kind != CHANGE_ROWS && edit->out && change->held && !node->cut &&
+        hold_set_is_out(&node->holds, kind, edit->name)) {
+        note_out(sim, kind, edit->name, true, 0);
+    }
+}
+
+static void
+pump_one(sim_t *sim, size_t index)
+{
+    sim_change_t *change = &sim->changes[index];
+    if (change->done || change->busy || !sim_node_runs(sim, change->node)) {
+        return;
+    }
+    if (sim->nodes[change->node].incarnation != change->incarnation) {
+        change->done = true;
+        change->status = STATUS_UNKNOWN;
+        return;
+    }
+    change_request_t request;
+    store_call_t call = {.index = index, .key = KEY_CONFIG};
+    switch (change_next(change->change, sim->now_us, &request)) {
+    case CHANGE_READ:
+        call.kind = STORE_CHANGE_READ;
+        change->busy = true;
+        store_submit(sim, change->node, &call, NULL, 0);
+        break;
+    case CHANGE_WRITE:
+        call.kind = STORE_CHANGE_WRITE;
+        call.cas = request.index;
+        change->busy = true;
+        store_submit(sim, change->node, &call, request.text, request.size);
+        break;
+    case CHANGE_WAIT:
+        if (change_wakeup(change->change) != change->wake_us) {
+            change->wake_us = change_wakeup(change->change);
+            sim_push(sim, EVENT_WAKE, change->wake_us, SIM_NODES_MAX);
+        }
+        break;
+    case CHANGE_DONE:
+        end_change(sim, change);
+        break;
+    }
+}
+
+void
+config_pump(sim_t *sim)
+{
+    for (size_t i = 0; i < sim->change_count; i++) {
+        pump_one(sim, i);
+    }
+}
+
+/* Holds made while the store was out become changes when it is back. */
+static void
+store_own_holds(sim_t *sim, sim_node_t *node)
+{
+    while (node->own_hold_count > 0) {
+        const hold_t *own = &node->own_holds[node->own_hold_count - 1];
+        if (!hold_set_is_out(&node->holds, own->kind, own->name)) {
+            node->own_hold_count--;
+            continue;
+        }
+        for (size_t i = 0; i < sim->change_count; i++) {
+            if (!sim->changes[i].done && sim->changes[i].node == node->index) {
+                return;
+            }
+        }
+        change_edit_t edit = {
+            .kind = own->kind == HOLD_ZONE ? CHANGE_ZONE : CHANGE_VM,
+            .out = true,
+            .by = "ops",
+        };
+        memcpy(edit.name, own->name, NAME_SIZE);
+        start_change(sim, node->index, &edit);
+        return;
+    }
+}
+
+static void
+config_answer(sim_t *sim, sim_node_t *node, const store_call_t *call)
+{
+    config_t *config = NULL;
+    error_t err = ERROR_INIT;
+    if (call->status == STATUS_OK &&
+        config_parse_json(call->text, call->size, &config, &err) !=
+            STATUS_OK) {
+        sim_fail(sim, "the store's document: %s", error_text(&err));
+        return;
+    }
+    if (config != NULL) {
+        take_config(sim, node, config);
+    }
+    uint64_t version = config == NULL ? 0 : config->version;
+    config_put(config);
+    if (!confsync_store_said(&node->sync, version, call->sent_us)) {
+        char *text = config_format_json(node->config);
+        store_call_t back = {.kind = STORE_WRITE_BACK,
+                             .key = KEY_CONFIG,
+                             .cas = call->found_index};
+        store_submit(sim, node->index, &back, text, strlen(text));
+        free(text);
+    }
+    if (node->config != NULL) {
+        store_own_holds(sim, node);
+    }
+}
+
+static void
+intent_answer(sim_t *sim, sim_node_t *node, const store_call_t *call)
+{
+    intent_log_t *log = node->logs[call->index];
+    node->log_busy[call->index] = false;
+    if (call->kind == STORE_INTENT_WRITE) {
+        intent_write_done(log, call->status, 0, sim->now_us);
+    }
+    else {
+        intent_read_done(log, call->status, (const uint8_t *)call->text,
+                         call->size, call->found_index, sim->now_us);
+    }
+    config_intents(sim, node->index);
+}
+
+void
+config_store_done(sim_t *sim, sim_event_t *event)
+{
+    const store_call_t *call = event->item;
+    sim_node_t *node = &sim->nodes[call->node];
+    if (!node->alive || node->incarnation != call->incarnation) {
+        return;
+    }
+    sim_change_t *change = &sim->changes[call->index];
+    switch (call->kind) {
+    case STORE_READ_CONFIG:
+        node->reading = false;
+        if (call->status == STATUS_OK || call->status == STATUS_NOT_FOUND) {
+            config_answer(sim, node, call);
+        }
+        break;
+    case STORE_CHANGE_READ:
+        change->busy = false;
+        change_read_result(change->change, call->status, call->found_index,
+                           call->text, call->size, sim->now_us);
+        break;
+    case STORE_CHANGE_WRITE:
+        change->busy = false;
+        change_write_result(change->change, call->status, sim->now_us);
+        break;
+    case STORE_INTENT_READ:
+    case STORE_INTENT_WRITE:
+        intent_answer(sim, node, call);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+config_tick(sim_t *sim, size_t index)
+{
+    sim_node_t *node = &sim->nodes[index];
+    bool watches = index < CONFSYNC_WATCHERS;
+    if (!node->reading &&
+        (confsync_wants(&node->sync, sim->now_us) || watches)) {
+        store_call_t call = {.kind = STORE_READ_CONFIG, .key = KEY_CONFIG};
+        node->reading = true;
+        store_submit(sim, index, &call, NULL, 0);
+    }
+}
+
+static void
+heartbeat(sim_t *sim, const sim_node_t *from, sim_node_t *to)
+{
+    confsync_word_t word;
+    int64_t echo_us = from->heard_us[to->index];
+    bool member = roster_doc_find(&from->doc, to->name) >= 0;
+    int64_t grant_us = member && echo_us > 0 ? echo_us + GRANT_US : 0;
+    confsync_word(&from->sync, sim->now_us, &word);
+    if (word.version > to->sync.version) {
+        take_config(sim, to, from->config);
+    }
+    if (to->config != NULL && word.holds != to->sync.holds &&
+        hold_set_merge(&to->holds, &from->holds)) {
+        hold_set_drop(&to->holds, to->config->version);
+        follow(sim, to);
+    }
+    confsync_heard(&to->sync, from->name, from->incarnation, &word, echo_us,
+                   grant_us, sim->now_us);
+    to->heard_us[from->index] = sim->now_us;
+}
+
+/* Every daemon's word to every other that it can reach. */
+void
+config_heartbeats(sim_t *sim)
+{
+    for (size_t i = 0; i < sim->node_count * sim->node_count; i++) {
+        sim_node_t *from = &sim->nodes[i / sim->node_count];
+        sim_node_t *to = &sim->nodes[i % sim->node_count];
+        if (from != to && sim_node_runs(sim, from->index) &&
+            sim_node_runs(sim, to->index) && !from->cut && !to->cut) {
+            heartbeat(sim, from, to);
+        }
+    }
+}
+
+/* Do what the daemon's intent logs ask for, and pass verdicts on. */
+void
+config_intents(sim_t *sim, size_t index)
+{
+    sim_node_t *node = &sim->nodes[index];
+    for (size_t i = 0; i < INTENT_BUCKETS; i++) {
+        intent_action_t action;
+        intent_verdict_t verdict;
+        if (node->logs[i] == NULL) {
+            continue;
+        }
+        while (intent_take(node->logs[i], &verdict)) {
+            caller_intent(sim, index, &verdict);
+        }
+        if (node->log_busy[i]) {
+            continue;
+        }
+        intent_do_t what = intent_action(node->logs[i], sim->now_us, &action);
+        if (what == INTENT_DO_NOTHING) {
+            continue;
+        }
+        store_call_t call = {.kind = STORE_INTENT_READ, .index = i};
+        snprintf(call.key, sizeof(call.key), "yuccarun/once/%zu", i);
+        node->log_busy[i] = true;
+        if (what == INTENT_DO_WRITE) {
+            call.kind = STORE_INTENT_WRITE;
+            call.cas = action.index;
+            store_submit(sim, index, &call, action.value, action.size);
+        }
+        else {
+            store_submit(sim, index, &call, NULL, 0);
+        }
+    }
+}
--- /dev/null
+++ b/t/scenario/node.c
@@ -0,0 +1,532 @@
+#include "t/scenario/sim.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    QUERIES_MAX = 512,
+    QUEUE_MAX = 512,
+    RAMP_STEP_US = 50000,
+    RAMP_SUCCESSES = 8,
+    CRASH_LIMIT = 2,
+    QUARANTINES_MAX = 16,
+    ONCE_CAPACITY = 4096,
+    BREAK_NOTICED_US = 5000
+};
+
+#define QUARANTINE_US INT64_C(600000000)
+#define ONCE_LIFE_US INT64_C(600000000)
+
+int
+sim_node_find(const sim_t *sim, uint64_t incarnation)
+{
+    for (size_t i = 0; i < sim->node_count; i++) {
+        if (sim->nodes[i].incarnation == incarnation && sim->nodes[i].alive) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+bool
+sim_node_runs(const sim_t *sim, size_t index)
+{
+    const sim_node_t *node = &sim->nodes[index];
+    return node->alive && node->paused_until_us <= sim->now_us;
+}
+
+static bool
+is_linked(const sim_t *sim, size_t a, size_t b)
+{
+    return a == b || (!sim->nodes[a].cut && !sim->nodes[b].cut);
+}
+
+static uint64_t
+link_epoch(const sim_t *sim, size_t a, size_t b)
+{
+    return a == b ? 0 : sim->nodes[a].link_epoch + sim->nodes[b].link_epoch;
+}
+
+/* An event on its way from one daemon to another. */
+static sim_event_t *
+push_message(sim_t *sim, sim_event_kind_t kind, const sim_node_t *from,
+             size_t to, int64_t more_us)
+{
+    int64_t delay_us = 0;
+    if (from->index != to) {
+        uint64_t spread = (uint64_t)sim->link_delay_us / 4 + 1;
+        delay_us =
+            sim->link_delay_us + (int64_t)sim_draw(sim, spread) + more_us;
+    }
+    sim_event_t *event = sim_push(sim, kind, sim->now_us + delay_us, to);
+    event->from = from->incarnation;
+    event->link_epoch = link_epoch(sim, from->index, to);
+    return event;
+}
+
+static bool
+send_parts(void *context, uint64_t owner, const part_request_t *requests,
+           size_t count)
+{
+    const sim_node_t *node = context;
+    sim_t *sim = node->sim;
+    int to = sim_node_find(sim, owner);
+    if (to < 0 || !is_linked(sim, node->index, (size_t)to)) {
+        return false;
+    }
+    for (size_t i = 0; i < count; i++) {
+        sim_event_t *event =
+            push_message(sim, EVENT_PARTS, node, (size_t)to, 0);
+        event->request = requests[i];
+        memcpy(event->body, requests[i].body, requests[i].body_size);
+    }
+    return true;
+}
+
+static void
+send_cancel(void *context, uint64_t owner, attempt_id_t id)
+{
+    const sim_node_t *node = context;
+    int to = sim_node_find(node->sim, owner);
+    if (to >= 0 && is_linked(node->sim, node->index, (size_t)to)) {
+        push_message(node->sim, EVENT_CANCEL, node, (size_t)to, 0)->reply.id =
+            id;
+    }
+}
+
+/* A fingerprint found by one daemon is told to all that it can reach. */
+static void
+tell_quarantine(sim_t *sim, const sim_node_t *node, uint64_t fingerprint)
+{
+    sim_note(sim, "%s puts a fingerprint in quarantine", node->name);
+    for (size_t i = 0; i < sim->node_count; i++) {
+        if (sim_node_runs(sim, i) && is_linked(sim, node->index, i)) {
+            admission_quarantine(sim->nodes[i].admission, fingerprint,
+                                 sim->now_us);
+        }
+    }
+}
+
+static void
+quarantine(void *context, uint64_t fingerprint)
+{
+    const sim_node_t *node = context;
+    tell_quarantine(node->sim, node, fingerprint);
+}
+
+static int64_t
+quarantine_left_us(void *context, uint64_t fingerprint, int64_t now_us)
+{
+    const sim_node_t *node = context;
+    return admission_quarantine_left_us(node->admission, fingerprint, now_us);
+}
+
+/* Replies to another daemon may come late and twice. */
+static void
+send_replies(void *context, uint64_t incarnation, const part_reply_t *replies,
+             size_t count)
+{
+    const sim_node_t *node = context;
+    sim_t *sim = node->sim;
+    int to = sim_node_find(sim, incarnation);
+    for (size_t i = 0; i < count; i++) {
+        check_reply(sim, &replies[i]);
+        if (to < 0 || !is_linked(sim, node->index, (size_t)to)) {
+            continue;
+        }
+        int64_t late_us = 0;
+        if (sim->link_late_us > 0) {
+            late_us = (int64_t)sim_draw(sim, (uint64_t)sim->link_late_us);
+        }
+        push_message(sim, EVENT_REPLY, node, (size_t)to, late_us)->reply =
+            replies[i];
+        if (sim_chance(sim, sim->link_double_permille)) {
+            push_message(sim, EVENT_REPLY, node, (size_t)to, late_us * 2)
+                ->reply = replies[i];
+        }
+    }
+}
+
+static void
+take_partition(void *context, const partition_t *partition)
+{
+    /* Word comes with the topology; a hint alone changes nothing here. */
+    (void)context;
+    (void)partition;
+}
+
+static void
+start_modules(sim_t *sim, sim_node_t *node)
+{
+    error_t err = ERROR_INIT;
+    stats_init(&node->stats);
+    coordinator_settings_t coordinator = {
+        .incarnation = node->incarnation,
+        .queries_max = QUERIES_MAX,
+        .seed = sim->script->seed + node->incarnation,
+        .trust_until_us = &node->trust_until_us,
+        .sink = {.context = node,
+                 .send = send_parts,
+                 .cancel = send_cancel,
+                 .quarantine_left_us = quarantine_left_us,
+                 .quarantine = quarantine},
+        .stats = &node->stats,
+    };
+    admission_settings_t admission = {
+        .worker_count = 1,
+        .gate = {.queue_max = QUEUE_MAX,
+                 .ramp_step_us = RAMP_STEP_US,
+                 .ramp_successes = RAMP_SUCCESSES,
+                 .crash_limit = CRASH_LIMIT,
+                 .quarantine_us = QUARANTINE_US},
+        .upstream = &sim_upstream_ops,
+        .act_until_us = &node->act_until_us,
+        .drain_us = SIM_DRAIN_US,
+        .stats = &node->stats,
+        .context = node,
+        .reply = send_replies,
+        .partition = take_partition,
+    };
+    behind_bind(sim, node->index);
+    node->coordinator = coordinator_new(&coordinator);
+    node->admission = admission_new(&admission, &err);
+    once_settings_t once = {.incarnation = node->incarnation,
+                            .life_us = ONCE_LIFE_US,
+                            .grace_us = ONCE_LIFE_US,
+                            .capacity = ONCE_CAPACITY};
+    memcpy(once.daemon, node->name, NAME_SIZE);
+    node->once = once_new(&once);
+}
+
+void
+sim_node_start(sim_t *sim, size_t index)
+{
+    sim_node_t *node = &sim->nodes[index];
+    node->sim = sim;
+    node->index = index;
+    node->incarnation = ++sim->incarnations * 1000 + index;
+    node->alive = true;
+    node->left = node->leaving = node->cut = node->reading = false;
+    node->paused_until_us = 0;
+    node->wakeup_us = 0;
+    node->own_hold_count = 0;
+    memset(node->heard_us, 0, sizeof(node->heard_us));
+    node->holds = (hold_set_t){.count = 0};
+    node->doc = (roster_doc_t){.version = 0};
+    node->topology = topology_get(sim->topology);
+    atomic_store(&node->act_until_us, 0);
+    atomic_store(&node->trust_until_us, 0);
+    confsync_settings_t sync = CONFSYNC_SETTINGS_DEFAULT;
+    confsync_init(&node->sync, &sync);
+    start_modules(sim, node);
+}
+
+void
+sim_node_release(sim_node_t *node)
+{
+    if (!node->alive) {
+        return;
+    }
+    node->alive = false;
+    coordinator_free(node->coordinator);
+    admission_free(node->admission);
+    once_free(node->once);
+    for (size_t i = 0; i < INTENT_BUCKETS; i++) {
+        intent_log_free(node->logs[i]);
+        node->logs[i] = NULL;
+        node->log_busy[i] = false;
+    }
+    world_put(node->world);
+    topology_put(node->topology);
+    config_put(node->config);
+    config_put(node->effective);
+    node->world = NULL;
+    node->topology = NULL;
+    node->config = node->effective = NULL;
+}
+
+/* The others notice that the connection to the daemon has ended. */
+static void
+tell_break(sim_t *sim, size_t index)
+{
+    for (size_t i = 0; i < sim->node_count; i++) {
+        if (i == index || !sim->nodes[i].alive) {
+            continue;
+        }
+        sim_push(sim, EVENT_PEER_DOWN, sim->now_us + BREAK_NOTICED_US, i)
+            ->from = sim->nodes[index].incarnation;
+        if (sim->nodes[index].alive) {
+            sim_push(sim, EVENT_PEER_DOWN, sim->now_us + BREAK_NOTICED_US,
+                     index)
+                ->from = sim->nodes[i].incarnation;
+        }
+    }
+}
+
+void
+sim_node_stop(sim_t *sim, size_t index)
+{
+    sim_node_t *node = &sim->nodes[index];
+    node->disturbed_us = sim->now_us;
+    node->link_epoch++;
+    sim_node_release(node);
+    caller_node_died(sim, index);
+    tell_break(sim, index);
+}
+
+void
+sim_node_cut(sim_t *sim, size_t index, bool cut)
+{
+    sim_node_t *node = &sim->nodes[index];
+    node->disturbed_us = sim->now_us;
+    node->link_epoch++;
+    node->cut = cut;
+    if (cut) {
+        tell_break(sim, index);
+    }
+}
+
+/* What a member's permission lasts for, as those see it that wait for it. */
+static bool
+lease_is_over(const sim_t *sim, const sim_node_t *node)
+{
+    return sim->now_us > atomic_load(&node->act_until_us) + SIM_DRAIN_US;
+}
+
+static void
+set_roster(sim_t *sim, const roster_doc_t *doc)
+{
+    sim->roster = *doc;
+    sim->roster.version++;
+}
+
+/* Members come and go in the one document that all would agree on. */
+static void
+update_roster(sim_t *sim)
+{
+    for (size_t i = 0; i < sim->node_count; i++) {
+        const sim_node_t *node = &sim->nodes[i];
+        roster_doc_t doc = sim->roster;
+        int at = roster_doc_find(&doc, node->name);
+        bool present = sim_node_runs(sim, i) && !node->cut && !node->left;
+        bool stale =
+            at >= 0 && doc.members[at].incarnation != node->incarnation;
+        if (at >= 0 && (stale || ((!present || !node->alive) &&
+                                  lease_is_over(sim, node)))) {
+            roster_doc_remove(&doc, (size_t)at);
+            set_roster(sim, &doc);
+        }
+        else if (at < 0 && present && !node->leaving) {
+            roster_member_t member = {.incarnation = node->incarnation};
+            memcpy(member.name, node->name, NAME_SIZE);
+            memcpy(member.zone, node->zone, NAME_SIZE);
+            roster_doc_add(&doc, &member);
+            set_roster(sim, &doc);
+        }
+        else if (at >= 0 && node->leaving && !doc.members[at].leaving) {
+            doc.members[at].leaving = true;
+            set_roster(sim, &doc);
+        }
+    }
+}
+
+static int
+owner_in(const roster_doc_t *doc, const upstream_info_t *upstream)
+{
+    owner_key_t keys[ROSTER_MEMBERS_MAX];
+    int members[ROSTER_MEMBERS_MAX] = {0};
+    size_t count = 0;
+    for (size_t i = 0; i < doc->count; i++) {
+        if (!doc->members[i].leaving) {
+            members[count] = (int)i;
+            keys[count++] =
+                owner_key(doc->members[i].name, doc->members[i].zone);
+        }
+    }
+    int owner =
+        owner_pick(keys, count, owner_key(upstream->name, upstream->zone));
+    return owner < 0 ? WORLD_NO_MEMBER : members[owner];
+}
+
+/* Whether nobody else can still have work at what was theirs. */
+static bool
+others_let_go(const sim_t *sim, const sim_node_t *node)
+{
+    for (size_t i = 0; i < sim->node_count; i++) {
+        const sim_node_t *other = &sim->nodes[i];
+        if (other == node || lease_is_over(sim, other)) {
+            continue;
+        }
+        if (!other->alive || other->world == NULL ||
+            admission_settled_version(other->admission) < node->doc.version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+was_active(const world_t *world, const char *upstream)
+{
+    int index =
+        world == NULL ? -1 : topology_upstream(world->topology, upstream);
+    return index >= 0 && world->active[index];
+}
+
+static world_t *
+make_world(const sim_t *sim, const sim_node_t *node)
+{
+    size_t count = node->topology->upstream_count;
+    world_t *world = sim_alloc(sizeof(*world));
+    atomic_init(&world->references, 1);
+    world->config =
+        node->effective == NULL ? NULL : config_get(node->effective);
+    world->topology = topology_get(node->topology);
+    world->member_count = node->doc.count;
+    world->members = sim_alloc(sizeof(node->doc.members));
+    memcpy(world->members, node->doc.members, sizeof(node->doc.members));
+    world->owner = sim_alloc((count + 1) * sizeof(*world->owner));
+    world->active = sim_alloc(count + 1);
+    world->self = world_member(world, node->incarnation);
+    world->roster_version = node->doc.version;
+    bool free_now = others_let_go(sim, node);
+    for (size_t i = 0; i < count; i++) {
+        const upstream_info_t *upstream = &node->topology->upstreams[i];
+        int owner = owner_in(&node->doc, upstream);
+        world->owner[i] = (int16_t)owner;
+        world->active[i] =
+            owner != WORLD_NO_MEMBER && owner == world->self &&
+            (free_now || was_active(node->world, upstream->name));
+    }
+    return world;
+}
+
+/* Hand the daemon a new view of configuration, topology and ownership. */
+void
+sim_node_follow(sim_t *sim, size_t index)
+{
+    sim_node_t *node = &sim->nodes[index];
+    world_t *world = make_world(sim, node);
+    coordinator_world(node->coordinator, world);
+    admission_world(node->admission, world, sim->now_us);
+    world_put(node->world);
+    node->world = world;
+    node->wakeup_us = 0;
+}
+
+static void
+tick_node(sim_t *sim, size_t index)
+{
+    sim_node_t *node = &sim->nodes[index];
+    if (!node->cut) {
+        node->doc = sim->roster;
+        confsync_take_members(&node->sync, &node->doc, node->name);
+        int at = roster_doc_find(&node->doc, node->name);
+        bool member =
+            at >= 0 && node->doc.members[at].incarnation == node->incarnation;
+        int64_t until_us = member ? sim->now_us + SIM_HOLD_US : 0;
+        int64_t trust_us = confsync_trust_until(&node->sync);
+        atomic_store(&node->act_until_us,
+                     until_us < trust_us ? until_us : trust_us);
+    }
+    atomic_store(&node->trust_until_us, confsync_trust_until(&node->sync));
+    sim_node_follow(sim, index);
+    config_tick(sim, index);
+    if (node->leaving && !node->left &&
+        coordinator_running(node->coordinator) == 0 &&
+        admission_pending(node->admission) == 0 &&
+        sim->now_us > node->disturbed_us + 2 * SIM_HOLD_US) {
+        check_left(sim, index);
+        node->left = true;
+        sim_note(sim, "%s has ended its work and exits", node->name);
+        sim_node_stop(sim, index);
+    }
+}
+
+static void
+spread_quarantines(sim_t *sim, sim_node_t *node)
+{
+    uint64_t found[QUARANTINES_MAX];
+    size_t count =
+        admission_new_quarantines(node->admission, found, QUARANTINES_MAX);
+    for (size_t i = 0; i < count; i++) {
+        tell_quarantine(sim, node, found[i]);
+    }
+}
+
+void
+nodes_tick(sim_t *sim)
+{
+    update_roster(sim);
+    for (size_t i = 0; i < sim->node_count; i++) {
+        if (sim_node_runs(sim, i)) {
+            tick_node(sim, i);
+        }
+    }
+    config_heartbeats(sim);
+    caller_tick(sim);
+}
+
+static void
+take_topology(sim_t *sim, sim_node_t *node, topology_t *topology)
+{
+    topology_t *before = node->topology;
+    node->topology = topology_get(topology);
+    sim_node_follow(sim, node->index);
+    topology_put(before);
+}
+
+void
+sim_node_take(sim_t *sim, sim_event_t *event)
+{
+    sim_node_t *node = &sim->nodes[event->node];
+    if (event->kind == EVENT_RESUME) {
+        sim_note(sim, "%s goes on", node->name);
+        node->paused_until_us = 0;
+        node->disturbed_us = sim->now_us;
+        return;
+    }
+    if (!node->alive || node->incarnation != event->incarnation) {
+        return;
+    }
+    if (event->kind == EVENT_TOPOLOGY) {
+        take_topology(sim, node, event->item);
+        return;
+    }
+    if (event->kind == EVENT_PEER_DOWN) {
+        coordinator_peer_down(node->coordinator, event->from, sim->now_us);
+        return;
+    }
+    int from = sim_node_find(sim, event->from);
+    if (from < 0 ||
+        event->link_epoch != link_epoch(sim, (size_t)from, event->node)) {
+        return;
+    }
+    if (event->kind == EVENT_PARTS) {
+        event->request.body = event->body;
+        admission_parts(node->admission, event->from, &event->request, 1,
+                        sim->now_us);
+    }
+    else if (event->kind == EVENT_REPLY) {
+        coordinator_reply(node->coordinator, &event->reply, sim->now_us);
+    }
+    else if (event->kind == EVENT_CANCEL) {
+        admission_cancel(node->admission, &event->reply.id, 1, sim->now_us);
+    }
+}
+
+void
+sim_node_step(sim_t *sim, size_t index)
+{
+    sim_node_t *node = &sim->nodes[index];
+    admission_run(node->admission, sim->now_us);
+    config_intents(sim, index);
+    int64_t queries_us = coordinator_step(node->coordinator, sim->now_us);
+    int64_t parts_us = admission_step(node->admission, sim->now_us);
+    spread_quarantines(sim, node);
+    node->wakeup_us = queries_us < parts_us ? queries_us : parts_us;
+    if (node->wakeup_us <= sim->now_us) {
+        node->wakeup_us = sim->now_us + 1;
+    }
+}
--- /dev/null
+++ b/t/scenario/script.h
@@ -0,0 +1,84 @@
+/*
+ * A scenario as it is written: a list of steps, each an event or an
+ * expectation at a time, with flat fields. docs/SCENARIOS.md has the language.
+ *
+ *     script_t script;
+ *     if (script_load("t/scenarios/lost.yaml", &script, &err) != STATUS_OK)
+ *     int64_t count = step_int(step, "count", 1);
+ *     script_release(&script);
+ */
+#ifndef T_SCENARIO_SCRIPT_H
+#define T_SCENARIO_SCRIPT_H
+
+#include "core/status.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum {
+    STEP_FIELDS_MAX = 14,
+    FIELD_NAME_SIZE = 24,
+    FIELD_TEXT_SIZE = 64,
+    SCRIPT_NAME_SIZE = 64
+};
+
+typedef enum {
+    STEP_SERVICE, /* set up before the start */
+    STEP_QUERY,
+    STEP_UPSTREAM,
+    STEP_SPLIT,
+    STEP_ZONE,
+    STEP_VM,
+    STEP_ROWS,
+    STEP_STORE,
+    STEP_LINK,
+    STEP_DAEMON,
+    STEP_EXPECT,
+    STEP_KIND_COUNT
+} step_kind_t;
+
+typedef struct {
+    char name[FIELD_NAME_SIZE];
+    char text[FIELD_TEXT_SIZE];
+    bool is_integer;
+    int64_t integer;
+} step_field_t;
+
+typedef struct {
+    step_kind_t kind;
+    int64_t at_us; /* -1: at the end */
+    size_t line;
+    size_t field_count;
+    step_field_t fields[STEP_FIELDS_MAX];
+} step_t;
+
+typedef struct {
+    char name[SCRIPT_NAME_SIZE]; /* file, or how it was made */
+    uint64_t seed;
+    int64_t daemons;
+    int64_t run_us; /* length of the run */
+    step_t *steps;
+    size_t count;
+} script_t;
+
+/* Errors name file and line, what was found and what is allowed. */
+status_t script_load(const char *path, script_t *script, error_t *err);
+status_t script_parse(const char *text, size_t size, const char *name,
+                      script_t *script, error_t *err);
+void script_release(script_t *script);
+
+/* Append a step made by a program; its fields follow by step_set. */
+step_t *script_add(script_t *script, step_kind_t kind, int64_t at_us);
+void step_set(step_t *step, const char *name, const char *text);
+void step_set_int(step_t *step, const char *name, int64_t value);
+
+/* Fields of a step, or the fallback. */
+bool step_has(const step_t *step, const char *name);
+int64_t step_int(const step_t *step, const char *name, int64_t fallback);
+const char *step_text(const step_t *step, const char *name,
+                      const char *fallback);
+
+const char *step_kind_name(step_kind_t kind);
+
+#endif
--- /dev/null
+++ b/t/scenario/sim.h
@@ -0,0 +1,344 @@
+/*
+ * The decision core of two or three daemons in virtual time.
+ *
+ * A sim_t drives the daemons' own modules (coordinator, admission, change,
+ * confsync, hold, once and intent) from one thread. What is around them is
+ * scripted: upstreams behind upstream_ops_t, the store, the links between
+ * daemons, and who is a member. Everything passes through one queue of events
+ * ordered by time.
+ *
+ *     sim_t *sim = sim_new(&script);
+ *     sim_run(sim);
+ *     if (sim->failure_count > 0)
+ *         sim_print(sim, stdout);
+ *     sim_free(sim);
+ *
+ * Whatever breaks a promise calls sim_fail, in any scenario.
+ */
+#ifndef T_SCENARIO_SIM_H
+#define T_SCENARIO_SIM_H
+
+#include "core/intent.h"
+#include "core/once.h"
+#include "daemon/admission.h"
+#include "daemon/coordinator.h"
+#include "fleet/change.h"
+#include "fleet/confsync.h"
+#include "fleet/hold.h"
+#include "standin/lib/kv.h"
+#include "t/scenario/script.h"
+
+#include <stdio.h>
+
+enum {
+    SIM_NODES_MAX = 3,
+    SIM_SERVICES_MAX = 4,
+    SIM_UPSTREAMS_MAX = 64,
+    SIM_CHANGES_MAX = 64,
+    SIM_ZONES_MAX = 4,
+    SIM_OUT_MAX = 128,
+    SIM_TIMELINE = 80,
+    SIM_LINE_SIZE = 160,
+    SIM_FAILURES_MAX = 20,
+    SIM_BODY_MAX = 32,
+    SIM_STORE_VALUE_MAX = 65536
+};
+
+#define SIM_MS INT64_C(1000)
+#define SIM_START_US INT64_C(10000000) /* virtual time of `at: 0` */
+#define SIM_PROMPT_US INT64_C(3000000) /* "a few seconds" */
+#define SIM_LATE_US INT64_C(20000)     /* an answer after its deadline */
+#define SIM_HOLD_US INT64_C(1500000)   /* a lease, from its renewal */
+#define SIM_DRAIN_US INT64_C(1000000)  /* a part may run past the lease */
+#define SIM_TICK_US INT64_C(100000)    /* between two heartbeats */
+
+typedef struct sim sim_t;
+typedef struct run run_t;
+typedef struct call call_t;
+
+/* A caller's operation, answered or sent again. */
+typedef struct {
+    char name[NAME_SIZE];
+    size_t step;
+    bool once;
+    ticket_t ticket;
+    uint64_t hash;   /* of an id; 0: by ticket */
+    range_set_t ran; /* ranges of it that upstreams started */
+} operation_t;
+
+/* One request of a caller, which gets exactly one answer. */
+struct call {
+    sim_t *sim;
+    operation_t *operation;
+    size_t step;
+    size_t node;
+    uint64_t incarnation;
+    query_request_t request;
+    char body[SIM_BODY_MAX];
+    int64_t sent_us;
+    int64_t ended_us; /* 0: not answered */
+    uint64_t sequence;
+    unsigned done; /* answers received */
+    query_answer_t answer;
+    bool ran_once; /* began in the table of once */
+    once_key_t key;
+    bool waits_for_intent;
+    bool in_transit; /* on its way to the daemon of its ticket */
+    bool settled;    /* answered without a run of its own */
+    bool lost;       /* its daemon ended before it answered */
+    size_t resends_left;
+    range_set_t started; /* at upstreams */
+    uint64_t starts;
+    uint64_t started_attempts[8]; /* bits */
+};
+
+typedef enum {
+    EVENT_STEP,
+    EVENT_TICK,
+    EVENT_PARTS,
+    EVENT_REPLY,
+    EVENT_CANCEL,
+    EVENT_PEER_DOWN,
+    EVENT_RESULT,  /* an upstream's answer reaches its client */
+    EVENT_RUN_END, /* an upstream ends a part */
+    EVENT_CALL,    /* a caller's request reaches a daemon */
+    EVENT_TOPOLOGY,
+    EVENT_STORE,      /* a call reaches the store */
+    EVENT_STORE_DONE, /* its answer comes back */
+    EVENT_RESUME,
+    EVENT_WAKE
+} sim_event_kind_t;
+
+typedef struct {
+    int64_t at_us;
+    uint64_t order;
+    sim_event_kind_t kind;
+    size_t node; /* SIM_NODES_MAX: none */
+    uint64_t incarnation;
+    uint64_t from; /* incarnation */
+    uint64_t link_epoch;
+    size_t index;
+    void *item; /* run_t, call_t, store call or topology */
+    part_request_t request;
+    char body[SIM_BODY_MAX];
+    part_reply_t reply;
+    gate_result_t result;
+    bool twice;
+} sim_event_t;
+
+typedef struct {
+    sim_t *sim;
+    size_t index;
+    char name[NAME_SIZE];
+    char zone[NAME_SIZE];
+    uint64_t incarnation;
+    bool alive;
+    bool leaving;
+    bool left;
+    int64_t paused_until_us; /* INT64_MAX: until resumed */
+    int64_t disturbed_us;    /* last pause, cut or kill */
+    bool cut;                /* from peers and store */
+    uint64_t link_epoch;
+    coordinator_t *coordinator;
+    admission_t *admission;
+    struct upstream_client *client;
+    stats_t stats;
+    atomic_llong act_until_us;
+    atomic_llong trust_until_us;
+    world_t *world;
+    topology_t *topology;
+    config_t *config;
+    config_t *effective;
+    confsync_t sync;
+    hold_set_t holds;
+    hold_t own_holds[HOLDS_MAX];
+    size_t own_hold_count;
+    roster_doc_t doc;
+    once_t *once;
+    intent_log_t *logs[INTENT_BUCKETS];
+    bool log_busy[INTENT_BUCKETS];
+    bool reading;                    /* the configuration */
+    int64_t heard_us[SIM_NODES_MAX]; /* sending time of the newest word */
+    int64_t wakeup_us;
+} sim_node_t;
+
+/* A virtual upstream. */
+typedef struct {
+    upstream_info_t info;
+    uint32_t slots;
+    uint32_t cold_slots;
+    uint64_t boot;
+    bool cold;
+    int64_t told_us;     /* when an owner learnt that it is cold; 0: not yet */
+    uint32_t cold_parts; /* to end before it is warm */
+    uint32_t running;
+    uint64_t version; /* newest held */
+    uint32_t held;    /* versions held */
+    uint64_t generation;
+    int64_t latency_us;
+    int64_t straggle_permille;
+    int64_t straggle_factor;
+    bool shed;
+    bool down;
+    int64_t lose_permille;
+    int64_t truncate_permille;
+    int64_t mismatch_permille;
+    int64_t double_permille;
+    uint64_t starts;
+    uint64_t crashes;
+    int64_t gone_us; /* its leaving was published everywhere; 0: stays */
+} sim_upstream_t;
+
+typedef struct {
+    char name[NAME_SIZE];
+    table_row_t row;
+    size_t zones;
+    uint32_t shards;
+    uint64_t generation;
+    int64_t latency_us;
+    uint64_t starts;
+    uint64_t extra; /* starts of a range that its query had started before */
+} sim_service_t;
+
+/* An operator's change on its way. */
+typedef struct {
+    change_t *change;
+    change_edit_t edit;
+    size_t node;
+    uint64_t incarnation;
+    int64_t made_us;
+    int64_t done_us;
+    bool busy;
+    int64_t wake_us;
+    bool done;
+    bool held; /* acted on by a hold */
+    status_t status;
+    uint64_t version;
+} sim_change_t;
+
+/* A zone or VM that operators took out. */
+typedef struct {
+    hold_kind_t kind;
+    char name[NAME_SIZE];
+    bool out;
+    int64_t accepted_us;
+    uint64_t version; /* 0: by a hold */
+} sim_out_t;
+
+struct sim {
+    const script_t *script;
+    uint64_t draws;
+    int64_t now_us;
+    int64_t end_us;
+    uint64_t order;
+    sim_event_t **events; /* a heap */
+    size_t event_count;
+    size_t event_capacity;
+    size_t node_count;
+    sim_node_t nodes[SIM_NODES_MAX];
+    uint64_t incarnations;
+    sim_service_t services[SIM_SERVICES_MAX];
+    size_t service_count;
+    sim_upstream_t upstreams[SIM_UPSTREAMS_MAX];
+    size_t upstream_count;
+    partition_t partitions[SIM_SERVICES_MAX];
+    topology_t *topology; /* as published now */
+    config_t *first_config;
+    roster_doc_t roster;
+    run_t *runs;
+    call_t **calls;
+    size_t call_count;
+    operation_t **operations;
+    size_t operation_count;
+    kv_t *kv;
+    kv_fault_t store_fault;
+    int64_t store_disturbed_us;
+    sim_change_t changes[SIM_CHANGES_MAX];
+    size_t change_count;
+    sim_out_t outs[SIM_OUT_MAX];
+    size_t out_count;
+    uint64_t highest_version; /* accepted */
+    int64_t link_delay_us;
+    int64_t link_late_us;
+    int64_t link_double_permille;
+    uint64_t checks;
+    size_t failure_count;
+    char failures[SIM_FAILURES_MAX][ERROR_TEXT_MAX];
+    char timeline[SIM_TIMELINE][SIM_LINE_SIZE];
+    size_t timeline_count;
+};
+
+sim_t *sim_new(const script_t *script);
+void sim_run(sim_t *sim);
+void sim_print(const sim_t *sim, FILE *out);
+void sim_free(sim_t *sim);
+
+/* sim.c: shared by all parts. */
+void sim_fail(sim_t *sim, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+void sim_note(sim_t *sim, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+uint64_t sim_draw(sim_t *sim, uint64_t bound);
+bool sim_chance(sim_t *sim, int64_t permille);
+sim_event_t *sim_push(sim_t *sim, sim_event_kind_t kind, int64_t at_us,
+                      size_t node);
+sim_service_t *sim_service(sim_t *sim, const char *name);
+void *sim_alloc(size_t size);
+
+/* node.c: daemons. */
+void sim_node_start(sim_t *sim, size_t index);
+void sim_node_stop(sim_t *sim, size_t index);
+void sim_node_release(sim_node_t *node);
+void sim_node_follow(sim_t *sim, size_t index);
+void sim_node_step(sim_t *sim, size_t index);
+void nodes_tick(sim_t *sim);
+void sim_node_take(sim_t *sim, sim_event_t *event);
+void sim_node_cut(sim_t *sim, size_t index, bool cut);
+int sim_node_find(const sim_t *sim, uint64_t incarnation);
+bool sim_node_runs(const sim_t *sim, size_t index);
+
+/* behind.c: upstreams. */
+extern const upstream_ops_t sim_upstream_ops;
+void behind_bind(sim_t *sim, size_t node);
+void behind_result(sim_t *sim, const sim_event_t *event);
+void behind_run_end(sim_t *sim, const sim_event_t *event);
+void behind_crash(sim_t *sim, sim_upstream_t *upstream);
+void behind_chill(sim_upstream_t *upstream);
+void behind_release(sim_t *sim);
+
+/* config.c: the store, the configuration and operators. */
+void config_start(sim_t *sim);
+void config_tick(sim_t *sim, size_t node);
+void config_heartbeats(sim_t *sim);
+void config_change_start(sim_t *sim, const step_t *step);
+void config_pump(sim_t *sim);
+void config_store_event(sim_t *sim, sim_event_t *event);
+void config_store_done(sim_t *sim, sim_event_t *event);
+void config_intents(sim_t *sim, size_t node);
+void store_call_free(void *call);
+
+/* caller.c: callers and what they were told. */
+void caller_query(sim_t *sim, size_t step);
+void caller_arrive(sim_t *sim, const sim_event_t *event);
+void caller_tick(sim_t *sim);
+void caller_intent(sim_t *sim, size_t node, const intent_verdict_t *verdict);
+void caller_node_died(sim_t *sim, size_t node);
+void caller_release(sim_t *sim);
+call_t *caller_find(const sim_t *sim, attempt_id_t id);
+
+/* steps.c: events of the script. */
+void step_set_up(sim_t *sim);
+void step_apply(sim_t *sim, size_t step);
+void sim_publish(sim_t *sim, int64_t lag_us);
+
+/* check.c: the promises, and a script's own expectations. */
+void check_start(sim_t *sim, const sim_upstream_t *upstream,
+                 const part_request_t *request, size_t node, bool runs);
+void check_answer(sim_t *sim, const call_t *call);
+void check_reply(sim_t *sim, const part_reply_t *reply);
+void check_config(sim_t *sim, const sim_node_t *node, uint64_t version);
+void check_expect(sim_t *sim, const step_t *step);
+void check_left(sim_t *sim, size_t node);
+void check_end(sim_t *sim);
+
+#endif
--- /dev/null
+++ b/t/t0801-scenarios.c
@@ -0,0 +1,91 @@
+/* Every script of t/scenarios, and errors in scripts. */
+#include "t/lib/suite.h"
+#include "t/scenario/sim.h"
+
+#include <glob.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct {
+    const char *text;
+    const char *peer;  /* file and line */
+    const char *found; /* in the message */
+} fault_case_t;
+
+static const fault_case_t fault_cases[] = {
+    {"steps:\n- at: 0\n  quary: {name: a}\n", "x.yaml:3", "found 'quary'"},
+    {"steps:\n- at: 0\n  query: {nam: a}\n", "x.yaml:3", "found 'nam'"},
+    {"steps:\n- at: 0\n  query:\n    count: many\n", "x.yaml:4",
+     "found 'many', allowed: a whole number"},
+    {"steps:\n- query: {name: a}\n", "x.yaml:2", "without time"},
+    {"steps:\n- at: soon\n  query: {name: a}\n", "x.yaml:2", "found 'at'"},
+    {"steps:\n- at: 0\n  query: {count: 1, count: 2}\n", "x.yaml:3",
+     "each field once"},
+    {"daemons: 9\n", "x.yaml:1", "1 to 3"},
+    {"stops: []\n", "x.yaml:1", "found 'stops'"},
+    {"steps: {}\n", "x.yaml:1", "a list"},
+    {"steps: [\n", "x.yaml", ""},
+};
+
+START_TEST(test_fault)
+{
+    const fault_case_t *c = &fault_cases[_i];
+    script_t script;
+    error_t err = ERROR_INIT;
+    status_t status =
+        script_parse(c->text, strlen(c->text), "x.yaml", &script, &err);
+    ck_assert_msg(status == STATUS_INVALID, "case %d", _i);
+    ck_assert_msg(strstr(err.peer, c->peer) != NULL, "%s", error_text(&err));
+    ck_assert_msg(strstr(err.message, c->found) != NULL, "%s",
+                  error_text(&err));
+}
+END_TEST
+
+static size_t
+run_script(const char *path)
+{
+    script_t script;
+    error_t err = ERROR_INIT;
+    if (script_load(path, &script, &err) != STATUS_OK) {
+        printf("%s\n", error_text(&err));
+        return 1;
+    }
+    sim_t *sim = sim_new(&script);
+    sim_run(sim);
+    size_t failures = sim->failure_count;
+    if (failures > 0 || getenv("SCENARIO_TRACE") != NULL) {
+        sim_print(sim, stdout);
+    }
+    sim_free(sim);
+    script_release(&script);
+    return failures;
+}
+
+START_TEST(test_scripts)
+{
+    glob_t found;
+    const char *only = getenv("SCENARIO");
+    size_t failed = 0;
+    ck_assert_int_eq(
+        glob(only != NULL ? only : "t/scenarios/*.yaml", 0, NULL, &found), 0);
+    for (size_t i = 0; i < found.gl_pathc; i++) {
+        if (run_script(found.gl_pathv[i]) > 0) {
+            printf("scenario failed: %s\n", found.gl_pathv[i]);
+            failed++;
+        }
+    }
+    globfree(&found);
+    ck_assert_uint_eq(failed, 0);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("scenarios");
+    tcase_set_timeout(tests, 0);
+    tcase_add_loop_test(tests, test_fault, 0,
+                        sizeof(fault_cases) / sizeof(fault_cases[0]));
+    tcase_add_test(tests, test_scripts);
+    return suite_run("scenarios", tests);
+}
