test: provoke each line of what fails by scenarios

Cause: only three scripts; a membership that came back kept its upstreams in the runner, and a leaving entry was used for ever.

--- a/t/scenario/check.c
+++ b/t/scenario/check.c
@@ -11,6 +11,7 @@
     ATTEMPTS_MAX = 512,
     GENERATION_FACTOR = 1000,
     INTENT_LATE_US = 150000,
+    PASS_ON_LATE_US = 650000,
     PERCENT = 100,
     PERMILLE = 1000
 };
@@ -207,6 +208,7 @@
 {
     int64_t late_us =
         call->operation->hash != 0 ? INTENT_LATE_US : SIM_LATE_US;
+    late_us = call->in_transit ? PASS_ON_LATE_US : late_us;
     const sim_node_t *node = &sim->nodes[call->node];
     if (node->disturbed_us < call->sent_us &&
         sim->now_us > call->request.deadline_us + late_us) {
--- a/t/scenario/sim.h
+++ b/t/scenario/sim.h
@@ -84,6 +84,7 @@
     once_key_t key;
     bool waits_for_intent;
     bool in_transit; /* on its way to the daemon of its ticket */
+    bool gave_up;    /* the daemon that passed it on waits no longer */
     bool settled;    /* answered without a run of its own */
     bool lost;       /* its daemon ended before it answered */
     size_t resends_left;
@@ -135,6 +136,7 @@
     bool alive;
     bool leaving;
     bool left;
+    bool removed;            /* from the roster, while it did not know */
     int64_t paused_until_us; /* INT64_MAX: until resumed */
     int64_t disturbed_us;    /* last pause, cut or kill */
     bool cut;                /* from peers and store */
