--- a/standin/lib/caller.c
+++ b/standin/lib/caller.c
@@ -21,7 +21,7 @@
     US_PER_MS = 1000,
     URL_MAX = 192,
     RESENDS_MAX = 4,
-    EXAMPLES_MAX = 5,
+    EXAMPLES_MAX = 3,
 
     ABORT_SPAN_US = 8000,
     CONNECTIONS_MAX = 512
@@ -41,7 +41,7 @@
     tally_t tally;
     json_t *refused_bodies;
     json_t *doubtful_bodies; /* refused, an earlier send may have run */
-    json_t *examples;
+    json_t *examples;        /* lists by reason or fault */
     uint64_t draws;
     uint64_t sent;
     uint64_t in_progress;
@@ -141,16 +141,21 @@
     call_send(caller, call, now_us);
 }
 
+/* Keep the reply to look into: what is wrong, and some of each reason. */
 static void
 keep_example(caller_t *caller, const call_t *call, const verdict_t *verdict)
 {
-    if (!verdict->wrong || json_array_size(caller->examples) >= EXAMPLES_MAX) {
-        return;
+    const char *why = verdict->wrong ? verdict->why : verdict->reason;
+    json_t *list = json_object_get(caller->examples, why);
+    if (list == NULL) {
+        list = json_array();
+        json_object_set_new(caller->examples, why, list);
+    }
+    if (json_array_size(list) < EXAMPLES_MAX) {
+        json_array_append_new(list, json_pack("{s:s, s:s%}", "query",
+                                              call->request, "reply",
+                                              call->reply, call->reply_size));
     }
-    json_array_append_new(caller->examples,
-                          json_pack("{s:s, s:s, s:s%}", "why", verdict->why,
-                                    "query", call->request, "reply",
-                                    call->reply, call->reply_size));
 }
 
 static void
@@ -173,7 +178,9 @@
                            .deadline_us =
                                call_deadline_ms(caller, call) * US_PER_MS};
     tally_add(&caller->tally, &entry);
-    keep_example(caller, call, verdict);
+    if (verdict->wrong || verdict->outcome != OUTCOME_WHOLE) {
+        keep_example(caller, call, verdict);
+    }
     if (verdict->outcome == OUTCOME_NOT_RUN) {
         keep_refused(caller, call);
     }
@@ -490,7 +497,7 @@
     *caller = (caller_t){.options = options,
                          .refused_bodies = json_array(),
                          .doubtful_bodies = json_array(),
-                         .examples = json_array(),
+                         .examples = json_object(),
                          .multi = curl_multi_init(),
                          .calls = calloc(options->callers, sizeof(call_t))};
     tally_init(&caller->tally);
--- a/standin/lib/caller.h
+++ b/standin/lib/caller.h
@@ -40,7 +40,8 @@
  * Run to the end; the result of tally_json with "sent_again", "aborted",
  * "false_not_run" (refused as not run, yet started upstream),
  * "not_run_after_doubt" (the same, of queries whose earlier send may have
- * run) and "examples" of wrong answers. NULL when no entry was to be had.
+ * run) and "examples" of replies that were wrong or not whole, by fault or
+ * reason. NULL when no entry was to be had.
  */
 json_t *caller_run(const caller_options_t *options);
 
