daemon: bound each tenant's queries in progress

The table's tenant_slots was read and never applied: one tenant could take every slot of a service.

Each daemon admits an equal share of the tenant's slots, counted over its workers; a query beyond it is refused as not run, reason overload. Weighed: a home daemon per tenant would make the bound exact at the cost of a message a query; callers are spread over entries, and a share needs no message.

--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -220,6 +220,27 @@
     return has_room(c, row->class) ? REASON_NONE : REASON_OVERLOAD;
 }
 
+/* Count the query in for its tenant; false: the share is used up. */
+static bool
+enter_tenant(coordinator_t *c, const query_request_t *request)
+{
+    if (c->settings.tenants == NULL) {
+        return true;
+    }
+    const table_row_t *row = config_row(c->world->config, request->service);
+    return tenants_enter(c->settings.tenants, request->service,
+                         request->tenant,
+                         tenants_share(row, c->world->member_count));
+}
+
+static void
+leave_tenant(coordinator_t *c, const query_request_t *request)
+{
+    if (c->settings.tenants != NULL) {
+        tenants_leave(c->settings.tenants, request->service, request->tenant);
+    }
+}
+
 static void
 count_answer(stats_line_t *line, const query_answer_t *answer, int64_t took_us)
 {
@@ -270,8 +291,12 @@
                    const query_waiter_t *waiter, int64_t now_us)
 {
     reason_t reason = refusal_reason(c, request, now_us);
-    slot_t *slot = reason == REASON_NONE ? slot_take(c) : NULL;
+    bool entered = reason == REASON_NONE && enter_tenant(c, request);
+    slot_t *slot = entered ? slot_take(c) : NULL;
     if (slot == NULL) {
+        if (entered) {
+            leave_tenant(c, request);
+        }
         refuse(c, request, waiter,
                reason == REASON_NONE ? REASON_OVERLOAD : reason, now_us);
         return;
@@ -286,6 +311,7 @@
     }
     if (slot->query == NULL) {
         slot_release(c, slot);
+        leave_tenant(c, request);
         refuse(c, request, waiter, REASON_OVERLOAD, now_us);
         return;
     }
@@ -557,6 +583,7 @@
         c->settings.sink.quarantine(c->settings.sink.context,
                                     slot->request.fingerprint);
     }
+    leave_tenant(c, &slot->request);
     end_query(c, &slot->request, &slot->waiter, slot->sequence, &answer,
               now_us - slot->started_us);
     slot_release(c, slot);
--- a/daemon/coordinator.h
+++ b/daemon/coordinator.h
@@ -15,6 +15,7 @@
 #include "daemon/explain.h"
 #include "daemon/mail.h"
 #include "daemon/stats.h"
+#include "daemon/tenants.h"
 
 typedef struct {
     void *context;
@@ -41,6 +42,7 @@
     const atomic_llong *trust_until_us; /* of the configuration */
     part_sink_t sink;
     stats_t *stats;
+    tenants_t *tenants; /* shared by the daemon's workers; NULL: no bound */
 } coordinator_settings_t;
 
 typedef struct coordinator coordinator_t;
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -39,7 +39,8 @@
 {
     node->worker_count = node->settings.shards;
     node->workers = calloc(node->worker_count, sizeof(*node->workers));
-    if (node->workers == NULL) {
+    node->tenants = tenants_new();
+    if (node->workers == NULL || node->tenants == NULL) {
         return error_set(err, STATUS_NO_MEMORY, "start workers", "-", "-");
     }
     for (unsigned i = 0; i < node->worker_count; i++) {
@@ -64,6 +65,7 @@
             .trust_until_us = fleet_trust_until_us(node->fleet),
             .drain_us = DRAIN_US,
             .seed = node->incarnation + i,
+            .tenants = node->tenants,
             .route = node_route(node),
         };
         node->workers[i] = worker_new(&settings, err);
@@ -300,6 +302,7 @@
         worker_free(node->workers[i]);
     }
     free(node->workers);
+    tenants_free(node->tenants);
     node_stop_once(node);
     fleet_free(node->fleet);
     asks_release(&node->asks);
--- a/daemon/node_state.h
+++ b/daemon/node_state.h
@@ -21,6 +21,7 @@
     fleet_t *fleet;
     peer_net_t *net;
     worker_t **workers;
+    tenants_t *tenants;
     unsigned worker_count;
     atomic_uint next_worker;
     asks_t asks;
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -208,6 +208,7 @@
         .seed = worker->settings.seed,
         .trust_until_us = worker->settings.trust_until_us,
         .stats = worker->stats,
+        .tenants = worker->settings.tenants,
         .sink =
             {
                 .context = worker,
--- a/daemon/worker.h
+++ b/daemon/worker.h
@@ -45,6 +45,7 @@
     const atomic_llong *trust_until_us;
     int64_t drain_us;
     uint64_t seed;
+    tenants_t *tenants;
     route_t route;
 } worker_settings_t;
 
