daemon: ask upstreams' health and let it only advise

The gate could be advised by the health endpoint, and nothing asked it: an upstream turned cold was noticed with the next reply only.

The owner asks each upstream it owns once in 2 s, one after the other, on the connections it has; what is said goes to the gate, where it can lower a bound for a while and never raise it. The mail for advice, which nobody sent, is gone.

t0701: ok, cold, draining, an unknown state and a truncated answer.

--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -22,9 +22,18 @@
     part_reply_t reply;
 } outgoing_t;
 
+enum {
+    HEALTH_POLL_US = 2000000,   /* between two questions to one upstream */
+    HEALTH_PAUSE_MIN_US = 10000 /* between two questions to any */
+};
+
 struct admission {
     admission_settings_t settings;
     world_t *world;
+    uint32_t *owned; /* indexes into the world's topology */
+    size_t owned_count;
+    size_t health_next;
+    int64_t health_due_us;
     gate_t *gate;
     upstream_client_t *client;
     entry_t *entries;
@@ -132,6 +141,13 @@
     a->settings.partition(a->settings.context, partition);
 }
 
+static void
+on_health(void *context, const char *upstream, bool cold, bool draining)
+{
+    admission_t *a = context;
+    gate_advise(a->gate, upstream, cold, draining, a->now_us);
+}
+
 admission_t *
 admission_new(const admission_settings_t *settings, error_t *err)
 {
@@ -145,6 +161,7 @@
         .context = a,
         .result = on_result,
         .partition = on_partition,
+        .health = on_health,
     };
     a->gate = gate_new(&settings->gate);
     a->client = settings->upstream->new (&callbacks, err);
@@ -172,6 +189,7 @@
     }
     gate_free(a->gate);
     world_put(a->world);
+    free(a->owned);
     free(a->due);
     free(a->outgoing);
     free(a);
@@ -230,9 +248,11 @@
         gate_configure(a->gate, world->config, world->topology, owned,
                        owned_count, now_us);
     }
+    free(a->owned);
+    a->owned = owned;
+    a->owned_count = owned_count;
     mark_foreign(a);
     world_put(before);
-    free(owned);
 }
 
 static void
@@ -349,13 +369,6 @@
     }
 }
 
-void
-admission_advise(admission_t *a, const char *upstream, bool cold,
-                 bool draining, int64_t now_us)
-{
-    gate_advise(a->gate, upstream, cold, draining, now_us);
-}
-
 void
 admission_quarantine(admission_t *a, uint64_t fingerprint, int64_t now_us)
 {
@@ -491,6 +504,25 @@
     }
 }
 
+/* Ask one upstream after the other; returns when the next is due. */
+static int64_t
+ask_health(admission_t *a)
+{
+    if (a->owned_count == 0 || a->settings.upstream->ask_health == NULL) {
+        return INT64_MAX;
+    }
+    if (a->now_us >= a->health_due_us) {
+        int64_t pause_us = HEALTH_POLL_US / (int64_t)a->owned_count;
+        size_t index = a->owned[a->health_next++ % a->owned_count];
+        a->health_due_us =
+            a->now_us +
+            (pause_us > HEALTH_PAUSE_MIN_US ? pause_us : HEALTH_PAUSE_MIN_US);
+        a->settings.upstream->ask_health(
+            a->client, &a->world->topology->upstreams[index]);
+    }
+    return a->health_due_us;
+}
+
 int64_t
 admission_step(admission_t *a, int64_t now_us)
 {
@@ -501,7 +533,9 @@
         send_due(a);
     } while (a->due_count > 0);
     flush_replies(a);
-    return gate_wakeup(a->gate, now_us);
+    int64_t health_us = ask_health(a);
+    int64_t gate_us = gate_wakeup(a->gate, now_us);
+    return health_us < gate_us ? health_us : gate_us;
 }
 
 void
--- a/daemon/admission.h
+++ b/daemon/admission.h
@@ -50,9 +50,6 @@
 void admission_cancel(admission_t *admission, const attempt_id_t *ids,
                       size_t count, int64_t now_us);
 
-void admission_advise(admission_t *admission, const char *upstream, bool cold,
-                      bool draining, int64_t now_us);
-
 void admission_quarantine(admission_t *admission, uint64_t fingerprint,
                           int64_t now_us);
 
--- a/daemon/mail.h
+++ b/daemon/mail.h
@@ -31,8 +31,7 @@
     MAIL_CANCEL_PARTS, /* a coordinator gives up parts */
     MAIL_PEER_DOWN,    /* the connection to a daemon ended */
     MAIL_WORLD,        /* a new view */
-    MAIL_QUARANTINE,   /* fingerprints found elsewhere */
-    MAIL_ADVICE        /* health endpoint of an upstream */
+    MAIL_QUARANTINE    /* fingerprints found elsewhere */
 } mail_type_t;
 
 typedef struct mail {
@@ -48,9 +47,6 @@
     uint64_t *fingerprints;
     size_t count;
     world_t *world;
-    char upstream[NAME_SIZE];
-    bool cold;
-    bool draining;
 } mail_t;
 
 typedef struct {
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -87,10 +87,6 @@
     case MAIL_QUARANTINE:
         take_quarantine(worker, mail, now_us);
         break;
-    case MAIL_ADVICE:
-        admission_advise(worker->admission, mail->upstream, mail->cold,
-                         mail->draining, now_us);
-        break;
     }
     mail_free(mail);
 }
--- a/edge/upstream.c
+++ b/edge/upstream.c
@@ -30,7 +30,8 @@
     size_t reply_size;
     bool too_large;
     int64_t sent_us;
-    size_t count; /* parts; 0: a cancellation */
+    size_t count; /* parts; 0: a cancellation or a question of health */
+    char asked[NAME_SIZE]; /* upstream whose health was asked, or empty */
     part_request_t parts[UPSTREAM_CALL_PARTS_MAX];
     struct call *prev;
     struct call *next;
@@ -284,6 +285,18 @@
     totals->bytes_received += call->reply_size;
 }
 
+static void
+call_told_health(call_t *call)
+{
+    upstream_client_t *client = call->client;
+    bool cold;
+    bool draining;
+    if (wire_health_parse(call->reply, call->reply_size, &cold, &draining)) {
+        client->callbacks.health(client->callbacks.context, call->asked, cold,
+                                 draining);
+    }
+}
+
 static void
 call_ended(call_t *call, CURLcode code)
 {
@@ -291,6 +304,9 @@
     long http_status = 0;
     int64_t service_us = monotonic_us() - call->sent_us;
     call_count_traffic(call, &request_bytes, &http_status);
+    if (call->asked[0] != '\0' && code == CURLE_OK) {
+        call_told_health(call);
+    }
     if (call->count == 0) {
         return;
     }
@@ -371,6 +387,20 @@
     curl_multi_add_handle(client->multi, call->easy);
 }
 
+static void
+upstream_http_ask_health(upstream_client_t *client,
+                         const upstream_info_t *target)
+{
+    call_t *call = call_new(client);
+    if (call == NULL) {
+        return;
+    }
+    memcpy(call->asked, target->name, NAME_SIZE);
+    call_target(call, target, "/v1/health");
+    curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+    curl_multi_add_handle(client->multi, call->easy);
+}
+
 static void
 upstream_http_run(upstream_client_t *client)
 {
@@ -413,6 +443,7 @@
     .free = upstream_http_free,
     .send = upstream_http_send,
     .cancel = upstream_http_cancel,
+    .ask_health = upstream_http_ask_health,
     .wait = upstream_http_wait,
     .run = upstream_http_run,
     .wake = upstream_http_wake,
--- a/edge/upstream.h
+++ b/edge/upstream.h
@@ -28,6 +28,9 @@
                    const gate_result_t *result);
     /* A reply of the upstream told a newer partition; shards are lent. */
     void (*partition)(void *context, const partition_t *partition);
+    /* What the health endpoint says, which lags and may mislead. */
+    void (*health)(void *context, const char *upstream, bool cold,
+                   bool draining);
 } upstream_callbacks_t;
 
 typedef struct upstream_client upstream_client_t;
@@ -52,6 +55,12 @@
     /* Ask the upstream to stop working on a part; its result still comes. */
     void (*cancel)(upstream_client_t *client, const upstream_info_t *target,
                    attempt_id_t id);
+    /*
+     * Ask the health endpoint; an answer comes by the callback, if any. NULL
+     * where upstreams have none.
+     */
+    void (*ask_health)(upstream_client_t *client,
+                       const upstream_info_t *target);
     /* Wait up to timeout_ms for input or wake; nothing is delivered. */
     void (*wait)(upstream_client_t *client, int timeout_ms);
     /* Take what has arrived and deliver what has ended; never waits. */
--- a/edge/wire.c
+++ b/edge/wire.c
@@ -304,3 +304,20 @@
     json_decref(root);
     return status;
 }
+
+bool
+wire_health_parse(const char *text, size_t size, bool *cold, bool *draining)
+{
+    json_t *root = text == NULL
+                       ? NULL
+                       : json_loadb(text, size, JSON_REJECT_DUPLICATES, NULL);
+    const char *state = json_string_value(json_object_get(root, "state"));
+    bool known = state != NULL;
+    if (known) {
+        *cold = strcmp(state, "cold") == 0;
+        *draining = strcmp(state, "draining") == 0;
+        known = *cold || *draining || strcmp(state, "ok") == 0;
+    }
+    json_decref(root);
+    return known;
+}
--- a/edge/wire.h
+++ b/edge/wire.h
@@ -42,4 +42,8 @@
                           wire_reply_t *reply, part_reply_t *replies,
                           error_t *err);
 
+/* Parse a health answer; false: it cannot be read. */
+bool wire_health_parse(const char *text, size_t size, bool *cold,
+                       bool *draining);
+
 #endif
--- a/t/t0701-upstream.c
+++ b/t/t0701-upstream.c
@@ -26,6 +26,9 @@
 
 typedef struct {
     unsigned results;
+    unsigned healths;
+    bool cold;
+    bool draining;
     part_reply_t reply;
     gate_result_t result;
 } results_t;
@@ -47,6 +50,16 @@
     (void)partition;
 }
 
+static void
+on_health(void *context, const char *upstream, bool cold, bool draining)
+{
+    results_t *results = context;
+    results->healths++;
+    results->cold = cold;
+    results->draining = draining;
+    ck_assert_str_eq(upstream, "u");
+}
+
 static int64_t
 now_us(void)
 {
@@ -152,7 +165,8 @@
     script_server_t *server = script_server_new(script, 3);
     upstream_info_t target = {.name = "u", .address = "127.0.0.1"};
     results_t results = {.results = 0};
-    upstream_callbacks_t callbacks = {&results, on_result, on_partition};
+    upstream_callbacks_t callbacks = {&results, on_result, on_partition,
+                                      on_health};
     error_t err = ERROR_INIT;
     target.port = script_server_port(server);
     upstream_client_t *client = upstream_http_ops.new(&callbacks, &err);
@@ -182,7 +196,8 @@
     script_server_t *server = script_server_new(script, 1);
     upstream_info_t target = {.name = "u", .address = "127.0.0.1"};
     results_t results = {.results = 0};
-    upstream_callbacks_t callbacks = {&results, on_result, on_partition};
+    upstream_callbacks_t callbacks = {&results, on_result, on_partition,
+                                      on_health};
     error_t err = ERROR_INIT;
     target.port = script_server_port(server);
     script_server_free(server);
@@ -201,7 +216,8 @@
     script_server_t *server = script_server_new(script, 1);
     upstream_info_t target = {.name = "u", .address = "127.0.0.1"};
     results_t results = {.results = 0};
-    upstream_callbacks_t callbacks = {&results, on_result, on_partition};
+    upstream_callbacks_t callbacks = {&results, on_result, on_partition,
+                                      on_health};
     error_t err = ERROR_INIT;
     target.port = script_server_port(server);
     upstream_client_t *client = upstream_http_ops.new(&callbacks, &err);
@@ -216,6 +232,54 @@
 }
 END_TEST
 
+typedef struct {
+    const char *answer;
+    unsigned healths;
+    bool cold;
+    bool draining;
+} health_case_t;
+
+#define HEALTH(text) "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" text
+
+static const health_case_t health_cases[] = {
+    {HEALTH("{\"upstream\":\"u\",\"state\":\"ok\",\"load\":0.4}      "), 1,
+     false, false},
+    {HEALTH("{\"upstream\":\"u\",\"state\":\"cold\",\"load\":0.4}    "), 1,
+     true, false},
+    {HEALTH("{\"upstream\":\"u\",\"state\":\"draining\",\"load\":0.4}"), 1,
+     false, true},
+    {HEALTH("{\"upstream\":\"u\",\"state\":\"splendid\",\"load\":0.4}"), 0,
+     false, false},
+    {HEALTH("{\"upstream\":\"u\",\"state\":\"ok\",\"load\":0.4       "), 0,
+     false, false},
+};
+
+START_TEST(test_health)
+{
+    const health_case_t *c = &health_cases[_i];
+    script_step_t script[] = {{.answer = c->answer, .close = true}};
+    script_server_t *server = script_server_new(script, 1);
+    upstream_info_t target = {.name = "u", .address = "127.0.0.1"};
+    results_t results = {.results = 0};
+    upstream_callbacks_t callbacks = {&results, on_result, on_partition,
+                                      on_health};
+    error_t err = ERROR_INIT;
+    target.port = script_server_port(server);
+    upstream_client_t *client = upstream_http_ops.new(&callbacks, &err);
+    upstream_http_ops.ask_health(client, &target);
+    for (int i = 0; i < 20 && results.healths == 0; i++) {
+        upstream_http_ops.wait(client, WAIT_MS);
+        upstream_http_ops.run(client);
+    }
+    ck_assert_uint_eq(results.healths, c->healths);
+    ck_assert_int_eq(results.cold, c->cold);
+    ck_assert_int_eq(results.draining, c->draining);
+    ck_assert_uint_eq(results.results, 0);
+    upstream_http_ops.free(client);
+    script_server_free(server);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -224,6 +288,8 @@
     tcase_set_timeout(tests, 60);
     tcase_add_loop_test(tests, test_never_written_twice, 0,
                         sizeof(twice_cases) / sizeof(twice_cases[0]));
+    tcase_add_loop_test(tests, test_health, 0,
+                        sizeof(health_cases) / sizeof(health_cases[0]));
     tcase_add_test(tests, test_unreachable_is_proven_not_run);
     tcase_add_test(tests, test_silence_ends_at_the_deadline);
     int code = suite_run("upstream", tests);
