daemon: keep leases and holds through an outage of the store

Two faults, seen with three daemons and the store out for 10 s: every lease ended after 4 s and stayed lost until the store was back, since the flag by which a daemon asks for grants was written into heartbeats and not read from them; and of two zones held out by two operators the first one stored raised the version, which dropped the other everywhere.

The flag is read; t0703 carries every field of a heartbeat over the wire and back. A daemon makes its own unstored holds anew on each newer configuration that lacks them, until an operator ends them, and tells all members of a hold at once: before, a daemon that heard of it by a differing digest refused work for 140 ms until it had the hold.

--- a/daemon/fleet_config.c
+++ b/daemon/fleet_config.c
@@ -46,6 +46,48 @@
     pthread_cond_broadcast(&fleet->changed);
 }
 
+static bool
+config_has_out(const config_t *config, const fleet_hold_t *own)
+{
+    return own->kind == HOLD_ZONE ? config_zone_is_out(config, own->name)
+                                  : config_vm_is_out(config, own->name);
+}
+
+/*
+ * A newer configuration ends the holds made on older ones. Those that this
+ * daemon must still store, and that it does not contain, are made anew.
+ */
+static void
+renew_own_holds(fleet_t *fleet, const config_t *config)
+{
+    size_t kept = 0;
+    hold_set_drop(&fleet->holds, config->version);
+    for (size_t i = 0; i < fleet->own_hold_count; i++) {
+        const fleet_hold_t own = fleet->own_holds[i];
+        if (config_has_out(config, &own) ||
+            hold_set_change(&fleet->holds, own.kind, own.name, true, own.by,
+                            config->version) != STATUS_OK) {
+            continue;
+        }
+        fleet->own_holds[kept++] = own;
+    }
+    fleet->own_hold_count = kept;
+}
+
+/* Forget own holds that an operator has ended. */
+static void
+drop_ended_holds(fleet_t *fleet)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < fleet->own_hold_count; i++) {
+        const fleet_hold_t own = fleet->own_holds[i];
+        if (hold_set_is_out(&fleet->holds, own.kind, own.name)) {
+            fleet->own_holds[kept++] = own;
+        }
+    }
+    fleet->own_hold_count = kept;
+}
+
 /* Put a newer configuration in force. Lock held. */
 static bool
 take_config(fleet_t *fleet, config_t *config, event_t event,
@@ -59,7 +101,7 @@
         }
         return false;
     }
-    hold_set_drop(&fleet->holds, config->version);
+    renew_own_holds(fleet, config);
     confsync_adopt(&fleet->sync, config->version,
                    hold_set_digest(&fleet->holds));
     config_put(fleet->config);
@@ -150,13 +192,17 @@
         changes = hold_set_change(&fleet->holds, kind, name, out, by,
                                   fleet->sync.version) == STATUS_OK;
     }
-    if (changes) {
-        follow_holds(fleet, by);
-    }
     if (changes && out) {
         remember_own_hold(fleet, kind, name, by);
     }
+    if (changes) {
+        drop_ended_holds(fleet);
+        follow_holds(fleet, by);
+    }
     pthread_mutex_unlock(&fleet->lock);
+    if (changes) {
+        fleet_tell_holds(fleet);
+    }
     return changes || held == out;
 }
 
@@ -183,6 +229,7 @@
         fleet->config != NULL && hold_set_merge(&fleet->holds, &other);
     if (changed) {
         hold_set_drop(&fleet->holds, fleet->sync.version);
+        drop_ended_holds(fleet);
         follow_holds(fleet, "peer");
     }
     pthread_mutex_unlock(&fleet->lock);
@@ -230,18 +277,14 @@
     }
 }
 
-/* The next hold that must still be stored; false: there is none. */
+/* A hold that must still be stored; false: there is none. */
 static bool
 next_own_hold(fleet_t *fleet, fleet_hold_t *own)
 {
     pthread_mutex_lock(&fleet->lock);
-    bool found = false;
-    while (fleet->own_hold_count > 0 && !found) {
-        *own = fleet->own_holds[fleet->own_hold_count - 1];
-        found = hold_set_is_out(&fleet->holds, own->kind, own->name);
-        if (!found) {
-            fleet->own_hold_count--;
-        }
+    bool found = fleet->own_hold_count > 0;
+    if (found) {
+        *own = fleet->own_holds[0];
     }
     pthread_mutex_unlock(&fleet->lock);
     return found;
--- a/daemon/fleet_peers.c
+++ b/daemon/fleet_peers.c
@@ -126,6 +126,18 @@
     free(text);
 }
 
+void
+fleet_tell_holds(fleet_t *fleet)
+{
+    fleet_member_t members[FLEET_PEERS_MAX];
+    size_t count = fleet_members(fleet, members, FLEET_PEERS_MAX);
+    for (size_t i = 0; i < count && i < FLEET_PEERS_MAX; i++) {
+        if (!members[i].self) {
+            send_holds(fleet, members[i].name, members[i].incarnation);
+        }
+    }
+}
+
 /* What a heartbeat calls for, decided under the lock and done without it. */
 typedef struct {
     bool answer;       /* the sender is no member: it needs one to act */
--- a/daemon/fleet_state.h
+++ b/daemon/fleet_state.h
@@ -87,6 +87,9 @@
 /* Take what a peer holds out of service. */
 void fleet_take_holds(fleet_t *fleet, const char *text, size_t size);
 
+/* Send all members what is held out here. */
+void fleet_tell_holds(fleet_t *fleet);
+
 bool fleet_open_store(fleet_t *fleet, store_client_t *store);
 void fleet_note_store(fleet_t *fleet, status_t status, error_t *err);
 bool fleet_status_is_answer(status_t status);
--- a/daemon/heartbeat.c
+++ b/daemon/heartbeat.c
@@ -120,6 +120,7 @@
         .echo_us = (int64_t)get_word(value + AT_ECHO),
         .granting = (flags & FLAG_GRANTING) != 0,
         .holding = (flags & FLAG_HOLDING) != 0,
+        .asking = (flags & FLAG_ASKING) != 0,
     };
     snprintf(lease->name, sizeof(lease->name), "%s", peer);
     return true;
--- /dev/null
+++ b/t/t0703-heartbeat.c
@@ -0,0 +1,103 @@
+/* What a daemon says in a heartbeat is what its peer reads. */
+#include "daemon/heartbeat.h"
+#include "t/lib/suite.h"
+
+#include <stdlib.h>
+
+static const roster_heartbeat_t leases[] = {
+    {.version = 0},
+    {.version = 7, .seen = 6, .sent_us = 123456789, .echo_us = 987654321},
+    {.version = UINT64_MAX, .seen = 1, .sent_us = INT64_MAX, .echo_us = -1},
+    {.version = 7, .granting = true},
+    {.version = 7, .holding = true},
+    {.version = 7, .asking = true},
+};
+
+static const confsync_word_t words[] = {
+    {.version = 0},
+    {.version = 12, .holds = 0, .trust_us = 4999999},
+    {.version = UINT64_MAX, .holds = UINT64_MAX, .trust_us = 1},
+};
+
+/* Over the wire and back. */
+static void
+carry(const message_t *sent, message_t *received)
+{
+    uint8_t *bytes;
+    size_t size;
+    error_t err = ERROR_INIT;
+    ck_assert_int_eq(message_encode(sent, 0, &bytes, &size, &err), STATUS_OK);
+    ck_assert_int_eq(
+        message_decode(MESSAGE_HEARTBEAT, bytes, size, 0, received, &err),
+        STATUS_OK);
+    free(bytes);
+}
+
+START_TEST(test_lease)
+{
+    const roster_heartbeat_t *lease = &leases[_i];
+    heartbeat_buffer_t buffer;
+    message_t sent;
+    message_t received;
+    roster_heartbeat_t read;
+    heartbeat_message(lease, &words[1], true, &buffer, &sent);
+    carry(&sent, &received);
+    ck_assert(heartbeat_lease("b2", 42, &received.heartbeat, &read));
+    ck_assert_str_eq(read.name, "b2");
+    ck_assert_uint_eq(read.incarnation, 42);
+    ck_assert_uint_eq(read.version, lease->version);
+    ck_assert_uint_eq(read.seen, lease->seen);
+    ck_assert_int_eq(read.sent_us, lease->sent_us);
+    ck_assert_int_eq(read.echo_us, lease->echo_us);
+    ck_assert_int_eq(read.granting, lease->granting);
+    ck_assert_int_eq(read.holding, lease->holding);
+    ck_assert_int_eq(read.asking, lease->asking);
+    ck_assert(received.heartbeat.store_failing);
+    message_release(&received);
+}
+END_TEST
+
+START_TEST(test_word)
+{
+    heartbeat_buffer_t buffer;
+    message_t sent;
+    message_t received;
+    confsync_word_t read;
+    heartbeat_message(&leases[1], &words[_i], false, &buffer, &sent);
+    carry(&sent, &received);
+    ck_assert(heartbeat_word(&received.heartbeat, &read));
+    ck_assert_uint_eq(read.version, words[_i].version);
+    ck_assert_uint_eq(read.holds, words[_i].holds);
+    ck_assert_int_eq(read.trust_us, words[_i].trust_us);
+    message_release(&received);
+}
+END_TEST
+
+/* A heartbeat without the pairs, or with ones cut short, says nothing. */
+START_TEST(test_missing)
+{
+    heartbeat_buffer_t buffer;
+    message_t sent;
+    roster_heartbeat_t lease;
+    confsync_word_t word;
+    heartbeat_message(&leases[1], &words[1], false, &buffer, &sent);
+    buffer.pairs[0].size--;
+    buffer.pairs[1].size++;
+    ck_assert(!heartbeat_lease("b2", 42, &sent.heartbeat, &lease));
+    ck_assert(!heartbeat_word(&sent.heartbeat, &word));
+    sent.heartbeat.pair_count = 0;
+    ck_assert(!heartbeat_lease("b2", 42, &sent.heartbeat, &lease));
+    ck_assert(!heartbeat_word(&sent.heartbeat, &word));
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("heartbeat");
+    tcase_add_loop_test(tests, test_lease, 0,
+                        sizeof(leases) / sizeof(leases[0]));
+    tcase_add_loop_test(tests, test_word, 0, sizeof(words) / sizeof(words[0]));
+    tcase_add_test(tests, test_missing);
+    return suite_run("heartbeat", tests);
+}
