core: keep a replica's latencies in 148 bytes

A coordinator keeps what it learnt of every upstream in each worker. With a full histogram that is 3,008 bytes an upstream: at 9,600 upstreams 28.9 MB a worker, 115 MB with four, where 64 MB are allowed in all. Each choice between replicas also walked the histograms.

A replica now has a histogram of 145 one-byte buckets, 9 % wide, which halves its counts when one is full, and keeps the median and the tail that choices read.

Quantiles are within 20 % of the full histogram's (t0901).

--- a/core/replica.c
+++ b/core/replica.c
@@ -5,8 +5,10 @@
 
 enum {
     AVOID_US = 200000,      /* after a shed, cold or lost reply */
-    DECAY_SAMPLES = 4096,   /* then older replies weigh half */
-    HEDGE_SAMPLES_MIN = 20, /* replies before a histogram is trusted */
+    DECAY_SAMPLES = 4096,   /* of a service, then older replies weigh half */
+    HEDGE_SAMPLES_MIN = 20, /* replies before quantiles are trusted */
+    REFRESH_ALL = 64,       /* replies until which each renews them */
+    REFRESH_EVERY = 8,      /* renewals after that, in replies */
     HEDGE_DELAY_MIN_US = 1000,
     COST_UNKNOWN_US = 3000,  /* median assumed of a replica never asked */
     AVOID_COST_US = 10000000 /* behind every replica that is not avoided */
@@ -95,6 +97,20 @@
     }
 }
 
+/* Quantiles are kept, since every choice between replicas reads them. */
+static void
+replica_add_latency(replica_t *replica, int64_t latency_us)
+{
+    latency_t *latency = &replica->latency;
+    latency_add(latency, latency_us);
+    if (latency->count < HEDGE_SAMPLES_MIN ||
+        (latency->count > REFRESH_ALL && latency->count % REFRESH_EVERY > 0)) {
+        return;
+    }
+    replica->median_us = (uint32_t)latency_quantile(latency, 0.5);
+    replica->tail_us = (uint32_t)latency_quantile(latency, hedge_quantile);
+}
+
 void
 replica_table_learn(replica_table_t *table, uint32_t upstream,
                     const part_reply_t *reply, int64_t latency_us,
@@ -102,10 +118,7 @@
 {
     replica_t *replica = &table->replicas[upstream];
     if (reply->status == PART_OK) {
-        hist_add(&replica->latency, latency_us);
-        if (replica->latency.count >= DECAY_SAMPLES) {
-            hist_decay(&replica->latency);
-        }
+        replica_add_latency(replica, latency_us);
         learn_service(table, table->topology->upstreams[upstream].service,
                       latency_us);
     }
@@ -139,24 +152,22 @@
 {
     const char *name = table->topology->upstreams[upstream].service;
     const replica_service_t *service = find_service(table, name);
-    const hist_t *latency = &table->replicas[upstream].latency;
-    if (latency->count < HEDGE_SAMPLES_MIN && service != NULL) {
-        latency = &service->latency;
+    int64_t delay = table->replicas[upstream].tail_us;
+    if (delay == 0 && service != NULL &&
+        service->latency.count >= HEDGE_SAMPLES_MIN) {
+        delay = hist_quantile(&service->latency, hedge_quantile);
     }
-    if (latency->count < HEDGE_SAMPLES_MIN) {
+    if (delay == 0) {
         return fallback_us;
     }
-    int64_t delay = hist_quantile(latency, hedge_quantile);
     return delay > HEDGE_DELAY_MIN_US ? delay : HEDGE_DELAY_MIN_US;
 }
 
 uint64_t
 replica_cost(const replica_t *replica, uint64_t seed, int64_t now_us)
 {
-    uint64_t median = COST_UNKNOWN_US;
-    if (replica->latency.count >= HEDGE_SAMPLES_MIN) {
-        median = (uint64_t)hist_quantile(&replica->latency, 0.5);
-    }
+    uint64_t median =
+        replica->median_us == 0 ? COST_UNKNOWN_US : replica->median_us;
     uint64_t cost = median * (1 + replica->in_progress);
     if (replica->avoid_until_us > now_us) {
         cost += AVOID_COST_US;
--- a/core/replica.h
+++ b/core/replica.h
@@ -15,10 +15,13 @@
 #define CORE_REPLICA_H
 
 #include "core/hist.h"
+#include "core/latency.h"
 #include "core/topology.h"
 
 typedef struct {
-    hist_t latency; /* microseconds from send to reply, queue included */
+    latency_t latency;            /* from send to reply, queue included */
+    uint32_t median_us;           /* of latency; 0: too few replies */
+    uint32_t tail_us;             /* high quantile of latency, as median_us */
     uint64_t held[PART_HELD_MAX]; /* index versions, newest first; 0: none */
     int64_t avoid_until_us;       /* shedding, cold or lost: others go first */
     uint32_t in_progress;         /* attempts of this thread now open */
