daemon: count processor time by control thread, and memory

The control budget is given in processor time and memory, and a daemon only counted the time of its peer thread. Each fleet thread (membership, lease, configuration, platform) now notes its own, and /metrics shows the process's time and heap as well.

--- a/daemon/clock.c
+++ b/daemon/clock.c
@@ -21,3 +21,15 @@
 {
     return read_clock(CLOCK_REALTIME);
 }
+
+int64_t
+clock_thread_us(void)
+{
+    return read_clock(CLOCK_THREAD_CPUTIME_ID);
+}
+
+int64_t
+clock_process_us(void)
+{
+    return read_clock(CLOCK_PROCESS_CPUTIME_ID);
+}
--- a/daemon/clock.h
+++ b/daemon/clock.h
@@ -10,6 +10,12 @@
 /* Monotonic time in microseconds. */
 int64_t clock_now_us(void);
 
+/* Processor time of the calling thread in microseconds. */
+int64_t clock_thread_us(void);
+
+/* Processor time of the process in microseconds. */
+int64_t clock_process_us(void);
+
 /* Wall-clock time in microseconds since 1970. */
 int64_t clock_wall_us(void);
 
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -110,6 +110,12 @@
     pthread_cond_timedwait(&fleet->changed, &fleet->lock, &until);
 }
 
+void
+fleet_note_cpu(fleet_t *fleet, fleet_thread_t thread)
+{
+    atomic_store(&fleet->cpu_us[thread], clock_thread_us());
+}
+
 void
 fleet_sleep(fleet_t *fleet, int64_t wait_us)
 {
@@ -476,6 +482,7 @@
     fleet_t *fleet = context;
     while (!atomic_load(&fleet->stopping)) {
         fleet_tick(fleet);
+        fleet_note_cpu(fleet, FLEET_THREAD_FLEET);
         pthread_mutex_lock(&fleet->lock);
         if (!fleet->dirty) {
             fleet_wait(fleet, clock_now_us() + TICK_US);
@@ -488,14 +495,14 @@
 status_t
 fleet_start(fleet_t *fleet, peer_net_t *net, error_t *err)
 {
-    void *(*mains[])(void *) = {
-        fleet_main,
-        fleet_roster_main,
-        fleet_config_main,
-        fleet_platform_main,
+    void *(*const mains[FLEET_THREAD_COUNT])(void *) = {
+        [FLEET_THREAD_FLEET] = fleet_main,
+        [FLEET_THREAD_ROSTER] = fleet_roster_main,
+        [FLEET_THREAD_CONFIG] = fleet_config_main,
+        [FLEET_THREAD_PLATFORM] = fleet_platform_main,
     };
     fleet->net = net;
-    for (size_t i = 0; i < sizeof(mains) / sizeof(mains[0]); i++) {
+    for (size_t i = 0; i < FLEET_THREAD_COUNT; i++) {
         if (pthread_create(&fleet->threads[i], NULL, mains[i], fleet) != 0) {
             fleet_stop(fleet);
             return error_set(err, STATUS_INTERNAL, "start fleet", "-",
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -91,6 +91,15 @@
 /* Refuse new queries from now on. */
 void fleet_refuse_queries(fleet_t *fleet);
 
+/* Threads of a fleet_t, one for each mechanism. */
+typedef enum {
+    FLEET_THREAD_FLEET,    /* membership, heartbeats, views */
+    FLEET_THREAD_ROSTER,   /* the lease */
+    FLEET_THREAD_CONFIG,   /* the configuration */
+    FLEET_THREAD_PLATFORM, /* VM list and partitions */
+    FLEET_THREAD_COUNT
+} fleet_thread_t;
+
 /* What is known of one member, for status and confirmations. */
 typedef struct {
     char name[NAME_SIZE];
@@ -126,6 +135,7 @@
     size_t upstreams;
     size_t owned;
     roster_stats_t roster;
+    int64_t cpu_us[FLEET_THREAD_COUNT];
 } fleet_facts_t;
 
 void fleet_facts(fleet_t *fleet, fleet_facts_t *facts);
--- a/daemon/fleet_config.c
+++ b/daemon/fleet_config.c
@@ -374,6 +374,7 @@
         else {
             fleet_sleep(fleet, PAUSE_US);
         }
+        fleet_note_cpu(fleet, FLEET_THREAD_CONFIG);
     }
     store_release(&store);
     return NULL;
--- a/daemon/fleet_peers.c
+++ b/daemon/fleet_peers.c
@@ -469,6 +469,9 @@
     };
     roster_stats(fleet->roster, now_us, &facts->roster);
     facts->on_grants = facts->roster.on_grants;
+    for (size_t i = 0; i < FLEET_THREAD_COUNT; i++) {
+        facts->cpu_us[i] = atomic_load(&fleet->cpu_us[i]);
+    }
     for (size_t i = 0;
          fleet->world != NULL && i < fleet->world->topology->upstream_count;
          i++) {
--- a/daemon/fleet_platform.c
+++ b/daemon/fleet_platform.c
@@ -101,6 +101,7 @@
     }
     while (!atomic_load(&fleet->stopping)) {
         roster_turn(fleet, &store, key);
+        fleet_note_cpu(fleet, FLEET_THREAD_ROSTER);
     }
     store_release(&store);
     return NULL;
@@ -190,6 +191,7 @@
             read_partitions(fleet, &store);
             partitions_due_us = clock_now_us() + PARTITION_POLL_US;
         }
+        fleet_note_cpu(fleet, FLEET_THREAD_PLATFORM);
         fleet_sleep(fleet, (int64_t)settings->vmlist_poll_ms * US_PER_MS);
     }
     vmlist_release(&vmlist);
--- a/daemon/fleet_state.h
+++ b/daemon/fleet_state.h
@@ -65,10 +65,14 @@
     fleet_peer_t peers[FLEET_PEERS_MAX];
     size_t peer_count;
 
-    pthread_t threads[4];
+    atomic_llong cpu_us[FLEET_THREAD_COUNT]; /* by thread, as it last noted */
+    pthread_t threads[FLEET_THREAD_COUNT];
     size_t thread_count;
 };
 
+/* Note the calling thread's processor time. */
+void fleet_note_cpu(fleet_t *fleet, fleet_thread_t thread);
+
 /* Threads: the lease, the configuration, the VM list and partitions. */
 void *fleet_roster_main(void *context);
 void *fleet_config_main(void *context);
--- a/daemon/node_status.c
+++ b/daemon/node_status.c
@@ -6,6 +6,7 @@
 #include "fleet/entries.h"
 
 #include <inttypes.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -374,6 +375,28 @@
                 facts->roster.removals);
 }
 
+static void
+resource_metrics(metrics_t *metrics, const fleet_facts_t *facts)
+{
+    static const char *const threads[FLEET_THREAD_COUNT] = {
+        [FLEET_THREAD_FLEET] = "thread=\"fleet\"",
+        [FLEET_THREAD_ROSTER] = "thread=\"roster\"",
+        [FLEET_THREAD_CONFIG] = "thread=\"config\"",
+        [FLEET_THREAD_PLATFORM] = "thread=\"platform\"",
+    };
+    metrics_type(metrics, "yuccarun_thread_cpu_us_total", "counter",
+                 "Processor time of control by thread");
+    for (int i = 0; i < FLEET_THREAD_COUNT; i++) {
+        metrics_u64(metrics, "yuccarun_thread_cpu_us_total", threads[i],
+                    (uint64_t)facts->cpu_us[i]);
+    }
+    struct mallinfo2 heap = mallinfo2();
+    metrics_u64(metrics, "yuccarun_cpu_us_total", "",
+                (uint64_t)clock_process_us());
+    metrics_u64(metrics, "yuccarun_heap_bytes", "",
+                heap.uordblks + heap.hblkhd);
+}
+
 static void
 worker_metrics(metrics_t *metrics, node_t *node)
 {
@@ -414,6 +437,7 @@
     worker_metrics(&metrics, node);
     fleet_facts(node->fleet, &facts);
     fleet_metrics(&metrics, &facts);
+    resource_metrics(&metrics, &facts);
     peer_counters_t peers = peer_net_counters(node->net);
     peer_metrics(&metrics, &peers);
     store_metrics(&metrics, fleet_store_counters(node->fleet));
