test: split the transport's tests and keep chance out of them

Change: a name too long to come by chance; strangers and the splicer have a file of their own, the transports of tests one in t/lib.

--- /dev/null
+++ b/t/t0606-stranger.c
@@ -0,0 +1,266 @@
+/* Strangers on a daemon's port, and one who splices into a connection. */
+#include "t/lib/suite.h"
+#include "t/lib/test_peer.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CASES(table) (sizeof(table) / sizeof((table)[0]))
+
+static int
+connect_to(uint16_t port)
+{
+    struct sockaddr_in to = {
+        .sin_family = AF_INET,
+        .sin_port = htons(port),
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    ck_assert_int_eq(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+    return fd;
+}
+
+/* All that arrives until the other side closes; its size. */
+static size_t
+read_all(int fd, uint8_t *out, size_t max)
+{
+    size_t size = 0;
+    ssize_t got;
+    struct timeval limit = {.tv_sec = TEST_PEER_WAIT_MAX_S};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    while (size < max && (got = read(fd, out + size, max - size)) > 0) {
+        size += (size_t)got;
+    }
+    return size;
+}
+
+typedef struct {
+    const char *name;
+    const char *bytes;
+    size_t size;
+} stranger_case_t;
+
+#define SENT(bytes) bytes, sizeof(bytes) - 1
+
+static const stranger_case_t stranger_cases[] = {
+    {"another protocol", SENT("GET /v1/status HTTP/1.1\r\n\r\n")},
+    {"largest length", SENT("\xff\xff\xff\xff")},
+    {"no room for a header", SENT("\0\0\0\x01\x03")},
+    {"larger than a handshake frame", SENT("\0\0\x02\x0a\x02")},
+    {"a heartbeat at once", SENT("\0\0\0\x0b\x06\0\0\0\0\0\0\0\x01\x10\x09")},
+    {"a config push at once",
+     SENT("\0\0\0\x0b\x08\0\0\0\0\0\0\0\x01\x08\x63")},
+    {"a challenge", SENT("\0\0\0\x09\x01\0\0\0\0\0\0\0\x01")},
+    {"a hello without proof",
+     SENT("\0\0\0\x15\x02\0\0\0\0\0\0\0\x01\x08\x01\x10\x01\x1a\x02"
+          "c1\x3a\x02"
+          "b1")},
+    {"half a hello, until time is up", SENT("\0\0\0\x19\x02\0\0\0\0\0")},
+    {"malformed hello", SENT("\0\0\0\x0b\x02\0\0\0\0\0\0\0\x01\xff\xff")},
+};
+
+/* A stranger gets a challenge that names nobody, and changes nothing. */
+START_TEST(test_stranger)
+{
+    const stranger_case_t *c = &stranger_cases[_i];
+    test_peer_t b;
+    test_peer_start(&b, "not-to-be-told", 0x1122334455667788, 0, right_key);
+    int fd = connect_to(peer_net_port(b.net));
+    ck_assert_int_eq(send(fd, c->bytes, c->size, MSG_NOSIGNAL),
+                     (ssize_t)c->size);
+    uint8_t got[4096];
+    size_t size = read_all(fd, got, sizeof(got));
+    close(fd);
+    test_peer_wait(&b, &b.refused, 1);
+    frame_t frame;
+    if (size > 0) { /* a reset may discard the challenge */
+        ck_assert_int_eq(frame_parse(got, size, 0, 512, &frame), FRAME_READY);
+        ck_assert_msg(frame.size == size, "%s: more than a challenge",
+                      c->name);
+        ck_assert_int_eq(frame.type, MESSAGE_CHALLENGE);
+        ck_assert_uint_eq(frame.incarnation, 0);
+        ck_assert_ptr_null(memmem(got, size, "not-to", 6));
+        ck_assert_ptr_null(memmem(got, size, "north", 5));
+    }
+    ck_assert_uint_eq(test_peer_read(&b, &b.ups), 0);
+    ck_assert_uint_eq(test_peer_read(&b, &b.messages), 0);
+    ck_assert_uint_eq(peer_net_counters(b.net).strangers, 1);
+    test_peer_stop(&b);
+}
+END_TEST
+
+/* Whether the other side has closed, its challenge aside. */
+static bool
+is_closed(int fd)
+{
+    uint8_t bytes[512];
+    ssize_t got;
+    do {
+        got = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+    } while (got > 0);
+    return got == 0 || errno != EAGAIN;
+}
+
+/* Idle strangers in any number do not keep a peer out. */
+START_TEST(test_many_strangers)
+{
+    test_peer_t a;
+    test_peer_t b;
+    test_peer_start(&a, "a1", 1, 0, right_key);
+    test_peer_start(&b, "b1", 2, 0, right_key);
+    int fds[PEER_NET_STRANGERS_MAX * 2];
+    for (size_t i = 0; i < CASES(fds); i++) {
+        fds[i] = connect_to(peer_net_port(b.net));
+    }
+    test_peer_dial(&a, &b, 0);
+    test_peer_wait(&a, &a.ups, 1);
+    ck_assert(is_closed(fds[0])); /* the oldest gave way */
+    ck_assert_int_eq(test_peer_send(&a, &b, 1), STATUS_OK);
+    test_peer_wait(&b, &b.messages, 1);
+    for (size_t i = 0; i < CASES(fds); i++) {
+        close(fds[i]);
+    }
+    test_peer_stop(&a);
+    test_peer_stop(&b);
+}
+END_TEST
+
+/* Peers that are connected do not count as strangers. */
+START_TEST(test_many_peers)
+{
+    static test_peer_t peers[PEER_NET_STRANGERS_MAX + 1];
+    test_peer_t b;
+    test_peer_start(&b, "b1", 1000, 0, right_key);
+    for (size_t i = 0; i + 1 < CASES(peers); i++) {
+        char name[NAME_SIZE];
+        snprintf(name, sizeof(name), "a%zu", i);
+        test_peer_start(&peers[i], name, i + 1, 0, right_key);
+        test_peer_dial(&peers[i], &b, 0);
+    }
+    test_peer_wait(&b, &b.ups, PEER_NET_STRANGERS_MAX);
+    int strangers[] = {connect_to(peer_net_port(b.net)),
+                       connect_to(peer_net_port(b.net))};
+    test_peer_t *last = &peers[PEER_NET_STRANGERS_MAX];
+    test_peer_start(last, "last", 500, 0, right_key);
+    test_peer_dial(last, &b, 0);
+    test_peer_wait(&b, &b.ups, PEER_NET_STRANGERS_MAX + 1);
+    ck_assert(!is_closed(strangers[0]) && !is_closed(strangers[1]));
+    ck_assert_uint_eq(peer_net_counters(b.net).strangers, 0);
+    close(strangers[0]);
+    close(strangers[1]);
+    for (size_t i = 0; i < CASES(peers); i++) {
+        test_peer_stop(&peers[i]);
+    }
+    test_peer_stop(&b);
+}
+END_TEST
+
+/* What a splicer between two daemons does with one chunk of bytes. */
+typedef enum { SPLICE_PASS, SPLICE_FLIP, SPLICE_REPEAT, SPLICE_DROP } splice_t;
+
+typedef struct {
+    int listen_fd;
+    int fds[2]; /* 0: the dialer's, 1: the acceptor's */
+    uint16_t port;
+} splicer_t;
+
+static void
+splicer_open(splicer_t *splicer)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(at);
+    splicer->listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+    ck_assert_int_eq(bind(splicer->listen_fd, (struct sockaddr *)&at, size),
+                     0);
+    ck_assert_int_eq(listen(splicer->listen_fd, 1), 0);
+    getsockname(splicer->listen_fd, (struct sockaddr *)&at, &size);
+    splicer->port = ntohs(at.sin_port);
+}
+
+/* Pass one chunk on from side to the other, changed in such a way. */
+static void
+splicer_pass(splicer_t *splicer, size_t side, splice_t how)
+{
+    uint8_t bytes[4096];
+    ssize_t got = read(splicer->fds[side], bytes, sizeof(bytes));
+    ck_assert_int_gt(got, 0);
+    if (how == SPLICE_FLIP) {
+        bytes[got - 1] ^= 1;
+    }
+    for (int i = 0; i < (how == SPLICE_REPEAT ? 2 : 1); i++) {
+        if (how != SPLICE_DROP) {
+            send(splicer->fds[!side], bytes, (size_t)got, MSG_NOSIGNAL);
+        }
+    }
+}
+
+typedef struct {
+    const char *name;
+    splice_t how;
+    unsigned delivered; /* of the first heartbeat, then a good one */
+} splice_case_t;
+
+static const splice_case_t splice_cases[] = {
+    {"passed on", SPLICE_PASS, 2},
+    {"changed", SPLICE_FLIP, 0},
+    {"repeated", SPLICE_REPEAT, 1},
+    {"left out", SPLICE_DROP, 0},
+};
+
+START_TEST(test_splicer)
+{
+    const splice_case_t *c = &splice_cases[_i];
+    test_peer_t a;
+    test_peer_t b;
+    splicer_t splicer;
+    test_peer_start(&a, "a1", 1, 0, right_key);
+    test_peer_start(&b, "b1", 2, 0, right_key);
+    splicer_open(&splicer);
+    test_peer_dial(&a, &b, splicer.port);
+    splicer.fds[0] = accept(splicer.listen_fd, NULL, NULL);
+    splicer.fds[1] = connect_to(peer_net_port(b.net));
+    splicer_pass(&splicer, 1, SPLICE_PASS); /* challenge */
+    splicer_pass(&splicer, 0, SPLICE_PASS); /* hello */
+    splicer_pass(&splicer, 1, SPLICE_PASS); /* hello */
+    test_peer_wait(&a, &a.ups, 1);
+    ck_assert_int_eq(test_peer_send(&a, &b, 1), STATUS_OK);
+    splicer_pass(&splicer, 0, c->how);
+    if (c->how != SPLICE_REPEAT && c->how != SPLICE_FLIP) {
+        ck_assert_int_eq(test_peer_send(&a, &b, 2), STATUS_OK);
+        splicer_pass(&splicer, 0, SPLICE_PASS);
+    }
+    if (c->how == SPLICE_PASS) {
+        test_peer_wait(&b, &b.messages, 2);
+        ck_assert_uint_eq(test_peer_read(&b, &b.downs), 0);
+    }
+    else {
+        test_peer_wait(&b, &b.unreachable, 1);
+        ck_assert_uint_eq(peer_net_counters(b.net).strangers, 1);
+    }
+    ck_assert_msg(test_peer_read(&b, &b.messages) == c->delivered, "%s",
+                  c->name);
+    close(splicer.fds[0]);
+    close(splicer.fds[1]);
+    close(splicer.listen_fd);
+    test_peer_stop(&a);
+    test_peer_stop(&b);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("stranger");
+    tcase_set_timeout(tests, 0);
+    tcase_add_loop_test(tests, test_stranger, 0, CASES(stranger_cases));
+    tcase_add_test(tests, test_many_strangers);
+    tcase_add_test(tests, test_many_peers);
+    tcase_add_loop_test(tests, test_splicer, 0, CASES(splice_cases));
+    return suite_run("stranger", tests);
+}
