net: refuse a second handshake, and test faulty peers that hold the key

Cause: a Hello after the handshake was handed to the daemon as a message, and the check of the sender's incarnation in each frame had no test.

Change: handshake messages end an authenticated connection; a table of frames that a faulty peer with the key could send.

Conclusion: a faulty peer costs its own connection and is counted.

--- a/net/connection.c
+++ b/net/connection.c
@@ -301,6 +301,10 @@
         return connection_error(connection, STATUS_INVALID, "peer receive",
                                 "another sender's incarnation", err);
     }
+    if (frame->type == MESSAGE_CHALLENGE || frame->type == MESSAGE_HELLO) {
+        return connection_error(connection, STATUS_INVALID, "peer receive",
+                                "a second handshake", err);
+    }
     status_t status =
         message_decode(frame->type, frame->payload, frame->payload_size,
                        now_us, &event->message, err);
--- a/t/t0606-stranger.c
+++ b/t/t0606-stranger.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <pthread.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -253,6 +254,129 @@
 }
 END_TEST
 
+/* A peer that has the key and sends frames of its own making. */
+typedef struct {
+    int fd;
+    handshake_t handshake;
+    auth_stream_t *sender;
+    auth_stream_t *receiver;
+} insider_t;
+
+static void
+insider_receive(const insider_t *insider, message_t *message)
+{
+    uint8_t bytes[FRAME_HANDSHAKE_MAX_BYTES];
+    size_t size = 0;
+    frame_t frame;
+    while (frame_parse(bytes, size, 0, sizeof(bytes), &frame) == FRAME_MORE) {
+        ck_assert_int_eq(read(insider->fd, &bytes[size], 1), 1);
+        size++;
+    }
+    ck_assert_int_eq(message_decode(frame.type, frame.payload,
+                                    frame.payload_size, 0, message, NULL),
+                     STATUS_OK);
+}
+
+static void
+insider_send(insider_t *insider, uint8_t type, uint64_t incarnation,
+             const uint8_t *payload, size_t size)
+{
+    uint8_t bytes[FRAME_HANDSHAKE_MAX_BYTES * 2];
+    size_t mac_bytes = insider->sender == NULL ? 0 : FRAME_MAC_BYTES;
+    size_t whole = frame_size(size, mac_bytes);
+    frame_write_header(bytes, type, incarnation, size, mac_bytes);
+    memcpy(bytes + FRAME_HEADER_BYTES, payload, size);
+    if (mac_bytes > 0) {
+        ck_assert(auth_stream_seal(insider->sender, bytes, whole - mac_bytes,
+                                   bytes + whole - mac_bytes));
+    }
+    ck_assert_int_eq(send(insider->fd, bytes, whole, MSG_NOSIGNAL),
+                     (ssize_t)whole);
+}
+
+static void
+insider_open(insider_t *insider, const test_peer_t *to)
+{
+    static const identity_t self = {.name = "a1", .incarnation = 1};
+    static const uint8_t nonce[NONCE_BYTES] = {7};
+    message_t in;
+    message_t out;
+    uint8_t *bytes;
+    size_t size;
+    *insider = (insider_t){.fd = connect_to(peer_net_port(to->net))};
+    handshake_dial(&insider->handshake, &self, right_key, nonce, "", 0);
+    insider_receive(insider, &in);
+    ck_assert_int_eq(handshake_take(&insider->handshake, &in, &out),
+                     HANDSHAKE_CONTINUE);
+    message_release(&in);
+    ck_assert_int_eq(message_encode(&out, 0, &bytes, &size, NULL), STATUS_OK);
+    insider_send(insider, MESSAGE_HELLO, 1, bytes, size);
+    free(bytes);
+    insider_receive(insider, &in);
+    ck_assert_int_eq(handshake_take(&insider->handshake, &in, &out),
+                     HANDSHAKE_DONE);
+    message_release(&in);
+    ck_assert(handshake_streams(&insider->handshake, &insider->sender,
+                                &insider->receiver));
+}
+
+static void
+insider_close(insider_t *insider)
+{
+    auth_stream_free(insider->sender);
+    auth_stream_free(insider->receiver);
+    close(insider->fd);
+}
+
+typedef struct {
+    const char *name;
+    const char *payload;
+    size_t size;
+    uint64_t incarnation;
+    uint8_t type;
+    bool stays; /* the connection */
+} insider_case_t;
+
+static const insider_case_t insider_cases[] = {
+    {"a good heartbeat", SENT("\x10\x01"), 1, MESSAGE_HEARTBEAT, true},
+    {"a type of a later version", SENT("\xff\xff"), 1, 200, true},
+    {"another's incarnation", SENT("\x10\x01"), 2, MESSAGE_HEARTBEAT, false},
+    {"malformed", SENT("\x10"), 1, MESSAGE_HEARTBEAT, false},
+    {"a part that breaks a rule", SENT("\x0a\x00"), 1, MESSAGE_PARTS, false},
+    {"a second hello",
+     SENT("\x1a\x02"
+          "a1"),
+     1, MESSAGE_HELLO, false},
+};
+
+/* A faulty daemon's message is counted, and ends only its connection. */
+START_TEST(test_insider)
+{
+    const insider_case_t *c = &insider_cases[_i];
+    test_peer_t b;
+    insider_t insider;
+    test_peer_start(&b, "b1", 2, 0, right_key);
+    insider_open(&insider, &b);
+    insider_send(&insider, c->type, c->incarnation,
+                 (const uint8_t *)c->payload, c->size);
+    if (c->stays) {
+        insider_send(&insider, MESSAGE_HEARTBEAT, 1,
+                     (const uint8_t *)"\x10\x09", 2);
+        test_peer_wait(&b, &b.messages, c->type == MESSAGE_HEARTBEAT ? 2 : 1);
+        ck_assert_uint_eq(b.last, 9);
+    }
+    else {
+        test_peer_wait(&b, &b.unreachable, 1);
+        ck_assert_uint_eq(test_peer_read(&b, &b.messages), 0);
+    }
+    peer_counters_t counters = peer_net_counters(b.net);
+    ck_assert_msg(counters.broken == (c->stays ? 0 : 1), "%s", c->name);
+    ck_assert_uint_eq(counters.strangers, 0);
+    insider_close(&insider);
+    test_peer_stop(&b);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -262,5 +386,6 @@
     tcase_add_test(tests, test_many_strangers);
     tcase_add_test(tests, test_many_peers);
     tcase_add_loop_test(tests, test_splicer, 0, CASES(splice_cases));
+    tcase_add_loop_test(tests, test_insider, 0, CASES(insider_cases));
     return suite_run("stranger", tests);
 }
