core: count a piece's first send once in the added-load budget

Cause: each send of a piece that had not run before counted as a first send, so parts that no owner took, or that upstreams refused, raised the budget for hedges and retries with every round; so did all pieces of a restart, some of which had paid for their repeat. Change: a piece counts once, in the query's first cut.

--- a/core/plan.h
+++ b/core/plan.h
@@ -30,6 +30,7 @@
     int64_t not_before_us;
     int64_t hedge_at_us;
     bool repeats; /* an earlier attempt may have run */
+    bool counted; /* as a first send, in the budget */
     int reason;   /* reason_t: why it waits or failed */
 } piece_t;
 
--- a/core/query.c
+++ b/core/query.c
@@ -521,9 +521,10 @@
     if (!piece_may_repeat(query, context, piece, now_us)) {
         return false;
     }
-    if (!piece->repeats) {
+    if (!piece->counted && query->epoch == 0) {
         budget_first(context->budget, now_us);
     }
+    piece->counted = true;
     return piece_send(query, context, index, false, now_us, action);
 }
 
