--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -113,6 +113,10 @@
         }
         free(parsed);
     }
+    size_t heap = heap_bytes();
+    json_t *root = json_loadb(text, size, 0, NULL);
+    report("vmlist_tree_bytes", (double)(heap_bytes() - heap));
+    json_decref(root);
     report("vmlist_text_bytes", (double)size);
     report("vmlist_parse_us", (clock_us() - start) / ROUNDS);
     report("vmlist_kept_bytes", (double)(UPSTREAMS * sizeof(*upstreams)));
@@ -244,7 +248,7 @@
 bench_gate(config_t *config, topology_t *topology, size_t owned_count)
 {
     gate_settings_t settings = {
-        .queue_max = 10000,
+        .queue_max = 2500, /* of one worker */
         .ramp_step_us = SECOND_US,
         .ramp_successes = 4,
         .crash_limit = 3,
@@ -318,6 +322,26 @@
     return parts;
 }
 
+/* What a query holds while all its parts are in progress. */
+static void
+bench_query_bytes(const query_context_t *context)
+{
+    query_request_t request = {
+        .service = "service-000",
+        .tenant = "default",
+        .range = {.lo = 0, .hi = KEY_END},
+        .deadline_us = 2 * SECOND_US,
+    };
+    attempt_id_t id = {.incarnation = 1, .sequence = 1};
+    query_action_t action;
+    size_t heap = heap_bytes();
+    query_t *query = query_new(&request, context, id, SECOND_US);
+    while (query_next(query, context, SECOND_US, &action) == QUERY_SEND) {
+    }
+    report("query_bytes", (double)(heap_bytes() - heap));
+    query_free(query);
+}
+
 static void
 bench_query(config_t *config, topology_t *topology)
 {
@@ -338,6 +362,7 @@
         .added_percent = 5,
         .seed = 1,
     };
+    bench_query_bytes(&context);
     size_t parts = 0;
     int64_t now_us = SECOND_US;
     for (uint64_t i = 1; i <= QUERIES / 4; i++, now_us += SECOND_US) {
