daemon: take back a cancelled part that waits for the end of the step

Cause: a part and its cancellation taken in one step found the part admitted and not yet sent: the gate could not cancel it, nothing was sent to cancel, and the step then sent the part. Change: such a part is withdrawn, its slot given back, as not run. Conclusion: a hedge given up at once costs no upstream anything.

--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -337,6 +337,35 @@
     }
 }
 
+/* Admitted but not to be sent: its slot is given back, it never ran. */
+static void
+withdraw(admission_t *a, entry_t *entry, part_status_t status)
+{
+    gate_result_t result = {.status = status};
+    part_reply_t reply = {
+        .id = entry->id,
+        .status = status,
+        .not_run = true,
+    };
+    gate_finish(a->gate, entry->id, &result, a->now_us);
+    entry_end(a, entry, &reply);
+}
+
+/* Take back what waits for the end of the step; false: it does not. */
+static bool
+due_remove(admission_t *a, const entry_t *entry)
+{
+    for (size_t i = 0; i < a->due_count; i++) {
+        if (a->due[i] == entry) {
+            a->due_count--;
+            memmove(&a->due[i], &a->due[i + 1],
+                    (a->due_count - i) * sizeof(*a->due));
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 cancel_entry(admission_t *a, entry_t *entry)
 {
@@ -349,6 +378,10 @@
         entry_end(a, entry, &reply);
         return;
     }
+    if (due_remove(a, entry)) {
+        withdraw(a, entry, PART_CANCELLED);
+        return;
+    }
     int index = topology_upstream(a->world->topology, entry->request.upstream);
     if (entry->sent_us != 0 && index >= 0) {
         a->settings.upstream->cancel(
@@ -388,20 +421,6 @@
     return gate_new_quarantines(a->gate, out, max);
 }
 
-/* Admitted but not to be sent: its slot is given back, it never ran. */
-static void
-withdraw(admission_t *a, entry_t *entry, part_status_t status)
-{
-    gate_result_t result = {.status = status};
-    part_reply_t reply = {
-        .id = entry->id,
-        .status = status,
-        .not_run = true,
-    };
-    gate_finish(a->gate, entry->id, &result, a->now_us);
-    entry_end(a, entry, &reply);
-}
-
 static bool
 same_call(const entry_t *first, const entry_t *entry)
 {
