--- a/t/scenario/behind.c
+++ b/t/scenario/behind.c
@@ -399,6 +399,7 @@
         return;
     }
     call_t *call = caller_find(sim, run->request.id);
+    check_stopped(sim, call);
     if (call != NULL && strcmp(call->body, "poison") == 0) {
         behind_crash(sim, run->upstream);
         return;
--- a/t/scenario/check.c
+++ b/t/scenario/check.c
@@ -12,6 +12,7 @@
     GENERATION_FACTOR = 1000,
     INTENT_LATE_US = 150000,
     PASS_ON_LATE_US = 650000,
+    STOP_US = 10000, /* for a cancellation's way to the upstream */
     PERCENT = 100,
     PERMILLE = 1000
 };
@@ -135,6 +136,24 @@
     }
 }
 
+/* Work must not go on long after its request was answered. */
+void
+check_stopped(sim_t *sim, const call_t *call)
+{
+    if (call == NULL || call->done == 0 || call->operation->once ||
+        sim->now_us <= call->ended_us + STOP_US) {
+        return;
+    }
+    for (size_t i = 0; i < sim->node_count; i++) {
+        if (sim->nodes[i].disturbed_us >= call->sent_us) {
+            return;
+        }
+    }
+    sim_fail(sim, "%s: an upstream works on %.1f ms after its answer",
+             call->operation->name,
+             (double)(sim->now_us - call->ended_us) / (double)SIM_MS);
+}
+
 void
 check_reply(sim_t *sim, const part_reply_t *reply)
 {
--- a/t/scenario/node.c
+++ b/t/scenario/node.c
@@ -59,7 +59,13 @@
         delay_us =
             sim->link_delay_us + (int64_t)sim_draw(sim, spread) + more_us;
     }
-    sim_event_t *event = sim_push(sim, kind, sim->now_us + delay_us, to);
+    int64_t at_us = sim->now_us + delay_us;
+    int64_t *newest_us = &sim->link_at_us[from->index][to];
+    if (kind != EVENT_REPLY && at_us < *newest_us) {
+        at_us = *newest_us;
+    }
+    *newest_us = kind != EVENT_REPLY ? at_us : *newest_us;
+    sim_event_t *event = sim_push(sim, kind, at_us, to);
     event->from = from->incarnation;
     event->link_epoch = link_epoch(sim, from->index, to);
     return event;
--- a/t/scenario/sim.h
+++ b/t/scenario/sim.h
@@ -262,6 +262,8 @@
     size_t out_count;
     uint64_t highest_version; /* accepted */
     int64_t link_delay_us;
+    /* When the newest part or cancellation arrives: they keep their order. */
+    int64_t link_at_us[SIM_NODES_MAX][SIM_NODES_MAX];
     int64_t link_late_us;
     int64_t link_double_permille;
     uint64_t checks;
@@ -339,6 +341,7 @@
 void check_start(sim_t *sim, const sim_upstream_t *upstream,
                  const part_request_t *request, size_t node, bool runs);
 void check_answer(sim_t *sim, const call_t *call);
+void check_stopped(sim_t *sim, const call_t *call);
 void check_reply(sim_t *sim, const part_reply_t *reply);
 void check_config(sim_t *sim, const sim_node_t *node, uint64_t version);
 void check_expect(sim_t *sim, const step_t *step);
