--- a/daemon/admission.c
+++ b/daemon/admission.c
@@ -1,4 +1,5 @@
 #include "daemon/admission.h"
+#include "edge/event.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -23,6 +24,7 @@
 } outgoing_t;
 
 enum {
+    REPORT_PAUSE_US = 500000,   /* between two looks for cold upstreams */
     HEALTH_POLL_US = 2000000,   /* between two questions to one upstream */
     HEALTH_PAUSE_MIN_US = 10000 /* between two questions to any */
 };
@@ -32,6 +34,9 @@
     world_t *world;
     uint32_t *owned; /* indexes into the world's topology */
     size_t owned_count;
+    gate_upstream_t *seen; /* what the last look saw of the owned */
+    size_t seen_count;
+    int64_t seen_us;
     size_t health_next;
     int64_t health_due_us;
     gate_t *gate;
@@ -190,6 +195,7 @@
     gate_free(a->gate);
     world_put(a->world);
     free(a->owned);
+    free(a->seen);
     free(a->due);
     free(a->outgoing);
     free(a);
@@ -542,6 +548,48 @@
     return a->health_due_us;
 }
 
+static const gate_upstream_t *
+find_seen(const admission_t *a, const char *name)
+{
+    for (size_t i = 0; i < a->seen_count; i++) {
+        if (strcmp(a->seen[i].name, name) == 0) {
+            return &a->seen[i];
+        }
+    }
+    return NULL;
+}
+
+/*
+ * Log which upstreams turned cold or warm. That one newly owned starts cold
+ * is no event.
+ */
+static void
+log_cold(admission_t *a)
+{
+    if (a->now_us - a->seen_us < REPORT_PAUSE_US) {
+        return;
+    }
+    size_t room = a->owned_count > 0 ? a->owned_count : 1;
+    gate_upstream_t *now = calloc(room, sizeof(*now));
+    if (now == NULL) {
+        return;
+    }
+    size_t count = gate_report(a->gate, now, room);
+    count = count < room ? count : room;
+    for (size_t i = 0; i < count; i++) {
+        const gate_upstream_t *before = find_seen(a, now[i].name);
+        if (before != NULL && before->cold != now[i].cold) {
+            event_log(now[i].cold ? EVENT_UPSTREAM_COLD : EVENT_UPSTREAM_WARM,
+                      "upstream=%s slots=%u in_progress=%u", now[i].name,
+                      now[i].slots, now[i].in_progress);
+        }
+    }
+    free(a->seen);
+    a->seen = now;
+    a->seen_count = count;
+    a->seen_us = a->now_us;
+}
+
 int64_t
 admission_step(admission_t *a, int64_t now_us)
 {
@@ -552,6 +600,7 @@
         send_due(a);
     } while (a->due_count > 0);
     flush_replies(a);
+    log_cold(a);
     int64_t health_us = ask_health(a);
     int64_t gate_us = gate_wakeup(a->gate, now_us);
     return health_us < gate_us ? health_us : gate_us;
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -269,7 +269,7 @@
 
 /* Upstreams that are ours and still held by another. */
 static bool
-has_waiting_owner(fleet_t *fleet, const world_t *world)
+has_waiting_owner(const world_t *world)
 {
     for (size_t i = 0; i < world->topology->upstream_count; i++) {
         if (world->self != WORLD_NO_MEMBER && world->owner[i] == world->self &&
@@ -277,10 +277,40 @@
             return true;
         }
     }
-    (void)fleet;
     return false;
 }
 
+static bool
+has_member(const world_t *world, const roster_member_t *member)
+{
+    return world_member(world, member->incarnation) != WORLD_NO_MEMBER;
+}
+
+/* Who came and who went, and that owners follow. Lock held. */
+static void
+log_members(fleet_t *fleet, const world_t *before, const world_t *after)
+{
+    const roster_doc_t *doc = roster_members(fleet->roster);
+    for (size_t i = 0; i < after->member_count; i++) {
+        if (!has_member(before, &after->members[i])) {
+            event_log(EVENT_MEMBER_JOINED, "member=%s zone=%s",
+                      after->members[i].name, after->members[i].zone);
+        }
+    }
+    for (size_t i = 0; i < before->member_count; i++) {
+        const roster_member_t *member = &before->members[i];
+        if (has_member(after, member)) {
+            continue;
+        }
+        bool removed = strcmp(member->name, doc->removed_name) == 0;
+        event_log(removed ? EVENT_MEMBER_REMOVED : EVENT_MEMBER_LEFT,
+                  "member=%s zone=%s cause=%s", member->name, member->zone,
+                  removed ? "silent" : "own");
+    }
+    event_log(EVENT_OWNERS_CHANGED, "roster=%" PRIu64 " members=%zu",
+              after->roster_version, after->member_count);
+}
+
 /* Build and keep a new view; returns it with a reference. Lock held. */
 static world_t *
 rebuild_world(fleet_t *fleet, int64_t now_us)
@@ -294,10 +324,9 @@
     world->leaving = fleet->refusing;
     if (fleet->world != NULL &&
         fleet->world->roster_version != world->roster_version) {
-        event_log(EVENT_OWNERS_CHANGED, "roster=%" PRIu64 " members=%zu",
-                  world->roster_version, world->member_count);
+        log_members(fleet, fleet->world, world);
     }
-    fleet->owners_waiting = has_waiting_owner(fleet, world);
+    fleet->owners_waiting = has_waiting_owner(world);
     world_put(fleet->world);
     fleet->world = world;
     fleet->dirty = false;
--- a/edge/event.c
+++ b/edge/event.c
@@ -60,6 +60,12 @@
     return event_entries[event].name;
 }
 
+event_level_t
+event_level(event_t event)
+{
+    return event_entries[event].level;
+}
+
 bool
 event_level_parse(const char *name, event_level_t *level)
 {
--- a/edge/event.h
+++ b/edge/event.h
@@ -32,7 +32,6 @@
     X(STOPPING, 101, "stopping", INFO)                                        \
     X(STOPPED, 102, "stopped", INFO)                                          \
     X(HURRIED, 103, "hurried", WARN)                                          \
-    X(SETTINGS_REFUSED, 110, "settings_refused", ERROR)                       \
     X(LISTEN_FAILED, 111, "listen_failed", ERROR)                             \
     X(CONFIG_IN_FORCE, 200, "config_in_force", INFO)                          \
     X(CONFIG_REFUSED, 201, "config_refused", ERROR)                           \
@@ -41,8 +40,8 @@
     X(CONFIG_CHANGED, 204, "config_changed_by_operator", INFO)                \
     X(CONFIG_UNTRUSTED, 205, "config_untrusted", ERROR)                       \
     X(CONFIG_TRUSTED, 206, "config_trusted_again", INFO)                      \
-    X(CONFIG_WRITTEN_BACK, 208, "config_written_back", WARN)                  \
     X(HOLDS, 207, "holds_changed", WARN)                                      \
+    X(CONFIG_WRITTEN_BACK, 208, "config_written_back", WARN)                  \
     X(STORE_DOWN, 300, "store_down", ERROR)                                   \
     X(STORE_BACK, 301, "store_back", INFO)                                    \
     X(VMLIST_DOWN, 310, "vm_list_down", WARN)                                 \
@@ -83,6 +82,8 @@
 int event_number(event_t event);
 const char *event_name(event_t event);
 
+event_level_t event_level(event_t event);
+
 /* Level of a name ("debug", "info", "warn", "error"); false: none such. */
 bool event_level_parse(const char *name, event_level_t *level);
 
