daemon: route by what is held, and around owners that are silent

Faults and gaps seen by the stand-ins' side: - a zone held out without the store was logged everywhere and never reached the view that work is routed by; - a replica's versions were believed however old the reply that told them: a group that was not asked since a new version came was passed over, and the query was partial with a part never sent; - for the 6 s until a paused or killed owner was replaced others went on choosing its upstreams and waited to their deadlines; - a daemon was ready before it knew the partitions, and refused with no_upstream what callers then sent; - replies went by the view's members only; the HTTP server used select().

Scenario tests are linked by a rule of their own: twice a parallel build linked one without its runner. t0701 no longer asserts how many connections libcurl makes when a server closes under it, which depends on when it notices.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 # The scenarios' runner is linked by the tests of it only.
 SCENARIO_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard t/scenario/*.c)))
 TEST_BIN := $(patsubst t/%.c,$(B)/t/%,$(sort $(wildcard t/t[0-9]*.c)))
+SCENARIO_BIN := $(filter $(B)/t/t08%,$(TEST_BIN))
 # Only tests that start threads run under the thread sanitizer.
 TSAN_TEST_BIN := $(patsubst t/%.c,build/tsan/t/%,$(shell \
 	grep -l pthread t/t[0-9]*.c 2>/dev/null))
@@ -96,10 +97,10 @@
 $(B)/bench-%: $(B)/bench/%.o $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(B)/t/t08%: $(B)/t/t08%.o $(SCENARIO_OBJ) $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
+$(SCENARIO_BIN): $(B)/t/%: $(B)/t/%.o $(SCENARIO_OBJ) $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
-$(B)/t/t%: $(B)/t/t%.o $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
+$(filter-out $(SCENARIO_BIN),$(TEST_BIN)): $(B)/t/%: $(B)/t/%.o $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
 deps:
--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -230,12 +230,17 @@
 bench_world(config_t *config, topology_t *topology)
 {
     roster_t *roster = group_roster();
+    member_settings_t silence = MEMBER_SETTINGS_DEFAULT;
+    member_table_t members;
+    member_table_init(&members, &silence);
+    member_table_sync(&members, roster_members(roster), "d0", SECOND_US);
     world_t *world = NULL;
     size_t heap = heap_bytes();
     double start = clock_us();
     for (size_t i = 0; i < ROUNDS; i++) {
         world_put(world);
-        world = world_new(config, topology, roster, 1, 2 * SECOND_US);
+        world =
+            world_new(config, topology, roster, &members, 1, 2 * SECOND_US);
     }
     report("world_members", (double)world->member_count);
     report("world_build_us", (clock_us() - start) / ROUNDS);
--- a/core/plan.c
+++ b/core/plan.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <xxhash.h>
 
+/* Above any cost of a replica that is not doubtful. */
+#define DOUBT_COST (UINT64_C(1) << 60)
+
 enum {
     VERSIONS_MAX = 16, /* candidates weighed for a pin */
     TRIED_BITS = 64
@@ -145,7 +148,24 @@
     if (choice->hedge && replica->avoid_until_us > now_us) {
         return false;
     }
-    return replica_may_hold(replica, choice->version);
+    return replica_may_hold_by_now(replica, choice->version, now_us);
+}
+
+/* Lower is better; what is doubtful comes after what is not. */
+static uint64_t
+choice_cost(const plan_choice_t *choice, size_t index, uint64_t spread,
+            int64_t now_us)
+{
+    const replica_t *replica = &choice->replicas->replicas[index];
+    uint64_t cost =
+        choice->random ? spread >> 8 : replica_cost(replica, spread, now_us);
+    if (!replica_may_hold(replica, choice->version)) {
+        cost += DOUBT_COST;
+    }
+    if (choice->doubtful != NULL && choice->doubtful[index]) {
+        cost += DOUBT_COST;
+    }
+    return cost;
 }
 
 uint32_t
@@ -163,11 +183,7 @@
             continue;
         }
         uint64_t spread = XXH64(&i, sizeof(i), choice->seed);
-        uint64_t cost =
-            choice->random
-                ? spread >> 1
-                : replica_cost(&choice->replicas->replicas[first + i], spread,
-                               now_us);
+        uint64_t cost = choice_cost(choice, first + i, spread, now_us);
         if (cost < best_cost) {
             best_cost = cost;
             best = (uint32_t)(first + i);
@@ -178,13 +194,14 @@
 }
 
 bool
-plan_version_possible(const plan_choice_t *choice, const piece_t *piece)
+plan_version_possible(const plan_choice_t *choice, const piece_t *piece,
+                      int64_t now_us)
 {
     size_t first;
     size_t size = topology_group(choice->replicas->topology, choice->service,
                                  piece->group, &first);
     for (size_t i = first; i < first + size; i++) {
-        if (replica_fits(choice, i, INT64_MAX)) {
+        if (replica_fits(choice, i, now_us)) {
             return true;
         }
     }
--- a/core/plan.h
+++ b/core/plan.h
@@ -29,6 +29,8 @@
     uint64_t tried; /* replicas asked this round, a bit a position */
     int64_t not_before_us;
     int64_t hedge_at_us;
+    uint32_t attempt; /* the one that is not a hedge, while running */
+    bool hedged;
     bool repeats; /* an earlier attempt may have run */
     bool counted; /* as a first send, in the budget */
     int reason;   /* reason_t: why it waits or failed */
@@ -56,7 +58,8 @@
     const config_t *config;
     const replica_table_t *replicas;
     const char *service;
-    uint64_t version; /* replicas known not to hold it are left out */
+    const bool *doubtful; /* per upstream: its owner is silent; NULL: none */
+    uint64_t version;     /* replicas known not to hold it are left out */
     uint64_t seed;
     bool hedge;  /* leave out replicas that shed or are cold */
     bool random; /* any replica that fits, whatever its cost */
@@ -70,7 +73,8 @@
                       size_t *position, int64_t now_us);
 
 /* Whether any usable replica of the piece's group may hold the version. */
-bool plan_version_possible(const plan_choice_t *choice, const piece_t *piece);
+bool plan_version_possible(const plan_choice_t *choice, const piece_t *piece,
+                           int64_t now_us);
 
 /* The bit of piece->tried for a position in the group. */
 uint64_t plan_position_bit(size_t position);
--- a/core/query.c
+++ b/core/query.c
@@ -236,6 +236,7 @@
         .config = context->config,
         .replicas = context->replicas,
         .service = query->request.service,
+        .doubtful = context->doubtful,
         .version = query->version,
         .seed = XXH64(&salt, sizeof(salt), context->seed ^ query->id.sequence),
         .hedge = hedge,
@@ -353,6 +354,8 @@
     piece->state = PIECE_RUNNING;
     piece->hedge_at_us =
         hedge ? NEVER_US : hedge_time(query, context, upstream, now_us);
+    piece->attempt = hedge ? piece->attempt : (uint32_t)slot;
+    piece->hedged = hedge;
     action_fill(query, slot, action);
     action_name_upstream(context, action);
     return true;
@@ -507,7 +510,8 @@
     plan_choice_t choice = query_choice(query, context, false);
     size_t position;
     if (plan_replica(&choice, piece, &position, now_us) == PLAN_NO_UPSTREAM) {
-        if (query->version != 0 && !plan_version_possible(&choice, piece)) {
+        if (query->version != 0 &&
+            !plan_version_possible(&choice, piece, now_us)) {
             piece_no_snapshot(query, context, index, now_us);
         }
         else if (piece->tried != 0) {
@@ -528,12 +532,24 @@
     return piece_send(query, context, index, false, now_us, action);
 }
 
+/* The owner that the piece waits for has gone silent: no use in waiting. */
+static bool
+piece_is_stuck(const query_t *query, const query_context_t *context,
+               const piece_t *piece)
+{
+    uint32_t upstream = query->attempts[piece->attempt].upstream;
+    return context->doubtful != NULL && !piece->hedged &&
+           !query->request.once && upstream != PLAN_NO_UPSTREAM &&
+           context->doubtful[upstream];
+}
+
 static bool
 piece_hedge(query_t *query, const query_context_t *context, size_t index,
             int64_t now_us, query_action_t *action)
 {
     piece_t *piece = &query->pieces[index];
-    if (piece->hedge_at_us > now_us) {
+    if (piece->hedge_at_us > now_us &&
+        !piece_is_stuck(query, context, piece)) {
         return false;
     }
     piece->hedge_at_us = NEVER_US;
--- a/core/replica.c
+++ b/core/replica.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 enum {
+    HELD_FRESH_MS = 100,    /* a replica may take a new version later */
     AVOID_US = 200000,      /* after a shed, cold or lost reply */
     DECAY_SAMPLES = 4096,   /* of a service, then older replies weigh half */
     HEDGE_SAMPLES_MIN = 20, /* replies before quantiles are trusted */
@@ -111,6 +112,12 @@
     replica->tail_us = (uint32_t)latency_quantile(latency, hedge_quantile);
 }
 
+static uint32_t
+milliseconds(int64_t time_us)
+{
+    return (uint32_t)(time_us / 1000);
+}
+
 void
 replica_table_learn(replica_table_t *table, uint32_t upstream,
                     const part_reply_t *reply, int64_t latency_us,
@@ -124,6 +131,7 @@
     }
     if (reply->status == PART_OK || reply->status == PART_NO_VERSION) {
         memcpy(replica->held, reply->held, sizeof(replica->held));
+        replica->held_ms = milliseconds(now_us);
     }
     if (status_says_avoid(reply->status)) {
         int64_t wait =
@@ -146,6 +154,16 @@
     return false;
 }
 
+bool
+replica_may_hold_by_now(const replica_t *replica, uint64_t version,
+                        int64_t now_us)
+{
+    bool newer = version > replica->held[0];
+    uint32_t age_ms = milliseconds(now_us) - replica->held_ms;
+    return replica_may_hold(replica, version) ||
+           (newer && age_ms >= HELD_FRESH_MS);
+}
+
 int64_t
 replica_hedge_delay_us(const replica_table_t *table, uint32_t upstream,
                        int64_t fallback_us)
--- a/core/replica.h
+++ b/core/replica.h
@@ -25,6 +25,7 @@
     uint64_t held[PART_HELD_MAX]; /* index versions, newest first; 0: none */
     int64_t avoid_until_us;       /* shedding, cold or lost: others go first */
     uint32_t in_progress;         /* attempts of this thread now open */
+    uint32_t held_ms; /* when held was told; only differences count */
 } replica_t;
 
 enum { REPLICA_SERVICES_MAX = 64 };
@@ -59,6 +60,13 @@
 /* Whether the upstream is known to hold the version; unknown counts as yes. */
 bool replica_may_hold(const replica_t *replica, uint64_t version);
 
+/*
+ * Whether it may hold the version by now: it does as far as known, or what is
+ * known is of a while ago and the version newer than any it held then.
+ */
+bool replica_may_hold_by_now(const replica_t *replica, uint64_t version,
+                             int64_t now_us);
+
 /*
  * How long to wait for a reply before asking another replica, in
  * microseconds: from the replica's own latency, from that of its service
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -315,8 +315,9 @@
 static world_t *
 rebuild_world(fleet_t *fleet, int64_t now_us)
 {
-    world_t *world = world_new(fleet->config, fleet->topology, fleet->roster,
-                               fleet->settings.incarnation, now_us);
+    world_t *world =
+        world_new(fleet->effective, fleet->topology, fleet->roster,
+                  &fleet->members, fleet->settings.incarnation, now_us);
     if (world == NULL) {
         return NULL;
     }
@@ -372,6 +373,7 @@
     }
     size_t count = member_table_tick(&fleet->members, now_us, changes,
                                      ROSTER_MEMBERS_MAX);
+    fleet->dirty = fleet->dirty || count > 0;
     for (size_t i = 0; i < count && i < ROSTER_MEMBERS_MAX; i++) {
         event_log(EVENT_MEMBER_STATE, "member=%s from=%s to=%s",
                   changes[i].name, member_state_name(changes[i].from),
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -112,10 +112,6 @@
     bool self;
 } fleet_member_t;
 
-/* Name of a daemon heard from, a member or not; false: never heard. */
-bool fleet_peer_name(fleet_t *fleet, uint64_t incarnation,
-                     char name[NAME_SIZE]);
-
 /* Members of the roster; returns how many there are. */
 size_t fleet_members(fleet_t *fleet, fleet_member_t *out, size_t max);
 
--- a/daemon/fleet_peers.c
+++ b/daemon/fleet_peers.c
@@ -396,18 +396,6 @@
     return NULL;
 }
 
-bool
-fleet_peer_name(fleet_t *fleet, uint64_t incarnation, char name[NAME_SIZE])
-{
-    pthread_mutex_lock(&fleet->lock);
-    const fleet_peer_t *peer = find_peer(fleet, incarnation);
-    if (peer != NULL) {
-        memcpy(name, peer->name, NAME_SIZE);
-    }
-    pthread_mutex_unlock(&fleet->lock);
-    return peer != NULL;
-}
-
 size_t
 fleet_members(fleet_t *fleet, fleet_member_t *out, size_t max)
 {
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -107,6 +107,25 @@
     return node->fleet == NULL ? err->status : STATUS_OK;
 }
 
+static bool
+start_framework(struct _u_instance *http)
+{
+    /* The library's own start uses select(), which fails above 1024 files. */
+    unsigned flags = MHD_USE_THREAD_PER_CONNECTION |
+                     MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
+    struct MHD_OptionItem options[] = {
+        {.option = MHD_OPTION_NOTIFY_COMPLETED,
+         .value = (intptr_t)mhd_request_completed},
+        {.option = MHD_OPTION_URI_LOG_CALLBACK,
+         .value = (intptr_t)ulfius_uri_logger},
+        {.option = MHD_OPTION_SOCK_ADDR, .ptr_value = http->bind_address},
+        {.option = MHD_OPTION_CONNECTION_TIMEOUT, .value = HTTP_IDLE_S},
+        {.option = MHD_OPTION_END},
+    };
+    return ulfius_start_framework_with_mhd_options(http, flags, options) ==
+           U_OK;
+}
+
 static status_t
 start_http(node_t *node, error_t *err)
 {
@@ -149,7 +168,7 @@
     if (status != STATUS_OK) {
         return status;
     }
-    if (ulfius_start_framework(node->http) != U_OK) {
+    if (!start_framework(node->http)) {
         return error_set(err, STATUS_UNAVAILABLE, "listen for http",
                          node->settings.listen_address,
                          "port %u cannot be opened",
--- a/daemon/node_route.c
+++ b/daemon/node_route.c
@@ -16,23 +16,8 @@
 bool
 node_send(node_t *node, uint64_t incarnation, const message_t *message)
 {
-    world_t *world = fleet_world(node->fleet);
-    if (world == NULL) {
-        return false;
-    }
-    char name[NAME_SIZE] = "";
-    int member = world_member(world, incarnation);
-    if (member != WORLD_NO_MEMBER) {
-        memcpy(name, world->members[member].name, NAME_SIZE);
-    }
-    world_put(world);
-    /* One that has just started coordinates before the roster names it. */
-    if (member == WORLD_NO_MEMBER &&
-        !fleet_peer_name(node->fleet, incarnation, name)) {
-        return false;
-    }
     error_t ignored = ERROR_INIT;
-    return peer_net_send(node->net, name, incarnation, message, &ignored) ==
+    return peer_net_send(node->net, NULL, incarnation, message, &ignored) ==
            STATUS_OK;
 }
 
--- a/daemon/node_status.c
+++ b/daemon/node_status.c
@@ -284,13 +284,27 @@
     return json_pack("{s:o, s:o}", "daemons", daemons, "silent", silent);
 }
 
+/* Whether each service of the table has a partition. */
+static bool
+knows_partitions(const world_t *world)
+{
+    for (size_t i = 0; i < world->config->row_count; i++) {
+        if (topology_partition(world->topology,
+                               world->config->rows[i].service) == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 node_ready(void *context)
 {
     node_t *node = context;
     world_t *world = fleet_world(node->fleet);
     bool ready = world != NULL && world->config != NULL && world->trusted &&
-                 !world->leaving && !atomic_load(&node->leaving);
+                 !world->leaving && !atomic_load(&node->leaving) &&
+                 knows_partitions(world);
     world_put(world);
     return ready;
 }
--- a/daemon/world.c
+++ b/daemon/world.c
@@ -17,7 +17,8 @@
 }
 
 static void
-world_fill_owners(world_t *world, roster_t *roster, int64_t now_us)
+world_fill_owners(world_t *world, roster_t *roster,
+                  const member_table_t *members, int64_t now_us)
 {
     for (size_t i = 0; i < world->topology->upstream_count; i++) {
         const upstream_info_t *upstream = &world->topology->upstreams[i];
@@ -27,12 +28,16 @@
         world->owner[i] = (int16_t)member;
         /* A lease that pauses is checked with each send, not here. */
         world->active[i] = owner == ROSTER_ACTIVE || owner == ROSTER_PAUSED;
+        world->doubtful[i] =
+            owner == ROSTER_OTHER &&
+            member_state(members, world->members[member].name) != MEMBER_ALIVE;
     }
 }
 
 world_t *
 world_new(config_t *config, topology_t *topology, roster_t *roster,
-          uint64_t self_incarnation, int64_t now_us)
+          const member_table_t *members, uint64_t self_incarnation,
+          int64_t now_us)
 {
     world_t *world = calloc(1, sizeof(*world));
     if (world == NULL) {
@@ -44,14 +49,16 @@
     world->topology = topology_get(topology);
     world->owner = calloc(count > 0 ? count : 1, sizeof(*world->owner));
     world->active = calloc(count > 0 ? count : 1, sizeof(*world->active));
+    world->doubtful = calloc(count > 0 ? count : 1, sizeof(*world->doubtful));
     if (world->owner == NULL || world->active == NULL ||
+        world->doubtful == NULL ||
         !world_copy_members(world, roster_members(roster))) {
         world_put(world);
         return NULL;
     }
     world->roster_version = roster_version(roster);
     world->self = world_member(world, self_incarnation);
-    world_fill_owners(world, roster, now_us);
+    world_fill_owners(world, roster, members, now_us);
     return world;
 }
 
@@ -73,6 +80,7 @@
     free(world->members);
     free(world->owner);
     free(world->active);
+    free(world->doubtful);
     free(world);
 }
 
--- a/daemon/world.h
+++ b/daemon/world.h
@@ -10,6 +10,7 @@
 
 #include "core/table.h"
 #include "core/topology.h"
+#include "fleet/member.h"
 #include "fleet/roster.h"
 
 #define WORLD_NO_MEMBER (-1)
@@ -25,12 +26,14 @@
     bool leaving;   /* this daemon takes no new queries */
     int16_t *owner; /* a member per upstream, or WORLD_NO_MEMBER */
     bool *active;   /* this daemon may admit for the upstream */
+    bool *doubtful; /* per upstream: its owner is another, and silent */
     uint64_t roster_version;
 } world_t;
 
 /* Takes one reference of config and topology; NULL: no memory. */
 world_t *world_new(config_t *config, topology_t *topology, roster_t *roster,
-                   uint64_t self_incarnation, int64_t now_us);
+                   const member_table_t *members, uint64_t self_incarnation,
+                   int64_t now_us);
 world_t *world_get(world_t *world);
 void world_put(world_t *world); /* NULL ok */
 
--- a/t/t0110-query.c
+++ b/t/t0110-query.c
@@ -498,6 +498,64 @@
 }
 END_TEST
 
+/*
+ * Group 1 was last heard of before the new version came: it is asked for it
+ * all the same, and only what it has just denied is believed.
+ */
+START_TEST(test_old_knowledge_is_asked_again)
+{
+    fixture_t f;
+    query_action_t sends[8];
+    fixture_init(&f, false);
+    query_free(f.query);
+    part_reply_t reply = {.status = PART_OK, .held = {VERSION}};
+    for (uint32_t i = 0; i < GROUPS * REPLICAS; i++) {
+        replica_table_learn(&f.replicas, i, &reply, 5000, 0);
+    }
+    reply.held[0] = VERSION + 1;
+    replica_table_learn(&f.replicas, 0, &reply, 5000, 0);
+    const replica_t *stale = &f.replicas.replicas[REPLICAS];
+    ck_assert(replica_may_hold_by_now(stale, VERSION, 0));
+    ck_assert(!replica_may_hold_by_now(stale, VERSION + 1, 50000));
+    ck_assert(!replica_may_hold_by_now(stale, VERSION - 1, 500000));
+    ck_assert(replica_may_hold_by_now(stale, VERSION + 1, 500000));
+    for (uint32_t i = 0; i < REPLICAS; i++) {
+        replica_table_learn(&f.replicas, i, &reply, 5000, 0);
+    }
+    query_request_t request = {.service = "desk",
+                               .range = {0, KEY_END},
+                               .deadline_us = 500000 + DEADLINE_US};
+    attempt_id_t id = {.incarnation = 5, .sequence = 9};
+    f.query = query_new(&request, &f.context, id, 500000);
+    size_t count = take_sends(&f, 500000, sends, 8);
+    ck_assert_uint_eq(count, 2);
+    for (size_t i = 0; i < count; i++) {
+        ck_assert_uint_eq(sends[i].request.version, VERSION + 1);
+    }
+    fixture_release(&f);
+}
+END_TEST
+
+/* A replica whose owner is silent comes last, and what waits is hedged. */
+START_TEST(test_silent_owner)
+{
+    fixture_t f;
+    query_action_t sends[8];
+    bool doubtful[GROUPS * REPLICAS] = {false};
+    fixture_init(&f, false);
+    f.context.doubtful = doubtful;
+    ck_assert_uint_eq(take_sends(&f, 0, sends, 8), 2);
+    ck_assert_uint_eq(take_sends(&f, 100, sends + 2, 6), 0);
+    doubtful[sends[0].upstream] = true;
+    ck_assert_uint_eq(take_sends(&f, 200, sends + 2, 6), 1);
+    ck_assert(sends[2].request.hedge);
+    ck_assert_uint_eq(sends[2].request.range.lo, sends[0].request.range.lo);
+    ck_assert(!doubtful[sends[2].upstream]);
+    ck_assert_uint_eq(take_sends(&f, 300, sends + 3, 5), 0);
+    fixture_release(&f);
+}
+END_TEST
+
 START_TEST(test_partition_changes)
 {
     /* A replica has moved to a newer partition: all restart there. */
@@ -589,6 +647,8 @@
                         sizeof(policy_cases) / sizeof(policy_cases[0]));
     tcase_add_test(tests, test_random_replica);
     tcase_add_test(tests, test_version_changes);
+    tcase_add_test(tests, test_old_knowledge_is_asked_again);
+    tcase_add_test(tests, test_silent_owner);
     tcase_add_test(tests, test_partition_changes);
     tcase_add_test(tests, test_zone_out);
     tcase_add_test(tests, test_first_version_is_probed);
--- a/t/t0701-upstream.c
+++ b/t/t0701-upstream.c
@@ -104,11 +104,11 @@
     part_status_t status;
     bool once;
     bool not_run;
-    unsigned connections; /* libcurl may try again; the body has no rewind */
+    unsigned connections; /* 0: one or two, as libcurl notices the close */
 } twice_case_t;
 
 static const twice_case_t twice_cases[] = {
-    {"closed after reading", {.close = true}, PART_LOST, false, false, 2},
+    {"closed after reading", {.close = true}, PART_LOST, false, false, 0},
     {"closed after reading, once", {.close = true}, PART_LOST, true, false, 2},
     {"half an answer",
      {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{",
@@ -182,7 +182,8 @@
     ck_assert_msg(script_server_requests(server) == 2, "%s: read %u times",
                   c->name, script_server_requests(server) - 1);
     ck_assert(!script_server_saw(server, "Expect:"));
-    ck_assert_msg(script_server_connections(server) == c->connections,
+    ck_assert_msg(c->connections == 0 ||
+                      script_server_connections(server) == c->connections,
                   "%s: %u connections", c->name,
                   script_server_connections(server));
     upstream_http_ops.free(client);
