--- a/t/scenario/check.c
+++ b/t/scenario/check.c
@@ -253,15 +253,21 @@
     }
 }
 
+/* The version in force only rises, and is the one that others are told. */
 void
-check_config(sim_t *sim, const sim_node_t *node, uint64_t version)
+check_config(sim_t *sim, sim_node_t *node)
 {
+    uint64_t version = node->config->version;
     sim->checks++;
-    if (node->config != NULL && node->config->version != node->sync.version) {
+    if (version < node->highest_version) {
+        sim_fail(sim, "%s: version %" PRIu64 " after %" PRIu64, node->name,
+                 version, node->highest_version);
+    }
+    if (version != node->sync.version) {
         sim_fail(sim, "%s: version in force is not the one it speaks of",
                  node->name);
     }
-    (void)version;
+    node->highest_version = version;
 }
 
 void
--- a/t/scenario/config.c
+++ b/t/scenario/config.c
@@ -178,17 +178,50 @@
     node->effective = copy;
     confsync_adopt(&node->sync, node->config->version,
                    hold_set_digest(&node->holds));
+    check_config(sim, node);
     sim_node_follow(sim, node->index);
 }
 
+/* A newer configuration ends holds; those of its own are made anew. */
+static void
+renew_own_holds(sim_node_t *node, const config_t *config)
+{
+    size_t kept = 0;
+    hold_set_drop(&node->holds, config->version);
+    for (size_t i = 0; i < node->own_hold_count; i++) {
+        hold_t own = node->own_holds[i];
+        bool is_out = own.kind == HOLD_ZONE
+                          ? config_zone_is_out(config, own.name)
+                          : config_vm_is_out(config, own.name);
+        if (!is_out && hold_set_change(&node->holds, own.kind, own.name, true,
+                                       "ops", config->version) == STATUS_OK) {
+            node->own_holds[kept++] = own;
+        }
+    }
+    node->own_hold_count = kept;
+}
+
+/* Forget own holds that an operator has ended. */
+static void
+drop_ended_holds(sim_node_t *node)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < node->own_hold_count; i++) {
+        hold_t own = node->own_holds[i];
+        if (hold_set_is_out(&node->holds, own.kind, own.name)) {
+            node->own_holds[kept++] = own;
+        }
+    }
+    node->own_hold_count = kept;
+}
+
 static void
 take_config(sim_t *sim, sim_node_t *node, config_t *config)
 {
-    check_config(sim, node, config->version);
     if (!confsync_is_newer(&node->sync, config->version)) {
         return;
     }
-    hold_set_drop(&node->holds, config->version);
+    renew_own_holds(node, config);
     confsync_adopt(&node->sync, config->version,
                    hold_set_digest(&node->holds));
     config_t *before = node->config;
@@ -306,6 +339,7 @@
         *own = (hold_t){.kind = kind};
         memcpy(own->name, name, strlen(name) + 1);
     }
+    drop_ended_holds(node);
     follow(sim, node);
     return true;
 }
@@ -442,26 +476,22 @@
 static void
 store_own_holds(sim_t *sim, sim_node_t *node)
 {
-    while (node->own_hold_count > 0) {
-        const hold_t *own = &node->own_holds[node->own_hold_count - 1];
-        if (!hold_set_is_out(&node->holds, own->kind, own->name)) {
-            node->own_hold_count--;
-            continue;
-        }
-        for (size_t i = 0; i < sim->change_count; i++) {
-            if (!sim->changes[i].done && sim->changes[i].node == node->index) {
-                return;
-            }
-        }
-        change_edit_t edit = {
-            .kind = own->kind == HOLD_ZONE ? CHANGE_ZONE : CHANGE_VM,
-            .out = true,
-            .by = "ops",
-        };
-        memcpy(edit.name, own->name, NAME_SIZE);
-        start_change(sim, node->index, &edit);
+    if (node->own_hold_count == 0) {
         return;
     }
+    for (size_t i = 0; i < sim->change_count; i++) {
+        if (!sim->changes[i].done && sim->changes[i].node == node->index) {
+            return;
+        }
+    }
+    const hold_t *own = &node->own_holds[0];
+    change_edit_t edit = {
+        .kind = own->kind == HOLD_ZONE ? CHANGE_ZONE : CHANGE_VM,
+        .out = true,
+        .by = "ops",
+    };
+    memcpy(edit.name, own->name, NAME_SIZE);
+    start_change(sim, node->index, &edit);
 }
 
 static void
@@ -569,6 +599,7 @@
     if (to->config != NULL && word.holds != to->sync.holds &&
         hold_set_merge(&to->holds, &from->holds)) {
         hold_set_drop(&to->holds, to->config->version);
+        drop_ended_holds(to);
         follow(sim, to);
     }
     confsync_heard(&to->sync, from->name, from->incarnation, &word, echo_us,
--- a/t/scenario/node.c
+++ b/t/scenario/node.c
@@ -218,10 +218,12 @@
     node->paused_until_us = 0;
     node->wakeup_us = 0;
     node->own_hold_count = 0;
+    node->highest_version = 0;
     memset(node->heard_us, 0, sizeof(node->heard_us));
     node->holds = (hold_set_t){.count = 0};
     node->doc = (roster_doc_t){.version = 0};
     node->topology = topology_get(sim->topology);
+    node->topology_order = sim->publications;
     atomic_store(&node->act_until_us, 0);
     atomic_store(&node->trust_until_us, 0);
     confsync_settings_t sync = CONFSYNC_SETTINGS_DEFAULT;
@@ -478,10 +480,14 @@
 }
 
 static void
-take_topology(sim_t *sim, sim_node_t *node, topology_t *topology)
+take_topology(sim_t *sim, sim_node_t *node, const sim_event_t *event)
 {
     topology_t *before = node->topology;
-    node->topology = topology_get(topology);
+    if (event->index < node->topology_order) {
+        return;
+    }
+    node->topology_order = event->index;
+    node->topology = topology_get(event->item);
     sim_node_follow(sim, node->index);
     topology_put(before);
 }
@@ -500,7 +506,7 @@
         return;
     }
     if (event->kind == EVENT_TOPOLOGY) {
-        take_topology(sim, node, event->item);
+        take_topology(sim, node, event);
         return;
     }
     if (event->kind == EVENT_PEER_DOWN) {
--- a/t/scenario/sim.h
+++ b/t/scenario/sim.h
@@ -150,7 +150,9 @@
     atomic_llong trust_until_us;
     world_t *world;
     topology_t *topology;
+    uint64_t topology_order; /* of the publication */
     config_t *config;
+    uint64_t highest_version; /* that was in force here */
     config_t *effective;
     confsync_t sync;
     hold_set_t holds;
@@ -246,6 +248,7 @@
     size_t upstream_count;
     partition_t partitions[SIM_SERVICES_MAX];
     topology_t *topology; /* as published now */
+    uint64_t publications;
     config_t *first_config;
     roster_doc_t roster;
     run_t *runs;
@@ -343,7 +346,7 @@
 void check_answer(sim_t *sim, const call_t *call);
 void check_stopped(sim_t *sim, const call_t *call);
 void check_reply(sim_t *sim, const part_reply_t *reply);
-void check_config(sim_t *sim, const sim_node_t *node, uint64_t version);
+void check_config(sim_t *sim, sim_node_t *node);
 void check_expect(sim_t *sim, const step_t *step);
 void check_left(sim_t *sim, size_t node);
 void check_end(sim_t *sim);
--- a/t/scenario/steps.c
+++ b/t/scenario/steps.c
@@ -140,12 +140,14 @@
     }
     topology_put(sim->topology);
     sim->topology = topology;
+    sim->publications++;
     for (size_t i = 0; i < sim->node_count; i++) {
         int64_t at_us =
             sim->now_us + lag_us + (int64_t)sim_draw(sim, PUBLISH_SPREAD_US);
         if (sim->nodes[i].alive) {
-            sim_push(sim, EVENT_TOPOLOGY, at_us, i)->item =
-                topology_get(topology);
+            sim_event_t *event = sim_push(sim, EVENT_TOPOLOGY, at_us, i);
+            event->item = topology_get(topology);
+            event->index = sim->publications;
         }
     }
 }
