fleet: let heartbeats of a large group take longer

Each daemon sends a heartbeat to every other member of its group twice a second. Above 12 members that is more than the 3 KB a second that all control may take at the target size.

The period now grows with the group above 12 members so that a daemon sends at most 2.7 KB/s, 1.39 s among 32, and silence is judged by three and ten periods as before. While the lease has less than half of its time left, the store does not answer, or a peer asks for grants, it is 0.5 s again: grants end after 2.5 s. Today's fleets of 6 to 8 keep their period.

--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -46,7 +46,7 @@
     roster_member_t self = self_member(settings);
     fleet->roster = roster_new(&rules, &self);
     confsync_settings_t sync = CONFSYNC_SETTINGS_DEFAULT;
-    member_settings_t silence = MEMBER_SETTINGS_DEFAULT;
+    member_settings_t silence = pace_silence(0);
     confsync_init(&fleet->sync, &sync);
     member_table_init(&fleet->members, &silence);
     fleet->store_up = true;
@@ -359,6 +359,13 @@
     }
 }
 
+static size_t
+other_count(const fleet_t *fleet)
+{
+    size_t count = fleet->members.count;
+    return count > 0 ? count - 1 : 0;
+}
+
 /* Follow the roster's members and note who went silent. Lock held. */
 static void
 update_members(fleet_t *fleet, int64_t now_us)
@@ -370,6 +377,7 @@
         const roster_doc_t *doc = roster_members(fleet->roster);
         member_table_sync(&fleet->members, doc, self, now_us);
         confsync_take_members(&fleet->sync, doc, self);
+        fleet->members.settings = pace_silence(other_count(fleet));
     }
     size_t count = member_table_tick(&fleet->members, now_us, changes,
                                      ROSTER_MEMBERS_MAX);
@@ -421,16 +429,25 @@
     roster_heartbeat_t lease;
 } beat_t;
 
+static int64_t
+beat_period_us(fleet_t *fleet, int64_t now_us)
+{
+    const roster_settings_t rules = ROSTER_SETTINGS_DEFAULT;
+    int64_t left_us = roster_act_until(fleet->roster, now_us) - now_us;
+    bool healthy = fleet->store_up && left_us >= rules.hold_us / 2;
+    return pace_heartbeat_us(&fleet->pace, other_count(fleet), healthy,
+                             now_us);
+}
+
 /* Heartbeats that are due, made under the lock and sent without it. */
 static size_t
 collect_beats(fleet_t *fleet, int64_t now_us, beat_t *beats)
 {
-    roster_settings_t rules = ROSTER_SETTINGS_DEFAULT;
     bool urgent = roster_urgent(fleet->roster, now_us);
-    if (!urgent && now_us < fleet->beat_due_us) {
+    if (!urgent && now_us < fleet->beat_us + beat_period_us(fleet, now_us)) {
         return 0;
     }
-    fleet->beat_due_us = now_us + rules.heartbeat_us;
+    fleet->beat_us = now_us;
     const roster_doc_t *doc = roster_members(fleet->roster);
     size_t count = 0;
     for (size_t i = 0; i < doc->count; i++) {
--- a/daemon/fleet_config.c
+++ b/daemon/fleet_config.c
@@ -42,7 +42,7 @@
     config_put(fleet->effective);
     fleet->effective = apply_holds(fleet->config, &fleet->holds);
     fleet->dirty = true;
-    fleet->beat_due_us = 0;
+    fleet->beat_us = 0;
     pthread_cond_broadcast(&fleet->changed);
 }
 
--- a/daemon/fleet_peers.c
+++ b/daemon/fleet_peers.c
@@ -159,6 +159,7 @@
     note_peer(fleet, lease->name, lease->incarnation, now_us)->config_version =
         word->version;
     roster_heartbeat_receive(fleet->roster, lease, now_us);
+    pace_heard(&fleet->pace, lease->asking, now_us);
     member_heard(&fleet->members, lease->name, lease->incarnation,
                  lease->echo_us, now_us);
     confsync_heard(&fleet->sync, lease->name, lease->incarnation, word,
--- a/daemon/fleet_state.h
+++ b/daemon/fleet_state.h
@@ -8,6 +8,7 @@
 #include "daemon/fleet.h"
 #include "fleet/confsync.h"
 #include "fleet/hold.h"
+#include "fleet/pace.h"
 
 #include <pthread.h>
 
@@ -61,7 +62,8 @@
     uint64_t peers_version; /* roster that the net was told */
     bool peers_told;
     uint64_t released_version;
-    int64_t beat_due_us;
+    pace_t pace;
+    int64_t beat_us; /* of the last heartbeats; 0: due at once */
     fleet_peer_t peers[FLEET_PEERS_MAX];
     size_t peer_count;
 
