daemon: notice a silent owner by its missing replies

A paused or dead owner was routed around only when its heartbeats had been missing for 1.5 s; until then every query that touched its upstreams waited for its deadline.

A coordinator notes when an owner was sent to and has answered nothing since: after 100 ms its upstreams come last and what waits there is hedged, until any reply comes. It is a preference only, so a wrong guess costs nothing but the order of replicas.

Where all replicas of a group share an owner, as 1 group in 9 of three replicas does among three daemons, nothing else can be asked and the query still waits.

--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -6,7 +6,12 @@
 #include <string.h>
 
 /* Layout of a sequence, from the low end: worker, slot, number. */
-enum { WORKER_BITS = 8, SLOT_BITS = 16, RETRY_AFTER_US = 100000 };
+enum {
+    WORKER_BITS = 8,
+    SLOT_BITS = 16,
+    RETRY_AFTER_US = 100000,
+    OWNER_SILENT_US = 100000
+};
 
 #define NO_OWNER UINT64_C(0)
 
@@ -28,6 +33,13 @@
     budget_t budget;
 } service_budget_t;
 
+/* What the coordinator hears of another owner. */
+typedef struct {
+    uint64_t incarnation;
+    int64_t waiting_since_us; /* sent to, and no reply since; 0: not */
+    bool silent;
+} owner_watch_t;
+
 struct coordinator {
     coordinator_settings_t settings;
     world_t *world;
@@ -41,6 +53,9 @@
     explain_ring_t explain;
     part_request_t *batch; /* of the query now stepped */
     uint64_t *batch_owners;
+    owner_watch_t owners[ROSTER_MEMBERS_MAX]; /* in the view's order */
+    size_t owner_count;
+    bool *doubtful; /* per upstream: the view's, or its owner is silent */
     size_t batch_count;
     size_t batch_capacity;
 };
@@ -106,6 +121,7 @@
     free(c->slots);
     free(c->batch);
     free(c->batch_owners);
+    free(c->doubtful);
     free(c);
 }
 
@@ -172,7 +188,7 @@
         .replicas = &c->replicas,
         .budget = budget,
         .added_percent = row == NULL ? 0 : row->added_load_percent,
-        .doubtful = c->world->doubtful,
+        .doubtful = c->doubtful,
         .seed = c->settings.seed,
         .policy = &c->settings.policy,
     };
@@ -368,6 +384,9 @@
         c->settings.stats->stray_replies++;
         return;
     }
+    if (reply->id.attempt < slot->owner_capacity) {
+        coordinator_heard(c, slot->owners[reply->id.attempt]);
+    }
     slot_reply(c, slot, reply, now_us);
 }
 
@@ -401,6 +420,92 @@
     }
 }
 
+static owner_watch_t *
+find_owner(coordinator_t *c, uint64_t incarnation)
+{
+    for (size_t i = 0; i < c->owner_count; i++) {
+        if (c->owners[i].incarnation == incarnation) {
+            return &c->owners[i];
+        }
+    }
+    return NULL;
+}
+
+/* Take the view's members, keeping what is known of those that stay. */
+static void
+follow_owners(coordinator_t *c)
+{
+    owner_watch_t owners[ROSTER_MEMBERS_MAX] = {{.incarnation = 0}};
+    size_t count = c->world->member_count;
+    for (size_t i = 0; i < count; i++) {
+        uint64_t incarnation = c->world->members[i].incarnation;
+        const owner_watch_t *known = find_owner(c, incarnation);
+        owners[i] = known != NULL
+                        ? *known
+                        : (owner_watch_t){.incarnation = incarnation};
+    }
+    memcpy(c->owners, owners, count * sizeof(*owners));
+    c->owner_count = count;
+}
+
+/* Work out whose upstreams come last. */
+static void
+refresh_doubtful(coordinator_t *c)
+{
+    size_t count = c->world->topology->upstream_count;
+    bool *doubtful = calloc(count > 0 ? count : 1, sizeof(*doubtful));
+    for (size_t i = 0; doubtful != NULL && i < count; i++) {
+        int owner = c->world->owner[i];
+        bool view_doubts = c->world->doubtful != NULL && c->world->doubtful[i];
+        doubtful[i] = view_doubts ||
+                      (owner != WORLD_NO_MEMBER && c->owners[owner].silent);
+    }
+    free(c->doubtful);
+    c->doubtful = doubtful;
+    for (uint32_t i = 0; i < c->settings.queries_max; i++) {
+        c->slots[i].wakeup_us = 0;
+    }
+}
+
+void
+coordinator_heard(coordinator_t *c, uint64_t incarnation)
+{
+    owner_watch_t *owner = find_owner(c, incarnation);
+    if (owner != NULL) {
+        owner->waiting_since_us = 0;
+    }
+}
+
+static void
+note_sent(coordinator_t *c, uint64_t incarnation, int64_t now_us)
+{
+    owner_watch_t *owner = find_owner(c, incarnation);
+    if (owner != NULL && owner->waiting_since_us == 0) {
+        owner->waiting_since_us = now_us;
+    }
+}
+
+/*
+ * An owner that has answered nothing for a while since it was sent to comes
+ * last, long before its heartbeats are missed: that is a preference only.
+ */
+static void
+watch_owners(coordinator_t *c, int64_t now_us)
+{
+    bool changed = false;
+    for (size_t i = 0; i < c->owner_count; i++) {
+        owner_watch_t *owner = &c->owners[i];
+        bool silent = owner->incarnation != c->settings.incarnation &&
+                      owner->waiting_since_us != 0 &&
+                      now_us - owner->waiting_since_us > OWNER_SILENT_US;
+        changed = changed || silent != owner->silent;
+        owner->silent = silent;
+    }
+    if (changed) {
+        refresh_doubtful(c);
+    }
+}
+
 void
 coordinator_world(coordinator_t *c, world_t *world)
 {
@@ -416,9 +521,8 @@
         }
         replica_table_follow(&c->replicas, world->topology);
     }
-    for (uint32_t i = 0; i < c->settings.queries_max; i++) {
-        c->slots[i].wakeup_us = 0;
-    }
+    follow_owners(c);
+    refresh_doubtful(c);
     world_put(before);
 }
 
@@ -522,6 +626,9 @@
                 reply_not_sent(c, slot, c->batch[i].id, now_us);
             }
         }
+        else {
+            note_sent(c, owner, now_us);
+        }
         start = end;
     }
     c->batch_count = 0;
@@ -630,6 +737,7 @@
 {
     int64_t next_us = INT64_MAX;
     uint32_t left = c->running;
+    watch_owners(c, now_us);
     for (uint32_t i = 0; left > 0 && i < c->settings.queries_max; i++) {
         slot_t *slot = &c->slots[i];
         if (slot->sequence == 0) {
--- a/daemon/coordinator.h
+++ b/daemon/coordinator.h
@@ -68,6 +68,9 @@
 
 void coordinator_cancel_all(coordinator_t *coordinator, reason_t reason);
 
+/* Some reply came from the owner of that incarnation: it is not silent. */
+void coordinator_heard(coordinator_t *coordinator, uint64_t owner);
+
 void coordinator_reply(coordinator_t *coordinator, const part_reply_t *reply,
                        int64_t now_us);
 
--- a/daemon/mail.c
+++ b/daemon/mail.c
@@ -72,12 +72,14 @@
 }
 
 mail_t *
-mail_new_replies(const part_reply_t *replies, size_t count)
+mail_new_replies(uint64_t incarnation, const part_reply_t *replies,
+                 size_t count)
 {
     mail_t *mail = mail_new(MAIL_REPLIES);
     if (mail == NULL) {
         return NULL;
     }
+    mail->incarnation = incarnation;
     mail->replies = copy_array(replies, count, sizeof(*replies));
     mail->count = count;
     if (mail->replies == NULL) {
--- a/daemon/mail.h
+++ b/daemon/mail.h
@@ -37,7 +37,7 @@
 typedef struct mail {
     struct mail *next;
     mail_type_t type;
-    uint64_t incarnation; /* of the coordinator, or of the daemon down */
+    uint64_t incarnation; /* of the daemon it comes from or is about */
     uint64_t sequence;
     query_request_t query; /* its body is owned by the mail */
     query_waiter_t waiter;
@@ -61,7 +61,8 @@
 /* Mail of copies, payloads included; NULL: no memory. */
 mail_t *mail_new_parts(uint64_t incarnation, const part_request_t *requests,
                        size_t count);
-mail_t *mail_new_replies(const part_reply_t *replies, size_t count);
+mail_t *mail_new_replies(uint64_t incarnation, const part_reply_t *replies,
+                         size_t count);
 mail_t *mail_new_cancel(uint64_t incarnation, const attempt_id_t *ids,
                         size_t count);
 
--- a/daemon/node_route.c
+++ b/daemon/node_route.c
@@ -93,7 +93,8 @@
 
 /* Post replies to the workers that coordinate their queries. */
 static void
-post_replies(node_t *node, const part_reply_t *replies, size_t count)
+post_replies(node_t *node, uint64_t owner, const part_reply_t *replies,
+             size_t count)
 {
     size_t start = 0;
     while (start < count) {
@@ -103,9 +104,10 @@
                coordinator_worker_of(replies[end].id.sequence) == worker) {
             end++;
         }
-        mail_t *mail = worker < node->worker_count
-                           ? mail_new_replies(replies + start, end - start)
-                           : NULL;
+        mail_t *mail =
+            worker < node->worker_count
+                ? mail_new_replies(owner, replies + start, end - start)
+                : NULL;
         if (mail != NULL) {
             worker_post(node->workers[worker], mail);
         }
@@ -119,7 +121,7 @@
 {
     node_t *node = context;
     if (coordinator == node->incarnation) {
-        post_replies(node, replies, count);
+        post_replies(node, coordinator, replies, count);
         return;
     }
     message_t message = {
@@ -292,7 +294,8 @@
                    message->parts.count);
         break;
     case MESSAGE_REPLIES:
-        post_replies(node, message->replies.replies, message->replies.count);
+        post_replies(node, incarnation, message->replies.replies,
+                     message->replies.count);
         break;
     case MESSAGE_CANCEL:
         post_cancel(node, incarnation, message->cancel.ids,
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -33,6 +33,7 @@
 static void
 take_replies(worker_t *worker, const mail_t *mail, int64_t now_us)
 {
+    coordinator_heard(worker->coordinator, mail->incarnation);
     for (size_t i = 0; i < mail->count; i++) {
         coordinator_reply(worker->coordinator, &mail->replies[i], now_us);
     }
--- a/daemon/world.h
+++ b/daemon/world.h
@@ -26,7 +26,8 @@
     bool leaving;   /* this daemon takes no new queries */
     int16_t *owner; /* a member per upstream, or WORLD_NO_MEMBER */
     bool *active;   /* this daemon may admit for the upstream */
-    bool *doubtful; /* per upstream: its owner is another, and silent */
+    bool *doubtful; /* per upstream: its owner is another, and silent; NULL:
+                       none is */
     uint64_t roster_version;
 } world_t;
 
