daemon: take the coordinator apart: owners watched, parts batched

daemon/coordinator.c had grown to 750 lines with two things in it that can be named and tested alone.

--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -1,17 +1,14 @@
 #include "daemon/coordinator.h"
 #include "daemon/answer_json.h"
+#include "daemon/owner_watch.h"
+#include "daemon/part_batch.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 /* Layout of a sequence, from the low end: worker, slot, number. */
-enum {
-    WORKER_BITS = 8,
-    SLOT_BITS = 16,
-    RETRY_AFTER_US = 100000,
-    OWNER_SILENT_US = 100000
-};
+enum { WORKER_BITS = 8, SLOT_BITS = 16, RETRY_AFTER_US = 100000 };
 
 #define NO_OWNER UINT64_C(0)
 
@@ -33,13 +30,6 @@
     budget_t budget;
 } service_budget_t;
 
-/* What the coordinator hears of another owner. */
-typedef struct {
-    uint64_t incarnation;
-    int64_t waiting_since_us; /* sent to, and no reply since; 0: not */
-    bool silent;
-} owner_watch_t;
-
 struct coordinator {
     coordinator_settings_t settings;
     world_t *world;
@@ -51,13 +41,9 @@
     uint32_t slot_hint;
     uint64_t number;
     explain_ring_t explain;
-    part_request_t *batch; /* of the query now stepped */
-    uint64_t *batch_owners;
-    owner_watch_t owners[ROSTER_MEMBERS_MAX]; /* in the view's order */
-    size_t owner_count;
-    bool *doubtful; /* per upstream: the view's, or its owner is silent */
-    size_t batch_count;
-    size_t batch_capacity;
+    owner_watch_t watch;
+    bool *doubtful;     /* per upstream: the view's, or its owner is silent */
+    part_batch_t batch; /* of the query now stepped */
 };
 
 unsigned
@@ -119,8 +105,7 @@
     world_put(c->world);
     free(c->budgets);
     free(c->slots);
-    free(c->batch);
-    free(c->batch_owners);
+    part_batch_release(&c->batch);
     free(c->doubtful);
     free(c);
 }
@@ -420,34 +405,6 @@
     }
 }
 
-static owner_watch_t *
-find_owner(coordinator_t *c, uint64_t incarnation)
-{
-    for (size_t i = 0; i < c->owner_count; i++) {
-        if (c->owners[i].incarnation == incarnation) {
-            return &c->owners[i];
-        }
-    }
-    return NULL;
-}
-
-/* Take the view's members, keeping what is known of those that stay. */
-static void
-follow_owners(coordinator_t *c)
-{
-    owner_watch_t owners[ROSTER_MEMBERS_MAX] = {{.incarnation = 0}};
-    size_t count = c->world->member_count;
-    for (size_t i = 0; i < count; i++) {
-        uint64_t incarnation = c->world->members[i].incarnation;
-        const owner_watch_t *known = find_owner(c, incarnation);
-        owners[i] = known != NULL
-                        ? *known
-                        : (owner_watch_t){.incarnation = incarnation};
-    }
-    memcpy(c->owners, owners, count * sizeof(*owners));
-    c->owner_count = count;
-}
-
 /* Work out whose upstreams come last. */
 static void
 refresh_doubtful(coordinator_t *c)
@@ -457,8 +414,7 @@
     for (size_t i = 0; doubtful != NULL && i < count; i++) {
         int owner = c->world->owner[i];
         bool view_doubts = c->world->doubtful != NULL && c->world->doubtful[i];
-        doubtful[i] = view_doubts ||
-                      (owner != WORLD_NO_MEMBER && c->owners[owner].silent);
+        doubtful[i] = view_doubts || owner_watch_is_silent(&c->watch, owner);
     }
     free(c->doubtful);
     c->doubtful = doubtful;
@@ -468,42 +424,9 @@
 }
 
 void
-coordinator_heard(coordinator_t *c, uint64_t incarnation)
+coordinator_heard(coordinator_t *c, uint64_t owner)
 {
-    owner_watch_t *owner = find_owner(c, incarnation);
-    if (owner != NULL) {
-        owner->waiting_since_us = 0;
-    }
-}
-
-static void
-note_sent(coordinator_t *c, uint64_t incarnation, int64_t now_us)
-{
-    owner_watch_t *owner = find_owner(c, incarnation);
-    if (owner != NULL && owner->waiting_since_us == 0) {
-        owner->waiting_since_us = now_us;
-    }
-}
-
-/*
- * An owner that has answered nothing for a while since it was sent to comes
- * last, long before its heartbeats are missed: that is a preference only.
- */
-static void
-watch_owners(coordinator_t *c, int64_t now_us)
-{
-    bool changed = false;
-    for (size_t i = 0; i < c->owner_count; i++) {
-        owner_watch_t *owner = &c->owners[i];
-        bool silent = owner->incarnation != c->settings.incarnation &&
-                      owner->waiting_since_us != 0 &&
-                      now_us - owner->waiting_since_us > OWNER_SILENT_US;
-        changed = changed || silent != owner->silent;
-        owner->silent = silent;
-    }
-    if (changed) {
-        refresh_doubtful(c);
-    }
+    owner_watch_heard(&c->watch, owner);
 }
 
 void
@@ -521,7 +444,7 @@
         }
         replica_table_follow(&c->replicas, world->topology);
     }
-    follow_owners(c);
+    owner_watch_follow(&c->watch, world->members, world->member_count);
     refresh_doubtful(c);
     world_put(before);
 }
@@ -564,41 +487,33 @@
     slot_reply(c, slot, &reply, now_us);
 }
 
-static bool
-batch_reserve(coordinator_t *c)
-{
-    if (c->batch_count < c->batch_capacity) {
-        return true;
-    }
-    size_t capacity = c->batch_capacity == 0 ? 64 : c->batch_capacity * 2;
-    part_request_t *batch = realloc(c->batch, capacity * sizeof(*batch));
-    if (batch == NULL) {
-        return false;
-    }
-    c->batch = batch;
-    uint64_t *owners = realloc(c->batch_owners, capacity * sizeof(*owners));
-    if (owners == NULL) {
-        return false;
-    }
-    c->batch_owners = owners;
-    c->batch_capacity = capacity;
-    return true;
-}
-
 static void
 batch_add(coordinator_t *c, slot_t *slot, const query_action_t *action,
           int64_t now_us)
 {
     uint64_t owner = owner_of(c, action->upstream);
-    if (owner == NO_OWNER || !batch_reserve(c) ||
-        !reserve_owners(slot, action->request.id.attempt)) {
+    uint32_t attempt = action->request.id.attempt;
+    if (owner == NO_OWNER || !reserve_owners(slot, attempt) ||
+        !part_batch_add(&c->batch, owner, &action->request)) {
         reply_not_sent(c, slot, action->request.id, now_us);
         return;
     }
-    slot->owners[action->request.id.attempt] = owner;
-    c->batch[c->batch_count] = action->request;
-    c->batch_owners[c->batch_count] = owner;
-    c->batch_count++;
+    slot->owners[attempt] = owner;
+}
+
+static void
+batch_send(coordinator_t *c, slot_t *slot, size_t start, size_t end,
+           int64_t now_us)
+{
+    uint64_t owner = c->batch.owners[start];
+    if (c->settings.sink.send(c->settings.sink.context, owner,
+                              &c->batch.requests[start], end - start)) {
+        owner_watch_sent(&c->watch, owner, now_us);
+        return;
+    }
+    for (size_t i = start; i < end; i++) {
+        reply_not_sent(c, slot, c->batch.requests[i].id, now_us);
+    }
 }
 
 /* One message an owner, with all of the batch that is its. */
@@ -606,32 +521,12 @@
 batch_flush(coordinator_t *c, slot_t *slot, int64_t now_us)
 {
     size_t start = 0;
-    while (start < c->batch_count) {
-        uint64_t owner = c->batch_owners[start];
-        size_t end = start + 1;
-        for (size_t i = end; i < c->batch_count; i++) {
-            if (c->batch_owners[i] != owner) {
-                continue;
-            }
-            part_request_t request = c->batch[i];
-            c->batch[i] = c->batch[end];
-            c->batch[end] = request;
-            c->batch_owners[i] = c->batch_owners[end];
-            c->batch_owners[end] = owner;
-            end++;
-        }
-        if (!c->settings.sink.send(c->settings.sink.context, owner,
-                                   &c->batch[start], end - start)) {
-            for (size_t i = start; i < end; i++) {
-                reply_not_sent(c, slot, c->batch[i].id, now_us);
-            }
-        }
-        else {
-            note_sent(c, owner, now_us);
-        }
+    while (start < c->batch.count) {
+        size_t end = part_batch_group(&c->batch, start);
+        batch_send(c, slot, start, end, now_us);
         start = end;
     }
-    c->batch_count = 0;
+    c->batch.count = 0;
 }
 
 static void
@@ -721,7 +616,7 @@
             slot_end(c, slot, now_us);
             return true;
         }
-        else if (c->batch_count > 0) {
+        else if (c->batch.count > 0) {
             /* What could not be sent gives the query more to do. */
             batch_flush(c, slot, now_us);
         }
@@ -737,7 +632,9 @@
 {
     int64_t next_us = INT64_MAX;
     uint32_t left = c->running;
-    watch_owners(c, now_us);
+    if (owner_watch_tick(&c->watch, c->settings.incarnation, now_us)) {
+        refresh_doubtful(c);
+    }
     for (uint32_t i = 0; left > 0 && i < c->settings.queries_max; i++) {
         slot_t *slot = &c->slots[i];
         if (slot->sequence == 0) {
