test: tell lost changes, lost store values and forgotten requests

Cause: five mutants survived the scenarios: an older value of the store trusted, a lost write said to be in force, a running request told as finished, a dead owner not noticed, an untrusted configuration used.

--- a/t/scenario/check.c
+++ b/t/scenario/check.c
@@ -208,7 +208,8 @@
         sim_fail(sim, "%s: answered not_run after %" PRIu64 " starts", name,
                  call->starts);
     }
-    if (answer->outcome == OUTCOME_WHOLE && answer->covered != answer->asked) {
+    if (answer->outcome == OUTCOME_WHOLE &&
+        answer->covered != key_range_size(call->request.range)) {
         sim_fail(sim, "%s: whole without all keys", name);
     }
     if (answer->outcome == OUTCOME_PARTIAL &&
@@ -496,6 +497,15 @@
     }
 }
 
+/* Whether an accepted change is missing from a document that would name it. */
+static bool
+is_lost(const config_t *config, const sim_change_t *change)
+{
+    return config->version >= change->version &&
+           config_remembers(config, change->version) &&
+           config_find_change(config, change->edit.id) == NULL;
+}
+
 /* What was accepted some seconds ago is in force wherever it can be. */
 static void
 check_in_force(sim_t *sim)
@@ -508,6 +518,11 @@
         }
         for (size_t j = 0; j < sim->change_count; j++) {
             const sim_change_t *change = &sim->changes[j];
+            if (change->done && change->status == STATUS_OK &&
+                is_lost(node->config, change)) {
+                sim_fail(sim, "%s: %s was accepted and is not in force",
+                         node->name, change->edit.id);
+            }
             if (change->done && change->status == STATUS_OK &&
                 change->done_us + SIM_PROMPT_US < sim->now_us &&
                 node->config->version < change->version) {
@@ -531,9 +546,24 @@
     }
 }
 
+/* What was accepted is in the store, whatever it lost meanwhile. */
+static void
+check_stored(sim_t *sim)
+{
+    uint64_t version = config_stored_version(sim);
+    if (sim->store_fault == KV_FAULT_OK &&
+        sim->store_disturbed_us + SIM_PROMPT_US < sim->now_us &&
+        version < sim->highest_version) {
+        sim_fail(sim,
+                 "the store has version %" PRIu64 ", accepted was %" PRIu64,
+                 version, sim->highest_version);
+    }
+}
+
 void
 check_end(sim_t *sim)
 {
+    check_stored(sim);
     check_all_answered(sim);
     check_added_load(sim);
     check_in_force(sim);
--- a/t/scenario/config.c
+++ b/t/scenario/config.c
@@ -38,7 +38,8 @@
     size_t size;
     uint64_t cas;
     int64_t sent_us;
-    bool late; /* takes effect after its caller gave up */
+    bool late;    /* takes effect after its caller gave up */
+    bool delayed; /* has had its delay */
     status_t status;
     uint64_t found_index;
 } store_call_t;
@@ -129,6 +130,20 @@
     store_answer(sim, copy, STATUS_TIMEOUT, STORE_TIMEOUT_US);
 }
 
+/* Answered late, or, past the caller's patience, never. */
+static void
+store_delay(sim_t *sim, store_call_t *call)
+{
+    int64_t wait_us = (int64_t)sim_draw(sim, STORE_SLOW_MAX_US);
+    call->delayed = true;
+    call->late = wait_us >= STORE_TIMEOUT_US;
+    if (call->late) {
+        store_time_out(sim, call);
+    }
+    sim_push(sim, EVENT_STORE, sim->now_us + wait_us, SIM_NODES_MAX)->item =
+        call;
+}
+
 void
 config_store_event(sim_t *sim, sim_event_t *event)
 {
@@ -143,13 +158,11 @@
         store_answer(sim, call, STATUS_UNAVAILABLE, STORE_WAY_US);
         return;
     case KV_FAULT_SLOW:
-        store_time_out(sim, call);
-        call->late = true;
-        sim_push(sim, EVENT_STORE,
-                 sim->now_us + (int64_t)sim_draw(sim, STORE_SLOW_MAX_US),
-                 SIM_NODES_MAX)
-            ->item = call;
-        return;
+        if (!call->delayed) {
+            store_delay(sim, call);
+            return;
+        }
+        break;
     default:
         break;
     }
@@ -159,6 +172,36 @@
                  lost ? STORE_LOST_US : STORE_WAY_US);
 }
 
+/* The store loses its newest change of the configuration. */
+void
+config_set_back(sim_t *sim)
+{
+    kv_entry_t entry;
+    kv_write_t write = {.cas = false};
+    if (kv_read(sim->kv, KEY_CONFIG, true, &entry)) {
+        char *text = sim_alloc(entry.size + 1);
+        memcpy(text, entry.value, entry.size);
+        kv_put(sim->kv, KEY_CONFIG, text, entry.size, &write);
+        free(text);
+    }
+}
+
+uint64_t
+config_stored_version(sim_t *sim)
+{
+    kv_entry_t entry;
+    config_t *config = NULL;
+    error_t err = ERROR_INIT;
+    if (!kv_read(sim->kv, KEY_CONFIG, false, &entry) ||
+        config_parse_json(entry.value, entry.size, &config, &err) !=
+            STATUS_OK) {
+        return 0;
+    }
+    uint64_t version = config->version;
+    config_put(config);
+    return version;
+}
+
 /* The configuration with the holds applied, by which work is routed. */
 static void
 follow(sim_t *sim, sim_node_t *node)
@@ -576,7 +619,8 @@
 config_tick(sim_t *sim, size_t index)
 {
     sim_node_t *node = &sim->nodes[index];
-    bool watches = index < CONFSYNC_WATCHERS;
+    /* Holds that are not stored yet are stored with the next answer. */
+    bool watches = index < CONFSYNC_WATCHERS || node->own_hold_count > 0;
     if (!node->reading &&
         (confsync_wants(&node->sync, sim->now_us) || watches)) {
         store_call_t call = {.kind = STORE_READ_CONFIG, .key = KEY_CONFIG};
--- a/t/scenario/sim.h
+++ b/t/scenario/sim.h
@@ -321,6 +321,8 @@
 void config_heartbeats(sim_t *sim);
 void config_change_start(sim_t *sim, const step_t *step);
 void config_pump(sim_t *sim);
+void config_set_back(sim_t *sim);
+uint64_t config_stored_version(sim_t *sim);
 void config_store_event(sim_t *sim, sim_event_t *event);
 void config_store_done(sim_t *sim, sim_event_t *event);
 void config_intents(sim_t *sim, size_t node);
--- a/t/scenario/steps.c
+++ b/t/scenario/steps.c
@@ -283,10 +283,15 @@
     const char *state = step_text(step, "state", "ok");
     kv_fault_t fault = kv_fault_parse(state);
     sim->store_disturbed_us = sim->now_us;
+    if (strcmp(state, "set_back") == 0) {
+        sim_note(sim, "the store loses its newest configuration");
+        config_set_back(sim);
+        return;
+    }
     if (fault == KV_FAULT_COUNT) {
         sim_fail(sim,
                  "%s:%zu: store: found '%s', allowed: ok, down, slow, "
-                 "lost_reply, stale",
+                 "lost_reply, stale, set_back",
                  sim->script->name, step->line, state);
         return;
     }
