core: do not take the loss of a zone for a query that crashes upstreams

Crashes within 200 ms count once, and coordinators no longer convict: what they saw only ends the query's own repeats. A hold that must still be stored makes its daemon ask the store, watcher or not; latency by service is kept for as many services as the table has rows.

--- a/bench/service/daemons.c
+++ b/bench/service/daemons.c
@@ -84,13 +84,6 @@
                                         now_us);
 }
 
-static void
-quarantine(void *context, uint64_t fingerprint)
-{
-    const sim_daemon_t *daemon = context;
-    admission_quarantine(daemon->admission, fingerprint, daemon->sim->now_us);
-}
-
 static void
 daemon_start(sim_t *sim, uint32_t index)
 {
@@ -115,8 +108,7 @@
         .sink = {.context = daemon,
                  .send = send_parts,
                  .cancel = send_cancel,
-                 .quarantine_left_us = quarantine_left_us,
-                 .quarantine = quarantine},
+                 .quarantine_left_us = quarantine_left_us},
         .stats = daemon->stats,
     };
     admission_settings_t admission = {
--- a/core/gate.c
+++ b/core/gate.c
@@ -18,7 +18,8 @@
     gate->give_up = gate->timers = gate->open = empty;
     gate->free = gate->refused = gate->held = none;
     gate->quarantine =
-        quarantine_new(settings->crash_limit, settings->quarantine_us);
+        quarantine_new(settings->crash_limit, settings->quarantine_us,
+                       settings->crash_burst_us);
     if (gate->quarantine == NULL) {
         free(gate);
         return NULL;
--- a/core/gate.h
+++ b/core/gate.h
@@ -33,6 +33,7 @@
     uint32_t ramp_successes; /* good replies needed for a raise */
     uint32_t crash_limit;    /* crashes before a fingerprint is refused */
     int64_t quarantine_us;   /* how long it is refused */
+    int64_t crash_burst_us;  /* crashes so close together count once */
 } gate_settings_t;
 
 typedef enum {
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -15,12 +15,14 @@
     uint32_t alone;
     bool claimed;
     int64_t refused_until_us; /* 0: not refused */
+    int64_t counted_us;       /* when a crash was last counted; 0: never */
     uint64_t touched;         /* order of changes, for replacement */
 } quarantine_entry_t;
 
 struct quarantine {
     uint32_t limit;
     int64_t quarantine_us;
+    int64_t burst_us;
     uint64_t touches;
     size_t used;
     size_t new_count;
@@ -29,12 +31,13 @@
 };
 
 quarantine_t *
-quarantine_new(uint32_t limit, int64_t quarantine_us)
+quarantine_new(uint32_t limit, int64_t quarantine_us, int64_t burst_us)
 {
     quarantine_t *quarantine = calloc(1, sizeof(*quarantine));
     if (quarantine != NULL) {
         quarantine->limit = limit > 0 ? limit : 1;
         quarantine->quarantine_us = quarantine_us;
+        quarantine->burst_us = burst_us;
     }
     return quarantine;
 }
@@ -169,6 +172,11 @@
     }
     quarantine_entry_t *entry = entry_make(quarantine, fingerprint);
     entry->touched = ++quarantine->touches;
+    if (entry->counted_us != 0 &&
+        now_us - entry->counted_us < quarantine->burst_us) {
+        return;
+    }
+    entry->counted_us = now_us;
     if (!alone) {
         entry->shared++;
     }
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -33,8 +33,13 @@
     VERDICT_REFUSE
 } verdict_t;
 
-/* limit: crashes before refusal. NULL: no memory. */
-quarantine_t *quarantine_new(uint32_t limit, int64_t quarantine_us);
+/*
+ * limit: crashes before refusal. burst_us: crashes so close together count
+ * once, since a zone or a rack that is lost takes many upstreams at a time.
+ * NULL: no memory.
+ */
+quarantine_t *quarantine_new(uint32_t limit, int64_t quarantine_us,
+                             int64_t burst_us);
 void quarantine_free(quarantine_t *quarantine);
 
 verdict_t quarantine_verdict(const quarantine_t *quarantine,
--- a/core/replica.h
+++ b/core/replica.h
@@ -28,7 +28,7 @@
     uint32_t held_ms; /* when held was told; only differences count */
 } replica_t;
 
-enum { REPLICA_SERVICES_MAX = 64 };
+enum { REPLICA_SERVICES_MAX = 256 /* rows of the table */ };
 
 /* Latency over all replicas of one service, while one alone says little. */
 typedef struct {
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -582,10 +582,6 @@
     record->ended_us = now_us;
     record->answer = answer;
     explain_attempts(c, slot, record);
-    if (answer.suspect) {
-        c->settings.sink.quarantine(c->settings.sink.context,
-                                    slot->request.fingerprint);
-    }
     leave_tenant(c, &slot->request);
     end_query(c, &slot->request, &slot->waiter, slot->sequence, &answer,
               now_us - slot->started_us);
--- a/daemon/coordinator.h
+++ b/daemon/coordinator.h
@@ -29,8 +29,6 @@
     /* How long a fingerprint is still refused; 0: it is not. */
     int64_t (*quarantine_left_us)(void *context, uint64_t fingerprint,
                                   int64_t now_us);
-    /* A query seems to crash the upstreams that run it. */
-    void (*quarantine)(void *context, uint64_t fingerprint);
 } part_sink_t;
 
 typedef struct {
--- a/daemon/fleet_config.c
+++ b/daemon/fleet_config.c
@@ -325,7 +325,9 @@
     *watcher =
         confsync_is_watcher(roster_members(fleet->roster), &fleet->members,
                             fleet->settings.settings->name);
-    bool wants = confsync_wants(&fleet->sync, clock_now_us());
+    /* Whoever holds something out must get it stored, watcher or not. */
+    bool wants = fleet->own_hold_count > 0 ||
+                 confsync_wants(&fleet->sync, clock_now_us());
     pthread_mutex_unlock(&fleet->lock);
     return wants || *watcher;
 }
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -18,6 +18,7 @@
     RAMP_STEP_US = 50000,
     RAMP_SUCCESSES = 8,
     CRASH_LIMIT = 2,
+    CRASH_BURST_US = 200000,
     HTTP_IDLE_S = 60
 };
 
@@ -59,6 +60,7 @@
                     .ramp_successes = RAMP_SUCCESSES,
                     .crash_limit = CRASH_LIMIT,
                     .quarantine_us = QUARANTINE_US,
+                    .crash_burst_us = CRASH_BURST_US,
                 },
             .upstream = &upstream_http_ops,
             .act_until_us = fleet_act_until_us(node->fleet),
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -168,16 +168,6 @@
                                         now_us);
 }
 
-static void
-route_quarantine(void *context, uint64_t fingerprint)
-{
-    worker_t *worker = context;
-    event_log(EVENT_QUARANTINE, "fingerprint=%016" PRIx64 " by=coordinator",
-              fingerprint);
-    worker->settings.route.quarantine(worker->settings.route.context,
-                                      &fingerprint, 1);
-}
-
 static void
 route_replies(void *context, uint64_t coordinator, const part_reply_t *replies,
               size_t count)
@@ -212,7 +202,6 @@
                 .send = route_parts,
                 .cancel = route_cancel,
                 .quarantine_left_us = quarantine_left_us,
-                .quarantine = route_quarantine,
             },
     };
     worker->coordinator = coordinator_new(&settings);
--- a/t/scenario/node.c
+++ b/t/scenario/node.c
@@ -114,13 +114,6 @@
     }
 }
 
-static void
-quarantine(void *context, uint64_t fingerprint)
-{
-    const sim_node_t *node = context;
-    tell_quarantine(node->sim, node, fingerprint);
-}
-
 static int64_t
 quarantine_left_us(void *context, uint64_t fingerprint, int64_t now_us)
 {
@@ -175,8 +168,7 @@
         .sink = {.context = node,
                  .send = send_parts,
                  .cancel = send_cancel,
-                 .quarantine_left_us = quarantine_left_us,
-                 .quarantine = quarantine},
+                 .quarantine_left_us = quarantine_left_us},
         .stats = &node->stats,
     };
     admission_settings_t admission = {
--- a/t/t0206-quarantine.c
+++ b/t/t0206-quarantine.c
@@ -138,7 +138,7 @@
 /* A full table keeps what is convicted over what is only suspected. */
 START_TEST(test_bounded)
 {
-    quarantine_t *quarantine = quarantine_new(2, 1000 * MS);
+    quarantine_t *quarantine = quarantine_new(2, 1000 * MS, 0);
     quarantine_set(quarantine, 1, 0);
     for (uint64_t i = 2; i < 100000; i++) {
         quarantine_crash(quarantine, i, false, 0);
@@ -324,6 +324,22 @@
 }
 END_TEST
 
+/* A zone that is lost takes many upstreams at once: that is one crash. */
+START_TEST(test_burst)
+{
+    quarantine_t *quarantine = quarantine_new(2, 1000 * MS, 200 * MS);
+    for (int64_t at_ms = 1; at_ms < 200; at_ms += 20) {
+        quarantine_crash(quarantine, 5, true, at_ms * MS);
+    }
+    ck_assert_int_ne(quarantine_verdict(quarantine, 5, 200 * MS),
+                     VERDICT_REFUSE);
+    quarantine_crash(quarantine, 5, true, 201 * MS);
+    ck_assert_int_eq(quarantine_verdict(quarantine, 5, 202 * MS),
+                     VERDICT_REFUSE);
+    quarantine_free(quarantine);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -332,6 +348,7 @@
                         sizeof(cases) / sizeof(cases[0]));
     tcase_add_test(tests, test_spread);
     tcase_add_test(tests, test_bounded);
+    tcase_add_test(tests, test_burst);
     tcase_add_loop_test(tests, test_world, 0, 20);
     return suite_run("quarantine", tests);
 }
