--- a/standin/lib/replica.c
+++ b/standin/lib/replica.c
@@ -161,6 +161,14 @@
     }
 }
 
+void
+replica_drop(replica_t *replica, size_t slots)
+{
+    uint32_t dropped = (uint32_t)slots;
+    replica->running -=
+        dropped < replica->running ? dropped : replica->running;
+}
+
 static void
 turn_cold(replica_t *replica)
 {
--- a/standin/lib/replica.h
+++ b/standin/lib/replica.h
@@ -98,6 +98,9 @@
 /* Give the slots back. */
 void replica_finish(replica_t *replica, size_t slots);
 
+/* Parts that were running have been dropped without an end. */
+void replica_drop(replica_t *replica, size_t slots);
+
 /* Restart: a new boot id, cold, nothing running. */
 void replica_crash(replica_t *replica, int64_t now_us);
 
--- a/standin/lib/upstream.c
+++ b/standin/lib/upstream.c
@@ -47,6 +47,7 @@
         }
         if (r->step == STEP_RUNNING) {
             ledger_end(upstream->ledger, upstream->cell, r->slots);
+            replica_drop(&upstream->replica, r->slots);
         }
         r->step = STEP_CLOSE;
         r->due_us = 0;
--- a/t/t0502-replica.c
+++ b/t/t0502-replica.c
@@ -121,6 +121,19 @@
     return parts;
 }
 
+/* Parts cut off by closing their connections hold no slot any more. */
+START_TEST(test_drop)
+{
+    replica_t replica;
+    replica_init(&replica, first_upstream(), 1, 17, 1);
+    replica.running = 3;
+    replica_drop(&replica, 2);
+    ck_assert_uint_eq(replica.running, 1);
+    replica_drop(&replica, 2);
+    ck_assert_uint_eq(replica.running, 0);
+}
+END_TEST
+
 START_TEST(test_crash)
 {
     replica_t replica;
@@ -246,6 +259,7 @@
     TCase *tests = tcase_create("replica");
     tcase_add_loop_test(tests, test_check, 0, COUNT(check_cases));
     tcase_add_loop_test(tests, test_admit, 0, COUNT(admit_cases));
+    tcase_add_test(tests, test_drop);
     tcase_add_test(tests, test_crash);
     tcase_add_test(tests, test_deadline);
     tcase_add_loop_test(tests, test_stragglers, 0, 5);
