--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   make            build the daemon, the command-line tool and the stand-ins
 #   make check      run every test: plain, address+undefined, thread sanitizer
 #   make demo       a small fleet on loopback answers queries under faults
+#   make bench      measures, by hand
 #   make lint       formatter and linters, changing nothing
 #   make soak       random mixes of faults, SEEDS=1000 of them from FIRST=1000
 #   make mutants    break one decision at a time; which scenario tells
@@ -70,6 +71,10 @@
 tests: $(TEST_BIN)
 bench-bins: $(BENCH_BIN)
 
+bench: deps
+	$(MAKE) bench-bins
+	sh bench/run
+
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
