--- a/standin/lib/caller.c
+++ b/standin/lib/caller.c
@@ -20,6 +20,7 @@
     PATIENCE_MS = 3000, /* past the deadline, then the query is lost */
     US_PER_MS = 1000,
     URL_MAX = 192,
+    RETRY_WAIT_MAX_MS = 2000,
     RESENDS_MAX = 4,
     EXAMPLES_MAX = 3,
 
@@ -230,7 +231,10 @@
 {
     verdict_t verdict =
         verdict_read(status, call->reply, call->reply_size, call->plan.range);
-    if (verdict.outcome == OUTCOME_NOT_RUN && verdict.retry_after_ms > 0 &&
+    /* Who is told to come back much later gives up, as a caller would. */
+    bool soon = verdict.retry_after_ms > 0 &&
+                verdict.retry_after_ms <= RETRY_WAIT_MAX_MS;
+    if (verdict.outcome == OUTCOME_NOT_RUN && soon &&
         call->refusals < caller->options->retries) {
         call->refusals++;
         caller->sent_again++;
