--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   make            build the daemon, the command-line tool and the stand-ins
 #   make check      run every test: plain, address+undefined, thread sanitizer
 #   make demo       a small fleet on loopback answers queries under faults
+#   make demo-faults  the same through killed, paused and cut off parts
 #   make bench      measures, by hand
 #   make lint       formatter and linters, changing nothing
 #   make soak       random mixes of faults, SEEDS=1000 of them from FIRST=1000
@@ -63,7 +64,7 @@
 
 BINS := $(B)/yuccarund $(B)/yuccarun $(STANDIN_BIN)
 
-.PHONY: all deps check check-variant demo lint format install clean bench \
+.PHONY: all deps check check-variant demo demo-faults lint format install clean bench \
 	tests fuzz soak mutants generate
 .SECONDARY:
 
@@ -142,6 +143,11 @@
 	$(MAKE) all
 	sh demo/run
 
+# Fourteen phases of faults, about four minutes; demo/faults PHASE... some.
+demo-faults: deps
+	$(MAKE) all
+	sh demo/faults
+
 lint:
 	sh .ci/lint
 
