daemon: keep the monotonic waits in one place

Turning a monotonic time into what a timed wait takes, and making a condition that goes by that clock, stood three times: in the fleet, the intents and the asks.

Both are in daemon/clock.h now, beside the clocks; 20 lines fewer, behaviour and assertions unchanged.

--- a/daemon/asks.c
+++ b/daemon/asks.c
@@ -1,10 +1,8 @@
 #include "daemon/asks.h"
+#include "daemon/clock.h"
 
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
-
-enum { US_PER_S = 1000000, NS_PER_US = 1000, NS_PER_S = 1000000000 };
 
 struct ask_entry {
     ask_entry_t *next;
@@ -18,12 +16,8 @@
 void
 asks_init(asks_t *asks)
 {
-    pthread_condattr_t attributes;
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
     pthread_mutex_init(&asks->lock, NULL);
-    pthread_cond_init(&asks->answered, &attributes);
-    pthread_condattr_destroy(&attributes);
+    clock_condition_init(&asks->answered);
     asks->last_id = 0;
     asks->entries = NULL;
 }
@@ -68,21 +62,10 @@
     return link;
 }
 
-static struct timespec
-deadline_after(int64_t timeout_us)
-{
-    struct timespec until;
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    int64_t ns = until.tv_nsec + (timeout_us % US_PER_S) * NS_PER_US;
-    until.tv_sec += timeout_us / US_PER_S + ns / NS_PER_S;
-    until.tv_nsec = ns % NS_PER_S;
-    return until;
-}
-
 bool
 asks_wait(asks_t *asks, uint64_t id, int64_t timeout_us, ask_reply_t *reply)
 {
-    struct timespec until = deadline_after(timeout_us);
+    struct timespec until = clock_timespec(clock_now_us() + timeout_us);
     *reply = (ask_reply_t){.status = 0};
     pthread_mutex_lock(&asks->lock);
     ask_entry_t **link = find(asks, id);
--- a/daemon/clock.c
+++ b/daemon/clock.c
@@ -2,6 +2,8 @@
 
 #include <time.h>
 
+enum { US_PER_S = 1000000, NS_PER_US = 1000 };
+
 static int64_t
 read_clock(clockid_t clock)
 {
@@ -33,3 +35,22 @@
 {
     return read_clock(CLOCK_PROCESS_CPUTIME_ID);
 }
+
+struct timespec
+clock_timespec(int64_t at_us)
+{
+    return (struct timespec){
+        .tv_sec = at_us / US_PER_S,
+        .tv_nsec = (at_us % US_PER_S) * NS_PER_US,
+    };
+}
+
+void
+clock_condition_init(pthread_cond_t *condition)
+{
+    pthread_condattr_t attributes;
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(condition, &attributes);
+    pthread_condattr_destroy(&attributes);
+}
--- a/daemon/clock.h
+++ b/daemon/clock.h
@@ -5,7 +5,9 @@
 #ifndef DAEMON_CLOCK_H
 #define DAEMON_CLOCK_H
 
+#include <pthread.h>
 #include <stdint.h>
+#include <time.h>
 
 /* Monotonic time in microseconds. */
 int64_t clock_now_us(void);
@@ -19,4 +21,10 @@
 /* Wall-clock time in microseconds since 1970. */
 int64_t clock_wall_us(void);
 
+/* A monotonic time in microseconds as pthread_cond_timedwait takes it. */
+struct timespec clock_timespec(int64_t at_us);
+
+/* A condition whose timed waits go by the monotonic clock. */
+void clock_condition_init(pthread_cond_t *condition);
+
 #endif
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -9,7 +9,7 @@
 #include <string.h>
 #include <time.h>
 
-enum { TICK_US = 20000, US_PER_S = 1000000 };
+enum { TICK_US = 20000 };
 
 static roster_member_t
 self_member(const fleet_settings_t *settings)
@@ -36,11 +36,7 @@
     }
     fleet->settings = *settings;
     pthread_mutex_init(&fleet->lock, NULL);
-    pthread_condattr_t attributes;
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&fleet->changed, &attributes);
-    pthread_condattr_destroy(&attributes);
+    clock_condition_init(&fleet->changed);
     roster_settings_t rules = ROSTER_SETTINGS_DEFAULT;
     rules.seed = settings->incarnation;
     roster_member_t self = self_member(settings);
@@ -93,20 +89,11 @@
     return &fleet->trust_until_us;
 }
 
-static struct timespec
-timespec_of(int64_t at_us)
-{
-    return (struct timespec){
-        .tv_sec = at_us / US_PER_S,
-        .tv_nsec = (at_us % US_PER_S) * 1000,
-    };
-}
-
 /* Wait for a change or the time; the lock is held. */
 static void
 fleet_wait(fleet_t *fleet, int64_t until_us)
 {
-    struct timespec until = timespec_of(until_us);
+    struct timespec until = clock_timespec(until_us);
     pthread_cond_timedwait(&fleet->changed, &fleet->lock, &until);
 }
 
--- a/daemon/intents.c
+++ b/daemon/intents.c
@@ -12,9 +12,7 @@
     GENERATION_US = 60000000,
     HORIZON_GENERATIONS = 15, /* an id is known for a quarter of an hour */
     IDLE_WAIT_US = 200000,
-    SHORT_WAIT_US = 1000,
-    US_PER_S = 1000000,
-    NS_PER_US = 1000
+    SHORT_WAIT_US = 1000
 };
 
 /* Who waits for the verdict on one id. */
@@ -39,15 +37,6 @@
     waiter_t *waiters;
 };
 
-static struct timespec
-timespec_of(int64_t at_us)
-{
-    return (struct timespec){
-        .tv_sec = at_us / US_PER_S,
-        .tv_nsec = (at_us % US_PER_S) * NS_PER_US,
-    };
-}
-
 /*
  * Lock held. Without a waiter nothing will run the request here, so that
  * others may.
@@ -187,7 +176,7 @@
         if (!worked && !intents->stopping) {
             int64_t soonest_us = now_us + SHORT_WAIT_US;
             struct timespec until =
-                timespec_of(next_us > soonest_us ? next_us : soonest_us);
+                clock_timespec(next_us > soonest_us ? next_us : soonest_us);
             pthread_cond_timedwait(&intents->work, &intents->lock, &until);
         }
     }
@@ -196,16 +185,6 @@
     return NULL;
 }
 
-static void
-init_condition(pthread_cond_t *condition)
-{
-    pthread_condattr_t attributes;
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(condition, &attributes);
-    pthread_condattr_destroy(&attributes);
-}
-
 intents_t *
 intents_new(const store_client_t *store, uint64_t incarnation, error_t *err)
 {
@@ -217,7 +196,7 @@
     intents->store = *store;
     intents->incarnation = incarnation;
     pthread_mutex_init(&intents->lock, NULL);
-    init_condition(&intents->work);
+    clock_condition_init(&intents->work);
     if (pthread_create(&intents->thread, NULL, intents_main, intents) != 0) {
         error_set(err, STATUS_INTERNAL, "start intents", "-", "no thread");
         intents_free(intents);
