--- a/Makefile
+++ b/Makefile
@@ -37,9 +37,17 @@
 LDLIBS := $(PKG_LIBS) -pthread -lm
 
 LIB_DIRS := core fleet proto net edge
+TIER_DIRS := http platform tier
 LIB_SRC := $(sort $(wildcard $(addsuffix /*.c,$(LIB_DIRS))))
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
 LIB := $(B)/libyuccarun.a
+# The query tier on the users' platform, less its main.
+TIER_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(filter-out tier/yuccarun-tier.c, \
+	$(sort $(wildcard $(addsuffix /*.c,$(TIER_DIRS))))))
+# What it needs of the library: few, so that the program stays small.
+TIER_CORE_OBJ := $(patsubst %.c,$(B)/%.o,core/budget.c core/latency.c \
+	net/buffer.c edge/event.c edge/line_sink.c daemon/clock.c)
+TIER_LIBS = -lev -lhttp_parser -largtable2 -llog4c -ljansson -lm -pthread
 DAEMON_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard daemon/*.c)))
 # What the daemon is made of, less its main, for tests that run it in-process.
 DAEMON_LIB_OBJ := $(filter-out $(B)/daemon/yuccarund.o,$(DAEMON_OBJ))
@@ -62,7 +70,7 @@
 OWN_SRC := $(shell git ls-files -co --exclude-standard '*.c' '*.h' \
 	| grep -v '\.pb-c\.' | sort -u)
 
-BINS := $(B)/yuccarund $(B)/yuccarun $(STANDIN_BIN)
+BINS := $(B)/yuccarund $(B)/yuccarun $(B)/yuccarun-tier $(STANDIN_BIN)
 
 .PHONY: all deps check check-variant demo demo-faults lint format install clean bench \
 	tests fuzz soak mutants generate
@@ -92,6 +100,14 @@
 $(B)/yuccarund: $(DAEMON_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(B)/yuccarun-tier: $(B)/tier/yuccarun-tier.o $(TIER_LIB_OBJ) $(TIER_CORE_OBJ)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(TIER_LIBS)
+
+# What deploy/system.toml runs.
+target/yuccarun-tier: $(B)/yuccarun-tier
+	@mkdir -p target
+	cp $< $@
+
 $(B)/yuccarun: $(CLI_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
 
--- a/core/budget.c
+++ b/core/budget.c
@@ -43,10 +43,11 @@
 }
 
 bool
-budget_take(budget_t *budget, uint32_t percent, int64_t now_us)
+budget_take_above(budget_t *budget, uint32_t percent, uint32_t floor,
+                  int64_t now_us)
 {
     uint32_t slot = budget_advance(budget, now_us);
-    uint64_t allowed = budget->first_sum * percent / 100 + BUDGET_FLOOR;
+    uint64_t allowed = budget->first_sum * percent / 100 + floor;
     if (percent == 0 || budget->added_sum >= allowed) {
         return false;
     }
@@ -55,6 +56,12 @@
     return true;
 }
 
+bool
+budget_take(budget_t *budget, uint32_t percent, int64_t now_us)
+{
+    return budget_take_above(budget, percent, BUDGET_FLOOR, now_us);
+}
+
 void
 budget_return(budget_t *budget, int64_t now_us)
 {
--- a/core/budget.h
+++ b/core/budget.h
@@ -37,6 +37,10 @@
 /* Whether one more added send fits; if so it is counted. At 0 none does. */
 bool budget_take(budget_t *budget, uint32_t percent, int64_t now_us);
 
+/* As budget_take, with a floor of its own in place of BUDGET_FLOOR. */
+bool budget_take_above(budget_t *budget, uint32_t percent, uint32_t floor,
+                       int64_t now_us);
+
 /* A send that was counted did not take place. */
 void budget_return(budget_t *budget, int64_t now_us);
 
--- a/edge/event.c
+++ b/edge/event.c
@@ -41,7 +41,10 @@
 static struct {
     pthread_mutex_t lock;
     log4c_category_t *category;
-    char daemon[32];
+    event_sink_fn sink; /* in place of the category */
+    void *sink_owner;
+    event_level_t sink_level;
+    char daemon[64];
     event_record_t recent[EVENT_RECENT_MAX];
     size_t recent_count;
 } event_state = {.lock = PTHREAD_MUTEX_INITIALIZER};
@@ -112,12 +115,46 @@
     pthread_mutex_lock(&event_state.lock);
     bool was_open = event_state.category != NULL;
     event_state.category = NULL;
+    event_state.sink = NULL;
     pthread_mutex_unlock(&event_state.lock);
     if (was_open) {
         log4c_fini();
     }
 }
 
+void
+event_log_open_sink(event_level_t level, const char *daemon,
+                    event_sink_fn sink, void *owner)
+{
+    pthread_mutex_lock(&event_state.lock);
+    event_state.sink = sink;
+    event_state.sink_owner = owner;
+    event_state.sink_level = level;
+    snprintf(event_state.daemon, sizeof(event_state.daemon), "%s", daemon);
+    pthread_mutex_unlock(&event_state.lock);
+}
+
+static void
+event_to_sink(const event_entry_t *entry, const char *text)
+{
+    struct timespec wall;
+    struct timespec steady;
+    clock_gettime(CLOCK_REALTIME, &wall);
+    clock_gettime(CLOCK_MONOTONIC, &steady);
+    char line[EVENT_LINE_MAX + 160];
+    int size = snprintf(
+        line, sizeof(line), "%lld.%03ld E%d %s level=%s daemon=%s %s",
+        (long long)wall.tv_sec, wall.tv_nsec / 1000000, entry->number,
+        entry->name, level_names[entry->level], event_state.daemon, text);
+    if (size > 0) {
+        size_t length =
+            (size_t)size < sizeof(line) ? (size_t)size : sizeof(line) - 1;
+        event_state.sink(event_state.sink_owner, line, length,
+                         (int64_t)steady.tv_sec * 1000000 +
+                             steady.tv_nsec / 1000);
+    }
+}
+
 static void
 event_remember(event_t event, const char *text)
 {
@@ -127,14 +164,15 @@
     event_record_t *record = &event_state.recent[slot];
     record->event = event;
     record->at_us = (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
-    snprintf(record->text, sizeof(record->text), "%s", text);
+    snprintf(record->text, sizeof(record->text), "%.*s", EVENT_TEXT_MAX - 1,
+             text);
 }
 
 void
 event_log(event_t event, const char *format, ...)
 {
     const event_entry_t *entry = &event_entries[event];
-    char text[EVENT_TEXT_MAX];
+    char text[EVENT_LINE_MAX];
     va_list args;
     va_start(args, format);
     vsnprintf(text, sizeof(text), format, args);
@@ -144,7 +182,12 @@
     if (entry->level > EVENT_LEVEL_DEBUG) {
         event_remember(event, text);
     }
-    if (event_state.category != NULL) {
+    if (event_state.sink != NULL) {
+        if (entry->level >= event_state.sink_level) {
+            event_to_sink(entry, text);
+        }
+    }
+    else if (event_state.category != NULL) {
         log4c_category_log(event_state.category,
                            level_priorities[entry->level],
                            "E%d %s daemon=%s %s", entry->number, entry->name,
--- a/edge/event.h
+++ b/edge/event.h
@@ -32,6 +32,7 @@
     X(STOPPING, 101, "stopping", INFO)                                        \
     X(STOPPED, 102, "stopped", INFO)                                          \
     X(HURRIED, 103, "hurried", WARN)                                          \
+    X(SETTINGS, 104, "settings_changed", INFO)                                \
     X(LISTEN_FAILED, 111, "listen_failed", ERROR)                             \
     X(CONFIG_IN_FORCE, 200, "config_in_force", INFO)                          \
     X(CONFIG_REFUSED, 201, "config_refused", ERROR)                           \
@@ -42,18 +43,21 @@
     X(CONFIG_TRUSTED, 206, "config_trusted_again", INFO)                      \
     X(HOLDS, 207, "holds_changed", WARN)                                      \
     X(CONFIG_WRITTEN_BACK, 208, "config_written_back", WARN)                  \
+    X(ZONE_CLOSED, 209, "zone_closed", WARN)                                  \
     X(STORE_DOWN, 300, "store_down", ERROR)                                   \
     X(STORE_BACK, 301, "store_back", INFO)                                    \
     X(VMLIST_DOWN, 310, "vm_list_down", WARN)                                 \
     X(VMLIST_BACK, 311, "vm_list_back", INFO)                                 \
     X(TOPOLOGY, 312, "topology_changed", INFO)                                \
     X(PARTITION, 313, "partition_changed", INFO)                              \
+    X(INSTANCE, 314, "instance_changed", INFO)                                \
     X(LEASE_HELD, 400, "lease_held", INFO)                                    \
     X(LEASE_LOST, 401, "lease_lost", WARN)                                    \
     X(MEMBER_JOINED, 402, "member_joined", INFO)                              \
     X(MEMBER_LEFT, 403, "member_left", INFO)                                  \
     X(MEMBER_REMOVED, 404, "member_removed", WARN)                            \
     X(OWNERS_CHANGED, 405, "owners_changed", INFO)                            \
+    X(MEMBERS, 406, "members_changed", INFO)                                  \
     X(PEER_UP, 410, "peer_up", INFO)                                          \
     X(PEER_DOWN, 411, "peer_down", WARN)                                      \
     X(MEMBER_STATE, 412, "member_state", WARN)                                \
@@ -61,15 +65,22 @@
     X(UPSTREAM_WARM, 501, "upstream_warm", INFO)                              \
     X(UPSTREAM_REPLY, 502, "upstream_bad_reply", WARN)                        \
     X(QUARANTINE, 503, "request_quarantined", ERROR)                          \
-    X(REQUEST_REFUSED, 600, "request_refused", DEBUG)                         \
+    X(REQUEST_REFUSED, 600, "request_refused", INFO)                          \
     X(OPERATOR_DENIED, 601, "operator_denied", WARN)                          \
-    X(INPUT_REFUSED, 602, "input_refused", WARN)
+    X(INPUT_REFUSED, 602, "input_refused", WARN)                              \
+    X(REQUEST_ANSWERED, 610, "request_answered", INFO)                        \
+    X(SENT_AGAIN, 611, "request_sent_again", INFO)                            \
+    X(ATTEMPT_FAILED, 612, "attempt_failed", INFO)
 
 #define EVENT_SYMBOL(symbol, number, name, level) EVENT_##symbol,
 typedef enum { EVENT_CATALOGUE(EVENT_SYMBOL) EVENT_COUNT } event_t;
 #undef EVENT_SYMBOL
 
-enum { EVENT_TEXT_MAX = 240, EVENT_RECENT_MAX = 64 };
+enum {
+    EVENT_TEXT_MAX = 240, /* kept for status */
+    EVENT_LINE_MAX = 640, /* logged */
+    EVENT_RECENT_MAX = 64
+};
 
 /* One logged event, for status. */
 typedef struct {
@@ -92,6 +103,14 @@
  * daemon is put on each line. False when the file cannot be written.
  */
 bool event_log_open(event_level_t level, const char *path, const char *daemon);
+
+/* Takes one line without its end; now_us is monotonic. */
+typedef void (*event_sink_fn)(void *owner, const char *line, size_t size,
+                              int64_t now_us);
+
+/* Start logging to a sink that never blocks, in place of a file. */
+void event_log_open_sink(event_level_t level, const char *daemon,
+                         event_sink_fn sink, void *owner);
 void event_log_close(void);
 
 void event_log(event_t event, const char *format, ...)
--- /dev/null
+++ b/edge/line_sink.c
@@ -0,0 +1,120 @@
+#include "edge/line_sink.h"
+
+#include "net/buffer.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+struct line_sink {
+    int fd;
+    buffer_t lines;
+    int64_t second_us; /* when the second being counted began */
+    uint32_t in_second;
+    uint64_t dropped;
+    uint64_t reported; /* of dropped */
+};
+
+line_sink_t *
+line_sink_new(int fd)
+{
+    line_sink_t *sink = calloc(1, sizeof(*sink));
+    if (sink == NULL) {
+        return NULL;
+    }
+    sink->fd = fd;
+    int flags = fcntl(fd, F_GETFL);
+    if (flags >= 0) {
+        (void)fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+    }
+    return sink;
+}
+
+static void
+sink_append(line_sink_t *sink, const char *line, size_t size)
+{
+    uint8_t *room = NULL;
+    if (buffer_size(&sink->lines) + size + 1 <= LINE_SINK_BYTES) {
+        room = buffer_reserve(&sink->lines, size + 1);
+    }
+    if (room == NULL) {
+        sink->dropped++;
+        return;
+    }
+    memcpy(room, line, size);
+    room[size] = '\n';
+    buffer_commit(&sink->lines, size + 1);
+}
+
+static void
+sink_report(line_sink_t *sink)
+{
+    char line[96];
+    int size =
+        snprintf(line, sizeof(line), "E1 log_lines_left_out count=%" PRIu64,
+                 sink->dropped - sink->reported);
+    sink->reported = sink->dropped;
+    sink_append(sink, line, (size_t)size);
+}
+
+void
+line_sink_put(void *owner, const char *line, size_t size, int64_t now_us)
+{
+    line_sink_t *sink = owner;
+    if (now_us - sink->second_us >= 1000000) {
+        sink->second_us = now_us;
+        sink->in_second = 0;
+        if (sink->dropped > sink->reported) {
+            sink_report(sink);
+        }
+    }
+    if (sink->in_second >= LINE_SINK_LINES_PER_S) {
+        sink->dropped++;
+        return;
+    }
+    sink->in_second++;
+    sink_append(sink, line, size);
+    if (buffer_size(&sink->lines) >= LINE_SINK_BATCH) {
+        line_sink_flush(sink);
+    }
+}
+
+void
+line_sink_flush(line_sink_t *sink)
+{
+    while (buffer_size(&sink->lines) > 0) {
+        ssize_t size = write(sink->fd, buffer_data(&sink->lines),
+                             buffer_size(&sink->lines));
+        if (size < 0) {
+            if (errno == EINTR) {
+                continue;
+            }
+            if (errno != EAGAIN) {
+                /* Nobody reads it any more: what is kept is of no use. */
+                buffer_take(&sink->lines, buffer_size(&sink->lines));
+            }
+            return;
+        }
+        buffer_take(&sink->lines, (size_t)size);
+    }
+}
+
+uint64_t
+line_sink_dropped(const line_sink_t *sink)
+{
+    return sink->dropped;
+}
+
+void
+line_sink_free(line_sink_t *sink)
+{
+    if (sink != NULL) {
+        line_sink_flush(sink);
+        buffer_release(&sink->lines);
+        free(sink);
+    }
+}
--- /dev/null
+++ b/http/message.c
@@ -0,0 +1,339 @@
+#include "http/message.h"
+
+#include <string.h>
+#include <strings.h>
+
+static http_reader_t *
+reader_of(http_parser *parser)
+{
+    return parser->data;
+}
+
+static int
+reader_fail(http_reader_t *reader, http_state_t failure)
+{
+    reader->failure = failure;
+    return -1;
+}
+
+static int
+text_add(http_reader_t *reader, const char *bytes, size_t size)
+{
+    buffer_t *text = &reader->message.text;
+    size_t limit = reader->limits.header_bytes;
+    if (limit > 0 && buffer_size(text) + size > limit) {
+        return reader_fail(reader, HTTP_HEADERS_LONG);
+    }
+    uint8_t *room = buffer_reserve(text, size);
+    if (room == NULL) {
+        return reader_fail(reader, HTTP_HEADERS_LONG);
+    }
+    memcpy(room, bytes, size);
+    buffer_commit(text, size);
+    return 0;
+}
+
+static int
+text_end(http_reader_t *reader)
+{
+    return text_add(reader, "", 1);
+}
+
+static void
+message_clear(http_message_t *message)
+{
+    buffer_take(&message->text, buffer_size(&message->text));
+    buffer_take(&message->body, buffer_size(&message->body));
+    message->header_count = 0;
+    message->method = NULL;
+    message->status = 0;
+    message->keep_alive = false;
+    message->expects_continue = false;
+    message->ends_with_connection = false;
+}
+
+static int
+on_begin(http_parser *parser)
+{
+    reader_of(parser)->started = true;
+    return 0;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t size)
+{
+    return text_add(reader_of(parser), at, size);
+}
+
+/* What was being read has ended: the target, or a header's value. */
+static int
+text_close(http_reader_t *reader)
+{
+    http_message_t *message = &reader->message;
+    if (reader->reading == READING_VALUE) {
+        http_header_t *header = &message->headers[message->header_count++];
+        header->value_length =
+            (uint32_t)buffer_size(&message->text) - header->value;
+    }
+    return text_end(reader);
+}
+
+static int
+on_field(http_parser *parser, const char *at, size_t size)
+{
+    http_reader_t *reader = reader_of(parser);
+    http_message_t *message = &reader->message;
+    if (reader->reading != READING_NAME) {
+        if (text_close(reader) != 0) {
+            return -1;
+        }
+        if (message->header_count == HTTP_HEADERS_MAX) {
+            return reader_fail(reader, HTTP_HEADERS_LONG);
+        }
+        reader->reading = READING_NAME;
+        message->headers[message->header_count].name =
+            (uint32_t)buffer_size(&message->text);
+    }
+    return text_add(reader, at, size);
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t size)
+{
+    http_reader_t *reader = reader_of(parser);
+    http_message_t *message = &reader->message;
+    if (reader->reading == READING_NAME) {
+        if (text_end(reader) != 0) {
+            return -1;
+        }
+        reader->reading = READING_VALUE;
+        message->headers[message->header_count].value =
+            (uint32_t)buffer_size(&message->text);
+    }
+    return text_add(reader, at, size);
+}
+
+static int
+on_headers(http_parser *parser)
+{
+    http_reader_t *reader = reader_of(parser);
+    http_message_t *message = &reader->message;
+    if (text_close(reader) != 0) {
+        return -1;
+    }
+    reader->headers_done = true;
+    /* No protocol but HTTP/1.1 is spoken here: what follows is a body. */
+    parser->upgrade = 0;
+    if (reader->kind == HTTP_REQUESTS) {
+        message->method = http_method_str(parser->method);
+        const char *expect = http_header_find(message, "Expect");
+        message->expects_continue =
+            expect != NULL && strcasecmp(expect, "100-continue") == 0;
+        size_t limit = reader->limits.body_bytes;
+        if (limit > 0 && parser->content_length != UINT64_MAX &&
+            parser->content_length > limit) {
+            return reader_fail(reader, HTTP_BODY_LONG);
+        }
+        return 0;
+    }
+    message->status = parser->status_code;
+    return reader->answers_head ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t size)
+{
+    http_reader_t *reader = reader_of(parser);
+    buffer_t *body = &reader->message.body;
+    size_t limit = reader->limits.body_bytes;
+    if (limit > 0 && buffer_size(body) + size > limit) {
+        return reader_fail(reader, HTTP_BODY_LONG);
+    }
+    uint8_t *room = buffer_reserve(body, size);
+    if (room == NULL) {
+        return reader_fail(reader, HTTP_BODY_LONG);
+    }
+    memcpy(room, at, size);
+    buffer_commit(body, size);
+    return 0;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+    http_reader_t *reader = reader_of(parser);
+    if (reader->kind == HTTP_RESPONSES && parser->status_code / 100 == 1) {
+        /* Interim: the response that is awaited comes after it. */
+        message_clear(&reader->message);
+        reader->reading = READING_TARGET;
+        reader->headers_done = false;
+        return 0;
+    }
+    reader->message.keep_alive = http_should_keep_alive(parser) != 0;
+    reader->done = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings reader_settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+static void
+reader_reset(http_reader_t *reader)
+{
+    http_parser_init(&reader->parser, reader->kind == HTTP_REQUESTS
+                                          ? HTTP_REQUEST
+                                          : HTTP_RESPONSE);
+    reader->parser.data = reader;
+    reader->failure = HTTP_BAD;
+    reader->reading = READING_TARGET;
+    reader->started = false;
+    reader->headers_done = false;
+    reader->done = false;
+    reader->answers_head = false;
+}
+
+void
+http_reader_init(http_reader_t *reader, http_kind_t kind,
+                 const http_limits_t *limits)
+{
+    memset(reader, 0, sizeof(*reader));
+    reader->kind = kind;
+    reader->limits = *limits;
+    reader_reset(reader);
+}
+
+void
+http_reader_release(http_reader_t *reader)
+{
+    buffer_release(&reader->message.text);
+    buffer_release(&reader->message.body);
+}
+
+void
+http_reader_next(http_reader_t *reader)
+{
+    message_clear(&reader->message);
+    reader_reset(reader);
+}
+
+static http_state_t
+reader_state(http_reader_t *reader)
+{
+    if (reader->done) {
+        return HTTP_DONE;
+    }
+    enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
+    if (error == HPE_OK) {
+        return HTTP_MORE;
+    }
+    if (error == HPE_HEADER_OVERFLOW) {
+        return HTTP_HEADERS_LONG;
+    }
+    return reader->failure;
+}
+
+http_state_t
+http_reader_feed(http_reader_t *reader, const char *bytes, size_t size,
+                 size_t *used)
+{
+    *used = 0;
+    if (size == 0) {
+        return HTTP_MORE;
+    }
+    *used =
+        http_parser_execute(&reader->parser, &reader_settings, bytes, size);
+    return reader_state(reader);
+}
+
+http_state_t
+http_reader_close(http_reader_t *reader)
+{
+    if (!reader->started || !reader->headers_done) {
+        return HTTP_BAD;
+    }
+    reader->message.ends_with_connection = true;
+    http_parser_execute(&reader->parser, &reader_settings, NULL, 0);
+    return reader->done ? HTTP_DONE : HTTP_BAD;
+}
+
+const char *
+http_target(const http_message_t *message)
+{
+    return (const char *)buffer_data(&message->text);
+}
+
+const char *
+http_header_name(const http_message_t *message, uint32_t index)
+{
+    return http_target(message) + message->headers[index].name;
+}
+
+const char *
+http_header_value(const http_message_t *message, uint32_t index)
+{
+    return http_target(message) + message->headers[index].value;
+}
+
+const char *
+http_header_find(const http_message_t *message, const char *name)
+{
+    for (uint32_t i = 0; i < message->header_count; i++) {
+        if (strcasecmp(http_header_name(message, i), name) == 0) {
+            return http_header_value(message, i);
+        }
+    }
+    return NULL;
+}
+
+/* Whether a comma-separated list names it. */
+static bool
+list_names(const char *list, const char *name)
+{
+    size_t length = strlen(name);
+    while (*list != '\0') {
+        list += strspn(list, " \t,");
+        size_t size = strcspn(list, " \t,");
+        if (size == length && strncasecmp(list, name, size) == 0) {
+            return true;
+        }
+        list += size;
+    }
+    return false;
+}
+
+bool
+http_header_is_hop(const http_message_t *message, const char *name)
+{
+    static const char *const names[] = {
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Proxy-Authorization",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Expect",
+    };
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (strcasecmp(name, names[i]) == 0) {
+            return true;
+        }
+    }
+    for (uint32_t i = 0; i < message->header_count; i++) {
+        if (strcasecmp(http_header_name(message, i), "Connection") == 0 &&
+            list_names(http_header_value(message, i), name)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/http/server.c
@@ -0,0 +1,497 @@
+#include "http/server.h"
+
+#include "daemon/clock.h"
+#include "http/conn.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+    LISTENERS_MAX = 8,
+    ACCEPTS_A_TURN = 32, /* so that one burst does not hold up the others */
+    /* A connection closed for a fault takes in what is still on its way, so
+       that the answer is not lost to a reset. */
+    LINGER_US = 1000000,
+    PENDING_MAX = 256 << 10 /* bytes read ahead of the request at work */
+};
+
+typedef struct {
+    ev_io io;
+    int fd;
+    http_server_t *server;
+    const http_service_t *service;
+    void *owner;
+} listener_t;
+
+typedef enum {
+    EXCHANGE_READING,
+    EXCHANGE_WORKING,
+    EXCHANGE_ENDING /* answered for the last time; closed once flushed */
+} exchange_state_t;
+
+struct exchange {
+    conn_t conn;
+    http_reader_t reader;
+    http_server_t *server;
+    const http_service_t *service;
+    void *owner;
+    exchange_state_t state;
+    bool continued;   /* the caller was told to send the body */
+    bool last;        /* the connection ends with the next answer */
+    bool feeding;     /* within exchange_feed */
+    int64_t since_us; /* idle, or reading the request at hand */
+    int64_t arrived_us;
+    buffer_t pending; /* read ahead of the request at work */
+    ev_timer timer;
+    void *data;
+    exchange_t *next;
+    exchange_t *prev;
+};
+
+struct http_server {
+    struct ev_loop *loop;
+    http_server_settings_t settings;
+    listener_t listeners[LISTENERS_MAX];
+    uint32_t listener_count;
+    exchange_t *exchanges;
+    bool closing;
+    http_server_stats_t stats;
+};
+
+http_server_t *
+http_server_new(struct ev_loop *loop, const http_server_settings_t *settings)
+{
+    http_server_t *server = calloc(1, sizeof(*server));
+    if (server != NULL) {
+        server->loop = loop;
+        server->settings = *settings;
+    }
+    return server;
+}
+
+void
+http_server_set(http_server_t *server, const http_server_settings_t *settings)
+{
+    server->settings = *settings;
+}
+
+const http_server_stats_t *
+http_server_stats(const http_server_t *server)
+{
+    return &server->stats;
+}
+
+static void
+exchange_free(exchange_t *exchange)
+{
+    http_server_t *server = exchange->server;
+    if (exchange->prev != NULL) {
+        exchange->prev->next = exchange->next;
+    }
+    else {
+        server->exchanges = exchange->next;
+    }
+    if (exchange->next != NULL) {
+        exchange->next->prev = exchange->prev;
+    }
+    server->stats.open--;
+    ev_timer_stop(server->loop, &exchange->timer);
+    conn_close(&exchange->conn);
+    http_reader_release(&exchange->reader);
+    buffer_release(&exchange->pending);
+    free(exchange);
+}
+
+/* Answer for the last time and take in what is still on its way. */
+static void
+exchange_reject(exchange_t *exchange, uint32_t status)
+{
+    http_answer_t answer = {.status = status, .close = true};
+    exchange->server->stats.bad++;
+    exchange->state = EXCHANGE_WORKING;
+    exchange_answer(exchange, &answer);
+}
+
+static const char *
+reason_phrase(uint32_t status)
+{
+    const char *text = http_status_str((enum http_status)status);
+    return strcmp(text, "<unknown>") == 0 ? "Status" : text;
+}
+
+static void
+exchange_wanted(exchange_t *exchange)
+{
+    exchange->state = EXCHANGE_WORKING;
+    exchange->arrived_us = clock_now_us();
+    exchange->data = NULL;
+    if (!exchange->reader.message.keep_alive || exchange->server->closing) {
+        exchange->last = true;
+    }
+    exchange->service->request(exchange->owner, exchange);
+}
+
+static void
+exchange_continue(exchange_t *exchange)
+{
+    static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (exchange->reader.headers_done && !exchange->continued &&
+        exchange->reader.message.expects_continue) {
+        exchange->continued = true;
+        (void)conn_write(&exchange->conn, text, sizeof(text) - 1);
+    }
+}
+
+/* Keep what belongs to later requests; false: too much of it. */
+static bool
+exchange_keep(exchange_t *exchange, const char *bytes, size_t size)
+{
+    if (size == 0) {
+        return true;
+    }
+    if (buffer_size(&exchange->pending) + size > PENDING_MAX) {
+        return false;
+    }
+    uint8_t *room = buffer_reserve(&exchange->pending, size);
+    if (room == NULL) {
+        return false;
+    }
+    memcpy(room, bytes, size);
+    buffer_commit(&exchange->pending, size);
+    return true;
+}
+
+/* Read one request; what follows it is kept until it is answered. */
+static void
+exchange_feed(exchange_t *exchange, const char *bytes, size_t size)
+{
+    static const uint32_t statuses[] = {
+        [HTTP_BAD] = 400,
+        [HTTP_HEADERS_LONG] = 431,
+        [HTTP_BODY_LONG] = 413,
+    };
+    if (!exchange->reader.started) {
+        exchange->since_us = clock_now_us();
+    }
+    size_t used = 0;
+    http_state_t state =
+        http_reader_feed(&exchange->reader, bytes, size, &used);
+    if (state == HTTP_MORE) {
+        exchange_continue(exchange);
+        return;
+    }
+    if (state != HTTP_DONE) {
+        exchange_reject(exchange, statuses[state]);
+        return;
+    }
+    if (!exchange_keep(exchange, bytes + used, size - used)) {
+        exchange_reject(exchange, 400);
+        return;
+    }
+    exchange_wanted(exchange);
+}
+
+static void
+exchange_data_in(conn_t *conn, const char *bytes, size_t size)
+{
+    exchange_t *exchange = conn->owner;
+    switch (exchange->state) {
+    case EXCHANGE_READING:
+        exchange_feed(exchange, bytes, size);
+        break;
+    case EXCHANGE_WORKING:
+        if (!exchange_keep(exchange, bytes, size)) {
+            exchange->service->gone(exchange->owner, exchange);
+            exchange_free(exchange);
+        }
+        break;
+    default:
+        break; /* not read any more */
+    }
+}
+
+static void
+exchange_ended(conn_t *conn, bool clean)
+{
+    exchange_t *exchange = conn->owner;
+    (void)clean;
+    if (exchange->state == EXCHANGE_WORKING) {
+        exchange->service->gone(exchange->owner, exchange);
+    }
+    exchange_free(exchange);
+}
+
+static void
+exchange_flushed(conn_t *conn)
+{
+    exchange_t *exchange = conn->owner;
+    if (exchange->state == EXCHANGE_ENDING) {
+        (void)shutdown(conn->fd, SHUT_WR);
+    }
+}
+
+static const conn_ops_t exchange_ops = {
+    .data = exchange_data_in,
+    .ended = exchange_ended,
+    .flushed = exchange_flushed,
+};
+
+static void
+exchange_timed(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    exchange_t *exchange = timer->data;
+    if (exchange->state == EXCHANGE_WORKING &&
+        exchange->service->wake != NULL) {
+        exchange->service->wake(exchange->owner, exchange);
+    }
+    else if (exchange->state == EXCHANGE_READING &&
+             buffer_size(&exchange->pending) > 0) {
+        buffer_t pending = exchange->pending;
+        exchange->pending = (buffer_t){0};
+        exchange_feed(exchange, (const char *)buffer_data(&pending),
+                      buffer_size(&pending));
+        buffer_release(&pending);
+    }
+}
+
+static void
+exchange_new(listener_t *listener, int fd)
+{
+    http_server_t *server = listener->server;
+    exchange_t *exchange = calloc(1, sizeof(*exchange));
+    if (exchange == NULL) {
+        close(fd);
+        return;
+    }
+    conn_adopt(&exchange->conn, server->loop, fd, &exchange_ops, exchange);
+    http_reader_init(&exchange->reader, HTTP_REQUESTS,
+                     &server->settings.limits);
+    exchange->server = server;
+    exchange->service = listener->service;
+    exchange->owner = listener->owner;
+    exchange->since_us = clock_now_us();
+    ev_timer_init(&exchange->timer, exchange_timed, 0, 0);
+    exchange->timer.data = exchange;
+    exchange->next = server->exchanges;
+    if (exchange->next != NULL) {
+        exchange->next->prev = exchange;
+    }
+    server->exchanges = exchange;
+    server->stats.open++;
+    server->stats.accepted++;
+}
+
+static void
+listener_event(struct ev_loop *loop, ev_io *io, int events)
+{
+    (void)loop;
+    (void)events;
+    listener_t *listener = io->data;
+    http_server_t *server = listener->server;
+    for (int i = 0; i < ACCEPTS_A_TURN; i++) {
+        int fd =
+            accept4(listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        if (server->stats.open >= server->settings.connections_max) {
+            server->stats.refused++;
+            close(fd);
+            continue;
+        }
+        exchange_new(listener, fd);
+    }
+}
+
+bool
+http_server_listen(http_server_t *server, const struct sockaddr_in *address,
+                   const http_service_t *service, void *owner)
+{
+    if (server->listener_count == LISTENERS_MAX) {
+        errno = ENOSPC;
+        return false;
+    }
+    int fd = listener_open(address);
+    if (fd < 0) {
+        return false;
+    }
+    listener_t *listener = &server->listeners[server->listener_count++];
+    *listener = (listener_t){
+        .fd = fd,
+        .server = server,
+        .service = service,
+        .owner = owner,
+    };
+    ev_io_init(&listener->io, listener_event, fd, EV_READ);
+    listener->io.data = listener;
+    ev_io_start(server->loop, &listener->io);
+    return true;
+}
+
+void
+http_server_stop_listening(http_server_t *server)
+{
+    for (uint32_t i = 0; i < server->listener_count; i++) {
+        ev_io_stop(server->loop, &server->listeners[i].io);
+        close(server->listeners[i].fd);
+    }
+    server->listener_count = 0;
+}
+
+void
+http_server_close_after_answers(http_server_t *server)
+{
+    server->closing = true;
+}
+
+void
+http_server_close_idle(http_server_t *server)
+{
+    for (exchange_t *exchange = server->exchanges, *next; exchange != NULL;
+         exchange = next) {
+        next = exchange->next;
+        if (exchange->state == EXCHANGE_READING && !exchange->reader.started &&
+            buffer_size(&exchange->pending) == 0) {
+            exchange_free(exchange);
+        }
+    }
+}
+
+static void
+exchange_sweep(exchange_t *exchange, int64_t now_us)
+{
+    const http_server_settings_t *settings = &exchange->server->settings;
+    int64_t age_us = now_us - exchange->since_us;
+    switch (exchange->state) {
+    case EXCHANGE_ENDING:
+        if (age_us > LINGER_US && conn_is_flushed(&exchange->conn)) {
+            exchange_free(exchange);
+        }
+        break;
+    case EXCHANGE_READING:
+        if (exchange->reader.started) {
+            if (settings->header_timeout_us > 0 &&
+                age_us > settings->header_timeout_us) {
+                exchange_reject(exchange, 408);
+            }
+        }
+        else if (settings->idle_timeout_us > 0 &&
+                 age_us > settings->idle_timeout_us) {
+            exchange_free(exchange);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void
+http_server_sweep(http_server_t *server, int64_t now_us)
+{
+    for (exchange_t *exchange = server->exchanges, *next; exchange != NULL;
+         exchange = next) {
+        next = exchange->next;
+        exchange_sweep(exchange, now_us);
+    }
+}
+
+const http_message_t *
+exchange_request(const exchange_t *exchange)
+{
+    return &exchange->reader.message;
+}
+
+int64_t
+exchange_arrived_us(const exchange_t *exchange)
+{
+    return exchange->arrived_us;
+}
+
+void
+exchange_set_data(exchange_t *exchange, void *data)
+{
+    exchange->data = data;
+}
+
+void *
+exchange_data(const exchange_t *exchange)
+{
+    return exchange->data;
+}
+
+void
+exchange_wake_at(exchange_t *exchange, int64_t at_us)
+{
+    int64_t wait_us = at_us - clock_now_us();
+    ev_timer_stop(exchange->server->loop, &exchange->timer);
+    ev_timer_set(&exchange->timer, wait_us > 0 ? (double)wait_us / 1e6 : 0, 0);
+    /* Counted from the start of the loop's turn, so it may come early; it is
+       then asked for again. */
+    ev_timer_start(exchange->server->loop, &exchange->timer);
+}
+
+void
+exchange_answer(exchange_t *exchange, const http_answer_t *answer)
+{
+    http_server_t *server = exchange->server;
+    bool last = exchange->last || answer->close || server->closing;
+    char start[128];
+    char length[96];
+    int start_size = snprintf(start, sizeof(start), "HTTP/1.1 %u %s\r\n",
+                              answer->status, reason_phrase(answer->status));
+    int length_size = 0;
+    if (!answer->no_body) {
+        length_size = snprintf(length, sizeof(length),
+                               "Content-Length: %zu\r\n", answer->body_size);
+    }
+    length_size +=
+        snprintf(length + length_size, sizeof(length) - (size_t)length_size,
+                 "%s\r\n", last ? "Connection: close\r\n" : "");
+    struct iovec pieces[] = {
+        {start, (size_t)start_size},
+        {(void *)answer->head, answer->head_size},
+        {length, (size_t)length_size},
+        {(void *)answer->body, answer->no_body ? 0 : answer->body_size},
+    };
+    ev_timer_stop(server->loop, &exchange->timer);
+    bool written = conn_writev(&exchange->conn, pieces,
+                               sizeof(pieces) / sizeof(pieces[0]));
+    exchange->since_us = clock_now_us();
+    exchange->data = NULL;
+    if (last || !written) {
+        exchange->state = EXCHANGE_ENDING;
+        if (conn_is_flushed(&exchange->conn)) {
+            (void)shutdown(exchange->conn.fd, SHUT_WR);
+        }
+        return;
+    }
+    exchange->state = EXCHANGE_READING;
+    exchange->continued = false;
+    exchange->reader.limits = server->settings.limits;
+    http_reader_next(&exchange->reader);
+    if (buffer_size(&exchange->pending) > 0) {
+        /* The next request was sent ahead: read in a turn of its own. */
+        ev_timer_set(&exchange->timer, 0, 0);
+        ev_timer_start(server->loop, &exchange->timer);
+    }
+}
+
+void
+http_server_free(http_server_t *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    http_server_stop_listening(server);
+    while (server->exchanges != NULL) {
+        exchange_free(server->exchanges);
+    }
+    free(server);
+}
--- /dev/null
+++ b/tier/engine.c
@@ -0,0 +1,511 @@
+#include "tier/engine.h"
+
+#include "edge/event.h"
+#include "tier/engine_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    /* Before the goal by this much a merged answer sets out: its way to the
+       caller, and what the caller's request took to arrive. */
+    GOAL_MARGIN_US = 10000,
+    /* The final answer sets out by this much before the caller's time ends. */
+    DEADLINE_MARGIN_US = 10000,
+    /* Patience assumed when neither caller nor route says any. */
+    PATIENCE_US = 10000000,
+    /* How soon a caller is asked back when nothing better is known. */
+    RETURN_US = 150000
+};
+
+uint64_t
+engine_random(engine_t *engine)
+{
+    /* xorshift64: spreads choices, keeps no secrets. */
+    uint64_t x = engine->random;
+    x ^= x << 13;
+    x ^= x >> 7;
+    x ^= x << 17;
+    engine->random = x;
+    return x;
+}
+
+engine_t *
+engine_new(const engine_settings_t *settings, const engine_ports_t *ports,
+           void *owner)
+{
+    engine_t *engine = calloc(1, sizeof(*engine));
+    if (engine == NULL) {
+        return NULL;
+    }
+    engine->settings = *settings;
+    engine->ports = *ports;
+    engine->owner = owner;
+    engine->fleet = 1;
+    engine->random = 0x9e3779b97f4a7c15ULL ^ (uint64_t)(uintptr_t)engine;
+    registry_init(&engine->registry);
+    return engine;
+}
+
+static void
+memories_free(engine_t *engine)
+{
+    route_memory_t *memory;
+    route_memory_t *next;
+    HASH_ITER(hh, engine->memories, memory, next)
+    {
+        HASH_DEL(engine->memories, memory);
+        free(memory->name);
+        free(memory->split_credit);
+        free(memory);
+    }
+}
+
+static void
+request_free(request_t *request)
+{
+    free(request->legs);
+    buffer_release(&request->records.bytes);
+    buffer_release(&request->signatures);
+    route_table_release(request->table);
+    free(request);
+}
+
+void
+engine_free(engine_t *engine)
+{
+    if (engine == NULL) {
+        return;
+    }
+    while (engine->requests != NULL) {
+        engine_leave(engine, engine->requests, 0);
+    }
+    while (engine->attempts != NULL) {
+        attempt_t *attempt = engine->attempts;
+        engine->attempts = attempt->next;
+        free(attempt);
+    }
+    route_table_release(engine->table);
+    memories_free(engine);
+    registry_release(&engine->registry);
+    free(engine);
+}
+
+registry_t *
+engine_registry(engine_t *engine)
+{
+    return &engine->registry;
+}
+
+const route_table_t *
+engine_table(const engine_t *engine)
+{
+    return engine->table;
+}
+
+uint32_t
+engine_requests(const engine_t *engine)
+{
+    return engine->request_count;
+}
+
+void
+engine_configure(engine_t *engine, route_table_t *table, int64_t now_us)
+{
+    route_table_release(engine->table);
+    engine->table = route_table_hold(table);
+    registry_apply(&engine->registry, table, engine->fleet);
+    engine_serve_waiting(engine, now_us);
+}
+
+void
+engine_set_fleet(engine_t *engine, uint32_t fleet, int64_t now_us)
+{
+    engine->fleet = fleet > 0 ? fleet : 1;
+    registry_apply(&engine->registry, engine->table, engine->fleet);
+    engine_serve_waiting(engine, now_us);
+}
+
+void
+engine_serve_waiting(engine_t *engine, int64_t now_us)
+{
+    pool_t *pool;
+    pool_t *next;
+    HASH_ITER(hh, engine->registry.pools, pool, next)
+    {
+        pool_serve(engine, pool, now_us);
+    }
+}
+
+static route_memory_t *
+memory_of(engine_t *engine, const route_t *route)
+{
+    route_memory_t *memory;
+    HASH_FIND_STR(engine->memories, route->name, memory);
+    if (memory != NULL) {
+        return memory;
+    }
+    memory = calloc(1, sizeof(*memory));
+    if (memory == NULL || (memory->name = strdup(route->name)) == NULL) {
+        free(memory);
+        return NULL;
+    }
+    HASH_ADD_KEYPTR(hh, engine->memories, memory->name, strlen(memory->name),
+                    memory);
+    return memory;
+}
+
+/*
+ * The part of a split that is due: each gains its share a request, and the
+ * one with most credit pays for it. Shares hold over any few requests.
+ */
+static uint32_t
+split_choose(route_memory_t *memory, const route_t *route, uint64_t version)
+{
+    if (memory->split_count != route->target_count ||
+        memory->table_version != version) {
+        double *credit =
+            realloc(memory->split_credit,
+                    route->target_count * sizeof(*memory->split_credit));
+        if (credit == NULL) {
+            return 0;
+        }
+        memory->split_credit = credit;
+        memset(credit, 0, route->target_count * sizeof(*credit));
+        memory->split_count = route->target_count;
+        memory->table_version = version;
+    }
+    double total = 0;
+    uint32_t best = 0;
+    for (uint32_t i = 0; i < route->target_count; i++) {
+        total += route->targets[i].weight;
+        memory->split_credit[i] += route->targets[i].weight;
+        if (memory->split_credit[i] > memory->split_credit[best]) {
+            best = i;
+        }
+    }
+    memory->split_credit[best] -= total;
+    return best;
+}
+
+static bool
+request_legs(request_t *request)
+{
+    const route_t *route = request->route;
+    engine_t *engine = request->engine;
+    uint32_t first = 0;
+    uint32_t count = 1;
+    if (route->kind == ROUTE_SHARDS) {
+        count = route->target_count;
+    }
+    else if (route->kind == ROUTE_SPLIT) {
+        first = split_choose(request->memory, route, request->table->version);
+    }
+    request->legs = calloc(count, sizeof(*request->legs));
+    if (request->legs == NULL) {
+        return false;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        leg_t *leg = &request->legs[request->leg_count++];
+        leg->request = request;
+        leg->pool = registry_pool(&engine->registry,
+                                  route->targets[first + i].service);
+        if (leg->pool == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+answer_now(engine_t *engine, const call_t *call, uint32_t status,
+           const char *reason, int64_t retry_after_us)
+{
+    answer_t answer = {
+        .kind = ANSWER_OWN,
+        .status = status,
+        .reason = reason,
+        .retry_after_us = retry_after_us,
+    };
+    event_log(EVENT_REQUEST_REFUSED,
+              "id=%s host=%s status=%u reason=%s v=%llu requests=%u", call->id,
+              call->host, status, reason,
+              engine->table != NULL
+                  ? (unsigned long long)engine->table->version
+                  : 0ULL,
+              engine->request_count);
+    engine->ports.answer(engine->owner, call->owner, &answer);
+}
+
+static int64_t
+patience_of(const call_t *call, const route_t *route)
+{
+    int64_t patience_us = route->timeout_us;
+    if (call->patience_us > 0 &&
+        (patience_us <= 0 || call->patience_us < patience_us)) {
+        patience_us = call->patience_us;
+    }
+    return patience_us > 0 ? patience_us : PATIENCE_US;
+}
+
+static request_t *
+request_new(engine_t *engine, const call_t *call, const route_t *route,
+            int64_t now_us)
+{
+    request_t *request = calloc(1, sizeof(*request));
+    if (request == NULL) {
+        return NULL;
+    }
+    int64_t patience_us = patience_of(call, route);
+    int64_t margin_us = patience_us / 10 < DEADLINE_MARGIN_US
+                            ? patience_us / 10
+                            : DEADLINE_MARGIN_US;
+    int64_t goal_us = route->goal_us > 0 ? route->goal_us : patience_us / 2;
+    request->engine = engine;
+    request->call = *call;
+    snprintf(request->id, sizeof(request->id), "%s", call->id);
+    request->table = route_table_hold(engine->table);
+    request->route = route;
+    request->begun_us = now_us;
+    request->deadline_us = now_us + patience_us - margin_us;
+    request->goal_us =
+        now_us + goal_us -
+        (goal_us / 4 < GOAL_MARGIN_US ? goal_us / 4 : GOAL_MARGIN_US);
+    request->memory = memory_of(engine, route);
+    if (request->memory == NULL || !request_legs(request)) {
+        request_free(request);
+        return NULL;
+    }
+    request->gather = (gather_t){
+        .shards = request->leg_count,
+        .least_share = route->least_share,
+        .goal_us = request->goal_us,
+    };
+    request->next = engine->requests;
+    if (request->next != NULL) {
+        request->next->prev = request;
+    }
+    engine->requests = request;
+    engine->request_count++;
+    return request;
+}
+
+static void
+request_forget(request_t *request)
+{
+    engine_t *engine = request->engine;
+    if (request->prev != NULL) {
+        request->prev->next = request->next;
+    }
+    else {
+        engine->requests = request->next;
+    }
+    if (request->next != NULL) {
+        request->next->prev = request->prev;
+    }
+    engine->request_count--;
+    request_free(request);
+}
+
+bool
+request_may_have_run(const request_t *request)
+{
+    for (uint32_t i = 0; i < request->leg_count; i++) {
+        if (request->legs[i].may_have_run > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+request_log(const request_t *request, const char *event, uint32_t status,
+            const char *reason, int64_t now_us)
+{
+    uint32_t done = 0;
+    uint32_t sends = 0;
+    for (uint32_t i = 0; i < request->leg_count; i++) {
+        done += request->legs[i].state == LEG_DONE ? 1 : 0;
+        sends += request->legs[i].sends;
+    }
+    event_log(EVENT_REQUEST_ANSWERED,
+              "id=%s route=%s v=%llu %s status=%u reason=%s ms=%.1f goal_ms="
+              "%.0f parts=%u/%u sends=%u hedges=%u repeats=%u waits=%u ran=%d",
+              request->id, request->route->name,
+              (unsigned long long)request->table->version, event, status,
+              reason, (double)(now_us - request->begun_us) / 1000,
+              (double)request->route->goal_us / 1000, done, request->leg_count,
+              sends, request->hedges, request->repeats, request->waits,
+              request_may_have_run(request));
+}
+
+void
+request_answer(request_t *request, const answer_t *answer, int64_t now_us)
+{
+    engine_t *engine = request->engine;
+    static const char *const kinds[] = {
+        [ANSWER_RELAYED] = "relayed",
+        [ANSWER_MERGED] = "merged",
+        [ANSWER_OWN] = "own",
+    };
+    request_log(request, kinds[answer->kind], answer->status,
+                answer->reason != NULL ? answer->reason : "-", now_us);
+    engine->ports.answer(engine->owner, request->call.owner, answer);
+    for (uint32_t i = 0; i < request->leg_count; i++) {
+        leg_stop(&request->legs[i], request->route->repeatable, now_us);
+    }
+    request_forget(request);
+}
+
+void
+engine_leave(engine_t *engine, request_t *request, int64_t now_us)
+{
+    (void)engine;
+    request_log(request, "left", 0, "caller_gone", now_us);
+    for (uint32_t i = 0; i < request->leg_count; i++) {
+        leg_stop(&request->legs[i], false, now_us);
+    }
+    request_forget(request);
+}
+
+/* The daemon's own final word: truthful about whether it may have run. */
+static void
+request_fail(request_t *request, const char *reason, bool late, int64_t now_us)
+{
+    answer_t answer = {.kind = ANSWER_OWN, .reason = reason};
+    if (request_may_have_run(request)) {
+        answer.status = late ? 504 : 502;
+    }
+    else {
+        answer.status = 503;
+        answer.retry_after_us =
+            RETURN_US + (int64_t)(engine_random(request->engine) % RETURN_US);
+    }
+    request_answer(request, &answer, now_us);
+}
+
+static void
+request_merge(request_t *request, int64_t now_us)
+{
+    size_t size = records_top(&request->records, request->route->top);
+    answer_t answer = {
+        .kind = ANSWER_MERGED,
+        .status = 200,
+        .signatures = (const char *)buffer_data(&request->signatures),
+        .missing = request->gather.shards - request->gather.answered,
+        .body = buffer_data(&request->records.bytes),
+        .body_size = size,
+    };
+    request_answer(request, &answer, now_us);
+}
+
+/* When to look at the request again. */
+static int64_t
+request_next_us(const request_t *request, int64_t now_us)
+{
+    int64_t next_us = request->deadline_us;
+    if (request->route->kind == ROUTE_SHARDS && now_us < request->goal_us &&
+        request->goal_us < next_us) {
+        next_us = request->goal_us;
+    }
+    for (uint32_t i = 0; i < request->leg_count; i++) {
+        int64_t hedge_us = request->legs[i].hedge_us;
+        if (hedge_us > 0 && hedge_us < next_us) {
+            next_us = hedge_us;
+        }
+    }
+    return next_us > now_us ? next_us : now_us;
+}
+
+static void
+request_sleep(request_t *request, int64_t now_us)
+{
+    int64_t next_us = request_next_us(request, now_us);
+    if (request->woken_us != 0 && request->woken_us <= next_us) {
+        return;
+    }
+    request->woken_us = next_us;
+    request->engine->ports.wake_at(request->engine->owner, request->call.owner,
+                                   next_us);
+}
+
+void
+request_progress(request_t *request, int64_t now_us)
+{
+    if (request->route->kind != ROUTE_SHARDS) {
+        if (request->legs[0].state == LEG_FAILED) {
+            request_fail(request, "no_upstream_left", false, now_us);
+            return;
+        }
+    }
+    else {
+        switch (gather_judge(&request->gather, now_us)) {
+        case GATHER_ANSWER:
+            request_merge(request, now_us);
+            return;
+        case GATHER_HOPELESS:
+            request_fail(request, "too_few_shards", false, now_us);
+            return;
+        default:
+            break;
+        }
+    }
+    if (now_us >= request->deadline_us) {
+        request_fail(request, "deadline", true, now_us);
+        return;
+    }
+    request_sleep(request, now_us);
+}
+
+request_t *
+engine_begin(engine_t *engine, const call_t *call, int64_t now_us)
+{
+    if (engine->table == NULL) {
+        answer_now(engine, call, 503, "no_configuration", RETURN_US);
+        return NULL;
+    }
+    const route_t *route =
+        route_table_match(engine->table, call->host, call->target);
+    if (route == NULL) {
+        answer_now(engine, call, 404, "no_route", 0);
+        return NULL;
+    }
+    if (engine->request_count >= engine->settings.requests_max) {
+        answer_now(engine, call, 503, "too_many_requests", RETURN_US);
+        return NULL;
+    }
+    request_t *request = request_new(engine, call, route, now_us);
+    if (request == NULL) {
+        answer_now(engine, call, 503, "no_memory", RETURN_US);
+        return NULL;
+    }
+    for (uint32_t i = 0; i < request->leg_count; i++) {
+        budget_first(&request->legs[i].pool->repeats, now_us);
+        leg_start(&request->legs[i], now_us);
+    }
+    /* The answer, if there is one already, comes from the first wake-up, so
+       that a request is never answered from within its own beginning. */
+    bool settled = request->legs[0].state == LEG_FAILED ||
+                   (route->kind == ROUTE_SHARDS &&
+                    gather_judge(&request->gather, now_us) != GATHER_WAIT);
+    if (settled) {
+        request->woken_us = now_us;
+        engine->ports.wake_at(engine->owner, call->owner, now_us);
+    }
+    else {
+        request_sleep(request, now_us);
+    }
+    return request;
+}
+
+void
+engine_wake(engine_t *engine, request_t *request, int64_t now_us)
+{
+    (void)engine;
+    request->woken_us = 0;
+    for (uint32_t i = 0; i < request->leg_count; i++) {
+        leg_hedge(&request->legs[i], now_us);
+    }
+    request_progress(request, now_us);
+}
--- /dev/null
+++ b/tier/engine_leg.c
@@ -0,0 +1,463 @@
+/* One shard's share of a request: sends, repeats, hedges and their ends. */
+#include "edge/event.h"
+#include "tier/engine_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    /* How long an answer that is not needed may still come, so that its
+       connection is kept: longer than a pause of an upstream, and less than
+       the half second after which work counts as left running. */
+    LINGER_US = 350000,
+    /* How soon a hedge that found no room is tried again. */
+    HEDGE_AGAIN_US = 10000,
+    /* Of the fleet's allowance of repeats, what this daemon uses: the rest
+       covers windows that are cut differently and views that differ. */
+    REPEAT_PERCENT = 85,
+    REPEAT_SLACK_PERCENT = 75,
+    /* Of that again, what hedges may use: repeats of what failed come
+       first. */
+    HEDGE_PERCENT = 70,
+    /* Room kept for the upstream's answer to reach the caller. */
+    HANDOVER_US = 3000
+};
+
+static pool_pick_t
+leg_pick(const leg_t *leg)
+{
+    request_t *request = leg->request;
+    engine_t *engine = request->engine;
+    pool_pick_t pick = {
+        .view =
+            {
+                .zone = engine->settings.zone,
+                .expected_us = hedge_expected_us(&request->memory->profile,
+                                                 request->route->goal_us),
+            },
+        .closed_zones = engine->registry.closed_names,
+        .closed_count = engine->registry.closed_count,
+        .avoid_count = leg->tried_count,
+        .random = engine_random(engine),
+    };
+    memcpy(pick.avoid, leg->tried, sizeof(pick.avoid));
+    return pick;
+}
+
+static void
+leg_fail(leg_t *leg)
+{
+    leg->state = LEG_FAILED;
+    leg->hedge_us = 0;
+    leg->request->gather.failed++;
+}
+
+/* Whether the budget of the service allows one more send. */
+static bool
+leg_may_repeat(leg_t *leg, bool hedge, int64_t now_us)
+{
+    const engine_t *engine = leg->request->engine;
+    double percent = engine->settings.retry_ratio * REPEAT_PERCENT;
+    double slack = engine->settings.retry_slack / (double)engine->fleet *
+                   REPEAT_SLACK_PERCENT / 100;
+    if (hedge) {
+        percent = percent * HEDGE_PERCENT / 100;
+        slack = slack * HEDGE_PERCENT / 100;
+    }
+    return budget_take_above(&leg->pool->repeats, (uint32_t)percent,
+                             (uint32_t)slack, now_us);
+}
+
+static attempt_t *
+attempt_new(leg_t *leg, instance_t *instance, bool hedge, int64_t now_us)
+{
+    request_t *request = leg->request;
+    engine_t *engine = request->engine;
+    attempt_t *attempt = calloc(1, sizeof(*attempt));
+    if (attempt == NULL) {
+        return NULL;
+    }
+    attempt->request = request;
+    attempt->leg = (uint32_t)(leg - request->legs);
+    attempt->pool = leg->pool;
+    attempt->instance = instance;
+    attempt->sent_us = now_us;
+    attempt->expected_us =
+        hedge_expected_us(&request->memory->profile, request->route->goal_us);
+    attempt->deadline_us = request->deadline_us - HANDOVER_US;
+    attempt->hedge = hedge;
+    attempt->repeatable = request->route->repeatable;
+    attempt->call = &request->call;
+    memcpy(attempt->id, request->id, sizeof(attempt->id));
+    attempt->next = engine->attempts;
+    if (attempt->next != NULL) {
+        attempt->next->prev = attempt;
+    }
+    engine->attempts = attempt;
+    instance->holders++;
+    leg->attempts[leg->attempt_count++] = attempt;
+    return attempt;
+}
+
+/* Unlink and free; the upstream's counts were brought up before. */
+static void
+attempt_free(engine_t *engine, attempt_t *attempt)
+{
+    if (attempt->prev != NULL) {
+        attempt->prev->next = attempt->next;
+    }
+    else {
+        engine->attempts = attempt->next;
+    }
+    if (attempt->next != NULL) {
+        attempt->next->prev = attempt->prev;
+    }
+    attempt->instance->holders--;
+    free(attempt);
+}
+
+static void
+leg_detach(leg_t *leg, const attempt_t *attempt)
+{
+    for (uint32_t i = 0; i < leg->attempt_count; i++) {
+        if (leg->attempts[i] == attempt) {
+            leg->attempts[i] = leg->attempts[--leg->attempt_count];
+            return;
+        }
+    }
+}
+
+/* Send to that upstream; false: nothing left, and it counts as bad. */
+static bool
+leg_send(leg_t *leg, instance_t *instance, bool hedge, int64_t now_us)
+{
+    engine_t *engine = leg->request->engine;
+    if (leg->tried_count < PICK_AVOID_MAX) {
+        leg->tried[leg->tried_count++] = instance;
+    }
+    attempt_t *attempt = attempt_new(leg, instance, hedge, now_us);
+    if (attempt == NULL) {
+        return false;
+    }
+    instance_sent(instance, now_us);
+    if (!engine->ports.send(engine->owner, attempt, now_us)) {
+        instance_lost(instance, now_us);
+        leg_detach(leg, attempt);
+        attempt_free(engine, attempt);
+        return false;
+    }
+    attempt->call = NULL;
+    pool_note_sent(leg->pool, instance, now_us);
+    leg->sends++;
+    leg->may_have_run++;
+    leg->state = LEG_RUNNING;
+    leg->hedge_us = 0;
+    const request_t *request = leg->request;
+    if (request->route->repeatable &&
+        leg->may_have_run < request->route->attempts) {
+        leg->hedge_us = now_us + hedge_delay_us(&request->memory->profile,
+                                                request->route->goal_us);
+    }
+    return true;
+}
+
+void
+leg_start(leg_t *leg, int64_t now_us)
+{
+    request_t *request = leg->request;
+    for (;;) {
+        pool_pick_t pick = leg_pick(leg);
+        instance_t *instance;
+        pick_result_t result = pool_pick(leg->pool, &pick, now_us, &instance);
+        if (result == PICK_OK) {
+            if (leg_send(leg, instance, false, now_us)) {
+                return;
+            }
+            continue; /* it is among those tried now */
+        }
+        if (result == PICK_FULL &&
+            waiting_add(&leg->pool->waiting, leg, request->route->priority,
+                        request->deadline_us)) {
+            leg->state = LEG_WAITING;
+            request->waits += leg->waited ? 0 : 1;
+            leg->waited = true;
+            return;
+        }
+        leg_fail(leg);
+        return;
+    }
+}
+
+/* Send once more after a send that came to nothing, or fail. */
+static void
+leg_repeat(leg_t *leg, bool arrived, int64_t now_us)
+{
+    request_t *request = leg->request;
+    leg->hedge_us = 0;
+    if (leg->attempt_count > 0) {
+        return; /* another is on its way */
+    }
+    if (now_us >= request->deadline_us || leg->sends >= ENGINE_SENDS_MAX ||
+        (arrived && !leg_may_repeat(leg, false, now_us))) {
+        leg_fail(leg);
+        return;
+    }
+    request->repeats += arrived ? 1 : 0;
+    leg_start(leg, now_us);
+}
+
+void
+leg_hedge(leg_t *leg, int64_t now_us)
+{
+    request_t *request = leg->request;
+    if (leg->hedge_us == 0 || now_us < leg->hedge_us) {
+        return;
+    }
+    leg->hedge_us = 0;
+    if (leg->state != LEG_RUNNING ||
+        leg->attempt_count == ENGINE_ATTEMPTS_MAX ||
+        leg->sends >= ENGINE_SENDS_MAX) {
+        return;
+    }
+    if (leg->pool->waiting.count > 0) {
+        /* Work that waits comes before work that is done twice. */
+        leg->hedge_us = now_us + HEDGE_AGAIN_US;
+        return;
+    }
+    pool_pick_t pick = leg_pick(leg);
+    pick.sound_only = true;
+    instance_t *instance;
+    if (pool_pick(leg->pool, &pick, now_us, &instance) != PICK_OK) {
+        leg->hedge_us = now_us + HEDGE_AGAIN_US;
+        return;
+    }
+    if (!leg_may_repeat(leg, true, now_us)) {
+        leg->hedge_us = now_us + HEDGE_AGAIN_US;
+        return;
+    }
+    if (leg_send(leg, instance, true, now_us)) {
+        request->hedges++;
+        event_log(EVENT_SENT_AGAIN,
+                  "id=%s service=%s to=%s cause=slow "
+                  "after_ms=%.1f",
+                  request->id, leg->pool->name, instance->entry.id,
+                  (double)(now_us - request->begun_us) / 1000);
+    }
+    else {
+        budget_return(&leg->pool->repeats, now_us);
+    }
+}
+
+void
+leg_stop(leg_t *leg, bool may_finish, int64_t now_us)
+{
+    engine_t *engine = leg->request->engine;
+    if (leg->state == LEG_WAITING) {
+        waiting_remove(&leg->pool->waiting, leg);
+    }
+    leg->hedge_us = 0;
+    while (leg->attempt_count > 0) {
+        attempt_t *attempt = leg->attempts[--leg->attempt_count];
+        attempt->request = NULL;
+        if (may_finish) {
+            engine->ports.abandon(engine->owner, attempt, now_us + LINGER_US);
+            continue;
+        }
+        engine->ports.cancel(engine->owner, attempt);
+        instance_dropped(attempt->instance, now_us);
+        attempt_free(engine, attempt);
+    }
+}
+
+/* A part of a merged answer is in. */
+static void
+leg_take_part(leg_t *leg, const reply_t *reply)
+{
+    request_t *request = leg->request;
+    const buffer_t *body = &reply->message->body;
+    buffer_t *signatures = &request->signatures;
+    size_t length = strlen(reply->signature);
+    size_t separator = buffer_size(signatures) > 0 ? 2 : 0;
+    uint8_t *room = buffer_reserve(signatures, length + 3);
+    if (room == NULL || !records_add(&request->records, buffer_data(body),
+                                     buffer_size(body))) {
+        leg_fail(leg);
+        return;
+    }
+    /* The end of the text so far is overwritten by what follows it. */
+    memcpy(room, ", ", separator);
+    memcpy(room + separator, reply->signature, length);
+    room[separator + length] = '\0';
+    buffer_commit(signatures, separator + length);
+    leg->state = LEG_DONE;
+    request->gather.answered++;
+}
+
+/* Bring up what is known of the upstream. */
+static void
+attempt_learn(const attempt_t *attempt, const reply_t *reply, int64_t now_us)
+{
+    instance_t *instance = attempt->instance;
+    int64_t took_us = now_us - attempt->sent_us;
+    switch (reply->kind) {
+    case REPLY_ANSWER:
+        instance_answered(instance, took_us, attempt->expected_us,
+                          reply->message->status < 500, now_us);
+        break;
+    case REPLY_NOT_RUN:
+        instance_refused(instance, now_us);
+        break;
+    case REPLY_ELSEWHERE:
+        instance_refused(instance, now_us);
+        instance->misaddressed = true;
+        instance->misaddressed_us = now_us;
+        break;
+    case REPLY_UNFINISHED:
+        instance_unfinished(instance, took_us, attempt->expected_us, now_us);
+        break;
+    default:
+        instance_lost(instance, now_us);
+        break;
+    }
+}
+
+static void
+attempt_log(const attempt_t *attempt, const reply_t *reply, int64_t now_us)
+{
+    static const char *const kinds[REPLY_KINDS] = {
+        [REPLY_ANSWER] = "failed",       [REPLY_NOT_RUN] = "not_run",
+        [REPLY_ELSEWHERE] = "elsewhere", [REPLY_NOT_SENT] = "not_sent",
+        [REPLY_LOST] = "lost",           [REPLY_UNFINISHED] = "unfinished",
+    };
+    event_log(EVENT_ATTEMPT_FAILED,
+              "id=%s service=%s instance=%s outcome=%s status=%u detail=%s "
+              "ms=%.1f badness=%.2f in_flight=%u",
+              attempt->id, attempt->pool->name, attempt->instance->entry.id,
+              kinds[reply->kind],
+              reply->message != NULL ? reply->message->status : 0,
+              reply->detail != NULL ? reply->detail : "-",
+              (double)(now_us - attempt->sent_us) / 1000,
+              attempt->instance->badness, attempt->instance->in_flight);
+}
+
+/*
+ * A whole response: a part, an answer to relay, or a failure. True when the
+ * request was answered with it, and so is gone.
+ */
+static bool
+leg_answered(leg_t *leg, const reply_t *reply, bool good, int64_t took_us,
+             int64_t now_us)
+{
+    request_t *request = leg->request;
+    const route_t *route = request->route;
+    if (good) {
+        hedge_profile_add(&request->memory->profile, took_us);
+        leg_stop(leg, route->repeatable, now_us);
+        if (route->kind == ROUTE_SHARDS) {
+            leg_take_part(leg, reply);
+            return false;
+        }
+    }
+    else if (route->repeatable && reply->message->status >= 500 &&
+             leg->may_have_run < route->attempts) {
+        leg_repeat(leg, true, now_us);
+        if (leg->state != LEG_FAILED) {
+            return false;
+        }
+    }
+    else if (leg->attempt_count > 0 && reply->message->status >= 500) {
+        return false;
+    }
+    if (route->kind == ROUTE_SHARDS) {
+        if (leg->state != LEG_FAILED) {
+            leg_fail(leg);
+        }
+        return false;
+    }
+    leg->state = LEG_DONE;
+    answer_t answer = {
+        .kind = ANSWER_RELAYED,
+        .status = reply->message->status,
+        .message = reply->message,
+    };
+    request_answer(request, &answer, now_us);
+    return true;
+}
+
+void
+leg_reply(leg_t *leg, attempt_t *attempt, const reply_t *reply, int64_t now_us)
+{
+    request_t *request = leg->request;
+    const route_t *route = request->route;
+    bool whole = reply->kind == REPLY_ANSWER;
+    bool good = whole && reply->signature != NULL &&
+                reply->message->status >= 200 && reply->message->status < 300;
+    int64_t took_us = now_us - attempt->sent_us;
+    leg_detach(leg, attempt);
+    if (whole && reply->signature != NULL) {
+        if (!leg_answered(leg, reply, good, took_us, now_us)) {
+            request_progress(request, now_us);
+        }
+        return;
+    }
+    switch (reply->kind) {
+    case REPLY_NOT_SENT:
+        leg->may_have_run--;
+        leg->sends--;
+        leg_repeat(leg, false, now_us);
+        break;
+    case REPLY_NOT_RUN:
+    case REPLY_ELSEWHERE:
+        leg->may_have_run--;
+        leg_repeat(leg, true, now_us);
+        break;
+    default:
+        if (route->repeatable && leg->may_have_run < route->attempts) {
+            leg_repeat(leg, true, now_us);
+        }
+        else if (leg->attempt_count == 0) {
+            leg_fail(leg);
+        }
+        break;
+    }
+    request_progress(request, now_us);
+}
+
+void
+engine_reply(engine_t *engine, attempt_t *attempt, const reply_t *reply,
+             int64_t now_us)
+{
+    request_t *request = attempt->request;
+    pool_t *pool = attempt->pool;
+    attempt_learn(attempt, reply, now_us);
+    if (reply->kind != REPLY_ANSWER || reply->message->status >= 500) {
+        attempt_log(attempt, reply, now_us);
+    }
+    if (request != NULL) {
+        leg_reply(&request->legs[attempt->leg], attempt, reply, now_us);
+    }
+    attempt_free(engine, attempt);
+    pool_serve(engine, pool, now_us);
+}
+
+void
+pool_serve(engine_t *engine, pool_t *pool, int64_t now_us)
+{
+    while (pool->waiting.count > 0) {
+        leg_t *leg = waiting_take(&pool->waiting);
+        leg->state = LEG_IDLE;
+        uint32_t waiting = pool->waiting.count;
+        leg_start(leg, now_us);
+        if (leg->state == LEG_WAITING) {
+            return;
+        }
+        if (leg->state == LEG_FAILED) {
+            request_progress(leg->request, now_us);
+        }
+        if (pool->waiting.count > waiting) {
+            return;
+        }
+    }
+    (void)engine;
+}
--- /dev/null
+++ b/tier/engine_state.h
@@ -0,0 +1,114 @@
+/*
+ * What the files of the engine share; nobody else includes it.
+ */
+#ifndef TIER_ENGINE_STATE_H
+#define TIER_ENGINE_STATE_H
+
+#include "tier/engine.h"
+#include "tier/gather.h"
+#include "tier/hedge.h"
+
+#include <uthash.h>
+
+/* What is known of a route across versions of the configuration. */
+typedef struct {
+    char *name;
+    hedge_profile_t profile;
+    double *split_credit; /* of each part, for an even split by weight */
+    uint32_t split_count;
+    uint64_t table_version; /* the split's */
+    UT_hash_handle hh;
+} route_memory_t;
+
+typedef enum {
+    LEG_IDLE,
+    LEG_WAITING, /* for room at its service */
+    LEG_RUNNING,
+    LEG_DONE,
+    LEG_FAILED
+} leg_state_t;
+
+/* The part of a request that goes to one service. */
+typedef struct {
+    request_t *request;
+    pool_t *pool;
+    leg_state_t state;
+    uint32_t sends;        /* that reached an upstream, in all */
+    uint32_t may_have_run; /* of them, those that may have run */
+    attempt_t *attempts[ENGINE_ATTEMPTS_MAX]; /* that run now */
+    uint32_t attempt_count;
+    /* Compared with, never followed. */
+    const instance_t *tried[PICK_AVOID_MAX];
+    uint32_t tried_count;
+    int64_t hedge_us; /* when to send again; 0: not at all */
+    bool waited;      /* for room, at some time */
+} leg_t;
+
+struct request {
+    engine_t *engine;
+    call_t call;
+    char id[ENGINE_ID_SIZE];
+    route_table_t *table;
+    const route_t *route;
+    route_memory_t *memory;
+    int64_t begun_us;
+    int64_t goal_us;     /* when an answer ceases to be of full use */
+    int64_t deadline_us; /* when it gets its final answer */
+    int64_t woken_us;    /* the wake-up asked for; 0: none */
+    leg_t *legs;
+    uint32_t leg_count;
+    gather_t gather;
+    records_t records;
+    buffer_t signatures;
+    uint32_t hedges;
+    uint32_t repeats;
+    uint32_t waits;
+    request_t *next;
+    request_t *prev;
+};
+
+struct engine {
+    engine_settings_t settings;
+    engine_ports_t ports;
+    void *owner;
+    registry_t registry;
+    route_table_t *table;
+    route_memory_t *memories;
+    uint32_t fleet;
+    uint32_t request_count;
+    request_t *requests;
+    attempt_t *attempts; /* all, those not needed any more too */
+    uint64_t random;
+};
+
+/* Next of a sequence that spreads choices. */
+uint64_t engine_random(engine_t *engine);
+
+/* Send a leg's first request, or let it wait, or fail it. */
+void leg_start(leg_t *leg, int64_t now_us);
+
+/* Work on an attempt that has ended goes on. */
+void leg_reply(leg_t *leg, attempt_t *attempt, const reply_t *reply,
+               int64_t now_us);
+
+/* Send it again if that is due. */
+void leg_hedge(leg_t *leg, int64_t now_us);
+
+/* Give up what the leg still does; may_finish: answers on their way are
+   waited for a while, so that their connections can be kept. */
+void leg_stop(leg_t *leg, bool may_finish, int64_t now_us);
+
+/* Give work that waits the room there is now. */
+void pool_serve(engine_t *engine, pool_t *pool, int64_t now_us);
+
+/* Judge the request after one of its legs moved; it may be answered. */
+void request_progress(request_t *request, int64_t now_us);
+
+/* Whether some upstream may have begun to work on it. */
+bool request_may_have_run(const request_t *request);
+
+/* Answer and forget it. */
+void request_answer(request_t *request, const answer_t *answer,
+                    int64_t now_us);
+
+#endif
--- /dev/null
+++ b/tier/follow.c
@@ -0,0 +1,88 @@
+#include "tier/follow.h"
+
+#include <string.h>
+
+void
+follow_init(follow_t *follow, const follow_settings_t *settings)
+{
+    *follow = (follow_t){.settings = *settings};
+}
+
+bool
+follow_next(follow_t *follow, kv_call_t *call, int64_t now_us)
+{
+    if (follow->busy || now_us < follow->due_us) {
+        return false;
+    }
+    bool built =
+        follow->watching
+            ? kv_watch(call, follow->settings.prefix, follow->revision,
+                       follow->settings.wait_us)
+            : kv_range(call, follow->settings.prefix,
+                       follow->after[0] != '\0' ? follow->after : NULL);
+    if (!built) {
+        /* A key that cannot be asked for: begin again. */
+        follow_restart(follow, now_us + FOLLOW_RETRY_US);
+        return false;
+    }
+    follow->busy = true;
+    return true;
+}
+
+static follow_step_t
+follow_page(follow_t *follow, const kv_answer_t *answer, int64_t now_us)
+{
+    bool first = follow->after[0] == '\0';
+    if (first) {
+        follow->list_revision = answer->revision;
+    }
+    const char *last =
+        answer->count > 0 ? answer->items[answer->count - 1].key : "";
+    if (answer->more && last[0] != '\0' && strlen(last) < FOLLOW_KEY_SIZE) {
+        strcpy(follow->after, last);
+        follow->due_us = now_us;
+        return first ? FOLLOW_LIST_FIRST : FOLLOW_LIST_MORE;
+    }
+    follow->after[0] = '\0';
+    follow->watching = true;
+    /* The pages are no snapshot: changes since the first are heard again. */
+    follow->revision = follow->list_revision;
+    follow->due_us = now_us + follow->settings.pause_us;
+    return first ? FOLLOW_LIST_WHOLE : FOLLOW_LIST_LAST;
+}
+
+follow_step_t
+follow_answered(follow_t *follow, const kv_answer_t *answer, int64_t now_us)
+{
+    follow->busy = false;
+    follow->failures = 0;
+    if (!follow->watching) {
+        return follow_page(follow, answer, now_us);
+    }
+    if (answer->revision > follow->revision) {
+        follow->revision = answer->revision;
+    }
+    follow->due_us = now_us + follow->settings.pause_us;
+    return FOLLOW_CHANGES;
+}
+
+void
+follow_failed(follow_t *follow, bool forgotten, int64_t now_us)
+{
+    follow->busy = false;
+    if (forgotten) {
+        follow_restart(follow, now_us);
+        return;
+    }
+    follow->failures++;
+    follow->due_us = now_us + FOLLOW_RETRY_US;
+}
+
+void
+follow_restart(follow_t *follow, int64_t now_us)
+{
+    follow->watching = false;
+    follow->busy = false;
+    follow->after[0] = '\0';
+    follow->due_us = now_us;
+}
--- /dev/null
+++ b/tier/follow.h
@@ -0,0 +1,71 @@
+/*
+ * Following a prefix of the store: read it whole once, then its changes.
+ *
+ * After a failure the same step is tried again; when the store no longer has
+ * the history that is asked for, the prefix is read whole again. Two ways to
+ * wait for changes: asking every so often, for prefixes that change all the
+ * time, and one call that stays open, for those that hardly do.
+ *
+ *     follow_t follow;
+ *     follow_init(&follow, &settings);
+ *     if (follow_next(&follow, &call, now_us)) { ... send it ... }
+ *     follow_step_t step = follow_answered(&follow, &answer, now_us);
+ *     follow_failed(&follow, forgotten, now_us);
+ */
+#ifndef TIER_FOLLOW_H
+#define TIER_FOLLOW_H
+
+#include "platform/kv.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    /* Pause after a failed call: short, since what was missed in an outage is
+       wanted within a second of its end, and long enough that all daemons
+       together ask a store that is down a few times a second. */
+    FOLLOW_RETRY_US = 250000,
+    FOLLOW_KEY_SIZE = 256
+};
+
+typedef struct {
+    const char *prefix;
+    int64_t pause_us; /* between two calls for changes; 0: none */
+    int64_t wait_us;  /* a call stays open for; 0: answers at once */
+} follow_settings_t;
+
+typedef struct {
+    follow_settings_t settings;
+    bool watching;               /* else the prefix is read whole */
+    bool busy;                   /* a call is on its way */
+    uint64_t revision;           /* changes up to here are known */
+    uint64_t list_revision;      /* of the first page */
+    char after[FOLLOW_KEY_SIZE]; /* the last key of the page before */
+    int64_t due_us;              /* the next call's time */
+    uint32_t failures;           /* in a row */
+} follow_t;
+
+/* How the items of an answer are to be taken. */
+typedef enum {
+    FOLLOW_CHANGES,
+    FOLLOW_LIST_FIRST, /* a list begins; it goes on with the next answer */
+    FOLLOW_LIST_MORE,
+    FOLLOW_LIST_LAST,
+    FOLLOW_LIST_WHOLE /* first and last */
+} follow_step_t;
+
+void follow_init(follow_t *follow, const follow_settings_t *settings);
+
+/* Build the next call if it is due; it then is on its way. */
+bool follow_next(follow_t *follow, kv_call_t *call, int64_t now_us);
+
+follow_step_t follow_answered(follow_t *follow, const kv_answer_t *answer,
+                              int64_t now_us);
+
+/* forgotten: the store has no history from the revision asked for. */
+void follow_failed(follow_t *follow, bool forgotten, int64_t now_us);
+
+/* Read the prefix whole again, at once. */
+void follow_restart(follow_t *follow, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/tier/front.c
@@ -0,0 +1,292 @@
+#include "tier/front.h"
+
+#include "daemon/clock.h"
+#include "edge/event.h"
+#include "platform/names.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+enum {
+    LEAVING_RETURN_US = 20000, /* callers go elsewhere at once */
+    ANSWER_HEAD_SIZE = 16384
+};
+
+/* What is kept of a request while it is worked on. */
+typedef struct {
+    request_t *request; /* NULL: answered from within its beginning */
+    buffer_t head;
+    char id[ENGINE_ID_SIZE];
+    bool is_head; /* the method: its answer has no body */
+} pending_t;
+
+static bool
+head_add(buffer_t *head, const char *name, const char *value)
+{
+    size_t name_size = strlen(name);
+    size_t value_size = strlen(value);
+    uint8_t *room = buffer_reserve(head, name_size + value_size + 4);
+    if (room == NULL) {
+        return false;
+    }
+    memcpy(room, name, name_size);
+    memcpy(room + name_size, ": ", 2);
+    memcpy(room + name_size + 2, value, value_size);
+    memcpy(room + name_size + 2 + value_size, "\r\n", 2);
+    buffer_commit(head, name_size + value_size + 4);
+    return true;
+}
+
+/* Header lines to pass on; false: no memory. */
+static bool
+head_copy(buffer_t *head, const http_message_t *message,
+          const char *const *without)
+{
+    for (uint32_t i = 0; i < message->header_count; i++) {
+        const char *name = http_header_name(message, i);
+        bool skip = http_header_is_hop(message, name);
+        for (const char *const *set = without; !skip && *set != NULL; set++) {
+            skip = strcasecmp(name, *set) == 0;
+        }
+        if (!skip && !head_add(head, name, http_header_value(message, i))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+pending_free(exchange_t *exchange)
+{
+    pending_t *pending = exchange_data(exchange);
+    if (pending != NULL) {
+        exchange_set_data(exchange, NULL);
+        buffer_release(&pending->head);
+        free(pending);
+    }
+}
+
+static void
+front_send(front_t *front, exchange_t *exchange, const http_answer_t *answer)
+{
+    front->answers[answer->status / 100 < 6 ? answer->status / 100 : 0]++;
+    pending_free(exchange);
+    exchange_answer(exchange, answer);
+}
+
+/* A refusal of what is no good request, or at the wrong moment. */
+static void
+front_refuse(front_t *front, exchange_t *exchange, uint32_t status,
+             const char *reason, int64_t retry_after_us)
+{
+    char head[128];
+    int size = 0;
+    if (retry_after_us > 0) {
+        size = snprintf(head, sizeof(head), HEADER_RETRY_AFTER ": %.3f\r\n",
+                        (double)retry_after_us / 1e6);
+    }
+    event_log(EVENT_REQUEST_REFUSED, "status=%u reason=%s", status, reason);
+    http_answer_t answer = {
+        .status = status,
+        .head = head,
+        .head_size = (size_t)size,
+    };
+    front_send(front, exchange, &answer);
+}
+
+/* The one value of a header; NULL: there is none, or several. */
+static const char *
+header_once(const http_message_t *message, const char *name)
+{
+    const char *found = NULL;
+    for (uint32_t i = 0; i < message->header_count; i++) {
+        if (strcasecmp(http_header_name(message, i), name) == 0) {
+            if (found != NULL) {
+                return NULL;
+            }
+            found = http_header_value(message, i);
+        }
+    }
+    return found;
+}
+
+static bool
+id_is_good(const char *id)
+{
+    size_t length = id != NULL ? strlen(id) : 0;
+    return length > 0 && length < ENGINE_ID_SIZE;
+}
+
+static void
+front_request(void *owner, exchange_t *exchange)
+{
+    static const char *const own[] = {
+        HEADER_DEADLINE_MS,
+        HEADER_EXPECT_INSTANCE,
+        NULL,
+    };
+    front_t *front = owner;
+    const http_message_t *message = exchange_request(exchange);
+    const char *host = header_once(message, "Host");
+    const char *id = header_once(message, HEADER_REQUEST_ID);
+    const char *deadline = http_header_find(message, HEADER_DEADLINE_MS);
+    if (host == NULL || !id_is_good(id) || http_target(message)[0] != '/' ||
+        strcmp(message->method, "CONNECT") == 0) {
+        front_refuse(front, exchange, 400, "no_host_or_id", 0);
+        return;
+    }
+    if (front->leaving) {
+        front_refuse(front, exchange, 503, "leaving", LEAVING_RETURN_US);
+        return;
+    }
+    pending_t *pending = calloc(1, sizeof(*pending));
+    if (pending == NULL || !head_copy(&pending->head, message, own)) {
+        if (pending != NULL) {
+            buffer_release(&pending->head);
+            free(pending);
+        }
+        front_refuse(front, exchange, 503, "no_memory", LEAVING_RETURN_US);
+        return;
+    }
+    snprintf(pending->id, sizeof(pending->id), "%s", id);
+    pending->is_head = strcmp(message->method, "HEAD") == 0;
+    exchange_set_data(exchange, pending);
+    double deadline_ms = deadline != NULL ? strtod(deadline, NULL) : 0;
+    call_t call = {
+        .owner = exchange,
+        .id = pending->id,
+        .host = host,
+        .method = message->method,
+        .target = http_target(message),
+        .head = (const char *)buffer_data(&pending->head),
+        .head_size = buffer_size(&pending->head),
+        .body = buffer_data(&message->body),
+        .body_size = buffer_size(&message->body),
+        .patience_us = deadline_ms > 0 && deadline_ms < 1e9
+                           ? (int64_t)(deadline_ms * 1000)
+                           : 0,
+    };
+    request_t *request =
+        engine_begin(front->engine, &call, exchange_arrived_us(exchange));
+    if (request != NULL) {
+        pending->request = request;
+    }
+}
+
+static void
+front_gone(void *owner, exchange_t *exchange)
+{
+    front_t *front = owner;
+    pending_t *pending = exchange_data(exchange);
+    if (pending != NULL && pending->request != NULL) {
+        engine_leave(front->engine, pending->request, clock_now_us());
+    }
+    pending_free(exchange);
+}
+
+static void
+front_wake(void *owner, exchange_t *exchange)
+{
+    front_t *front = owner;
+    pending_t *pending = exchange_data(exchange);
+    if (pending != NULL && pending->request != NULL) {
+        engine_wake(front->engine, pending->request, clock_now_us());
+    }
+}
+
+const http_service_t front_service = {
+    .request = front_request,
+    .gone = front_gone,
+    .wake = front_wake,
+};
+
+void
+front_wake_at(void *call_owner, int64_t at_us)
+{
+    exchange_wake_at(call_owner, at_us);
+}
+
+/* An upstream's response as it came, less what concerned its connection. */
+static void
+answer_relay(front_t *front, exchange_t *exchange, const answer_t *answer)
+{
+    static const char *const none[] = {NULL};
+    const pending_t *pending = exchange_data(exchange);
+    const http_message_t *message = answer->message;
+    buffer_t head = {0};
+    if (!head_copy(&head, message, none)) {
+        buffer_release(&head);
+        front_refuse(front, exchange, 502, "no_memory", 0);
+        return;
+    }
+    http_answer_t out = {
+        .status = answer->status,
+        .head = (const char *)buffer_data(&head),
+        .head_size = buffer_size(&head),
+        .body = buffer_data(&message->body),
+        .body_size = buffer_size(&message->body),
+        .no_body =
+            pending->is_head || answer->status == 204 || answer->status == 304,
+    };
+    front_send(front, exchange, &out);
+    buffer_release(&head);
+}
+
+static void
+answer_merged(front_t *front, exchange_t *exchange, const answer_t *answer)
+{
+    const pending_t *pending = exchange_data(exchange);
+    char head[ANSWER_HEAD_SIZE];
+    int size =
+        snprintf(head, sizeof(head),
+                 HEADER_REQUEST_ID ": %s\r\n" HEADER_PART_SIGNATURES
+                                   ": %s\r\n" HEADER_PARTS_MISSING ": %u\r\n",
+                 pending->id, answer->signatures, answer->missing);
+    if (size < 0 || (size_t)size >= sizeof(head)) {
+        front_refuse(front, exchange, 502, "signatures_too_long", 0);
+        return;
+    }
+    http_answer_t out = {
+        .status = answer->status,
+        .head = head,
+        .head_size = (size_t)size,
+        .body = answer->body,
+        .body_size = answer->body_size,
+        .no_body = pending->is_head,
+    };
+    front_send(front, exchange, &out);
+}
+
+static void
+answer_own(front_t *front, exchange_t *exchange, const answer_t *answer)
+{
+    const pending_t *pending = exchange_data(exchange);
+    char head[256];
+    int size = snprintf(head, sizeof(head), HEADER_REQUEST_ID ": %s\r\n",
+                        pending->id);
+    if (answer->retry_after_us > 0) {
+        size += snprintf(head + size, sizeof(head) - (size_t)size,
+                         HEADER_RETRY_AFTER ": %.3f\r\n",
+                         (double)answer->retry_after_us / 1e6);
+    }
+    http_answer_t out = {
+        .status = answer->status,
+        .head = head,
+        .head_size = (size_t)size,
+    };
+    front_send(front, exchange, &out);
+}
+
+void
+front_answer(front_t *front, void *call_owner, const answer_t *answer)
+{
+    static void (*const answers[])(front_t *, exchange_t *,
+                                   const answer_t *) = {
+        [ANSWER_RELAYED] = answer_relay,
+        [ANSWER_MERGED] = answer_merged,
+        [ANSWER_OWN] = answer_own,
+    };
+    answers[answer->kind](front, call_owner, answer);
+}
--- /dev/null
+++ b/tier/gather.c
@@ -0,0 +1,62 @@
+#include "tier/gather.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+uint32_t
+gather_least(const gather_t *gather)
+{
+    /* A share that is met but for rounding is met. */
+    double least = ceil(gather->least_share * gather->shards - 1e-9);
+    return least < 1 ? 1 : (uint32_t)least;
+}
+
+gather_verdict_t
+gather_judge(const gather_t *gather, int64_t now_us)
+{
+    uint32_t least = gather_least(gather);
+    uint32_t open = gather->shards - gather->answered - gather->failed;
+    if (gather->answered + open < least) {
+        return GATHER_HOPELESS;
+    }
+    if (open == 0) {
+        return GATHER_ANSWER;
+    }
+    return now_us >= gather->goal_us && gather->answered >= least
+               ? GATHER_ANSWER
+               : GATHER_WAIT;
+}
+
+bool
+records_add(records_t *records, const void *body, size_t size)
+{
+    size -= size % RECORD_BYTES;
+    if (size == 0) {
+        return true;
+    }
+    uint8_t *room = buffer_reserve(&records->bytes, size);
+    if (room == NULL) {
+        return false;
+    }
+    memcpy(room, body, size);
+    buffer_commit(&records->bytes, size);
+    return true;
+}
+
+static int
+record_order(const void *left, const void *right)
+{
+    return memcmp(right, left, RECORD_BYTES);
+}
+
+size_t
+records_top(records_t *records, uint32_t top)
+{
+    size_t count = buffer_size(&records->bytes) / RECORD_BYTES;
+    if (count > 1) {
+        qsort((void *)buffer_data(&records->bytes), count, RECORD_BYTES,
+              record_order);
+    }
+    return (count < top ? count : top) * (size_t)RECORD_BYTES;
+}
--- /dev/null
+++ b/tier/hedge.c
@@ -0,0 +1,46 @@
+#include "tier/hedge.h"
+
+/* Answers that take longer than this share of them are worth a second
+   request: a tenth more requests at most, within the budget's fifth. */
+static const double HEDGE_QUANTILE = 0.90;
+/* Weight of the newest sample in the moving mean. */
+static const double MEAN_WEIGHT = 0.05;
+
+enum {
+    HEDGE_SAMPLES_MIN = 20, /* fewer say nothing of a quantile */
+    HEDGE_GOAL_PARTS = 4,   /* delay while nothing is known: goal by this */
+    HEDGE_GOAL_LATEST = 2,  /* latest delay: goal by this */
+    HEDGE_LEAST_US = 5000   /* below it timers decide more than upstreams */
+};
+
+void
+hedge_profile_add(hedge_profile_t *profile, int64_t took_us)
+{
+    latency_add(&profile->latency, took_us);
+    if (profile->mean_us <= 0) {
+        profile->mean_us = (double)took_us;
+    }
+    else {
+        profile->mean_us += ((double)took_us - profile->mean_us) * MEAN_WEIGHT;
+    }
+}
+
+int64_t
+hedge_expected_us(const hedge_profile_t *profile, int64_t goal_us)
+{
+    return profile->mean_us > 0 ? (int64_t)profile->mean_us
+                                : goal_us / HEDGE_GOAL_PARTS;
+}
+
+int64_t
+hedge_delay_us(const hedge_profile_t *profile, int64_t goal_us)
+{
+    int64_t delay_us =
+        profile->latency.count < HEDGE_SAMPLES_MIN
+            ? goal_us / HEDGE_GOAL_PARTS
+            : latency_quantile(&profile->latency, HEDGE_QUANTILE);
+    if (delay_us > goal_us / HEDGE_GOAL_LATEST) {
+        delay_us = goal_us / HEDGE_GOAL_LATEST;
+    }
+    return delay_us < HEDGE_LEAST_US ? HEDGE_LEAST_US : delay_us;
+}
--- /dev/null
+++ b/tier/instance.c
@@ -0,0 +1,200 @@
+#include "tier/instance.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Weight of the newest sample in the moving mean of slowness. */
+static const double SLOWNESS_WEIGHT = 0.2;
+/* Slowness is bounded so that one stuck request is forgotten in seconds. */
+static const double SLOWNESS_MAX = 20.0;
+/* How far a lost or failed request moves badness towards 1. */
+static const double BADNESS_STEP = 0.35;
+/* Cost of an upstream whose every request fails, in requests queued. */
+static const double BADNESS_COST = 30.0;
+/* Cost of leaving the daemon's zone, in requests queued: bytes between zones
+   are paid for and take longer. */
+static const double ZONE_COST = 0.6;
+/* Cost of a silent upstream, in requests queued. */
+static const double SILENT_COST = 20.0;
+/* How much slower a cold upstream is taken to be. */
+static const double COLD_FACTOR = 2.0;
+/* How long an address that answered for another upstream is left alone;
+   an entry that changes sooner is taken at its word. */
+enum { MISADDRESSED_US = 5000000 };
+
+void
+instance_init(instance_t *instance, const instance_entry_t *entry,
+              int64_t now_us)
+{
+    *instance = (instance_t){
+        .entry = *entry,
+        .slowness = 1.0,
+        .seen_us = now_us,
+        .cold_until_us = now_us + entry->cold_left_us,
+        .listed = true,
+    };
+}
+
+void
+instance_update(instance_t *instance, const instance_entry_t *entry,
+                int64_t now_us)
+{
+    bool restarted = entry->started_ms != instance->entry.started_ms;
+    bool moved = memcmp(&entry->address, &instance->entry.address,
+                        sizeof(entry->address)) != 0;
+    instance->entry = *entry;
+    instance->cold_until_us = now_us + entry->cold_left_us;
+    instance->listed = true;
+    if (restarted || moved) {
+        instance->slowness = 1.0;
+        instance->badness = 0;
+        instance->seen_us = now_us;
+        instance->connect_after_us = 0;
+        instance->connect_failures = 0;
+        instance->misaddressed = false;
+    }
+}
+
+/* How much of what was seen at seen_us still counts. */
+static double
+instance_memory(const instance_t *instance, int64_t now_us)
+{
+    double idle = (double)(now_us - instance->seen_us);
+    return idle <= 0 ? 1.0 : exp2(-idle / INSTANCE_FORGET_US);
+}
+
+static void
+instance_age(instance_t *instance, int64_t now_us)
+{
+    double memory = instance_memory(instance, now_us);
+    instance->slowness = 1.0 + (instance->slowness - 1.0) * memory;
+    instance->badness *= memory;
+    instance->seen_us = now_us;
+}
+
+void
+instance_sent(instance_t *instance, int64_t now_us)
+{
+    if (instance->in_flight++ == 0) {
+        instance->waiting_us = now_us;
+    }
+}
+
+static void
+instance_ended(instance_t *instance)
+{
+    if (instance->in_flight > 0) {
+        instance->in_flight--;
+    }
+}
+
+static void
+instance_slow(instance_t *instance, int64_t took_us, int64_t expected_us)
+{
+    double ratio = expected_us > 0 ? (double)took_us / (double)expected_us : 1;
+    if (ratio > SLOWNESS_MAX) {
+        ratio = SLOWNESS_MAX;
+    }
+    instance->slowness += (ratio - instance->slowness) * SLOWNESS_WEIGHT;
+}
+
+void
+instance_answered(instance_t *instance, int64_t took_us, int64_t expected_us,
+                  bool good, int64_t now_us)
+{
+    instance_ended(instance);
+    instance_age(instance, now_us);
+    instance->waiting_us = now_us;
+    if (!good) {
+        instance->badness += (1 - instance->badness) * BADNESS_STEP;
+        return;
+    }
+    instance_slow(instance, took_us, expected_us);
+    instance->badness *= 1 - BADNESS_STEP;
+    instance->answered_us = now_us;
+}
+
+void
+instance_refused(instance_t *instance, int64_t now_us)
+{
+    instance_ended(instance);
+    instance_age(instance, now_us);
+    instance->waiting_us = now_us;
+    instance->badness += (1 - instance->badness) * BADNESS_STEP;
+}
+
+void
+instance_lost(instance_t *instance, int64_t now_us)
+{
+    instance_ended(instance);
+    instance_age(instance, now_us);
+    instance->badness += (1 - instance->badness) * BADNESS_STEP;
+}
+
+void
+instance_unfinished(instance_t *instance, int64_t waited_us,
+                    int64_t expected_us, int64_t now_us)
+{
+    bool silent = instance_is_silent(instance, expected_us, now_us);
+    instance_ended(instance);
+    instance_age(instance, now_us);
+    instance_slow(instance, waited_us, expected_us);
+    if (silent) {
+        instance->badness += (1 - instance->badness) * BADNESS_STEP;
+    }
+}
+
+void
+instance_dropped(instance_t *instance, int64_t now_us)
+{
+    (void)now_us;
+    instance_ended(instance);
+}
+
+int64_t
+instance_silent_us(const instance_t *instance, int64_t now_us)
+{
+    return instance->in_flight > 0 ? now_us - instance->waiting_us : 0;
+}
+
+bool
+instance_is_silent(const instance_t *instance, int64_t expected_us,
+                   int64_t now_us)
+{
+    int64_t bound = 2 * expected_us > INSTANCE_SILENT_US ? 2 * expected_us
+                                                         : INSTANCE_SILENT_US;
+    return instance_silent_us(instance, now_us) > bound;
+}
+
+bool
+instance_is_usable(const instance_t *instance, int64_t now_us)
+{
+    if (!instance->listed || instance->entry.draining) {
+        return false;
+    }
+    return !instance->misaddressed ||
+           now_us - instance->misaddressed_us > MISADDRESSED_US;
+}
+
+double
+instance_cost(const instance_t *instance, const instance_view_t *view,
+              int64_t now_us)
+{
+    double memory = instance_memory(instance, now_us);
+    double slowness = 1.0 + (instance->slowness - 1.0) * memory;
+    if (now_us < instance->cold_until_us && slowness < COLD_FACTOR) {
+        slowness = COLD_FACTOR;
+    }
+    double cost = slowness * (instance->in_flight + 1.0) +
+                  BADNESS_COST * instance->badness * memory;
+    if (instance_is_silent(instance, view->expected_us, now_us)) {
+        cost += SILENT_COST;
+    }
+    if (now_us < instance->connect_after_us) {
+        cost += SILENT_COST;
+    }
+    if (strcmp(instance->entry.zone, view->zone) != 0) {
+        cost += ZONE_COST;
+    }
+    return cost;
+}
--- /dev/null
+++ b/tier/lease.c
@@ -0,0 +1,114 @@
+#include "tier/lease.h"
+
+#include <stdio.h>
+
+enum {
+    LEASE_RENEWALS = 3,     /* within a lease's life */
+    LEASE_RETRY_US = 300000 /* after a failed call */
+};
+
+void
+lease_init(lease_t *lease, const char *key, int64_t ttl_us)
+{
+    *lease = (lease_t){.ttl_us = ttl_us, .next = LEASE_GRANT};
+    snprintf(lease->key, sizeof(lease->key), "%s", key);
+}
+
+bool
+lease_next(lease_t *lease, const char *record, size_t size, kv_call_t *call,
+           int64_t now_us)
+{
+    if (lease->busy || lease->ended || now_us < lease->due_us) {
+        return false;
+    }
+    bool built = false;
+    switch (lease->next) {
+    case LEASE_GRANT:
+        built = kv_lease_grant(call, lease->ttl_us);
+        break;
+    case LEASE_WRITE:
+        built = kv_put(call, lease->key, record, size, lease->lease);
+        break;
+    case LEASE_KEEP:
+        built = kv_lease_keep(call, lease->lease);
+        break;
+    case LEASE_ENDING:
+        built = kv_lease_end(call, lease->lease);
+        break;
+    }
+    lease->busy = built;
+    lease->doing = lease->next;
+    return built;
+}
+
+/* The lease is no more: begin with another. */
+static void
+lease_lost(lease_t *lease, int64_t now_us)
+{
+    lease->lease = 0;
+    lease->next = LEASE_GRANT;
+    lease->due_us = now_us;
+}
+
+void
+lease_answered(lease_t *lease, uint32_t status, const kv_answer_t *answer,
+               int64_t now_us)
+{
+    lease->busy = false;
+    if (lease->next == LEASE_ENDING) {
+        if (lease->doing == LEASE_ENDING) {
+            lease->ended = status == 200 || status == 404;
+            lease->due_us = now_us + LEASE_RETRY_US;
+        }
+        return;
+    }
+    if (status == 404) {
+        lease_lost(lease, now_us);
+        return;
+    }
+    if (status != 200) {
+        lease->due_us = now_us + LEASE_RETRY_US;
+        return;
+    }
+    switch (lease->next) {
+    case LEASE_GRANT:
+        lease->lease = answer->lease;
+        if (answer->ttl_us > 0) {
+            lease->ttl_us = answer->ttl_us;
+        }
+        lease->next = LEASE_WRITE;
+        lease->due_us = now_us;
+        break;
+    default:
+        lease->next = LEASE_KEEP;
+        lease->due_us = now_us + lease->ttl_us / LEASE_RENEWALS;
+        break;
+    }
+}
+
+void
+lease_failed(lease_t *lease, int64_t now_us)
+{
+    lease->busy = false;
+    lease->due_us = now_us + LEASE_RETRY_US;
+}
+
+void
+lease_missing(lease_t *lease, int64_t now_us)
+{
+    if (lease->next == LEASE_KEEP && !lease->busy) {
+        lease->next = LEASE_WRITE;
+        lease->due_us = now_us;
+    }
+}
+
+void
+lease_leave(lease_t *lease, int64_t now_us)
+{
+    if (lease->lease == 0) {
+        lease->ended = true;
+        return;
+    }
+    lease->next = LEASE_ENDING;
+    lease->due_us = now_us;
+}
--- /dev/null
+++ b/tier/members.c
@@ -0,0 +1,248 @@
+#include "tier/members.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    /* After the store's return a daemon has this long to write its record
+       again: it renews three times in a lease of three seconds. */
+    RETURN_US = 2000000,
+    ADDRESSES_MAX = 64 /* of a directory answer */
+};
+
+void
+members_init(members_t *members, int64_t now_us)
+{
+    *members = (members_t){.started_us = now_us, .half_us = now_us};
+}
+
+void
+members_release(members_t *members)
+{
+    free(members->records);
+    *members = (members_t){0};
+}
+
+size_t
+member_record_write(char *text, size_t size, const char *address,
+                    const char *zone)
+{
+    int length = snprintf(text, size, "{\"address\":\"%s\",\"zone\":\"%s\"}",
+                          address, zone);
+    return length > 0 && (size_t)length < size ? (size_t)length : 0;
+}
+
+static member_record_t *
+members_find(const members_t *members, const char *name)
+{
+    for (uint32_t i = 0; i < members->count; i++) {
+        if (strcmp(members->records[i].name, name) == 0) {
+            return &members->records[i];
+        }
+    }
+    return NULL;
+}
+
+bool
+members_has(const members_t *members, const char *name)
+{
+    const member_record_t *record = members_find(members, name);
+    return record != NULL && record->gone_us == 0;
+}
+
+static member_record_t *
+members_add(members_t *members, const char *name)
+{
+    if (members->count == members->capacity) {
+        uint32_t capacity =
+            members->capacity == 0 ? 16 : members->capacity * 2;
+        if (capacity > MEMBERS_MAX) {
+            return NULL;
+        }
+        member_record_t *grown =
+            realloc(members->records, capacity * sizeof(*members->records));
+        if (grown == NULL) {
+            return NULL;
+        }
+        members->records = grown;
+        members->capacity = capacity;
+    }
+    member_record_t *record = &members->records[members->count++];
+    *record = (member_record_t){0};
+    strcpy(record->name, name);
+    return record;
+}
+
+/* Address and zone of a record's text. */
+static bool
+record_read(member_record_t *record, const char *value, size_t size)
+{
+    json_t *root = json_loadb(value, size, 0, NULL);
+    const char *address = json_string_value(json_object_get(root, "address"));
+    const char *zone = json_string_value(json_object_get(root, "zone"));
+    bool good = address != NULL && zone != NULL &&
+                strlen(address) < sizeof(record->address) &&
+                strlen(zone) < sizeof(record->zone);
+    if (good) {
+        strcpy(record->address, address);
+        strcpy(record->zone, zone);
+    }
+    json_decref(root);
+    return good;
+}
+
+static void
+members_note(members_t *members, int64_t now_us)
+{
+    if (now_us - members->half_us > MEMBERS_MEMORY_US) {
+        members->most[1] = members->most[0];
+        members->most[0] = 0;
+        members->half_us = now_us;
+    }
+    if (members->count > members->most[0]) {
+        members->most[0] = members->count;
+    }
+}
+
+bool
+members_put(members_t *members, const char *name, const char *value,
+            size_t size, int64_t now_us)
+{
+    member_record_t read = {0};
+    if (strlen(name) >= MEMBER_NAME_SIZE || !record_read(&read, value, size)) {
+        return false;
+    }
+    member_record_t *record = members_find(members, name);
+    bool changed = record == NULL || record->gone_us != 0 ||
+                   strcmp(record->address, read.address) != 0;
+    if (record == NULL) {
+        record = members_add(members, name);
+        if (record == NULL) {
+            return false;
+        }
+    }
+    strcpy(record->address, read.address);
+    strcpy(record->zone, read.zone);
+    record->listing = members->listing;
+    record->gone_us = 0;
+    members_note(members, now_us);
+    return changed;
+}
+
+static void
+members_drop(members_t *members, member_record_t *record)
+{
+    *record = members->records[--members->count];
+}
+
+/* True: it is gone at once. */
+static bool
+members_vanish(members_t *members, member_record_t *record, int64_t now_us)
+{
+    int64_t due_us = members->store_back_us + RETURN_US;
+    if (members->store_back_us > 0 && now_us < due_us) {
+        if (record->gone_us == 0) {
+            record->gone_us = due_us;
+        }
+        return false;
+    }
+    members_drop(members, record);
+    return true;
+}
+
+bool
+members_remove(members_t *members, const char *name, int64_t now_us)
+{
+    member_record_t *record = members_find(members, name);
+    return record != NULL && members_vanish(members, record, now_us);
+}
+
+void
+members_list_begin(members_t *members)
+{
+    members->listing++;
+}
+
+bool
+members_list_end(members_t *members, int64_t now_us)
+{
+    bool changed = false;
+    for (uint32_t i = members->count; i-- > 0;) {
+        if (members->records[i].listing != members->listing) {
+            changed |= members_vanish(members, &members->records[i], now_us);
+        }
+    }
+    return changed;
+}
+
+void
+members_store_lost(members_t *members)
+{
+    members->store_lost = true;
+}
+
+void
+members_store_back(members_t *members, int64_t now_us)
+{
+    if (members->store_lost) {
+        members->store_lost = false;
+        members->store_back_us = now_us;
+    }
+}
+
+bool
+members_expire(members_t *members, int64_t now_us)
+{
+    bool changed = false;
+    for (uint32_t i = members->count; i-- > 0;) {
+        member_record_t *record = &members->records[i];
+        if (record->gone_us != 0 && now_us >= record->gone_us) {
+            members_drop(members, record);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+uint32_t
+members_fleet(members_t *members, int64_t now_us)
+{
+    members_note(members, now_us);
+    uint32_t fleet = members->most[0] > members->most[1] ? members->most[0]
+                                                         : members->most[1];
+    if (now_us - members->started_us < MEMBERS_UNSURE_US &&
+        fleet < MEMBERS_UNSURE) {
+        fleet = MEMBERS_UNSURE;
+    }
+    return fleet > 0 ? fleet : 1;
+}
+
+size_t
+members_addresses(const members_t *members, const char *without, char *text,
+                  size_t size)
+{
+    size_t length = 0;
+    uint32_t written = 0;
+    if (size < 3) {
+        return 0;
+    }
+    text[length++] = '[';
+    for (uint32_t i = 0; i < members->count && written < ADDRESSES_MAX; i++) {
+        const member_record_t *record = &members->records[i];
+        if (without != NULL && strcmp(record->name, without) == 0) {
+            continue;
+        }
+        int added = snprintf(text + length, size - length, "%s\"%s\"",
+                             written > 0 ? "," : "", record->address);
+        if (added < 0 || (size_t)added + 2 > size - length) {
+            break;
+        }
+        length += (size_t)added;
+        written++;
+    }
+    text[length++] = ']';
+    text[length] = '\0';
+    return written > 0 ? length : 0;
+}
--- /dev/null
+++ b/tier/members.h
@@ -0,0 +1,86 @@
+/*
+ * The daemons of the fleet, as the store lists them.
+ *
+ * A record that vanishes around an outage of the store is kept until its
+ * owner had time to write it again; at other times its daemon is gone. How
+ * many share the upstreams is the most that were seen lately: a daemon that
+ * cannot reach the store still sends.
+ *
+ *     members_put(&members, name, value, size, now_us);
+ *     uint32_t fleet = members_fleet(&members, now_us);
+ *     size_t size = members_directory(&members, ttl_us, text, sizeof(text));
+ */
+#ifndef TIER_MEMBERS_H
+#define TIER_MEMBERS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum {
+    MEMBER_NAME_SIZE = 64,
+    MEMBERS_MAX = 2048,
+    /* A daemon that is listed no more may still send for so long: the time
+       of an outage that is met for a share of the daemons, and of the window
+       in which repeats are counted. */
+    MEMBERS_MEMORY_US = 15000000,
+    /* Daemons assumed until the list has been read and others had time to
+       write their records after a common start. */
+    MEMBERS_UNSURE = 8,
+    MEMBERS_UNSURE_US = 3000000
+};
+
+typedef struct {
+    char name[MEMBER_NAME_SIZE];
+    char address[MEMBER_NAME_SIZE]; /* for callers, "IP:PORT" */
+    char zone[MEMBER_NAME_SIZE];
+    uint32_t listing;
+    int64_t gone_us; /* when it is gone unless it comes back; 0: it is there */
+} member_record_t;
+
+typedef struct {
+    member_record_t *records;
+    uint32_t count;
+    uint32_t capacity;
+    uint32_t listing;
+    int64_t started_us;
+    int64_t store_back_us;
+    bool store_lost;
+    uint32_t most[2]; /* members seen, in this half of the memory and before */
+    int64_t half_us;  /* when this half began */
+} members_t;
+
+void members_init(members_t *members, int64_t now_us);
+void members_release(members_t *members);
+
+/* The text of this daemon's own record; how long it is, 0: no room. */
+size_t member_record_write(char *text, size_t size, const char *address,
+                           const char *zone);
+
+/* True: something changed. False too for a record that is no good. */
+bool members_put(members_t *members, const char *name, const char *value,
+                 size_t size, int64_t now_us);
+bool members_remove(members_t *members, const char *name, int64_t now_us);
+
+void members_list_begin(members_t *members);
+bool members_list_end(members_t *members, int64_t now_us);
+
+void members_store_lost(members_t *members);
+void members_store_back(members_t *members, int64_t now_us);
+
+/* Drop what has not come back in time; true: something was dropped. */
+bool members_expire(members_t *members, int64_t now_us);
+
+bool members_has(const members_t *members, const char *name);
+
+/* Daemons that may be sending now; 1 at least. */
+uint32_t members_fleet(members_t *members, int64_t now_us);
+
+/*
+ * The addresses callers may use, as a JSON array; `without` is left out
+ * (NULL: nobody). `zone` first. How long the text is.
+ */
+size_t members_addresses(const members_t *members, const char *without,
+                         char *text, size_t size);
+
+#endif
--- /dev/null
+++ b/tier/node_state.h
@@ -0,0 +1,40 @@
+/*
+ * What the files of the daemon share; nobody else includes it.
+ */
+#ifndef TIER_NODE_STATE_H
+#define TIER_NODE_STATE_H
+
+#include "http/server.h"
+#include "tier/engine.h"
+#include "tier/front.h"
+#include "tier/members.h"
+#include "tier/node.h"
+#include "tier/store_link.h"
+#include "tier/upstream_link.h"
+
+enum {
+    METRICS_PORT = 9464 /* as deploy/system.toml says */
+};
+
+struct node {
+    struct ev_loop *loop;
+    boot_t boot;
+    engine_t *engine;
+    upstream_links_t *links;
+    http_server_t *callers;
+    http_server_t *services; /* readiness, directory, metrics */
+    store_link_t *store;
+    front_t front;
+    members_t members;
+    uint32_t fleet;
+    bool upstreams_known; /* the registry was read at least once */
+    /* Evacuated zones in the list being read. */
+    char zones_seen[REGISTRY_ZONES_MAX][INSTANCE_NAME_SIZE];
+    uint32_t zones_seen_count;
+    ev_timer tick;
+    int64_t housekeeping_us;
+    bool leaving;
+    int64_t left_us;
+};
+
+#endif
--- /dev/null
+++ b/tier/pool.c
@@ -0,0 +1,147 @@
+#include "tier/pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    SHARE_FLOOR = 2,        /* requests an upstream takes from each daemon */
+    SHARE_SLOTS = 2,        /* times its slots, which all daemons divide */
+    CONNECTION_PERCENT = 90 /* of what an upstream accepts, that is used */
+};
+
+/* Costs closer than this are equal, and chance decides. */
+static const double COST_TIE = 0.05;
+/* Cost over which an upstream is no place for a hedge. */
+static const double SOUND_COST = 10.0;
+
+bool
+pool_add(pool_t *pool, instance_t *instance)
+{
+    if (pool->count == pool->capacity) {
+        uint32_t capacity = pool->capacity == 0 ? 4 : pool->capacity * 2;
+        instance_t **grown =
+            realloc(pool->instances, capacity * sizeof(*pool->instances));
+        if (grown == NULL) {
+            return false;
+        }
+        pool->instances = grown;
+        pool->capacity = capacity;
+    }
+    instance->slot = pool->count;
+    pool->instances[pool->count++] = instance;
+    return true;
+}
+
+void
+pool_remove(pool_t *pool, instance_t *instance)
+{
+    uint32_t slot = instance->slot;
+    if (slot >= pool->count || pool->instances[slot] != instance) {
+        return;
+    }
+    pool->instances[slot] = pool->instances[--pool->count];
+    pool->instances[slot]->slot = slot;
+}
+
+uint32_t
+pool_share(const pool_t *pool, const instance_t *instance)
+{
+    uint32_t fleet = pool->limits.fleet > 0 ? pool->limits.fleet : 1;
+    uint32_t share = SHARE_FLOOR +
+                     (SHARE_SLOTS * instance->entry.slots + fleet - 1) / fleet;
+    if (pool->limits.connections > 0) {
+        uint32_t connections =
+            pool->limits.connections * CONNECTION_PERCENT / 100 / fleet;
+        if (connections == 0) {
+            connections = 1;
+        }
+        if (share > connections) {
+            share = connections;
+        }
+    }
+    return share;
+}
+
+/* Whether a cold upstream may be sent one more request now. */
+static bool
+cold_allows(const pool_t *pool, const instance_t *instance, int64_t now_us)
+{
+    return pool->limits.cold_per_s <= 0 || now_us >= instance->cold_until_us ||
+           now_us >= instance->cold_next_us;
+}
+
+void
+pool_note_sent(const pool_t *pool, instance_t *instance, int64_t now_us)
+{
+    if (pool->limits.cold_per_s <= 0 || now_us >= instance->cold_until_us) {
+        return;
+    }
+    double share = pool->limits.cold_per_s /
+                   (pool->limits.fleet > 0 ? pool->limits.fleet : 1);
+    instance->cold_next_us = now_us + (int64_t)(1e6 / share);
+}
+
+static bool
+pick_avoids(const pool_pick_t *pick, const instance_t *instance)
+{
+    for (uint32_t i = 0; i < pick->avoid_count; i++) {
+        if (pick->avoid[i] == instance) {
+            return true;
+        }
+    }
+    for (uint32_t i = 0; i < pick->closed_count; i++) {
+        if (strcmp(pick->closed_zones[i], instance->entry.zone) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+pick_result_t
+pool_pick(pool_t *pool, const pool_pick_t *pick, int64_t now_us,
+          instance_t **picked)
+{
+    pick_result_t result = PICK_NONE;
+    double best = 0;
+    uint32_t ties = 0;
+    *picked = NULL;
+    for (uint32_t i = 0; i < pool->count; i++) {
+        instance_t *instance = pool->instances[i];
+        if (!instance_is_usable(instance, now_us) ||
+            pick_avoids(pick, instance)) {
+            continue;
+        }
+        if (instance->in_flight >= pool_share(pool, instance) ||
+            !cold_allows(pool, instance, now_us)) {
+            result = result == PICK_NONE ? PICK_FULL : result;
+            continue;
+        }
+        double cost = instance_cost(instance, &pick->view, now_us);
+        if (pick->sound_only && cost > SOUND_COST) {
+            result = result == PICK_NONE ? PICK_FULL : result;
+            continue;
+        }
+        bool better = *picked == NULL || cost < best - COST_TIE;
+        bool tied = !better && cost < best + COST_TIE;
+        if (tied) {
+            ties++;
+            better = (pick->random >> 8) % (ties + 1) == 0;
+        }
+        else if (better) {
+            ties = 0;
+        }
+        if (better) {
+            *picked = instance;
+            best = cost;
+        }
+        result = PICK_OK;
+    }
+    return result;
+}
+
+void
+pool_release(pool_t *pool)
+{
+    free(pool->instances);
+    waiting_release(&pool->waiting);
+}
--- /dev/null
+++ b/tier/registry.c
@@ -0,0 +1,327 @@
+#include "tier/registry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct registry_entry {
+    instance_t *instance;
+    uint64_t revision; /* of the store, when it was written */
+    uint32_t listing;  /* the last list that named it */
+    int64_t gone_us; /* when it is gone unless it comes back; 0: it is there */
+    UT_hash_handle hh;
+};
+
+void
+registry_init(registry_t *registry)
+{
+    memset(registry, 0, sizeof(*registry));
+}
+
+pool_t *
+registry_pool(registry_t *registry, const char *service)
+{
+    pool_t *pool;
+    HASH_FIND_STR(registry->pools, service, pool);
+    if (pool != NULL || strlen(service) >= sizeof(pool->name)) {
+        return pool;
+    }
+    pool = calloc(1, sizeof(*pool));
+    if (pool == NULL) {
+        return NULL;
+    }
+    strcpy(pool->name, service);
+    pool->limits.fleet = 1;
+    budget_init(&pool->repeats);
+    HASH_ADD_STR(registry->pools, name, pool);
+    return pool;
+}
+
+/* Keep an instance that is gone until nothing points to it. */
+static void
+registry_retire(registry_t *registry, instance_t *instance)
+{
+    instance->listed = false;
+    pool_t *pool = registry_pool(registry, instance->entry.service);
+    if (pool != NULL) {
+        pool_remove(pool, instance);
+    }
+    if (registry->retired_count == registry->retired_capacity) {
+        uint32_t capacity = registry->retired_capacity == 0
+                                ? 16
+                                : registry->retired_capacity * 2;
+        instance_t **grown =
+            realloc(registry->retired, capacity * sizeof(*grown));
+        if (grown == NULL) {
+            return; /* it is left where its holders find it */
+        }
+        registry->retired = grown;
+        registry->retired_capacity = capacity;
+    }
+    registry->retired[registry->retired_count++] = instance;
+}
+
+static void
+registry_drop(registry_t *registry, registry_entry_t *entry)
+{
+    HASH_DEL(registry->entries, entry);
+    registry_retire(registry, entry->instance);
+    free(entry);
+}
+
+static registry_entry_t *
+registry_add(registry_t *registry, const instance_entry_t *entry,
+             int64_t now_us)
+{
+    pool_t *pool = registry_pool(registry, entry->service);
+    registry_entry_t *added = calloc(1, sizeof(*added));
+    instance_t *instance = malloc(sizeof(*instance));
+    if (pool == NULL || added == NULL || instance == NULL) {
+        free(added);
+        free(instance);
+        return NULL;
+    }
+    instance_init(instance, entry, now_us);
+    if (!pool_add(pool, instance)) {
+        free(added);
+        free(instance);
+        return NULL;
+    }
+    added->instance = instance;
+    HASH_ADD_KEYPTR(hh, registry->entries, instance->entry.id,
+                    strlen(instance->entry.id), added);
+    return added;
+}
+
+static bool
+entry_decides_same(const instance_entry_t *old, const instance_entry_t *new)
+{
+    return old->draining == new->draining &&
+           old->started_ms == new->started_ms &&
+           old->slots ==
+               new->slots &&memcmp(&old->address, &new->address,
+                                   sizeof(old->address)) == 0;
+}
+
+registry_change_t
+registry_put(registry_t *registry, const instance_entry_t *entry,
+             uint64_t revision, int64_t now_us)
+{
+    registry_entry_t *found;
+    HASH_FIND_STR(registry->entries, entry->id, found);
+    if (found != NULL && revision < found->revision) {
+        found->listing = registry->listing;
+        return REGISTRY_SAME;
+    }
+    if (found != NULL &&
+        strcmp(found->instance->entry.service, entry->service) != 0) {
+        registry_drop(registry, found);
+        found = NULL;
+    }
+    registry_change_t change = REGISTRY_SAME;
+    if (found == NULL) {
+        found = registry_add(registry, entry, now_us);
+        if (found == NULL) {
+            return REGISTRY_SAME;
+        }
+        change = REGISTRY_ADDED;
+    }
+    else {
+        if (!entry_decides_same(&found->instance->entry, entry)) {
+            change = REGISTRY_CHANGED;
+        }
+        instance_update(found->instance, entry, now_us);
+    }
+    found->revision = revision;
+    found->listing = registry->listing;
+    found->gone_us = 0;
+    return change;
+}
+
+/* The time at which an entry that vanishes now is gone. */
+static int64_t
+registry_gone_us(const registry_t *registry, int64_t now_us)
+{
+    int64_t due = registry->store_back_us + REGISTRY_RETURN_US;
+    return registry->store_back_us > 0 && now_us < due ? due : now_us;
+}
+
+static registry_change_t
+registry_vanish(registry_t *registry, registry_entry_t *entry, int64_t now_us)
+{
+    int64_t gone_us = registry_gone_us(registry, now_us);
+    if (gone_us <= now_us) {
+        registry_drop(registry, entry);
+        return REGISTRY_GONE;
+    }
+    if (entry->gone_us == 0) {
+        entry->gone_us = gone_us;
+    }
+    return REGISTRY_KEPT;
+}
+
+registry_change_t
+registry_remove(registry_t *registry, const char *id, uint64_t revision,
+                int64_t now_us)
+{
+    registry_entry_t *found;
+    HASH_FIND_STR(registry->entries, id, found);
+    if (found == NULL || revision < found->revision) {
+        return REGISTRY_SAME;
+    }
+    return registry_vanish(registry, found, now_us);
+}
+
+void
+registry_list_begin(registry_t *registry)
+{
+    registry->listing++;
+}
+
+void
+registry_list_end(registry_t *registry, int64_t now_us)
+{
+    registry_entry_t *entry;
+    registry_entry_t *next;
+    HASH_ITER(hh, registry->entries, entry, next)
+    {
+        if (entry->listing != registry->listing) {
+            registry_vanish(registry, entry, now_us);
+        }
+    }
+}
+
+void
+registry_store_lost(registry_t *registry)
+{
+    registry->store_lost = true;
+}
+
+void
+registry_store_back(registry_t *registry, int64_t now_us)
+{
+    if (registry->store_lost) {
+        registry->store_lost = false;
+        registry->store_back_us = now_us;
+    }
+}
+
+void
+registry_expire(registry_t *registry, int64_t now_us)
+{
+    registry_entry_t *entry;
+    registry_entry_t *next;
+    HASH_ITER(hh, registry->entries, entry, next)
+    {
+        if (entry->gone_us != 0 && now_us >= entry->gone_us) {
+            registry_drop(registry, entry);
+        }
+    }
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < registry->retired_count; i++) {
+        instance_t *instance = registry->retired[i];
+        if (instance->holders > 0 || instance->links != NULL) {
+            registry->retired[kept++] = instance;
+        }
+        else {
+            free(instance);
+        }
+    }
+    registry->retired_count = kept;
+}
+
+bool
+registry_zone_is_closed(const registry_t *registry, const char *zone)
+{
+    for (uint32_t i = 0; i < registry->closed_count; i++) {
+        if (strcmp(registry->closed[i], zone) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+registry_close_zone(registry_t *registry, const char *zone, bool closed)
+{
+    uint32_t place = 0;
+    while (place < registry->closed_count &&
+           strcmp(registry->closed[place], zone) != 0) {
+        place++;
+    }
+    if (!closed) {
+        if (place < registry->closed_count) {
+            uint32_t last = --registry->closed_count;
+            if (place != last) {
+                strcpy(registry->closed[place], registry->closed[last]);
+            }
+        }
+        return true;
+    }
+    if (place < registry->closed_count) {
+        return true;
+    }
+    if (place == REGISTRY_ZONES_MAX || strlen(zone) >= INSTANCE_NAME_SIZE) {
+        return false;
+    }
+    strcpy(registry->closed[place], zone);
+    registry->closed_names[place] = registry->closed[place];
+    registry->closed_count++;
+    return true;
+}
+
+void
+registry_open_zones(registry_t *registry)
+{
+    registry->closed_count = 0;
+}
+
+uint32_t
+registry_count(const registry_t *registry)
+{
+    return HASH_COUNT(registry->entries);
+}
+
+void
+registry_apply(registry_t *registry, const route_table_t *table,
+               uint32_t fleet)
+{
+    for (uint32_t i = 0; table != NULL && i < table->service_count; i++) {
+        const route_service_t *service = &table->services[i];
+        pool_t *pool = registry_pool(registry, service->name);
+        if (pool != NULL) {
+            pool->limits.connections = service->max_connections;
+            pool->limits.cold_per_s = service->cold_per_s;
+        }
+    }
+    pool_t *pool;
+    pool_t *next;
+    HASH_ITER(hh, registry->pools, pool, next)
+    {
+        pool->limits.fleet = fleet;
+    }
+}
+
+void
+registry_release(registry_t *registry)
+{
+    registry_entry_t *entry;
+    registry_entry_t *next;
+    HASH_ITER(hh, registry->entries, entry, next)
+    {
+        HASH_DEL(registry->entries, entry);
+        free(entry->instance);
+        free(entry);
+    }
+    for (uint32_t i = 0; i < registry->retired_count; i++) {
+        free(registry->retired[i]);
+    }
+    free(registry->retired);
+    pool_t *pool;
+    pool_t *after;
+    HASH_ITER(hh, registry->pools, pool, after)
+    {
+        HASH_DEL(registry->pools, pool);
+        pool_release(pool);
+        free(pool);
+    }
+}
--- /dev/null
+++ b/tier/registry.h
@@ -0,0 +1,92 @@
+/*
+ * The upstreams that are believed to run, by service and by instance id.
+ *
+ * Entries that vanish around an outage of the store may have lapsed only
+ * because they could not be renewed: they are kept until the owner had its
+ * time to come back, and are gone after it. At any other time an entry that
+ * vanishes is gone at once.
+ *
+ *     registry_put(&registry, &entry, now_us);
+ *     registry_store_back(&registry, now_us);
+ *     registry_list_begin(&registry); ... registry_put ...;
+ *     registry_list_end(&registry, now_us);
+ *     registry_expire(&registry, now_us);
+ */
+#ifndef TIER_REGISTRY_H
+#define TIER_REGISTRY_H
+
+#include "tier/instance.h"
+#include "tier/pool.h"
+#include "tier/route.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    REGISTRY_ZONES_MAX = 32,
+    /* How long after the store's return an owner has to renew its entry: the
+       platform promises about two seconds. */
+    REGISTRY_RETURN_US = 2000000
+};
+
+typedef struct registry_entry registry_entry_t;
+
+typedef struct {
+    registry_entry_t *entries; /* by instance id */
+    pool_t *pools;             /* by service */
+    instance_t **retired;      /* gone, and still pointed to */
+    uint32_t retired_count;
+    uint32_t retired_capacity;
+    char closed[REGISTRY_ZONES_MAX][INSTANCE_NAME_SIZE]; /* evacuated zones */
+    const char *closed_names[REGISTRY_ZONES_MAX];
+    uint32_t closed_count;
+    bool store_lost;
+    int64_t store_back_us; /* 0: no outage seen */
+    uint32_t listing;      /* number of the list being read */
+} registry_t;
+
+void registry_init(registry_t *registry);
+void registry_release(registry_t *registry);
+
+/* The pool of a service, made when there is none; NULL: no memory. */
+pool_t *registry_pool(registry_t *registry, const char *service);
+
+typedef enum {
+    REGISTRY_SAME, /* nothing that decides has changed, or it was older */
+    REGISTRY_ADDED,
+    REGISTRY_CHANGED,
+    REGISTRY_GONE,
+    REGISTRY_KEPT /* it vanished around an outage, and has time to return */
+} registry_change_t;
+
+/* An entry as it was written at a revision of the store. */
+registry_change_t registry_put(registry_t *registry,
+                               const instance_entry_t *entry,
+                               uint64_t revision, int64_t now_us);
+
+/* An entry was removed, or names no upstream any more. */
+registry_change_t registry_remove(registry_t *registry, const char *id,
+                                  uint64_t revision, int64_t now_us);
+
+/* A complete list is read: what it does not name between the two is gone. */
+void registry_list_begin(registry_t *registry);
+void registry_list_end(registry_t *registry, int64_t now_us);
+
+void registry_store_lost(registry_t *registry);
+void registry_store_back(registry_t *registry, int64_t now_us);
+
+/* Drop what has not come back in time, and what nothing points to. */
+void registry_expire(registry_t *registry, int64_t now_us);
+
+/* A zone that is to get nothing, or is open again; false: too many. */
+bool registry_close_zone(registry_t *registry, const char *zone, bool closed);
+bool registry_zone_is_closed(const registry_t *registry, const char *zone);
+void registry_open_zones(registry_t *registry);
+
+uint32_t registry_count(const registry_t *registry);
+
+/* Take over what a configuration says of services; fleet: daemons sharing. */
+void registry_apply(registry_t *registry, const route_table_t *table,
+                    uint32_t fleet);
+
+#endif
--- /dev/null
+++ b/tier/route.c
@@ -0,0 +1,259 @@
+#include "tier/route.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <uthash.h>
+
+/* The routes of one host, by their places in the table. */
+typedef struct {
+    char *host;
+    uint32_t *routes;
+    uint32_t count;
+    UT_hash_handle hh;
+} host_t;
+
+typedef struct {
+    host_t *hosts;
+} index_t;
+
+enum { HOST_MAX = 256 };
+
+route_table_t *
+route_table_new(uint64_t version)
+{
+    route_table_t *table = calloc(1, sizeof(*table));
+    if (table != NULL) {
+        table->version = version;
+        table->holders = 1;
+    }
+    return table;
+}
+
+route_table_t *
+route_table_hold(route_table_t *table)
+{
+    table->holders++;
+    return table;
+}
+
+static void
+route_clear(route_t *route)
+{
+    for (uint32_t i = 0; i < route->target_count; i++) {
+        free(route->targets[i].service);
+    }
+    free(route->targets);
+    free(route->name);
+    free(route->host);
+    free(route->prefix);
+}
+
+static void
+index_free(index_t *index)
+{
+    if (index == NULL) {
+        return;
+    }
+    host_t *host;
+    host_t *next;
+    HASH_ITER(hh, index->hosts, host, next)
+    {
+        HASH_DEL(index->hosts, host);
+        free(host->host);
+        free(host->routes);
+        free(host);
+    }
+    free(index);
+}
+
+void
+route_table_release(route_table_t *table)
+{
+    if (table == NULL || --table->holders > 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < table->route_count; i++) {
+        route_clear(&table->routes[i]);
+    }
+    for (uint32_t i = 0; i < table->service_count; i++) {
+        free(table->services[i].name);
+    }
+    index_free(table->index);
+    free(table->routes);
+    free(table->services);
+    free(table);
+}
+
+route_t *
+route_table_add(route_table_t *table, const char *name, const char *host,
+                const char *prefix)
+{
+    route_t *grown = realloc(table->routes, (table->route_count + 1) *
+                                                sizeof(*table->routes));
+    if (grown == NULL) {
+        return NULL;
+    }
+    table->routes = grown;
+    route_t *route = &grown[table->route_count];
+    *route = (route_t){
+        .name = strdup(name),
+        .host = strdup(host),
+        .prefix = strdup(prefix),
+    };
+    if (route->name == NULL || route->host == NULL || route->prefix == NULL) {
+        route_clear(route);
+        return NULL;
+    }
+    for (char *c = route->host; *c != '\0'; c++) {
+        if (*c >= 'A' && *c <= 'Z') {
+            *c = (char)(*c - 'A' + 'a');
+        }
+    }
+    table->route_count++;
+    return route;
+}
+
+bool
+route_add_target(route_t *route, const char *service, double weight)
+{
+    route_target_t *grown = realloc(
+        route->targets, (route->target_count + 1) * sizeof(*route->targets));
+    if (grown == NULL) {
+        return false;
+    }
+    route->targets = grown;
+    char *name = strdup(service);
+    if (name == NULL) {
+        return false;
+    }
+    grown[route->target_count++] = (route_target_t){
+        .service = name,
+        .weight = weight,
+    };
+    return true;
+}
+
+void
+route_table_drop_last(route_table_t *table)
+{
+    route_clear(&table->routes[--table->route_count]);
+}
+
+route_service_t *
+route_table_add_service(route_table_t *table, const char *name)
+{
+    route_service_t *grown =
+        realloc(table->services,
+                (table->service_count + 1) * sizeof(*table->services));
+    if (grown == NULL) {
+        return NULL;
+    }
+    table->services = grown;
+    route_service_t *service = &grown[table->service_count];
+    *service = (route_service_t){.name = strdup(name)};
+    if (service->name == NULL) {
+        return NULL;
+    }
+    table->service_count++;
+    return service;
+}
+
+static int
+route_order(const void *left, const void *right)
+{
+    size_t a = strlen(((const route_t *)left)->prefix);
+    size_t b = strlen(((const route_t *)right)->prefix);
+    return a < b ? 1 : a > b ? -1 : 0;
+}
+
+static bool
+host_add(index_t *index, const char *name, uint32_t route)
+{
+    host_t *host;
+    HASH_FIND_STR(index->hosts, name, host);
+    if (host == NULL) {
+        host = calloc(1, sizeof(*host));
+        if (host == NULL || (host->host = strdup(name)) == NULL) {
+            free(host);
+            return false;
+        }
+        HASH_ADD_KEYPTR(hh, index->hosts, host->host, strlen(host->host),
+                        host);
+    }
+    uint32_t *grown =
+        realloc(host->routes, (host->count + 1) * sizeof(*host->routes));
+    if (grown == NULL) {
+        return false;
+    }
+    host->routes = grown;
+    grown[host->count++] = route;
+    return true;
+}
+
+bool
+route_table_seal(route_table_t *table)
+{
+    if (table->route_count > 1) {
+        qsort(table->routes, table->route_count, sizeof(*table->routes),
+              route_order);
+    }
+    index_t *index = calloc(1, sizeof(*index));
+    table->index = index;
+    if (index == NULL) {
+        return false;
+    }
+    for (uint32_t i = 0; i < table->route_count; i++) {
+        if (!host_add(index, table->routes[i].host, i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A Host header without its port, in lower case; false: too long. */
+static bool
+host_name(char *name, const char *header)
+{
+    size_t length = strcspn(header, ":");
+    if (length == 0 || length >= HOST_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < length; i++) {
+        char c = header[i];
+        name[i] = c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
+    }
+    name[length] = '\0';
+    return true;
+}
+
+const route_t *
+route_table_match(const route_table_t *table, const char *host,
+                  const char *path)
+{
+    const index_t *index = table->index;
+    char name[HOST_MAX];
+    if (index == NULL || !host_name(name, host)) {
+        return NULL;
+    }
+    host_t *found;
+    HASH_FIND_STR(index->hosts, name, found);
+    for (uint32_t i = 0; found != NULL && i < found->count; i++) {
+        const route_t *route = &table->routes[found->routes[i]];
+        if (strncmp(path, route->prefix, strlen(route->prefix)) == 0) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+const route_service_t *
+route_table_service(const route_table_t *table, const char *name)
+{
+    for (uint32_t i = 0; i < table->service_count; i++) {
+        if (strcmp(table->services[i].name, name) == 0) {
+            return &table->services[i];
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/tier/store_link.c
@@ -0,0 +1,390 @@
+#include "tier/store_link.h"
+
+#include "daemon/clock.h"
+#include "http/conn.h"
+#include "http/message.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    CHANNELS_MAX = 6,
+    RECORD_SIZE = 256,
+    /* A call that answers at once has failed after this: the store's answers
+       take milliseconds, and a quarter of a second when it is slow. */
+    CALL_US = 1500000,
+    ANSWER_BODY_MAX = 8 << 20, /* of a page or of a batch of changes */
+    ANSWER_HEADER_MAX = 16 << 10,
+    /* Probes of a call that stays open: its connection may be gone without
+       a word, and a change must be known within three seconds. */
+    PROBE_IDLE_S = 1,
+    PROBE_INTERVAL_S = 1,
+    PROBE_COUNT = 2
+};
+
+typedef struct {
+    store_link_t *store;
+    conn_t conn;
+    http_reader_t reader;
+    bool busy;
+    int64_t until_us; /* the call at hand has failed then */
+    /* Either follows a prefix or holds the record. */
+    bool follows;
+    follow_t follow;
+    const store_reader_t *items;
+    void *items_owner;
+} channel_t;
+
+struct store_link {
+    struct ev_loop *loop;
+    struct sockaddr_in address;
+    store_ops_t ops;
+    void *owner;
+    channel_t channels[CHANNELS_MAX];
+    uint32_t channel_count;
+    channel_t holder;
+    lease_t lease;
+    bool holds;
+    char record[RECORD_SIZE];
+    char host[64];
+    store_link_stats_t stats;
+};
+
+static const http_limits_t answer_limits = {
+    .header_bytes = ANSWER_HEADER_MAX,
+    .body_bytes = ANSWER_BODY_MAX,
+};
+
+static void
+channel_init(channel_t *channel, store_link_t *store)
+{
+    *channel = (channel_t){.store = store};
+    channel->conn.fd = -1;
+    http_reader_init(&channel->reader, HTTP_RESPONSES, &answer_limits);
+}
+
+static void
+store_heard(store_link_t *store, int64_t now_us)
+{
+    store->stats.heard_us = now_us;
+    if (store->stats.reachable) {
+        return;
+    }
+    store->stats.reachable = true;
+    store->ops.back(store->owner, now_us);
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        channel_t *channel = &store->channels[i];
+        if (channel->busy && channel->follow.settings.wait_us > 0) {
+            /* A call opened before the outage may never be answered. */
+            conn_close(&channel->conn);
+            channel->busy = false;
+            follow_failed(&channel->follow, false, now_us);
+            channel->follow.due_us = now_us;
+        }
+    }
+}
+
+static void
+store_failed(store_link_t *store, const char *why, int64_t now_us)
+{
+    store->stats.failures++;
+    if (store->stats.reachable) {
+        store->stats.reachable = false;
+        store->ops.lost(store->owner, why, now_us);
+    }
+}
+
+static void
+channel_failed(channel_t *channel, const char *why, int64_t now_us)
+{
+    conn_close(&channel->conn);
+    if (!channel->busy) {
+        return;
+    }
+    channel->busy = false;
+    if (channel->follows) {
+        follow_failed(&channel->follow, false, now_us);
+        store_failed(channel->store, why, now_us);
+    }
+    else {
+        /* A lost answer to a write says nothing of what can be read. */
+        channel->store->stats.failures++;
+        lease_failed(&channel->store->lease, now_us);
+    }
+}
+
+static void
+follow_deliver(channel_t *channel, const kv_answer_t *answer, int64_t now_us)
+{
+    follow_step_t step = follow_answered(&channel->follow, answer, now_us);
+    const store_reader_t *items = channel->items;
+    if (step == FOLLOW_LIST_FIRST || step == FOLLOW_LIST_WHOLE) {
+        items->list_begin(channel->items_owner, now_us);
+    }
+    for (size_t i = 0; i < answer->count; i++) {
+        items->item(channel->items_owner, &answer->items[i], now_us);
+    }
+    if (step == FOLLOW_LIST_LAST || step == FOLLOW_LIST_WHOLE) {
+        items->list_end(channel->items_owner, now_us);
+    }
+}
+
+static void
+channel_answered(channel_t *channel, int64_t now_us)
+{
+    store_link_t *store = channel->store;
+    const http_message_t *message = &channel->reader.message;
+    uint32_t status = message->status;
+    kv_answer_t answer = {0};
+    bool parsed =
+        kv_answer_parse(&answer, (const char *)buffer_data(&message->body),
+                        buffer_size(&message->body));
+    channel->busy = false;
+    if (!channel->follows) {
+        if (status == 200 && !parsed) {
+            lease_failed(&store->lease, now_us);
+        }
+        else {
+            lease_answered(&store->lease, status, &answer, now_us);
+        }
+    }
+    else if (status == 200 && parsed) {
+        store_heard(store, now_us);
+        follow_deliver(channel, &answer, now_us);
+    }
+    else if (status == 410) {
+        store_heard(store, now_us);
+        follow_failed(&channel->follow, true, now_us);
+    }
+    else {
+        char why[32];
+        snprintf(why, sizeof(why), "status_%u", status);
+        follow_failed(&channel->follow, false, now_us);
+        store_failed(store, why, now_us);
+    }
+    kv_answer_release(&answer);
+}
+
+static void
+channel_data(conn_t *conn, const char *bytes, size_t size)
+{
+    channel_t *channel = conn->owner;
+    int64_t now_us = clock_now_us();
+    size_t used = 0;
+    if (!channel->busy) {
+        conn_close(conn);
+        return;
+    }
+    http_state_t state =
+        http_reader_feed(&channel->reader, bytes, size, &used);
+    if (state == HTTP_MORE) {
+        return;
+    }
+    if (state != HTTP_DONE || used < size) {
+        channel_failed(channel, "garbled", now_us);
+        return;
+    }
+    if (!channel->reader.message.keep_alive) {
+        conn_close(conn);
+    }
+    channel_answered(channel, now_us);
+    store_link_tick(channel->store, now_us);
+}
+
+static void
+channel_ended(conn_t *conn, bool clean)
+{
+    channel_t *channel = conn->owner;
+    (void)clean;
+    channel_failed(channel, conn->connecting ? "connect" : "closed",
+                   clock_now_us());
+}
+
+static const conn_ops_t channel_ops = {
+    .data = channel_data,
+    .ended = channel_ended,
+};
+
+static void
+channel_send(channel_t *channel, kv_call_t *call, int64_t wait_us,
+             int64_t now_us)
+{
+    store_link_t *store = channel->store;
+    channel->busy = true;
+    channel->until_us = now_us + wait_us + CALL_US;
+    store->stats.calls++;
+    if (!conn_is_open(&channel->conn)) {
+        if (!conn_open(&channel->conn, store->loop, &store->address,
+                       &channel_ops, channel)) {
+            channel_failed(channel, "connect", now_us);
+            return;
+        }
+        conn_keepalive(&channel->conn, PROBE_IDLE_S, PROBE_INTERVAL_S,
+                       PROBE_COUNT);
+    }
+    http_reader_next(&channel->reader);
+    char head[KV_TARGET_SIZE + 256];
+    size_t body_size = call->body != NULL ? strlen(call->body) : 0;
+    int size = snprintf(head, sizeof(head), "%s %s HTTP/1.1\r\nHost: %s\r\n",
+                        call->method, call->target, store->host);
+    if (body_size > 0) {
+        size += snprintf(head + size, sizeof(head) - (size_t)size,
+                         "Content-Type: application/json\r\n"
+                         "Content-Length: %zu\r\n",
+                         body_size);
+    }
+    size += snprintf(head + size, sizeof(head) - (size_t)size, "\r\n");
+    struct iovec pieces[] = {{head, (size_t)size}, {call->body, body_size}};
+    if (!conn_writev(&channel->conn, pieces, 2)) {
+        channel_failed(channel, "write", now_us);
+    }
+}
+
+static void
+channel_tick(channel_t *channel, int64_t now_us)
+{
+    store_link_t *store = channel->store;
+    if (channel->busy) {
+        if (now_us >= channel->until_us) {
+            channel_failed(channel, "timeout", now_us);
+        }
+        return;
+    }
+    kv_call_t call = {0};
+    if (channel->follows) {
+        if (follow_next(&channel->follow, &call, now_us)) {
+            channel_send(channel, &call,
+                         channel->follow.watching
+                             ? channel->follow.settings.wait_us
+                             : 0,
+                         now_us);
+        }
+    }
+    else if (store->holds &&
+             lease_next(&store->lease, store->record, strlen(store->record),
+                        &call, now_us)) {
+        channel_send(channel, &call, 0, now_us);
+    }
+    kv_call_release(&call);
+}
+
+void
+store_link_tick(store_link_t *store, int64_t now_us)
+{
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        channel_tick(&store->channels[i], now_us);
+    }
+    channel_tick(&store->holder, now_us);
+}
+
+static void
+store_set_host(store_link_t *store)
+{
+    uint32_t ip = ntohl(store->address.sin_addr.s_addr);
+    snprintf(store->host, sizeof(store->host), "%u.%u.%u.%u:%u", ip >> 24,
+             ip >> 16 & 255, ip >> 8 & 255, ip & 255,
+             ntohs(store->address.sin_port));
+}
+
+store_link_t *
+store_link_new(struct ev_loop *loop, const struct sockaddr_in *address,
+               const store_ops_t *ops, void *owner)
+{
+    store_link_t *store = calloc(1, sizeof(*store));
+    if (store == NULL) {
+        return NULL;
+    }
+    store->loop = loop;
+    store->address = *address;
+    store->ops = *ops;
+    store->owner = owner;
+    channel_init(&store->holder, store);
+    store_set_host(store);
+    return store;
+}
+
+void
+store_link_set_address(store_link_t *store, const struct sockaddr_in *address,
+                       int64_t now_us)
+{
+    store->address = *address;
+    store_set_host(store);
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        channel_failed(&store->channels[i], "moved", now_us);
+    }
+    channel_failed(&store->holder, "moved", now_us);
+}
+
+bool
+store_link_follow(store_link_t *store, const follow_settings_t *settings,
+                  const store_reader_t *reader, void *owner)
+{
+    if (store->channel_count == CHANNELS_MAX) {
+        return false;
+    }
+    channel_t *channel = &store->channels[store->channel_count++];
+    channel_init(channel, store);
+    channel->follows = true;
+    channel->items = reader;
+    channel->items_owner = owner;
+    follow_init(&channel->follow, settings);
+    return true;
+}
+
+void
+store_link_hold(store_link_t *store, const char *key, const char *record,
+                int64_t ttl_us)
+{
+    snprintf(store->record, sizeof(store->record), "%s", record);
+    lease_init(&store->lease, key, ttl_us);
+    store->holds = true;
+}
+
+void
+store_link_missing(store_link_t *store, int64_t now_us)
+{
+    if (store->holds) {
+        lease_missing(&store->lease, now_us);
+    }
+}
+
+void
+store_link_leave(store_link_t *store, int64_t now_us)
+{
+    if (store->holds) {
+        lease_leave(&store->lease, now_us);
+    }
+}
+
+bool
+store_link_has_left(const store_link_t *store)
+{
+    return !store->holds || store->lease.ended;
+}
+
+const store_link_stats_t *
+store_link_stats(const store_link_t *store)
+{
+    return &store->stats;
+}
+
+static void
+channel_release(channel_t *channel)
+{
+    conn_close(&channel->conn);
+    http_reader_release(&channel->reader);
+}
+
+void
+store_link_free(store_link_t *store)
+{
+    if (store == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        channel_release(&store->channels[i]);
+    }
+    channel_release(&store->holder);
+    free(store);
+}
--- /dev/null
+++ b/tier/store_link.h
@@ -0,0 +1,74 @@
+/*
+ * This daemon's calls to the store: one connection for each thing it does.
+ *
+ *     store_link_t *store = store_link_new(loop, &address, &ops, owner);
+ *     store_link_follow(store, &settings, &reader, owner);
+ *     store_link_hold(store, key, record, ttl_us);
+ *     store_link_tick(store, now_us);   // often
+ */
+#ifndef TIER_STORE_LINK_H
+#define TIER_STORE_LINK_H
+
+#include "platform/kv.h"
+#include "tier/follow.h"
+#include "tier/lease.h"
+
+#include <ev.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct store_link store_link_t;
+
+/* What is read under a prefix, in the order of the store's revisions. */
+typedef struct {
+    void (*list_begin)(void *owner, int64_t now_us);
+    void (*item)(void *owner, const kv_item_t *item, int64_t now_us);
+    void (*list_end)(void *owner, int64_t now_us);
+} store_reader_t;
+
+typedef struct {
+    void (*lost)(void *owner, const char *why, int64_t now_us);
+    void (*back)(void *owner, int64_t now_us);
+} store_ops_t;
+
+typedef struct {
+    uint64_t calls;
+    uint64_t failures;
+    bool reachable;
+    int64_t heard_us; /* last good answer */
+} store_link_stats_t;
+
+/* NULL: no memory. */
+store_link_t *store_link_new(struct ev_loop *loop,
+                             const struct sockaddr_in *address,
+                             const store_ops_t *ops, void *owner);
+void store_link_free(store_link_t *store);
+
+/* The store has moved. */
+void store_link_set_address(store_link_t *store,
+                            const struct sockaddr_in *address, int64_t now_us);
+
+/* False: too many. */
+bool store_link_follow(store_link_t *store, const follow_settings_t *settings,
+                       const store_reader_t *reader, void *owner);
+
+/* Keep a record in the store as long as this daemon lives. */
+void store_link_hold(store_link_t *store, const char *key, const char *record,
+                     int64_t ttl_us);
+
+/* The record held is missing in the store. */
+void store_link_missing(store_link_t *store, int64_t now_us);
+
+/* Take the record back. */
+void store_link_leave(store_link_t *store, int64_t now_us);
+
+/* Whether nothing is left to take back. */
+bool store_link_has_left(const store_link_t *store);
+
+/* Make the calls that are due, give up those that take too long. */
+void store_link_tick(store_link_t *store, int64_t now_us);
+
+const store_link_stats_t *store_link_stats(const store_link_t *store);
+
+#endif
--- /dev/null
+++ b/tier/upstream_link.c
@@ -0,0 +1,484 @@
+#include "tier/upstream_link.h"
+
+#include "daemon/clock.h"
+#include "edge/event.h"
+#include "http/conn.h"
+#include "platform/names.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    /* A connection that is not there after this will not be in time. */
+    CONNECT_US = 400000,
+    /* Idle connections of upstreams that name no timeout are kept so long. */
+    IDLE_US = 30000000,
+    /* An idle connection is given up this long before the upstream does. */
+    IDLE_MARGIN_US = 1000000,
+    /* A request that must not run twice goes only on a connection that was
+       used as recently, as an upstream may be closing an older one. */
+    FRESH_US = 1000000,
+    /* Pause after a connection that failed, doubled up to the last. */
+    CONNECT_PAUSE_US = 100000,
+    CONNECT_PAUSE_MAX_US = 1600000,
+    BODY_MAX = 16 << 20,  /* of an answer; more is taken for a fault */
+    HEADER_MAX = 64 << 10 /* of an answer */
+};
+
+typedef struct link link_t;
+
+struct link {
+    conn_t conn;
+    http_reader_t reader;
+    upstream_links_t *links;
+    instance_t *instance;
+    attempt_t *attempt; /* NULL: idle */
+    bool reader_used;   /* holds the last answer still */
+    bool tainted;       /* not to be used again */
+    bool answers_head;
+    bool reused;
+    int64_t opened_us;
+    int64_t idle_us;     /* since when; valid while idle */
+    int64_t idle_for_us; /* how long the upstream keeps it */
+    int64_t until_us;    /* abandoned: when to cut it off; 0: it is not */
+    link_t *instance_next;
+    link_t *next;
+    link_t *prev;
+};
+
+struct upstream_links {
+    struct ev_loop *loop;
+    void *owner;
+    upstream_replied_fn replied;
+    link_t *all;
+    link_t *swept_next; /* where a sweep goes on; moved when that is freed */
+    upstream_links_stats_t stats;
+};
+
+upstream_links_t *
+upstream_links_new(struct ev_loop *loop, void *owner,
+                   upstream_replied_fn replied)
+{
+    upstream_links_t *links = calloc(1, sizeof(*links));
+    if (links != NULL) {
+        links->loop = loop;
+        links->owner = owner;
+        links->replied = replied;
+    }
+    return links;
+}
+
+const upstream_links_stats_t *
+upstream_links_stats(const upstream_links_t *links)
+{
+    return &links->stats;
+}
+
+static void
+link_free(link_t *link)
+{
+    link_t **place = (link_t **)&link->instance->links;
+    while (*place != link) {
+        place = &(*place)->instance_next;
+    }
+    *place = link->instance_next;
+    if (link->links->swept_next == link) {
+        link->links->swept_next = link->next;
+    }
+    if (link->prev != NULL) {
+        link->prev->next = link->next;
+    }
+    else {
+        link->links->all = link->next;
+    }
+    if (link->next != NULL) {
+        link->next->prev = link->prev;
+    }
+    link->links->stats.open--;
+    conn_close(&link->conn);
+    http_reader_release(&link->reader);
+    free(link);
+}
+
+/* Close the connection, and report how its attempt ended if there is one. */
+static void
+link_fail(link_t *link, reply_kind_t kind, const char *detail)
+{
+    upstream_links_t *links = link->links;
+    attempt_t *attempt = link->attempt;
+    int64_t now_us = clock_now_us();
+    if (kind == REPLY_NOT_SENT) {
+        instance_t *instance = link->instance;
+        int64_t pause_us =
+            (int64_t)CONNECT_PAUSE_US
+            << (instance->connect_failures > 4 ? 4
+                                               : instance->connect_failures);
+        instance->connect_failures++;
+        instance->connect_after_us =
+            now_us + (pause_us < CONNECT_PAUSE_MAX_US ? pause_us
+                                                      : CONNECT_PAUSE_MAX_US);
+        links->stats.failed++;
+    }
+    link_free(link);
+    if (attempt != NULL) {
+        reply_t reply = {.kind = kind, .detail = detail};
+        attempt->link = NULL;
+        links->replied(links->owner, attempt, &reply, now_us);
+    }
+}
+
+static void
+link_ended(conn_t *conn, bool clean)
+{
+    link_t *link = conn->owner;
+    if (conn->connecting) {
+        link_fail(link, REPLY_NOT_SENT, "connect");
+        return;
+    }
+    if (link->attempt == NULL) {
+        link_free(link);
+        return;
+    }
+    if (clean && !link->reader_used &&
+        http_reader_close(&link->reader) == HTTP_DONE) {
+        link->tainted = true;
+        conn->ops->data(conn, NULL, 0);
+        return;
+    }
+    link_fail(link, REPLY_LOST,
+              link->reader.started ? "cut"
+              : link->reused       ? "closed_reused"
+                                   : "closed");
+}
+
+/* How long the upstream says it keeps an idle connection. */
+static int64_t
+idle_limit_us(const http_message_t *message)
+{
+    const char *value = http_header_find(message, "Keep-Alive");
+    const char *timeout = value != NULL ? strstr(value, "timeout=") : NULL;
+    if (timeout == NULL) {
+        return IDLE_US;
+    }
+    int64_t limit_us =
+        strtol(timeout + strlen("timeout="), NULL, 10) * INT64_C(1000000);
+    int64_t used_us = limit_us - IDLE_MARGIN_US;
+    if (used_us < limit_us / 2) {
+        used_us = limit_us / 2;
+    }
+    return used_us > 0 && used_us < IDLE_US ? used_us : IDLE_US;
+}
+
+/* What an upstream's whole response says of the request. */
+static reply_t
+reply_of(const http_message_t *message)
+{
+    reply_t reply = {
+        .kind = REPLY_ANSWER,
+        .message = message,
+        .signature = http_header_find(message, HEADER_SIGNATURE),
+    };
+    const char *after = http_header_find(message, HEADER_RETRY_AFTER);
+    if (after != NULL) {
+        reply.retry_after_us = (int64_t)(strtod(after, NULL) * 1e6);
+    }
+    if (message->status == 421) {
+        reply.kind = REPLY_ELSEWHERE;
+    }
+    else if (http_header_find(message, HEADER_NOT_RUN) != NULL) {
+        reply.kind = REPLY_NOT_RUN;
+    }
+    else if (reply.signature == NULL) {
+        reply.kind = REPLY_LOST;
+        reply.detail = "unsigned";
+    }
+    else if (http_header_find(message, "Content-Encoding") != NULL) {
+        reply.kind = REPLY_LOST;
+        reply.detail = "encoded";
+    }
+    return reply;
+}
+
+/* A whole response is in: hand it on, and keep the connection if it is good.
+ */
+static void
+link_deliver(link_t *link)
+{
+    upstream_links_t *links = link->links;
+    const http_message_t *message = &link->reader.message;
+    attempt_t *attempt = link->attempt;
+    int64_t now_us = clock_now_us();
+    reply_t reply = reply_of(message);
+    link->attempt = NULL;
+    link->reader_used = true;
+    link->until_us = 0;
+    link->idle_us = now_us;
+    link->idle_for_us = idle_limit_us(message);
+    if (!message->keep_alive || message->ends_with_connection ||
+        !conn_is_flushed(&link->conn) || reply.kind == REPLY_ELSEWHERE ||
+        reply.kind == REPLY_LOST) {
+        link->tainted = true;
+    }
+    attempt->link = NULL;
+    /* A tainted link is not found again, so it outlives the call; another may
+       be in use, or gone, after it. */
+    bool tainted = link->tainted;
+    links->replied(links->owner, attempt, &reply, now_us);
+    if (tainted) {
+        link_free(link);
+    }
+}
+
+static void
+link_data(conn_t *conn, const char *bytes, size_t size)
+{
+    link_t *link = conn->owner;
+    if (link->attempt == NULL) {
+        event_log(EVENT_UPSTREAM_REPLY,
+                  "instance=%s bytes=%zu cause=no_request_waits",
+                  link->instance->entry.id, size);
+        link_free(link);
+        return;
+    }
+    if (link->reader_used) {
+        http_reader_next(&link->reader);
+        link->reader_used = false;
+    }
+    link->reader.answers_head = link->answers_head;
+    while (size > 0 || link->reader.done) {
+        size_t used = 0;
+        http_state_t state = HTTP_DONE;
+        if (!link->reader.done) {
+            state = http_reader_feed(&link->reader, bytes, size, &used);
+        }
+        if (state == HTTP_MORE) {
+            return;
+        }
+        if (state != HTTP_DONE) {
+            link_fail(link, REPLY_LOST, "garbled");
+            return;
+        }
+        bytes += used;
+        size -= used;
+        const char *id =
+            http_header_find(&link->reader.message, HEADER_REQUEST_ID);
+        if (id == NULL || strcmp(id, link->attempt->id) == 0) {
+            link->tainted = link->tainted || size > 0;
+            link_deliver(link);
+            return;
+        }
+        /* A second answer to an earlier request: ours is still to come. */
+        event_log(EVENT_UPSTREAM_REPLY,
+                  "id=%s instance=%s other_id=%s "
+                  "cause=answers_another_request",
+                  link->attempt->id, link->instance->entry.id, id);
+        if (!link->reader.message.keep_alive || link->tainted) {
+            link_fail(link, REPLY_LOST, "other_answer");
+            return;
+        }
+        http_reader_next(&link->reader);
+        link->tainted = true;
+        link->reader.answers_head = link->answers_head;
+    }
+}
+
+static void
+link_opened(conn_t *conn)
+{
+    link_t *link = conn->owner;
+    link->instance->connect_failures = 0;
+    link->instance->connect_after_us = 0;
+}
+
+static const conn_ops_t link_ops = {
+    .opened = link_opened,
+    .data = link_data,
+    .ended = link_ended,
+};
+
+/* The idle connection used last, as the others may then end. */
+static link_t *
+link_idle(const instance_t *instance, int64_t newest_us)
+{
+    link_t *best = NULL;
+    for (link_t *link = instance->links; link != NULL;
+         link = link->instance_next) {
+        if (link->attempt == NULL && !link->tainted &&
+            !link->conn.connecting && link->idle_us >= newest_us &&
+            (best == NULL || link->idle_us > best->idle_us)) {
+            best = link;
+        }
+    }
+    return best;
+}
+
+static link_t *
+link_open(upstream_links_t *links, instance_t *instance, int64_t now_us)
+{
+    link_t *link = calloc(1, sizeof(*link));
+    if (link == NULL) {
+        return NULL;
+    }
+    if (!conn_open(&link->conn, links->loop, &instance->entry.address,
+                   &link_ops, link)) {
+        free(link);
+        links->stats.failed++;
+        return NULL;
+    }
+    static const http_limits_t limits = {
+        .header_bytes = HEADER_MAX,
+        .body_bytes = BODY_MAX,
+    };
+    http_reader_init(&link->reader, HTTP_RESPONSES, &limits);
+    link->links = links;
+    link->instance = instance;
+    link->opened_us = now_us;
+    link->idle_for_us = IDLE_US;
+    link->instance_next = instance->links;
+    instance->links = link;
+    link->next = links->all;
+    if (link->next != NULL) {
+        link->next->prev = link;
+    }
+    links->all = link;
+    links->stats.open++;
+    links->stats.opened++;
+    return link;
+}
+
+/* A connection that cannot be used for this any more makes room for one. */
+static void
+link_drop_stale(instance_t *instance)
+{
+    link_t *stale = link_idle(instance, 0);
+    if (stale != NULL) {
+        link_free(stale);
+    }
+}
+
+static bool
+link_write(link_t *link, const attempt_t *attempt, int64_t now_us)
+{
+    const call_t *call = attempt->call;
+    char line[256];
+    char length[64] = "";
+    int64_t left_ms = (attempt->deadline_us - now_us) / 1000;
+    int line_size =
+        snprintf(line, sizeof(line),
+                 HEADER_DEADLINE_MS ": %" PRId64 "\r\n" HEADER_EXPECT_INSTANCE
+                                    ": %s\r\n",
+                 left_ms > 1 ? left_ms : 1, attempt->instance->entry.id);
+    int length_size = 0;
+    if (call->body_size > 0 || strcmp(call->method, "POST") == 0 ||
+        strcmp(call->method, "PUT") == 0 ||
+        strcmp(call->method, "PATCH") == 0) {
+        length_size = snprintf(length, sizeof(length),
+                               "Content-Length: %zu\r\n", call->body_size);
+    }
+    struct iovec pieces[] = {
+        {(void *)call->method, strlen(call->method)},
+        {" ", 1},
+        {(void *)call->target, strlen(call->target)},
+        {" HTTP/1.1\r\n", 11},
+        {(void *)call->head, call->head_size},
+        {line, (size_t)line_size},
+        {length, (size_t)length_size},
+        {"\r\n", 2},
+        {(void *)call->body, call->body_size},
+    };
+    return conn_writev(&link->conn, pieces,
+                       sizeof(pieces) / sizeof(pieces[0]));
+}
+
+bool
+upstream_links_send(upstream_links_t *links, attempt_t *attempt,
+                    int64_t now_us)
+{
+    instance_t *instance = attempt->instance;
+    link_t *link =
+        link_idle(instance, attempt->repeatable ? 0 : now_us - FRESH_US);
+    if (link != NULL) {
+        link->reused = true;
+        links->stats.reused++;
+    }
+    else {
+        if (!attempt->repeatable) {
+            link_drop_stale(instance);
+        }
+        link = link_open(links, instance, now_us);
+        if (link == NULL) {
+            return false;
+        }
+    }
+    link->answers_head = strcmp(attempt->call->method, "HEAD") == 0;
+    if (!link_write(link, attempt, now_us)) {
+        /* Part of it may have left: only a connection that was broken
+           before takes nothing at all. */
+        link_free(link);
+        return false;
+    }
+    link->attempt = attempt;
+    attempt->link = link;
+    return true;
+}
+
+void
+upstream_links_abandon(attempt_t *attempt, int64_t until_us)
+{
+    link_t *link = attempt->link;
+    link->until_us = until_us;
+}
+
+void
+upstream_links_cancel(attempt_t *attempt)
+{
+    link_t *link = attempt->link;
+    attempt->link = NULL;
+    link_free(link);
+}
+
+static void
+link_sweep(link_t *link, int64_t now_us)
+{
+    if (link->conn.connecting) {
+        if (now_us - link->opened_us > CONNECT_US) {
+            link_fail(link, REPLY_NOT_SENT, "connect_timeout");
+        }
+        else if (link->until_us != 0 && now_us >= link->until_us) {
+            link_fail(link, REPLY_NOT_SENT, "abandoned");
+        }
+    }
+    else if (link->attempt != NULL) {
+        if (link->until_us != 0 && now_us >= link->until_us) {
+            link_fail(link, REPLY_UNFINISHED, "abandoned");
+        }
+    }
+    else if (now_us - link->idle_us > link->idle_for_us ||
+             !link->instance->listed || link->instance->entry.draining) {
+        link_free(link);
+    }
+}
+
+void
+upstream_links_sweep(upstream_links_t *links, int64_t now_us)
+{
+    /* What a sweep reports may add links, before the first, or free any. */
+    for (link_t *link = links->all; link != NULL; link = links->swept_next) {
+        links->swept_next = link->next;
+        link_sweep(link, now_us);
+    }
+}
+
+void
+upstream_links_free(upstream_links_t *links)
+{
+    if (links == NULL) {
+        return;
+    }
+    while (links->all != NULL) {
+        link_free(links->all);
+    }
+    free(links);
+}
