tier: order waiting work by need, and bound what waits in an upstream's queue

Change: work waits here and is taken by rank (in time, urgent, needed for the answer); an upstream's share falls to its part of the slots as it slows; repeats draw on the budget by tiers; a leg without budget or upstream pauses; what cannot be done in the caller's time is refused before it is sent.

--- a/http/server.c
+++ b/http/server.c
@@ -490,8 +490,10 @@
         return;
     }
     http_server_stop_listening(server);
-    while (server->exchanges != NULL) {
-        exchange_free(server->exchanges);
+    for (exchange_t *exchange = server->exchanges, *next; exchange != NULL;
+         exchange = next) {
+        next = exchange->next;
+        exchange_free(exchange);
     }
     free(server);
 }
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -49,17 +49,11 @@
 }
 
 static void
-memories_free(engine_t *engine)
+memory_free(void *value)
 {
-    route_memory_t *memory;
-    route_memory_t *next;
-    HASH_ITER(hh, engine->memories, memory, next)
-    {
-        HASH_DEL(engine->memories, memory);
-        free(memory->name);
-        free(memory->split_credit);
-        free(memory);
-    }
+    route_memory_t *memory = value;
+    free(memory->split_credit);
+    free(memory);
 }
 
 static void
@@ -78,16 +72,18 @@
     if (engine == NULL) {
         return;
     }
-    while (engine->requests != NULL) {
-        engine_leave(engine, engine->requests, 0);
+    for (request_t *request = engine->requests, *next; request != NULL;
+         request = next) {
+        next = request->next;
+        engine_leave(engine, request, 0);
     }
-    while (engine->attempts != NULL) {
-        attempt_t *attempt = engine->attempts;
-        engine->attempts = attempt->next;
+    for (attempt_t *attempt = engine->attempts, *next; attempt != NULL;
+         attempt = next) {
+        next = attempt->next;
         free(attempt);
     }
     route_table_release(engine->table);
-    memories_free(engine);
+    strmap_release(&engine->memories, memory_free);
     registry_release(&engine->registry);
     free(engine);
 }
@@ -130,29 +126,26 @@
 void
 engine_serve_waiting(engine_t *engine, int64_t now_us)
 {
-    pool_t *pool;
-    pool_t *next;
-    HASH_ITER(hh, engine->registry.pools, pool, next)
-    {
-        pool_serve(engine, pool, now_us);
+    const strmap_t *pools = &engine->registry.pools;
+    for (strmap_entry_t *at = strmap_first(pools); at != NULL;
+         at = strmap_next(at)) {
+        pool_serve(strmap_value(at), now_us);
     }
 }
 
 static route_memory_t *
 memory_of(engine_t *engine, const route_t *route)
 {
-    route_memory_t *memory;
-    HASH_FIND_STR(engine->memories, route->name, memory);
+    route_memory_t *memory = strmap_find(&engine->memories, route->name);
     if (memory != NULL) {
         return memory;
     }
     memory = calloc(1, sizeof(*memory));
-    if (memory == NULL || (memory->name = strdup(route->name)) == NULL) {
+    if (memory != NULL &&
+        !strmap_add(&engine->memories, route->name, memory)) {
         free(memory);
-        return NULL;
+        memory = NULL;
     }
-    HASH_ADD_KEYPTR(hh, engine->memories, memory->name, strlen(memory->name),
-                    memory);
     return memory;
 }
 
@@ -410,9 +403,12 @@
         next_us = request->goal_us;
     }
     for (uint32_t i = 0; i < request->leg_count; i++) {
-        int64_t hedge_us = request->legs[i].hedge_us;
-        if (hedge_us > 0 && hedge_us < next_us) {
-            next_us = hedge_us;
+        const leg_t *leg = &request->legs[i];
+        if (leg->hedge_us > 0 && leg->hedge_us < next_us) {
+            next_us = leg->hedge_us;
+        }
+        if (leg->again_us > 0 && leg->again_us < next_us) {
+            next_us = leg->again_us;
         }
     }
     return next_us > now_us ? next_us : now_us;
@@ -458,6 +454,26 @@
     request_sleep(request, now_us);
 }
 
+/*
+ * Whether enough of it can be done within the caller's time. What cannot is
+ * refused before anything is sent: upstreams that are short of room are not
+ * to work on answers that come too late.
+ */
+static bool
+request_is_possible(const request_t *request, int64_t now_us)
+{
+    uint32_t possible = 0;
+    for (uint32_t i = 0; i < request->leg_count; i++) {
+        possible +=
+            leg_is_possible(&request->legs[i], request->deadline_us, now_us)
+                ? 1
+                : 0;
+    }
+    return request->route->kind == ROUTE_SHARDS
+               ? possible >= gather_least(&request->gather)
+               : possible > 0;
+}
+
 request_t *
 engine_begin(engine_t *engine, const call_t *call, int64_t now_us)
 {
@@ -482,6 +498,13 @@
     }
     for (uint32_t i = 0; i < request->leg_count; i++) {
         budget_first(&request->legs[i].pool->repeats, now_us);
+    }
+    if (!request_is_possible(request, now_us)) {
+        answer_now(engine, call, 503, "no_room_in_time", RETURN_US);
+        request_forget(request);
+        return NULL;
+    }
+    for (uint32_t i = 0; i < request->leg_count; i++) {
         leg_start(&request->legs[i], now_us);
     }
     /* The answer, if there is one already, comes from the first wake-up, so
--- a/tier/engine_leg.c
+++ b/tier/engine_leg.c
@@ -17,13 +17,40 @@
        covers windows that are cut differently and views that differ. */
     REPEAT_PERCENT = 85,
     REPEAT_SLACK_PERCENT = 75,
-    /* Of that again, what hedges may use: repeats of what failed come
-       first. */
-    HEDGE_PERCENT = 70,
+    /* How soon a repeat that the budget or the upstreams do not allow yet is
+       tried again. */
+    REPEAT_AGAIN_US = 20000,
+    MISSES_MAX = 6, /* upstreams that could not be reached, for one shard */
     /* Room kept for the upstream's answer to reach the caller. */
     HANDOVER_US = 3000
 };
 
+/* How much of the budget a send beyond the first may draw on. */
+typedef enum {
+    REPEAT_HEDGE, /* the first has not failed */
+    REPEAT_SPARE, /* the answer can do without it */
+    REPEAT_NEEDED,
+    REPEAT_KINDS
+} repeat_kind_t;
+
+/* What fails a whole request comes before what leaves out a part of its
+   answer, and that before what might only be late. */
+static const uint32_t repeat_percents[REPEAT_KINDS] = {
+    [REPEAT_HEDGE] = 55,
+    [REPEAT_SPARE] = 75,
+    [REPEAT_NEEDED] = 100,
+};
+
+/* Whether the request fails without this leg. */
+static bool
+leg_is_needed(const leg_t *leg)
+{
+    const request_t *request = leg->request;
+    return request->route->kind != ROUTE_SHARDS ||
+           request->gather.shards - request->gather.failed <=
+               gather_least(&request->gather);
+}
+
 static pool_pick_t
 leg_pick(const leg_t *leg)
 {
@@ -45,26 +72,34 @@
     return pick;
 }
 
+bool
+leg_is_possible(const leg_t *leg, int64_t by_us, int64_t now_us)
+{
+    pool_pick_t pick = leg_pick(leg);
+    uint32_t capacity = pool_capacity(leg->pool, &pick, now_us);
+    int64_t rounds = capacity > 0 ? leg->pool->waiting.count / capacity : 0;
+    return capacity > 0 &&
+           now_us + (rounds + 1) * pick.view.expected_us <= by_us;
+}
+
 static void
 leg_fail(leg_t *leg)
 {
     leg->state = LEG_FAILED;
     leg->hedge_us = 0;
+    leg->again_us = 0;
     leg->request->gather.failed++;
 }
 
 /* Whether the budget of the service allows one more send. */
 static bool
-leg_may_repeat(leg_t *leg, bool hedge, int64_t now_us)
+leg_may_repeat(leg_t *leg, repeat_kind_t kind, int64_t now_us)
 {
     const engine_t *engine = leg->request->engine;
-    double percent = engine->settings.retry_ratio * REPEAT_PERCENT;
+    double percent = engine->settings.retry_ratio * REPEAT_PERCENT *
+                     repeat_percents[kind] / 100;
     double slack = engine->settings.retry_slack / (double)engine->fleet *
-                   REPEAT_SLACK_PERCENT / 100;
-    if (hedge) {
-        percent = percent * HEDGE_PERCENT / 100;
-        slack = slack * HEDGE_PERCENT / 100;
-    }
+                   REPEAT_SLACK_PERCENT / 100 * repeat_percents[kind] / 100;
     return budget_take_above(&leg->pool->repeats, (uint32_t)percent,
                              (uint32_t)slack, now_us);
 }
@@ -162,55 +197,106 @@
     return true;
 }
 
-void
-leg_start(leg_t *leg, int64_t now_us)
+/* Try again soon, if that can still be of use; else fail. */
+static void
+leg_pause(leg_t *leg, int64_t now_us)
+{
+    const request_t *request = leg->request;
+    int64_t until_us = request->goal_us;
+    if (request->route->kind != ROUTE_SHARDS) {
+        /* Nobody is at work on it: its caller may fare better elsewhere. */
+        until_us =
+            request->begun_us + (request->goal_us - request->begun_us) / 4;
+    }
+    if (!leg_is_needed(leg) || now_us >= until_us) {
+        leg_fail(leg);
+        return;
+    }
+    leg->state = LEG_PAUSED;
+    leg->again_us = now_us + REPEAT_AGAIN_US;
+}
+
+/* Send, wait for room, or learn that there is nobody to send to. */
+static pick_result_t
+leg_place(leg_t *leg, int64_t now_us)
 {
-    request_t *request = leg->request;
     for (;;) {
         pool_pick_t pick = leg_pick(leg);
         instance_t *instance;
         pick_result_t result = pool_pick(leg->pool, &pick, now_us, &instance);
         if (result == PICK_OK) {
             if (leg_send(leg, instance, false, now_us)) {
-                return;
+                return result;
             }
             continue; /* it is among those tried now */
         }
-        if (result == PICK_FULL &&
-            waiting_add(&leg->pool->waiting, leg, request->route->priority,
-                        request->deadline_us)) {
+        if (result == PICK_FULL && waiting_add(&leg->pool->waiting, leg)) {
             leg->state = LEG_WAITING;
-            request->waits += leg->waited ? 0 : 1;
+            leg->request->waits += leg->waited ? 0 : 1;
             leg->waited = true;
-            return;
         }
+        return result;
+    }
+}
+
+void
+leg_start(leg_t *leg, int64_t now_us)
+{
+    if (leg_place(leg, now_us) == PICK_NONE) {
         leg_fail(leg);
-        return;
     }
 }
 
-/* Send once more after a send that came to nothing, or fail. */
+/*
+ * Send once more after a send that came to nothing, now or a little later, or
+ * fail. arrived: an upstream has seen it, so that it draws on the budget.
+ */
 static void
 leg_repeat(leg_t *leg, bool arrived, int64_t now_us)
 {
     request_t *request = leg->request;
     leg->hedge_us = 0;
+    leg->again_us = 0;
     if (leg->attempt_count > 0) {
         return; /* another is on its way */
     }
     if (now_us >= request->deadline_us || leg->sends >= ENGINE_SENDS_MAX ||
-        (arrived && !leg_may_repeat(leg, false, now_us))) {
+        leg->misses > MISSES_MAX) {
         leg_fail(leg);
         return;
     }
+    repeat_kind_t kind = leg_is_needed(leg) ? REPEAT_NEEDED : REPEAT_SPARE;
+    if (arrived && !leg_may_repeat(leg, kind, now_us)) {
+        leg_pause(leg, now_us);
+        return;
+    }
+    if (leg_place(leg, now_us) == PICK_NONE) {
+        if (arrived) {
+            budget_return(&leg->pool->repeats, now_us);
+        }
+        /* All were tried: the same ones may do better in a while. */
+        leg->tried_count = 0;
+        leg_pause(leg, now_us);
+        return;
+    }
     request->repeats += arrived ? 1 : 0;
-    leg_start(leg, now_us);
+}
+
+/* A leg that paused goes on. */
+static void
+leg_resume(leg_t *leg, int64_t now_us)
+{
+    if (leg->state == LEG_PAUSED && now_us >= leg->again_us) {
+        leg->state = LEG_IDLE;
+        leg_repeat(leg, leg->sends > 0, now_us);
+    }
 }
 
 void
 leg_hedge(leg_t *leg, int64_t now_us)
 {
     request_t *request = leg->request;
+    leg_resume(leg, now_us);
     if (leg->hedge_us == 0 || now_us < leg->hedge_us) {
         return;
     }
@@ -232,7 +318,7 @@
         leg->hedge_us = now_us + HEDGE_AGAIN_US;
         return;
     }
-    if (!leg_may_repeat(leg, true, now_us)) {
+    if (!leg_may_repeat(leg, REPEAT_HEDGE, now_us)) {
         leg->hedge_us = now_us + HEDGE_AGAIN_US;
         return;
     }
@@ -257,6 +343,7 @@
         waiting_remove(&leg->pool->waiting, leg);
     }
     leg->hedge_us = 0;
+    leg->again_us = 0;
     while (leg->attempt_count > 0) {
         attempt_t *attempt = leg->attempts[--leg->attempt_count];
         attempt->request = NULL;
@@ -405,6 +492,7 @@
     case REPLY_NOT_SENT:
         leg->may_have_run--;
         leg->sends--;
+        leg->misses++;
         leg_repeat(leg, false, now_us);
         break;
     case REPLY_NOT_RUN:
@@ -438,26 +526,41 @@
         leg_reply(&request->legs[attempt->leg], attempt, reply, now_us);
     }
     attempt_free(engine, attempt);
-    pool_serve(engine, pool, now_us);
+    pool_serve(pool, now_us);
+}
+
+/*
+ * Which of the work that waits goes first: what can still be in time, of that
+ * the more urgent class, of that what a whole answer hangs on, and then what
+ * has least time left.
+ */
+static int64_t
+leg_rank(const void *item, int64_t now_us)
+{
+    const leg_t *leg = item;
+    const request_t *request = leg->request;
+    int64_t expected_us =
+        hedge_expected_us(&request->memory->profile, request->route->goal_us);
+    bool late = now_us + expected_us > request->goal_us;
+    uint32_t priority =
+        request->route->priority < 255 ? request->route->priority : 255;
+    return (int64_t)late << 62 | (int64_t)priority << 54 |
+           (int64_t)!leg_is_needed(leg) << 53 | request->goal_us;
 }
 
 void
-pool_serve(engine_t *engine, pool_t *pool, int64_t now_us)
+pool_serve(pool_t *pool, int64_t now_us)
 {
-    while (pool->waiting.count > 0) {
-        leg_t *leg = waiting_take(&pool->waiting);
+    uint32_t tries = pool->waiting.count;
+    while (tries-- > 0 && pool->waiting.count > 0) {
+        leg_t *leg = waiting_take(&pool->waiting, leg_rank, now_us);
         leg->state = LEG_IDLE;
-        uint32_t waiting = pool->waiting.count;
         leg_start(leg, now_us);
         if (leg->state == LEG_WAITING) {
-            return;
+            return; /* no room, for the others neither */
         }
         if (leg->state == LEG_FAILED) {
             request_progress(leg->request, now_us);
         }
-        if (pool->waiting.count > waiting) {
-            return;
-        }
     }
-    (void)engine;
 }
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -8,21 +8,18 @@
 #include "tier/gather.h"
 #include "tier/hedge.h"
 
-#include <uthash.h>
-
 /* What is known of a route across versions of the configuration. */
 typedef struct {
-    char *name;
     hedge_profile_t profile;
     double *split_credit; /* of each part, for an even split by weight */
     uint32_t split_count;
     uint64_t table_version; /* the split's */
-    UT_hash_handle hh;
 } route_memory_t;
 
 typedef enum {
     LEG_IDLE,
     LEG_WAITING, /* for room at its service */
+    LEG_PAUSED,  /* until it is sent again, or not */
     LEG_RUNNING,
     LEG_DONE,
     LEG_FAILED
@@ -41,7 +38,9 @@
     const instance_t *tried[PICK_AVOID_MAX];
     uint32_t tried_count;
     int64_t hedge_us; /* when to send again; 0: not at all */
+    int64_t again_us; /* paused: until then */
     bool waited;      /* for room, at some time */
+    uint32_t misses;  /* upstreams that could not be reached */
 } leg_t;
 
 struct request {
@@ -73,7 +72,7 @@
     void *owner;
     registry_t registry;
     route_table_t *table;
-    route_memory_t *memories;
+    strmap_t memories; /* of route_memory_t, by route */
     uint32_t fleet;
     uint32_t request_count;
     request_t *requests;
@@ -87,11 +86,14 @@
 /* Send a leg's first request, or let it wait, or fail it. */
 void leg_start(leg_t *leg, int64_t now_us);
 
+/* Whether it could be done by then, as far as is known. */
+bool leg_is_possible(const leg_t *leg, int64_t by_us, int64_t now_us);
+
 /* Work on an attempt that has ended goes on. */
 void leg_reply(leg_t *leg, attempt_t *attempt, const reply_t *reply,
                int64_t now_us);
 
-/* Send it again if that is due. */
+/* Send it again if that is due, after a pause or as a hedge. */
 void leg_hedge(leg_t *leg, int64_t now_us);
 
 /* Give up what the leg still does; may_finish: answers on their way are
@@ -99,7 +101,7 @@
 void leg_stop(leg_t *leg, bool may_finish, int64_t now_us);
 
 /* Give work that waits the room there is now. */
-void pool_serve(engine_t *engine, pool_t *pool, int64_t now_us);
+void pool_serve(pool_t *pool, int64_t now_us);
 
 /* Judge the request after one of its legs moved; it may be answered. */
 void request_progress(request_t *request, int64_t now_us);
--- a/tier/follow.c
+++ b/tier/follow.c
@@ -1,6 +1,6 @@
 #include "tier/follow.h"
 
-#include <string.h>
+#include "core/text.h"
 
 void
 follow_init(follow_t *follow, const follow_settings_t *settings)
@@ -38,8 +38,8 @@
     }
     const char *last =
         answer->count > 0 ? answer->items[answer->count - 1].key : "";
-    if (answer->more && last[0] != '\0' && strlen(last) < FOLLOW_KEY_SIZE) {
-        strcpy(follow->after, last);
+    if (answer->more && last[0] != '\0' &&
+        text_copy(follow->after, sizeof(follow->after), last)) {
         follow->due_us = now_us;
         return first ? FOLLOW_LIST_FIRST : FOLLOW_LIST_MORE;
     }
--- a/tier/front.c
+++ b/tier/front.c
@@ -27,14 +27,13 @@
 {
     size_t name_size = strlen(name);
     size_t value_size = strlen(value);
-    uint8_t *room = buffer_reserve(head, name_size + value_size + 4);
+    uint8_t *room = buffer_reserve(head, name_size + value_size + 5);
     if (room == NULL) {
         return false;
     }
-    memcpy(room, name, name_size);
-    memcpy(room + name_size, ": ", 2);
-    memcpy(room + name_size + 2, value, value_size);
-    memcpy(room + name_size + 2 + value_size, "\r\n", 2);
+    /* The end that snprintf adds is not committed. */
+    snprintf((char *)room, name_size + value_size + 5, "%s: %s\r\n", name,
+             value);
     buffer_commit(head, name_size + value_size + 4);
     return true;
 }
--- a/tier/hedge.c
+++ b/tier/hedge.c
@@ -2,9 +2,9 @@
 
 /* Answers that take longer than this share of them are worth a second
    request: a tenth more requests at most, within the budget's fifth. */
-static const double HEDGE_QUANTILE = 0.90;
+#define HEDGE_QUANTILE 0.90
 /* Weight of the newest sample in the moving mean. */
-static const double MEAN_WEIGHT = 0.05;
+#define MEAN_WEIGHT 0.05
 
 enum {
     HEDGE_SAMPLES_MIN = 20, /* fewer say nothing of a quantile */
--- a/tier/instance.c
+++ b/tier/instance.c
@@ -4,20 +4,20 @@
 #include <string.h>
 
 /* Weight of the newest sample in the moving mean of slowness. */
-static const double SLOWNESS_WEIGHT = 0.2;
+#define SLOWNESS_WEIGHT 0.2
 /* Slowness is bounded so that one stuck request is forgotten in seconds. */
-static const double SLOWNESS_MAX = 20.0;
+#define SLOWNESS_MAX 20.0
 /* How far a lost or failed request moves badness towards 1. */
-static const double BADNESS_STEP = 0.35;
+#define BADNESS_STEP 0.35
 /* Cost of an upstream whose every request fails, in requests queued. */
-static const double BADNESS_COST = 30.0;
+#define BADNESS_COST 30.0
 /* Cost of leaving the daemon's zone, in requests queued: bytes between zones
    are paid for and take longer. */
-static const double ZONE_COST = 0.6;
+#define ZONE_COST 0.6
 /* Cost of a silent upstream, in requests queued. */
-static const double SILENT_COST = 20.0;
+#define SILENT_COST 20.0
 /* How much slower a cold upstream is taken to be. */
-static const double COLD_FACTOR = 2.0;
+#define COLD_FACTOR 2.0
 /* How long an address that answered for another upstream is left alone;
    an entry that changes sooner is taken at its word. */
 enum { MISADDRESSED_US = 5000000 };
@@ -176,12 +176,19 @@
            now_us - instance->misaddressed_us > MISADDRESSED_US;
 }
 
+double
+instance_slowness(const instance_t *instance, int64_t now_us)
+{
+    return 1.0 +
+           (instance->slowness - 1.0) * instance_memory(instance, now_us);
+}
+
 double
 instance_cost(const instance_t *instance, const instance_view_t *view,
               int64_t now_us)
 {
     double memory = instance_memory(instance, now_us);
-    double slowness = 1.0 + (instance->slowness - 1.0) * memory;
+    double slowness = instance_slowness(instance, now_us);
     if (now_us < instance->cold_until_us && slowness < COLD_FACTOR) {
         slowness = COLD_FACTOR;
     }
--- a/tier/instance.h
+++ b/tier/instance.h
@@ -98,6 +98,9 @@
 /* Whether it may take new work at all. */
 bool instance_is_usable(const instance_t *instance, int64_t now_us);
 
+/* Taken to expected time, as remembered now; 1: as expected. */
+double instance_slowness(const instance_t *instance, int64_t now_us);
+
 /* Relative cost of sending one more request there; smaller is better. */
 double instance_cost(const instance_t *instance, const instance_view_t *view,
                      int64_t now_us);
--- a/tier/members.c
+++ b/tier/members.c
@@ -1,5 +1,7 @@
 #include "tier/members.h"
 
+#include "core/text.h"
+
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -71,7 +73,7 @@
     }
     member_record_t *record = &members->records[members->count++];
     *record = (member_record_t){0};
-    strcpy(record->name, name);
+    (void)text_copy(record->name, sizeof(record->name), name);
     return record;
 }
 
@@ -83,12 +85,8 @@
     const char *address = json_string_value(json_object_get(root, "address"));
     const char *zone = json_string_value(json_object_get(root, "zone"));
     bool good = address != NULL && zone != NULL &&
-                strlen(address) < sizeof(record->address) &&
-                strlen(zone) < sizeof(record->zone);
-    if (good) {
-        strcpy(record->address, address);
-        strcpy(record->zone, zone);
-    }
+                text_copy(record->address, sizeof(record->address), address) &&
+                text_copy(record->zone, sizeof(record->zone), zone);
     json_decref(root);
     return good;
 }
@@ -123,8 +121,8 @@
             return false;
         }
     }
-    strcpy(record->address, read.address);
-    strcpy(record->zone, read.zone);
+    memcpy(record->address, read.address, sizeof(record->address));
+    memcpy(record->zone, read.zone, sizeof(record->zone));
     record->listing = members->listing;
     record->gone_us = 0;
     members_note(members, now_us);
--- a/tier/node.c
+++ b/tier/node.c
@@ -1,5 +1,6 @@
 #include "tier/node.h"
 
+#include "core/text.h"
 #include "daemon/clock.h"
 #include "edge/event.h"
 #include "http/server.h"
@@ -139,8 +140,9 @@
         const char *zone = item->key + length;
         zone_read(node, zone, !item->removed);
         if (!item->removed && node->zones_seen_count < REGISTRY_ZONES_MAX &&
-            strlen(zone) < INSTANCE_NAME_SIZE) {
-            strcpy(node->zones_seen[node->zones_seen_count++], zone);
+            text_copy(node->zones_seen[node->zones_seen_count],
+                      INSTANCE_NAME_SIZE, zone)) {
+            node->zones_seen_count++;
         }
     }
 }
@@ -154,7 +156,7 @@
     for (uint32_t i = registry->closed_count; i-- > 0;) {
         char zone[INSTANCE_NAME_SIZE];
         bool seen = false;
-        strcpy(zone, registry->closed[i]);
+        memcpy(zone, registry->closed[i], sizeof(zone));
         for (uint32_t j = 0; j < node->zones_seen_count; j++) {
             seen |= strcmp(node->zones_seen[j], zone) == 0;
         }
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -9,10 +9,14 @@
     CONNECTION_PERCENT = 90 /* of what an upstream accepts, that is used */
 };
 
+/* Slowness (instance.h) up to which an upstream takes its largest share, and
+   from which on it takes its least. */
+#define SHARE_USUAL 1.5
+#define SHARE_SLOW 3.0
 /* Costs closer than this are equal, and chance decides. */
-static const double COST_TIE = 0.05;
+#define COST_TIE 0.05
 /* Cost over which an upstream is no place for a hedge. */
-static const double SOUND_COST = 10.0;
+#define SOUND_COST 10.0
 
 bool
 pool_add(pool_t *pool, instance_t *instance)
@@ -44,11 +48,16 @@
 }
 
 uint32_t
-pool_share(const pool_t *pool, const instance_t *instance)
+pool_share(const pool_t *pool, const instance_t *instance, int64_t now_us)
 {
     uint32_t fleet = pool->limits.fleet > 0 ? pool->limits.fleet : 1;
-    uint32_t share = SHARE_FLOOR +
-                     (SHARE_SLOTS * instance->entry.slots + fleet - 1) / fleet;
+    uint32_t least = (instance->entry.slots + fleet - 1) / fleet;
+    uint32_t most = SHARE_FLOOR +
+                    (SHARE_SLOTS * instance->entry.slots + fleet - 1) / fleet;
+    double slowness = instance_slowness(instance, now_us);
+    double room = (SHARE_SLOW - slowness) / (SHARE_SLOW - SHARE_USUAL);
+    room = room < 0 ? 0 : room > 1 ? 1 : room;
+    uint32_t share = least + (uint32_t)(room * (most - least) + 0.5);
     if (pool->limits.connections > 0) {
         uint32_t connections =
             pool->limits.connections * CONNECTION_PERCENT / 100 / fleet;
@@ -97,6 +106,20 @@
     return false;
 }
 
+uint32_t
+pool_capacity(const pool_t *pool, const pool_pick_t *pick, int64_t now_us)
+{
+    uint32_t capacity = 0;
+    for (uint32_t i = 0; i < pool->count; i++) {
+        const instance_t *instance = pool->instances[i];
+        if (instance_is_usable(instance, now_us) &&
+            !pick_avoids(pick, instance)) {
+            capacity += pool_share(pool, instance, now_us);
+        }
+    }
+    return capacity;
+}
+
 pick_result_t
 pool_pick(pool_t *pool, const pool_pick_t *pick, int64_t now_us,
           instance_t **picked)
@@ -111,7 +134,7 @@
             pick_avoids(pick, instance)) {
             continue;
         }
-        if (instance->in_flight >= pool_share(pool, instance) ||
+        if (instance->in_flight >= pool_share(pool, instance, now_us) ||
             !cold_allows(pool, instance, now_us)) {
             result = result == PICK_NONE ? PICK_FULL : result;
             continue;
--- a/tier/pool.h
+++ b/tier/pool.h
@@ -18,7 +18,6 @@
 
 #include <stdbool.h>
 #include <stdint.h>
-#include <uthash.h>
 
 enum { PICK_AVOID_MAX = 8 };
 
@@ -43,7 +42,6 @@
     pool_limits_t limits;
     budget_t repeats;  /* sends beyond each request's first */
     waiting_t waiting; /* work for which there is no room */
-    UT_hash_handle hh;
 } pool_t;
 
 typedef struct {
@@ -62,8 +60,18 @@
 pick_result_t pool_pick(pool_t *pool, const pool_pick_t *pick, int64_t now_us,
                         instance_t **picked);
 
-/* Requests one upstream takes from this daemon at a time. */
-uint32_t pool_share(const pool_t *pool, const instance_t *instance);
+/*
+ * Requests one upstream takes from this daemon at a time: more than its part
+ * of the slots while it answers in its usual time, and down to that part as
+ * it slows, so that work waits here, where it is ordered and can be dropped,
+ * and not in the upstream's own queue.
+ */
+uint32_t pool_share(const pool_t *pool, const instance_t *instance,
+                    int64_t now_us);
+
+/* Requests that all upstreams together take; 0: there is none to use. */
+uint32_t pool_capacity(const pool_t *pool, const pool_pick_t *pick,
+                       int64_t now_us);
 
 /* Note a send to an upstream that is cold; see pool_limits_t. */
 void pool_note_sent(const pool_t *pool, instance_t *instance, int64_t now_us);
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -1,15 +1,16 @@
 #include "tier/registry.h"
 
+#include "core/text.h"
+
 #include <stdlib.h>
 #include <string.h>
 
-struct registry_entry {
+typedef struct {
     instance_t *instance;
     uint64_t revision; /* of the store, when it was written */
     uint32_t listing;  /* the last list that named it */
     int64_t gone_us; /* when it is gone unless it comes back; 0: it is there */
-    UT_hash_handle hh;
-};
+} registry_entry_t;
 
 void
 registry_init(registry_t *registry)
@@ -20,19 +21,18 @@
 pool_t *
 registry_pool(registry_t *registry, const char *service)
 {
-    pool_t *pool;
-    HASH_FIND_STR(registry->pools, service, pool);
-    if (pool != NULL || strlen(service) >= sizeof(pool->name)) {
+    pool_t *pool = strmap_find(&registry->pools, service);
+    if (pool != NULL) {
         return pool;
     }
     pool = calloc(1, sizeof(*pool));
-    if (pool == NULL) {
+    if (pool == NULL || !text_copy(pool->name, sizeof(pool->name), service) ||
+        !strmap_add(&registry->pools, service, pool)) {
+        free(pool);
         return NULL;
     }
-    strcpy(pool->name, service);
     pool->limits.fleet = 1;
     budget_init(&pool->repeats);
-    HASH_ADD_STR(registry->pools, name, pool);
     return pool;
 }
 
@@ -63,7 +63,7 @@
 static void
 registry_drop(registry_t *registry, registry_entry_t *entry)
 {
-    HASH_DEL(registry->entries, entry);
+    strmap_remove(&registry->entries, entry->instance->entry.id);
     registry_retire(registry, entry->instance);
     free(entry);
 }
@@ -81,14 +81,18 @@
         return NULL;
     }
     instance_init(instance, entry, now_us);
+    added->instance = instance;
+    if (!strmap_add(&registry->entries, entry->id, added)) {
+        free(added);
+        free(instance);
+        return NULL;
+    }
     if (!pool_add(pool, instance)) {
+        strmap_remove(&registry->entries, entry->id);
         free(added);
         free(instance);
         return NULL;
     }
-    added->instance = instance;
-    HASH_ADD_KEYPTR(hh, registry->entries, instance->entry.id,
-                    strlen(instance->entry.id), added);
     return added;
 }
 
@@ -106,8 +110,7 @@
 registry_put(registry_t *registry, const instance_entry_t *entry,
              uint64_t revision, int64_t now_us)
 {
-    registry_entry_t *found;
-    HASH_FIND_STR(registry->entries, entry->id, found);
+    registry_entry_t *found = strmap_find(&registry->entries, entry->id);
     if (found != NULL && revision < found->revision) {
         found->listing = registry->listing;
         return REGISTRY_SAME;
@@ -163,8 +166,7 @@
 registry_remove(registry_t *registry, const char *id, uint64_t revision,
                 int64_t now_us)
 {
-    registry_entry_t *found;
-    HASH_FIND_STR(registry->entries, id, found);
+    registry_entry_t *found = strmap_find(&registry->entries, id);
     if (found == NULL || revision < found->revision) {
         return REGISTRY_SAME;
     }
@@ -180,10 +182,10 @@
 void
 registry_list_end(registry_t *registry, int64_t now_us)
 {
-    registry_entry_t *entry;
-    registry_entry_t *next;
-    HASH_ITER(hh, registry->entries, entry, next)
-    {
+    for (strmap_entry_t *at = strmap_first(&registry->entries), *next;
+         at != NULL; at = next) {
+        registry_entry_t *entry = strmap_value(at);
+        next = strmap_next(at);
         if (entry->listing != registry->listing) {
             registry_vanish(registry, entry, now_us);
         }
@@ -208,10 +210,10 @@
 void
 registry_expire(registry_t *registry, int64_t now_us)
 {
-    registry_entry_t *entry;
-    registry_entry_t *next;
-    HASH_ITER(hh, registry->entries, entry, next)
-    {
+    for (strmap_entry_t *at = strmap_first(&registry->entries), *next;
+         at != NULL; at = next) {
+        registry_entry_t *entry = strmap_value(at);
+        next = strmap_next(at);
         if (entry->gone_us != 0 && now_us >= entry->gone_us) {
             registry_drop(registry, entry);
         }
@@ -252,7 +254,8 @@
         if (place < registry->closed_count) {
             uint32_t last = --registry->closed_count;
             if (place != last) {
-                strcpy(registry->closed[place], registry->closed[last]);
+                (void)text_copy(registry->closed[place], INSTANCE_NAME_SIZE,
+                                registry->closed[last]);
             }
         }
         return true;
@@ -260,10 +263,10 @@
     if (place < registry->closed_count) {
         return true;
     }
-    if (place == REGISTRY_ZONES_MAX || strlen(zone) >= INSTANCE_NAME_SIZE) {
+    if (place == REGISTRY_ZONES_MAX ||
+        !text_copy(registry->closed[place], INSTANCE_NAME_SIZE, zone)) {
         return false;
     }
-    strcpy(registry->closed[place], zone);
     registry->closed_names[place] = registry->closed[place];
     registry->closed_count++;
     return true;
@@ -278,7 +281,7 @@
 uint32_t
 registry_count(const registry_t *registry)
 {
-    return HASH_COUNT(registry->entries);
+    return (uint32_t)strmap_count(&registry->entries);
 }
 
 void
@@ -293,35 +296,35 @@
             pool->limits.cold_per_s = service->cold_per_s;
         }
     }
-    pool_t *pool;
-    pool_t *next;
-    HASH_ITER(hh, registry->pools, pool, next)
-    {
+    for (strmap_entry_t *at = strmap_first(&registry->pools); at != NULL;
+         at = strmap_next(at)) {
+        pool_t *pool = strmap_value(at);
         pool->limits.fleet = fleet;
     }
 }
 
+static void
+entry_free(void *value)
+{
+    registry_entry_t *entry = value;
+    free(entry->instance);
+    free(entry);
+}
+
+static void
+pool_free(void *value)
+{
+    pool_release(value);
+    free(value);
+}
+
 void
 registry_release(registry_t *registry)
 {
-    registry_entry_t *entry;
-    registry_entry_t *next;
-    HASH_ITER(hh, registry->entries, entry, next)
-    {
-        HASH_DEL(registry->entries, entry);
-        free(entry->instance);
-        free(entry);
-    }
+    strmap_release(&registry->entries, entry_free);
     for (uint32_t i = 0; i < registry->retired_count; i++) {
         free(registry->retired[i]);
     }
     free(registry->retired);
-    pool_t *pool;
-    pool_t *after;
-    HASH_ITER(hh, registry->pools, pool, after)
-    {
-        HASH_DEL(registry->pools, pool);
-        pool_release(pool);
-        free(pool);
-    }
+    strmap_release(&registry->pools, pool_free);
 }
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -15,6 +15,7 @@
 #ifndef TIER_REGISTRY_H
 #define TIER_REGISTRY_H
 
+#include "core/strmap.h"
 #include "tier/instance.h"
 #include "tier/pool.h"
 #include "tier/route.h"
@@ -29,12 +30,10 @@
     REGISTRY_RETURN_US = 2000000
 };
 
-typedef struct registry_entry registry_entry_t;
-
 typedef struct {
-    registry_entry_t *entries; /* by instance id */
-    pool_t *pools;             /* by service */
-    instance_t **retired;      /* gone, and still pointed to */
+    strmap_t entries;     /* by instance id */
+    strmap_t pools;       /* of pool_t, by service */
+    instance_t **retired; /* gone, and still pointed to */
     uint32_t retired_count;
     uint32_t retired_capacity;
     char closed[REGISTRY_ZONES_MAX][INSTANCE_NAME_SIZE]; /* evacuated zones */
--- a/tier/route.c
+++ b/tier/route.c
@@ -2,21 +2,13 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
-#include <uthash.h>
 
 /* The routes of one host, by their places in the table. */
 typedef struct {
-    char *host;
     uint32_t *routes;
     uint32_t count;
-    UT_hash_handle hh;
 } host_t;
 
-typedef struct {
-    host_t *hosts;
-} index_t;
-
 enum { HOST_MAX = 256 };
 
 route_table_t *
@@ -50,21 +42,11 @@
 }
 
 static void
-index_free(index_t *index)
+host_free(void *value)
 {
-    if (index == NULL) {
-        return;
-    }
-    host_t *host;
-    host_t *next;
-    HASH_ITER(hh, index->hosts, host, next)
-    {
-        HASH_DEL(index->hosts, host);
-        free(host->host);
-        free(host->routes);
-        free(host);
-    }
-    free(index);
+    host_t *host = value;
+    free(host->routes);
+    free(host);
 }
 
 void
@@ -79,7 +61,7 @@
     for (uint32_t i = 0; i < table->service_count; i++) {
         free(table->services[i].name);
     }
-    index_free(table->index);
+    strmap_release(&table->hosts, host_free);
     free(table->routes);
     free(table->services);
     free(table);
@@ -167,28 +149,19 @@
     return a < b ? 1 : a > b ? -1 : 0;
 }
 
-static bool
-host_add(index_t *index, const char *name, uint32_t route)
+static host_t *
+host_make(route_table_t *table, const char *name)
 {
-    host_t *host;
-    HASH_FIND_STR(index->hosts, name, host);
-    if (host == NULL) {
-        host = calloc(1, sizeof(*host));
-        if (host == NULL || (host->host = strdup(name)) == NULL) {
-            free(host);
-            return false;
-        }
-        HASH_ADD_KEYPTR(hh, index->hosts, host->host, strlen(host->host),
-                        host);
+    host_t *host = strmap_find(&table->hosts, name);
+    if (host != NULL) {
+        return host;
     }
-    uint32_t *grown =
-        realloc(host->routes, (host->count + 1) * sizeof(*host->routes));
-    if (grown == NULL) {
-        return false;
+    host = calloc(1, sizeof(*host));
+    if (host != NULL && !strmap_add(&table->hosts, name, host)) {
+        free(host);
+        host = NULL;
     }
-    host->routes = grown;
-    grown[host->count++] = route;
-    return true;
+    return host;
 }
 
 bool
@@ -198,15 +171,17 @@
         qsort(table->routes, table->route_count, sizeof(*table->routes),
               route_order);
     }
-    index_t *index = calloc(1, sizeof(*index));
-    table->index = index;
-    if (index == NULL) {
-        return false;
-    }
     for (uint32_t i = 0; i < table->route_count; i++) {
-        if (!host_add(index, table->routes[i].host, i)) {
+        host_t *host = host_make(table, table->routes[i].host);
+        uint32_t *grown =
+            host != NULL ? realloc(host->routes,
+                                   (host->count + 1) * sizeof(*host->routes))
+                         : NULL;
+        if (grown == NULL) {
             return false;
         }
+        host->routes = grown;
+        grown[host->count++] = i;
     }
     return true;
 }
@@ -231,13 +206,11 @@
 route_table_match(const route_table_t *table, const char *host,
                   const char *path)
 {
-    const index_t *index = table->index;
     char name[HOST_MAX];
-    if (index == NULL || !host_name(name, host)) {
+    if (!host_name(name, host)) {
         return NULL;
     }
-    host_t *found;
-    HASH_FIND_STR(index->hosts, name, found);
+    const host_t *found = strmap_find(&table->hosts, name);
     for (uint32_t i = 0; found != NULL && i < found->count; i++) {
         const route_t *route = &table->routes[found->routes[i]];
         if (strncmp(path, route->prefix, strlen(route->prefix)) == 0) {
--- a/tier/route.h
+++ b/tier/route.h
@@ -14,6 +14,8 @@
 #ifndef TIER_ROUTE_H
 #define TIER_ROUTE_H
 
+#include "core/strmap.h"
+
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -65,7 +67,7 @@
     int64_t header_timeout_us; /* for a request's head to arrive */
     int64_t idle_timeout_us;   /* for a connection without a request */
     uint32_t holders;
-    void *index; /* routes by host */
+    strmap_t hosts; /* routes by host, once sealed */
 } route_table_t;
 
 /* NULL: no memory. The caller is its first holder. */
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -477,8 +477,9 @@
     if (links == NULL) {
         return;
     }
-    while (links->all != NULL) {
-        link_free(links->all);
+    for (link_t *link = links->all, *next; link != NULL; link = next) {
+        next = link->next;
+        link_free(link);
     }
     free(links);
 }
--- a/tier/waiting.c
+++ b/tier/waiting.c
@@ -1,99 +1,50 @@
 #include "tier/waiting.h"
 
 #include <stdlib.h>
-
-static bool
-entry_before(const waiting_entry_t *left, const waiting_entry_t *right)
-{
-    if (left->priority != right->priority) {
-        return left->priority < right->priority;
-    }
-    return left->deadline_us < right->deadline_us;
-}
-
-static void
-entry_swap(waiting_entry_t *left, waiting_entry_t *right)
-{
-    waiting_entry_t kept = *left;
-    *left = *right;
-    *right = kept;
-}
-
-static void
-heap_up(waiting_t *waiting, uint32_t place)
-{
-    while (place > 0) {
-        uint32_t parent = (place - 1) / 2;
-        if (!entry_before(&waiting->entries[place],
-                          &waiting->entries[parent])) {
-            return;
-        }
-        entry_swap(&waiting->entries[place], &waiting->entries[parent]);
-        place = parent;
-    }
-}
-
-static void
-heap_down(waiting_t *waiting, uint32_t place)
-{
-    for (;;) {
-        uint32_t first = place;
-        for (uint32_t child = 2 * place + 1;
-             child <= 2 * place + 2 && child < waiting->count; child++) {
-            if (entry_before(&waiting->entries[child],
-                             &waiting->entries[first])) {
-                first = child;
-            }
-        }
-        if (first == place) {
-            return;
-        }
-        entry_swap(&waiting->entries[place], &waiting->entries[first]);
-        place = first;
-    }
-}
+#include <string.h>
 
 bool
-waiting_add(waiting_t *waiting, void *item, uint32_t priority,
-            int64_t deadline_us)
+waiting_add(waiting_t *waiting, void *item)
 {
     if (waiting->count == waiting->capacity) {
         uint32_t capacity = waiting->capacity == 0 ? 8 : waiting->capacity * 2;
-        waiting_entry_t *grown =
-            realloc(waiting->entries, capacity * sizeof(*waiting->entries));
+        void **grown =
+            realloc(waiting->items, capacity * sizeof(*waiting->items));
         if (grown == NULL) {
             return false;
         }
-        waiting->entries = grown;
+        waiting->items = grown;
         waiting->capacity = capacity;
     }
-    waiting->entries[waiting->count] = (waiting_entry_t){
-        .item = item,
-        .priority = priority,
-        .deadline_us = deadline_us,
-    };
-    heap_up(waiting, waiting->count++);
+    waiting->items[waiting->count++] = item;
     return true;
 }
 
 static void
-heap_remove(waiting_t *waiting, uint32_t place)
+waiting_cut(waiting_t *waiting, uint32_t place)
 {
-    waiting->entries[place] = waiting->entries[--waiting->count];
-    if (place < waiting->count) {
-        heap_down(waiting, place);
-        heap_up(waiting, place);
-    }
+    waiting->count--;
+    memmove(&waiting->items[place], &waiting->items[place + 1],
+            (waiting->count - place) * sizeof(*waiting->items));
 }
 
 void *
-waiting_take(waiting_t *waiting)
+waiting_take(waiting_t *waiting, waiting_rank_fn rank, int64_t now_us)
 {
     if (waiting->count == 0) {
         return NULL;
     }
-    void *item = waiting->entries[0].item;
-    heap_remove(waiting, 0);
+    uint32_t first = 0;
+    int64_t least = rank(waiting->items[0], now_us);
+    for (uint32_t i = 1; i < waiting->count; i++) {
+        int64_t value = rank(waiting->items[i], now_us);
+        if (value < least) {
+            least = value;
+            first = i;
+        }
+    }
+    void *item = waiting->items[first];
+    waiting_cut(waiting, first);
     return item;
 }
 
@@ -101,29 +52,17 @@
 waiting_remove(waiting_t *waiting, const void *item)
 {
     for (uint32_t i = 0; i < waiting->count; i++) {
-        if (waiting->entries[i].item == item) {
-            heap_remove(waiting, i);
+        if (waiting->items[i] == item) {
+            waiting_cut(waiting, i);
             return true;
         }
     }
     return false;
 }
 
-uint32_t
-waiting_ahead(const waiting_t *waiting, uint32_t priority)
-{
-    uint32_t ahead = 0;
-    for (uint32_t i = 0; i < waiting->count; i++) {
-        if (waiting->entries[i].priority <= priority) {
-            ahead++;
-        }
-    }
-    return ahead;
-}
-
 void
 waiting_release(waiting_t *waiting)
 {
-    free(waiting->entries);
+    free(waiting->items);
     *waiting = (waiting_t){0};
 }
--- a/tier/waiting.h
+++ b/tier/waiting.h
@@ -1,13 +1,14 @@
 /*
- * Work that waits for room at a service: a heap, the most urgent class first
- * and, within a class, the one whose time ends first.
+ * Work that waits for room at a service.
  *
- * The load it answers: a service that bears less than is asked of it for
- * some seconds. The more urgent classes then keep their times, and what is
- * taken out has the least slack and so the least chance to wait longer.
+ * The load it answers: a service that bears less than is asked of it for some
+ * seconds. What is taken out first is judged when there is room, not when the
+ * work came: meanwhile some of it may have become late, or all the more
+ * needed. The judge is a function of the item and the time; the least value
+ * goes first, and what came first among equals.
  *
- *     waiting_add(&waiting, item, priority, deadline_us);
- *     void *item = waiting_take(&waiting);
+ *     waiting_add(&waiting, item);
+ *     void *item = waiting_take(&waiting, rank, now_us);
  */
 #ifndef TIER_WAITING_H
 #define TIER_WAITING_H
@@ -15,32 +16,24 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-typedef struct {
-    void *item;
-    uint32_t priority;
-    int64_t deadline_us;
-} waiting_entry_t;
+typedef int64_t (*waiting_rank_fn)(const void *item, int64_t now_us);
 
 /* Zeroed: empty. */
 typedef struct {
-    waiting_entry_t *entries;
+    void **items; /* in the order they came */
     uint32_t count;
     uint32_t capacity;
 } waiting_t;
 
 /* False: no memory. */
-bool waiting_add(waiting_t *waiting, void *item, uint32_t priority,
-                 int64_t deadline_us);
+bool waiting_add(waiting_t *waiting, void *item);
 
-/* The first item, taken out; NULL: empty. */
-void *waiting_take(waiting_t *waiting);
+/* The first by rank, taken out; NULL: empty. */
+void *waiting_take(waiting_t *waiting, waiting_rank_fn rank, int64_t now_us);
 
 /* Take an item out of the middle; false: it is not there. */
 bool waiting_remove(waiting_t *waiting, const void *item);
 
-/* How many are at least as urgent as that. */
-uint32_t waiting_ahead(const waiting_t *waiting, uint32_t priority);
-
 void waiting_release(waiting_t *waiting);
 
 #endif
--- a/tier/yuccarun-tier.c
+++ b/tier/yuccarun-tier.c
@@ -22,30 +22,37 @@
 
 /* How often the settings file is compared with what is in force: it may
    change without a signal. */
-static const double SETTINGS_CHECK_S = 2.0;
+#define SETTINGS_CHECK_S 2.0
 /* How often lines are handed to the output: few writes, little lost. */
-static const double LOG_FLUSH_S = 0.05;
+#define LOG_FLUSH_S 0.05
 
 typedef struct {
     node_t *node;
-    boot_t boot;
+    boot_t boot; /* at the start */
     const char *path;
+    char *text; /* of the settings in force */
     line_sink_t *sink;
 } program_t;
 
+/* Take the settings file over if it has changed. */
 static void
 settings_read(program_t *program)
 {
     boot_t boot;
     char why[256];
-    if (!boot_read(&boot, program->path, why, sizeof(why))) {
-        event_log(EVENT_INPUT_REFUSED, "key=settings cause=%s", why);
+    char *text = boot_load(program->path, why, sizeof(why));
+    if (text != NULL && strcmp(text, program->text) == 0) {
+        free(text);
         return;
     }
-    if (memcmp(&boot, &program->boot, sizeof(boot)) != 0) {
-        program->boot = boot;
-        node_reload(program->node, &boot);
+    if (text == NULL || !boot_parse(&boot, text, why, sizeof(why))) {
+        event_log(EVENT_INPUT_REFUSED, "key=settings cause=%s", why);
+        free(text);
+        return;
     }
+    free(program->text);
+    program->text = text;
+    node_reload(program->node, &boot);
 }
 
 static void
@@ -82,6 +89,24 @@
     line_sink_flush(program->sink);
 }
 
+static void
+watch_signal(struct ev_loop *loop, ev_signal *signal, int number,
+             void (*called)(struct ev_loop *, ev_signal *, int), void *data)
+{
+    ev_signal_init(signal, called, number);
+    signal->data = data;
+    ev_signal_start(loop, signal);
+}
+
+static void
+watch_time(struct ev_loop *loop, ev_timer *timer, double every_s,
+           void (*called)(struct ev_loop *, ev_timer *, int), void *data)
+{
+    ev_timer_init(timer, called, every_s, every_s);
+    timer->data = data;
+    ev_timer_start(loop, timer);
+}
+
 static int
 program_run(program_t *program)
 {
@@ -94,81 +119,94 @@
     program->node = node_start(loop, &program->boot, why, sizeof(why));
     if (program->node == NULL) {
         event_log(EVENT_LISTEN_FAILED, "%s", why);
-        line_sink_flush(program->sink);
         return EXIT_START;
     }
-    ev_signal terms[2];
+    ev_signal term;
+    ev_signal interrupt;
     ev_signal hup;
     ev_timer check;
     ev_timer flush;
-    ev_signal_init(&terms[0], on_term, SIGTERM);
-    ev_signal_init(&terms[1], on_term, SIGINT);
-    ev_signal_init(&hup, on_hup, SIGHUP);
-    ev_timer_init(&check, on_check, SETTINGS_CHECK_S, SETTINGS_CHECK_S);
-    ev_timer_init(&flush, on_flush, LOG_FLUSH_S, LOG_FLUSH_S);
-    terms[0].data = program;
-    terms[1].data = program;
-    hup.data = program;
-    check.data = program;
-    flush.data = program;
-    ev_signal_start(loop, &terms[0]);
-    ev_signal_start(loop, &terms[1]);
-    ev_signal_start(loop, &hup);
-    ev_timer_start(loop, &check);
-    ev_timer_start(loop, &flush);
+    watch_signal(loop, &term, SIGTERM, on_term, program);
+    watch_signal(loop, &interrupt, SIGINT, on_term, program);
+    watch_signal(loop, &hup, SIGHUP, on_hup, program);
+    watch_time(loop, &check, SETTINGS_CHECK_S, on_check, program);
+    watch_time(loop, &flush, LOG_FLUSH_S, on_flush, program);
     ev_run(loop, 0);
     node_free(program->node);
-    line_sink_flush(program->sink);
     return EXIT_SUCCESS;
 }
 
-int
-main(int argc, char **argv)
+/* 0: run; else the exit code. What is asked for besides is set. */
+typedef struct {
+    bool check;
+    bool help;
+    event_level_t level;
+} arguments_t;
+
+static int
+arguments_parse(arguments_t *arguments, int argc, char **argv)
 {
     struct arg_lit *check = arg_lit0(NULL, "check", "judge the settings only");
-    struct arg_str *log_level =
+    struct arg_str *level =
         arg_str0(NULL, "log-level", "LEVEL", "debug, info, warn or error");
     struct arg_lit *help = arg_lit0("h", "help", "say this and end");
     struct arg_end *end = arg_end(4);
-    void *table[] = {check, log_level, help, end};
+    void *table[] = {check, level, help, end};
+    int status = EXIT_SUCCESS;
     if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, "yuccarun-tier");
-        return EXIT_USAGE;
+        status = EXIT_USAGE;
     }
-    if (help->count > 0) {
+    else if (help->count > 0) {
         printf("usage: yuccarun-tier");
         arg_print_syntax(stdout, table, "\n");
         arg_print_glossary(stdout, table, "  %-22s %s\n");
-        return EXIT_SUCCESS;
     }
-    event_level_t level = EVENT_LEVEL_INFO;
-    if (log_level->count > 0 &&
-        !event_level_parse(log_level->sval[0], &level)) {
-        fprintf(stderr, "yuccarun-tier: no log level '%s'\n",
-                log_level->sval[0]);
-        return EXIT_USAGE;
+    else if (level->count > 0 &&
+             !event_level_parse(level->sval[0], &arguments->level)) {
+        fprintf(stderr, "yuccarun-tier: no log level '%s'\n", level->sval[0]);
+        status = EXIT_USAGE;
+    }
+    arguments->check = check->count > 0;
+    arguments->help = help->count > 0;
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return status;
+}
+
+int
+main(int argc, char **argv)
+{
+    arguments_t arguments = {.level = EVENT_LEVEL_INFO};
+    int status = arguments_parse(&arguments, argc, argv);
+    if (status != EXIT_SUCCESS || arguments.help) {
+        return status;
     }
     program_t program = {.path = boot_path()};
     char why[256];
-    if (!boot_read(&program.boot, program.path, why, sizeof(why))) {
+    program.text = boot_load(program.path, why, sizeof(why));
+    if (program.text == NULL ||
+        !boot_parse(&program.boot, program.text, why, sizeof(why))) {
         fprintf(stderr, "yuccarun-tier: settings: %s\n", why);
+        free(program.text);
         return EXIT_START;
     }
-    if (check->count > 0) {
+    if (arguments.check) {
         printf("%s: good\n", program.path);
+        free(program.text);
         return EXIT_SUCCESS;
     }
     (void)signal(SIGPIPE, SIG_IGN);
     program.sink = line_sink_new(STDOUT_FILENO);
     if (program.sink == NULL) {
         fprintf(stderr, "yuccarun-tier: no memory\n");
+        free(program.text);
         return EXIT_START;
     }
-    event_log_open_sink(level, program.boot.daemon, line_sink_put,
+    event_log_open_sink(arguments.level, program.boot.daemon, line_sink_put,
                         program.sink);
-    int status = program_run(&program);
+    status = program_run(&program);
     event_log_close();
     line_sink_free(program.sink);
-    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    free(program.text);
     return status;
 }
