tier: measure a shard by its siblings before it is sent again

Cause: some queries are several times as much work as others, at every shard; a delay taken from all queries sends nine or ten parts of such a query again, which spends the budget where it helps nobody. Change: a shard counts as late when it takes 1.6 times as long as half of the query's other shards took. Budget tiers of hedges and spare repeats 80 and 90 %.

--- a/tier/engine_leg.c
+++ b/tier/engine_leg.c
@@ -36,8 +36,8 @@
 /* What fails a whole request comes before what leaves out a part of its
    answer, and that before what might only be late. */
 static const uint32_t repeat_percents[REPEAT_KINDS] = {
-    [REPEAT_HEDGE] = 55,
-    [REPEAT_SPARE] = 75,
+    [REPEAT_HEDGE] = 80,
+    [REPEAT_SPARE] = 90,
     [REPEAT_NEEDED] = 100,
 };
 
@@ -163,6 +163,24 @@
     }
 }
 
+static bool
+leg_may_hedge(const leg_t *leg)
+{
+    const route_t *route = leg->request->route;
+    return leg->state == LEG_RUNNING && route->repeatable &&
+           leg->may_have_run < route->attempts;
+}
+
+void
+leg_expect(leg_t *leg, int64_t now_us)
+{
+    int64_t half_us = leg->request->half_us;
+    if (half_us > 0 && leg_may_hedge(leg)) {
+        int64_t due_us = leg->sent_us + hedge_straggler_us(half_us);
+        leg->hedge_us = due_us > now_us ? due_us : now_us;
+    }
+}
+
 /* Send to that upstream; false: nothing left, and it counts as bad. */
 static bool
 leg_send(leg_t *leg, instance_t *instance, bool hedge, int64_t now_us)
@@ -188,9 +206,12 @@
     leg->may_have_run++;
     leg->state = LEG_RUNNING;
     leg->hedge_us = 0;
+    leg->sent_us = now_us;
     const request_t *request = leg->request;
-    if (request->route->repeatable &&
-        leg->may_have_run < request->route->attempts) {
+    if (request->route->kind == ROUTE_SHARDS) {
+        leg_expect(leg, now_us);
+    }
+    else if (leg_may_hedge(leg)) {
         leg->hedge_us = now_us + hedge_delay_us(&request->memory->profile,
                                                 request->route->goal_us);
     }
@@ -359,7 +380,7 @@
 
 /* A part of a merged answer is in. */
 static void
-leg_take_part(leg_t *leg, const reply_t *reply)
+leg_take_part(leg_t *leg, const reply_t *reply, int64_t now_us)
 {
     request_t *request = leg->request;
     const buffer_t *body = &reply->message->body;
@@ -379,6 +400,13 @@
     buffer_commit(signatures, separator + length);
     leg->state = LEG_DONE;
     request->gather.answered++;
+    if (request->half_us == 0 &&
+        2 * request->gather.answered >= request->gather.shards) {
+        request->half_us = now_us - request->begun_us;
+        for (uint32_t i = 0; i < request->leg_count; i++) {
+            leg_expect(&request->legs[i], now_us);
+        }
+    }
 }
 
 /* Bring up what is known of the upstream. */
@@ -442,7 +470,7 @@
         hedge_profile_add(&request->memory->profile, took_us);
         leg_stop(leg, route->repeatable, now_us);
         if (route->kind == ROUTE_SHARDS) {
-            leg_take_part(leg, reply);
+            leg_take_part(leg, reply, now_us);
             return false;
         }
     }
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -37,6 +37,7 @@
     /* Compared with, never followed. */
     const instance_t *tried[PICK_AVOID_MAX];
     uint32_t tried_count;
+    int64_t sent_us;  /* the first send */
     int64_t hedge_us; /* when to send again; 0: not at all */
     int64_t again_us; /* paused: until then */
     bool waited;      /* for room, at some time */
@@ -53,6 +54,7 @@
     int64_t begun_us;
     int64_t goal_us;     /* when an answer ceases to be of full use */
     int64_t deadline_us; /* when it gets its final answer */
+    int64_t half_us;     /* after which half of the shards were in; 0: not */
     int64_t woken_us;    /* the wake-up asked for; 0: none */
     leg_t *legs;
     uint32_t leg_count;
@@ -93,6 +95,9 @@
 void leg_reply(leg_t *leg, attempt_t *attempt, const reply_t *reply,
                int64_t now_us);
 
+/* Half of the shards are in: measure the others by that. */
+void leg_expect(leg_t *leg, int64_t now_us);
+
 /* Send it again if that is due, after a pause or as a hedge. */
 void leg_hedge(leg_t *leg, int64_t now_us);
 
--- a/tier/hedge.c
+++ b/tier/hedge.c
@@ -3,6 +3,9 @@
 /* Answers that take longer than this share of them are worth a second
    request: a tenth more requests at most, within the budget's fifth. */
 #define HEDGE_QUANTILE 0.90
+/* How much longer than half of its siblings a shard takes before it counts as
+   late: upstreams of one service differ in speed by a third either way. */
+#define STRAGGLER_FACTOR 1.6
 /* Weight of the newest sample in the moving mean. */
 #define MEAN_WEIGHT 0.05
 
@@ -32,6 +35,12 @@
                                 : goal_us / HEDGE_GOAL_PARTS;
 }
 
+int64_t
+hedge_straggler_us(int64_t half_us)
+{
+    return (int64_t)((double)half_us * STRAGGLER_FACTOR) + HEDGE_LEAST_US;
+}
+
 int64_t
 hedge_delay_us(const hedge_profile_t *profile, int64_t goal_us)
 {
