tier: keep work in the daemon's zone, and ask the store less often

Cause: bytes between zones and calls to the store were the largest prices a change here can lower; while the store was down four channels asked it. Change: leaving the zone weighs as three queued requests; upstreams' changes are asked for every 1.5 s; calls that stay open do so for 25 s; in an outage one channel asks every 0.4 s.

--- a/tier/follow.h
+++ b/tier/follow.h
@@ -22,9 +22,8 @@
 
 enum {
     /* Pause after a failed call: short, since what was missed in an outage is
-       wanted within a second of its end, and long enough that all daemons
-       together ask a store that is down a few times a second. */
-    FOLLOW_RETRY_US = 250000,
+       wanted within a second of its end. */
+    FOLLOW_RETRY_US = 400000,
     FOLLOW_KEY_SIZE = 256
 };
 
--- a/tier/instance.c
+++ b/tier/instance.c
@@ -12,8 +12,9 @@
 /* Cost of an upstream whose every request fails, in requests queued. */
 #define BADNESS_COST 30.0
 /* Cost of leaving the daemon's zone, in requests queued: bytes between zones
-   are paid for and take longer. */
-#define ZONE_COST 0.6
+   are paid for and take longer. A few requests at a time find free slots in
+   the own zone; docs/ROUNDS.md has trials. */
+#define ZONE_COST 3.0
 /* Cost of a silent upstream, in requests queued. */
 #define SILENT_COST 20.0
 /* How much slower a cold upstream is taken to be. */
--- a/tier/node.c
+++ b/tier/node.c
@@ -30,11 +30,12 @@
     /* How often idle connections and lapsed entries are. */
     HOUSEKEEPING_US = 250000,
     /* Upstreams renew their entries all the time, so changes are asked for
-       in batches: a drain is then known a good second before its time. */
-    UPSTREAMS_PAUSE_US = 900000,
+       in batches: a drain is then known a second before the three seconds in
+       which it must be, and each call has a price. */
+    UPSTREAMS_PAUSE_US = 1500000,
     /* Configurations and members change seldom: a call waits for them. */
-    OPERATOR_WAIT_US = 10000000,
-    MEMBERS_WAIT_US = 10000000,
+    OPERATOR_WAIT_US = 25000000,
+    MEMBERS_WAIT_US = 25000000,
     /* A daemon that dies is listed for so long; three renewals within. */
     MEMBER_LEASE_US = 3000000,
     /* How long a caller may keep a directory answer: soon after a daemon
@@ -565,10 +566,11 @@
         .prefix = KEY_MEMBERS,
         .wait_us = MEMBERS_WAIT_US,
     };
-    return store_link_follow(node->store, &operator_settings, &operator_reader,
-                             node) &&
-           store_link_follow(node->store, &upstreams_settings,
+    /* The first is the one that asks on while the store is away. */
+    return store_link_follow(node->store, &upstreams_settings,
                              &upstreams_reader, node) &&
+           store_link_follow(node->store, &operator_settings, &operator_reader,
+                             node) &&
            store_link_follow(node->store, &members_settings, &members_reader,
                              node);
 }
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -73,6 +73,7 @@
     }
     store->stats.reachable = true;
     store->ops.back(store->owner, now_us);
+    store->lease.due_us = now_us;
     for (uint32_t i = 0; i < store->channel_count; i++) {
         channel_t *channel = &store->channels[i];
         if (channel->busy && channel->follow.settings.wait_us > 0) {
@@ -241,6 +242,18 @@
     }
 }
 
+/*
+ * While the store cannot be reached one channel asks for all: the others
+ * would learn nothing that it does not, and each call has a price.
+ */
+static bool
+channel_is_held(const channel_t *channel)
+{
+    const store_link_t *store = channel->store;
+    return !store->stats.reachable && store->stats.heard_us != 0 &&
+           store->channel_count > 0 && channel != &store->channels[0];
+}
+
 static void
 channel_tick(channel_t *channel, int64_t now_us)
 {
@@ -251,6 +264,9 @@
         }
         return;
     }
+    if (channel_is_held(channel)) {
+        return;
+    }
     kv_call_t call = {0};
     if (channel->follows) {
         if (follow_next(&channel->follow, &call, now_us)) {
