tier: send parts again too while no sibling has answered

Cause: when the near upstream of every shard is silent nothing is in by which a straggler is known, and the query ended with 504 (t1010-engine, 'one silent at each shard', failed first). Change: until half of the shards are in a part is sent again after a third of the goal. t/lib/tier_world plays engines, upstreams and callers in virtual time; t1010-engine has 33 cases on it.

--- a/Makefile
+++ b/Makefile
@@ -59,12 +59,17 @@
 STANDIN_BIN := $(patsubst standin/%.c,$(B)/standin-%,$(sort $(wildcard standin/*.c)))
 BENCH_BIN := $(patsubst bench/%.c,$(B)/bench-%,$(sort $(wildcard bench/*.c)))
 BENCH_SERVICE_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard bench/service/*.c)))
-TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard t/lib/*.c))) \
+TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(filter-out t/lib/tier_%, \
+	$(sort $(wildcard t/lib/*.c)))) \
 	$(B)/t/fuzz/targets.o
 # The scenarios' runner is linked by the tests of it only.
 SCENARIO_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard t/scenario/*.c)))
 TEST_BIN := $(patsubst t/%.c,$(B)/t/%,$(sort $(wildcard t/t[0-9]*.c)))
 SCENARIO_BIN := $(filter $(B)/t/t08%,$(TEST_BIN))
+# Tests of the query tier on the platform need nothing of yuccarund.
+TIER_TEST_BIN := $(filter $(B)/t/t10%,$(TEST_BIN))
+TIER_TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,t/lib/suite.c \
+	$(sort $(wildcard t/lib/tier_*.c)))
 # Only tests that start threads run under the thread sanitizer.
 TSAN_TEST_BIN := $(patsubst t/%.c,build/tsan/t/%,$(shell \
 	grep -l pthread t/t[0-9]*.c 2>/dev/null))
@@ -123,7 +128,10 @@
 $(SCENARIO_BIN): $(B)/t/%: $(B)/t/%.o $(SCENARIO_OBJ) $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
-$(filter-out $(SCENARIO_BIN),$(TEST_BIN)): $(B)/t/%: $(B)/t/%.o $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
+$(TIER_TEST_BIN): $(B)/t/%: $(B)/t/%.o $(TIER_TEST_LIB_OBJ) $(TIER_LIB_OBJ) $(TIER_CORE_OBJ)
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(TIER_LIBS)
+
+$(filter-out $(SCENARIO_BIN) $(TIER_TEST_BIN),$(TEST_BIN)): $(B)/t/%: $(B)/t/%.o $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
 deps:
--- /dev/null
+++ b/t/lib/tier_world.c
@@ -0,0 +1,651 @@
+#include "t/lib/tier_world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct job job_t;
+
+/* One request at one upstream. */
+struct job {
+    tier_world_t *world;
+    attempt_t *attempt; /* NULL: cancelled, or ended */
+    uint32_t daemon;
+    uint32_t upstream;
+    tier_call_t *call;
+    int64_t work_us;
+    bool queued;
+    bool running;
+    job_t *queue_next;
+    job_t *all_next;
+};
+
+typedef struct {
+    tier_upstream_t behaviour;
+    uint32_t running;
+    uint32_t waiting;
+    job_t *first;
+    job_t *last;
+    uint32_t arrivals;
+    uint32_t runs;
+} upstream_state_t;
+
+typedef enum {
+    EVENT_CALL,
+    EVENT_WAKE,
+    EVENT_LEAVE,
+    EVENT_ARRIVE,
+    EVENT_DONE,
+    EVENT_REPLY,
+    EVENT_CUT
+} kind_t;
+
+typedef struct {
+    int64_t at_us;
+    uint64_t order;
+    kind_t kind;
+    void *item;
+    reply_kind_t reply;
+} event_item_t;
+
+typedef struct {
+    tier_world_t *world;
+    uint32_t number;
+    engine_t *engine;
+} daemon_t;
+
+struct tier_world {
+    tier_settings_t settings;
+    daemon_t daemons[TIER_DAEMONS_MAX];
+    upstream_state_t upstreams[TIER_UPSTREAMS_MAX];
+    uint32_t upstream_count;
+    event_item_t *events; /* a heap */
+    size_t event_count;
+    size_t event_capacity;
+    uint64_t order;
+    int64_t now_us;
+    uint64_t random;
+    tier_call_t **calls;
+    size_t call_count;
+    job_t *jobs;
+};
+
+static uint64_t
+world_next(tier_world_t *world)
+{
+    uint64_t x = world->random;
+    x ^= x << 13;
+    x ^= x >> 7;
+    x ^= x << 17;
+    world->random = x;
+    return x;
+}
+
+double
+tier_world_random(tier_world_t *world)
+{
+    return (double)(world_next(world) >> 11) / (double)(1ULL << 53);
+}
+
+static bool
+event_before(const event_item_t *left, const event_item_t *right)
+{
+    return left->at_us != right->at_us ? left->at_us < right->at_us
+                                       : left->order < right->order;
+}
+
+static void
+world_push(tier_world_t *world, int64_t at_us, kind_t kind, void *item,
+           reply_kind_t reply)
+{
+    if (world->event_count == world->event_capacity) {
+        world->event_capacity =
+            world->event_capacity == 0 ? 256 : world->event_capacity * 2;
+        world->events = realloc(world->events, world->event_capacity *
+                                                   sizeof(*world->events));
+    }
+    size_t place = world->event_count++;
+    event_item_t added = {
+        .at_us = at_us,
+        .order = world->order++,
+        .kind = kind,
+        .item = item,
+        .reply = reply,
+    };
+    while (place > 0 &&
+           event_before(&added, &world->events[(place - 1) / 2])) {
+        world->events[place] = world->events[(place - 1) / 2];
+        place = (place - 1) / 2;
+    }
+    world->events[place] = added;
+}
+
+static event_item_t
+world_pop(tier_world_t *world)
+{
+    event_item_t first = world->events[0];
+    event_item_t last = world->events[--world->event_count];
+    size_t place = 0;
+    for (;;) {
+        size_t child = 2 * place + 1;
+        if (child >= world->event_count) {
+            break;
+        }
+        if (child + 1 < world->event_count &&
+            event_before(&world->events[child + 1], &world->events[child])) {
+            child++;
+        }
+        if (!event_before(&world->events[child], &last)) {
+            break;
+        }
+        world->events[place] = world->events[child];
+        place = child;
+    }
+    if (world->event_count > 0) {
+        world->events[place] = last;
+    }
+    return first;
+}
+
+/* --- upstreams --- */
+
+static bool
+upstream_acts(const upstream_state_t *state, int64_t now_us)
+{
+    const tier_upstream_t *behaviour = &state->behaviour;
+    return now_us >= behaviour->since_us &&
+           (behaviour->until_us == 0 || now_us < behaviour->until_us);
+}
+
+static int64_t
+upstream_took_us(const upstream_state_t *state, int64_t work_us,
+                 int64_t now_us)
+{
+    const tier_upstream_t *behaviour = &state->behaviour;
+    double speed = upstream_acts(state, now_us) && behaviour->speed > 0
+                       ? behaviour->speed
+                       : 1;
+    int64_t took_us = (int64_t)((double)work_us * speed);
+    if (behaviour->pause_every_us > 0) {
+        int64_t place_us = now_us % behaviour->pause_every_us;
+        int64_t pause_at_us = behaviour->pause_every_us - behaviour->pause_us;
+        if (place_us + took_us > pause_at_us) {
+            took_us += place_us > pause_at_us
+                           ? behaviour->pause_every_us - place_us
+                           : behaviour->pause_us;
+        }
+    }
+    return took_us;
+}
+
+static void
+job_start(job_t *job)
+{
+    tier_world_t *world = job->world;
+    upstream_state_t *state = &world->upstreams[job->upstream];
+    job->queued = false;
+    job->running = true;
+    state->running++;
+    state->runs++;
+    job->call->runs++;
+    world_push(world,
+               world->now_us +
+                   upstream_took_us(state, job->work_us, world->now_us),
+               EVENT_DONE, job, REPLY_ANSWER);
+}
+
+static void
+upstream_next(upstream_state_t *state)
+{
+    while (state->first != NULL && state->running < state->behaviour.slots) {
+        job_t *job = state->first;
+        state->first = job->queue_next;
+        if (state->first == NULL) {
+            state->last = NULL;
+        }
+        state->waiting--;
+        if (job->attempt != NULL) {
+            job_start(job);
+        }
+    }
+}
+
+static void
+job_arrive(job_t *job)
+{
+    tier_world_t *world = job->world;
+    upstream_state_t *state = &world->upstreams[job->upstream];
+    const tier_upstream_t *behaviour = &state->behaviour;
+    bool acts = upstream_acts(state, world->now_us);
+    if (job->attempt == NULL) {
+        return;
+    }
+    int64_t back_us = world->now_us + TIER_HOP_US;
+    if (acts && behaviour->unreachable) {
+        world_push(world, back_us, EVENT_REPLY, job, REPLY_NOT_SENT);
+        return;
+    }
+    state->arrivals++;
+    job->call->arrivals++;
+    job->call->last_arrival_us = world->now_us;
+    if (acts && behaviour->silent) {
+        return;
+    }
+    if (acts && behaviour->elsewhere) {
+        world_push(world, back_us, EVENT_REPLY, job, REPLY_ELSEWHERE);
+        return;
+    }
+    if ((acts && tier_world_random(world) < behaviour->refuse_share) ||
+        state->waiting >= behaviour->queue + 1) {
+        world_push(world, back_us, EVENT_REPLY, job, REPLY_NOT_RUN);
+        return;
+    }
+    job->queued = true;
+    job->queue_next = NULL;
+    if (state->last != NULL) {
+        state->last->queue_next = job;
+    }
+    else {
+        state->first = job;
+    }
+    state->last = job;
+    state->waiting++;
+    upstream_next(state);
+}
+
+static void
+job_done(job_t *job)
+{
+    tier_world_t *world = job->world;
+    upstream_state_t *state = &world->upstreams[job->upstream];
+    if (!job->running) {
+        return; /* it was cut off, and its slot given back */
+    }
+    job->running = false;
+    state->running--;
+    bool lost = upstream_acts(state, world->now_us) &&
+                tier_world_random(world) < state->behaviour.lose_share;
+    world_push(world, world->now_us + TIER_HOP_US, EVENT_REPLY, job,
+               lost ? REPLY_LOST : REPLY_ANSWER);
+    upstream_next(state);
+}
+
+static void
+job_cut(job_t *job)
+{
+    upstream_state_t *state = &job->world->upstreams[job->upstream];
+    job->attempt = NULL;
+    if (job->running) {
+        job->running = false;
+        state->running--;
+        upstream_next(state);
+    }
+}
+
+static void
+job_reply(job_t *job, reply_kind_t kind)
+{
+    tier_world_t *world = job->world;
+    attempt_t *attempt = job->attempt;
+    if (attempt == NULL) {
+        return;
+    }
+    job->attempt = NULL;
+    const upstream_state_t *state = &world->upstreams[job->upstream];
+    uint8_t record[16];
+    memset(record, (int)(world_next(world) & 255), sizeof(record));
+    http_message_t message = {
+        .status = upstream_acts(state, world->now_us) &&
+                          state->behaviour.fail_status != 0
+                      ? state->behaviour.fail_status
+                      : 200,
+        .body = {.bytes = record, .end = sizeof(record), .capacity = 16},
+    };
+    reply_t reply = {.kind = kind};
+    if (kind == REPLY_ANSWER) {
+        reply.message = &message;
+        reply.signature = "signed";
+    }
+    engine_reply(world->daemons[job->daemon].engine, attempt, &reply,
+                 world->now_us);
+}
+
+/* --- ports --- */
+
+static bool
+port_send(void *owner, attempt_t *attempt, int64_t now_us)
+{
+    daemon_t *daemon = owner;
+    tier_world_t *world = daemon->world;
+    job_t *job = calloc(1, sizeof(*job));
+    uint32_t number = 0;
+    while (strcmp(world->upstreams[number].behaviour.id,
+                  attempt->instance->entry.id) != 0) {
+        number++;
+    }
+    job->world = world;
+    job->attempt = attempt;
+    job->daemon = daemon->number;
+    job->upstream = number;
+    job->call = attempt->call->owner;
+    job->work_us = job->call->work_us;
+    job->all_next = world->jobs;
+    world->jobs = job;
+    attempt->link = job;
+    world_push(world, now_us + TIER_HOP_US, EVENT_ARRIVE, job, REPLY_ANSWER);
+    return true;
+}
+
+static void
+port_abandon(void *owner, attempt_t *attempt, int64_t until_us)
+{
+    daemon_t *daemon = owner;
+    world_push(daemon->world, until_us, EVENT_CUT, attempt->link,
+               REPLY_UNFINISHED);
+}
+
+static void
+port_cancel(void *owner, attempt_t *attempt)
+{
+    (void)owner;
+    job_cut(attempt->link);
+}
+
+static void
+port_answer(void *owner, void *call_owner, const answer_t *answer)
+{
+    daemon_t *daemon = owner;
+    tier_call_t *call = call_owner;
+    call->done = true;
+    call->done_us = daemon->world->now_us;
+    call->status = answer->status;
+    call->kind = answer->kind;
+    call->missing = answer->missing;
+    call->retry_after_us = answer->retry_after_us;
+    call->reason = answer->reason != NULL ? answer->reason : "";
+    call->request = NULL;
+    call->wake_us = 0;
+}
+
+static void
+port_wake_at(void *owner, void *call_owner, int64_t at_us)
+{
+    daemon_t *daemon = owner;
+    tier_call_t *call = call_owner;
+    call->wake_us = at_us;
+    world_push(daemon->world, at_us, EVENT_WAKE, call, REPLY_ANSWER);
+}
+
+static const engine_ports_t world_ports = {
+    .send = port_send,
+    .abandon = port_abandon,
+    .cancel = port_cancel,
+    .answer = port_answer,
+    .wake_at = port_wake_at,
+};
+
+/* --- the world --- */
+
+tier_world_t *
+tier_world_new(const tier_settings_t *settings)
+{
+    tier_world_t *world = calloc(1, sizeof(*world));
+    world->settings = *settings;
+    world->now_us = 1000000;
+    world->random = settings->seed * 2654435761U + 88172645463325252ULL;
+    for (uint32_t i = 0; i < settings->daemons; i++) {
+        daemon_t *daemon = &world->daemons[i];
+        daemon->world = world;
+        daemon->number = i;
+        daemon->engine = engine_new(&settings->engine, &world_ports, daemon);
+        engine_set_fleet(daemon->engine, settings->daemons, world->now_us);
+    }
+    return world;
+}
+
+void
+tier_world_free(tier_world_t *world)
+{
+    for (size_t i = 0; i < world->call_count; i++) {
+        tier_call_t *call = world->calls[i];
+        if (call->request != NULL) {
+            engine_leave(world->daemons[call->daemon].engine, call->request,
+                         world->now_us);
+        }
+    }
+    for (uint32_t i = 0; i < world->settings.daemons; i++) {
+        engine_free(world->daemons[i].engine);
+    }
+    for (size_t i = 0; i < world->call_count; i++) {
+        free(world->calls[i]);
+    }
+    for (job_t *job = world->jobs, *next; job != NULL; job = next) {
+        next = job->all_next;
+        free(job);
+    }
+    free(world->calls);
+    free(world->events);
+    free(world);
+}
+
+void
+tier_world_configure(tier_world_t *world, route_table_t *table)
+{
+    for (uint32_t i = 0; i < world->settings.daemons; i++) {
+        engine_configure(world->daemons[i].engine, table, world->now_us);
+    }
+    route_table_release(table);
+}
+
+static void
+world_list(tier_world_t *world, uint32_t number, bool draining)
+{
+    const tier_upstream_t *up = &world->upstreams[number].behaviour;
+    instance_entry_t entry = {.slots = up->slots, .draining = draining};
+    snprintf(entry.id, sizeof(entry.id), "%s", up->id);
+    snprintf(entry.service, sizeof(entry.service), "%s", up->service);
+    snprintf(entry.zone, sizeof(entry.zone), "%s",
+             up->zone != NULL ? up->zone : "a");
+    for (uint32_t i = 0; i < world->settings.daemons; i++) {
+        registry_put(engine_registry(world->daemons[i].engine), &entry,
+                     world->order++, world->now_us);
+    }
+}
+
+uint32_t
+tier_world_upstream(tier_world_t *world, const tier_upstream_t *up)
+{
+    uint32_t number = world->upstream_count++;
+    world->upstreams[number].behaviour = *up;
+    world_list(world, number, false);
+    return number;
+}
+
+tier_upstream_t *
+tier_world_upstream_at(tier_world_t *world, uint32_t number)
+{
+    return &world->upstreams[number].behaviour;
+}
+
+void
+tier_world_drain(tier_world_t *world, uint32_t number)
+{
+    world_list(world, number, true);
+}
+
+engine_t *
+tier_world_engine(tier_world_t *world, uint32_t daemon)
+{
+    return world->daemons[daemon].engine;
+}
+
+int64_t
+tier_world_now_us(const tier_world_t *world)
+{
+    return world->now_us;
+}
+
+tier_call_t *
+tier_world_call(tier_world_t *world, int64_t at_us, uint32_t daemon,
+                const char *path, int64_t work_us, int64_t patience_us)
+{
+    tier_call_t *call = calloc(1, sizeof(*call));
+    world->calls =
+        realloc(world->calls, (world->call_count + 1) * sizeof(*world->calls));
+    world->calls[world->call_count++] = call;
+    snprintf(call->id, sizeof(call->id), "call-%zu", world->call_count);
+    call->path = path;
+    call->daemon = daemon;
+    call->at_us = at_us;
+    call->work_us = work_us;
+    call->patience_us = patience_us;
+    call->method = "GET";
+    world_push(world, at_us, EVENT_CALL, call, REPLY_ANSWER);
+    return call;
+}
+
+void
+tier_world_leave(tier_world_t *world, tier_call_t *call, int64_t at_us)
+{
+    world_push(world, at_us, EVENT_LEAVE, call, REPLY_ANSWER);
+}
+
+static void
+call_begin(tier_world_t *world, tier_call_t *call)
+{
+    call_t asked = {
+        .owner = call,
+        .id = call->id,
+        .host = "h.example",
+        .method = call->method,
+        .target = call->path,
+        .patience_us = call->patience_us,
+    };
+    request_t *request = engine_begin(world->daemons[call->daemon].engine,
+                                      &asked, world->now_us);
+    if (!call->done) {
+        call->request = request;
+    }
+}
+
+static void
+call_wake(tier_world_t *world, tier_call_t *call)
+{
+    /* A later wish for a wake-up replaces the earlier. */
+    if (call->request != NULL && call->wake_us == world->now_us) {
+        call->wake_us = 0;
+        engine_wake(world->daemons[call->daemon].engine, call->request,
+                    world->now_us);
+    }
+}
+
+static void
+call_leave(tier_world_t *world, tier_call_t *call)
+{
+    if (call->request != NULL) {
+        engine_leave(world->daemons[call->daemon].engine, call->request,
+                     world->now_us);
+        call->request = NULL;
+        call->left = true;
+    }
+}
+
+static void
+job_end_abandoned(job_t *job)
+{
+    attempt_t *attempt = job->attempt;
+    if (attempt == NULL) {
+        return;
+    }
+    job_cut(job);
+    reply_t reply = {.kind = REPLY_UNFINISHED};
+    engine_reply(job->world->daemons[job->daemon].engine, attempt, &reply,
+                 job->world->now_us);
+}
+
+void
+tier_world_run(tier_world_t *world, int64_t until_us)
+{
+    while (world->event_count > 0 && world->events[0].at_us <= until_us) {
+        event_item_t event = world_pop(world);
+        world->now_us = event.at_us;
+        switch (event.kind) {
+        case EVENT_CALL:
+            call_begin(world, event.item);
+            break;
+        case EVENT_WAKE:
+            call_wake(world, event.item);
+            break;
+        case EVENT_LEAVE:
+            call_leave(world, event.item);
+            break;
+        case EVENT_ARRIVE:
+            job_arrive(event.item);
+            break;
+        case EVENT_DONE:
+            job_done(event.item);
+            break;
+        case EVENT_REPLY:
+            job_reply(event.item, event.reply);
+            break;
+        case EVENT_CUT:
+            job_end_abandoned(event.item);
+            break;
+        }
+    }
+    world->now_us = until_us;
+}
+
+uint32_t
+tier_world_arrivals(const tier_world_t *world, uint32_t number)
+{
+    return world->upstreams[number].arrivals;
+}
+
+uint32_t
+tier_world_runs(const tier_world_t *world, uint32_t number)
+{
+    return world->upstreams[number].runs;
+}
+
+route_table_t *
+tier_world_table(uint64_t version, uint32_t shards, int64_t goal_us,
+                 double least_share)
+{
+    route_table_t *table = route_table_new(version);
+    route_t *all = route_table_add(table, "all", "h.example", "/all/");
+    all->kind = ROUTE_SHARDS;
+    all->repeatable = true;
+    all->goal_us = goal_us;
+    all->timeout_us = 6 * goal_us;
+    all->attempts = 2;
+    all->priority = 1;
+    all->top = 20;
+    all->least_share = least_share;
+    for (uint32_t i = 0; i < shards; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "s%u", i);
+        route_add_target(all, name, 1);
+    }
+    static const struct {
+        const char *name;
+        const char *prefix;
+        bool repeatable;
+    } plain[] = {
+        {"one", "/one/", true},
+        {"once", "/once/", false},
+    };
+    for (size_t i = 0; i < sizeof(plain) / sizeof(plain[0]); i++) {
+        route_t *route = route_table_add(table, plain[i].name, "h.example",
+                                         plain[i].prefix);
+        route->kind = ROUTE_ONE;
+        route->repeatable = plain[i].repeatable;
+        route->goal_us = goal_us;
+        route->timeout_us = 6 * goal_us;
+        route->attempts = 2;
+        route->priority = 2;
+        route_add_target(route, "s0", 1);
+    }
+    route_table_seal(table);
+    return table;
+}
--- /dev/null
+++ b/t/t1010-engine.c
@@ -0,0 +1,472 @@
+/* One daemon's decisions about a request, against faulty upstreams. */
+#include "t/lib/suite.h"
+#include "t/lib/tier_world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum {
+    START_US = 1000000,
+    GOAL_US = 200000,
+    WORK_US = 20000,
+    PATIENCE_US = 1000000
+};
+
+static const tier_settings_t one_daemon = {
+    .daemons = 1,
+    .engine = {.zone = "a",
+               .retry_ratio = 0.2,
+               .retry_slack = 50,
+               .requests_max = 1000},
+    .seed = 7,
+};
+
+/* One upstream's behaviour against a sound one of the same service. */
+typedef struct {
+    const char *name;
+    const char *path;
+    tier_upstream_t first; /* tried first: the other is far away */
+    bool alone;            /* there is no other */
+    uint32_t status;
+    uint32_t runs_most; /* begun by upstreams, in all */
+    int64_t within_us;  /* answered */
+    bool retry_after;   /* the answer says when to come back */
+} fault_case_t;
+
+static const fault_case_t fault_cases[] = {
+    {"sound", "/one/1", {.slots = 4}, false, 200, 1, 30000, false},
+    {"refuses, asked again elsewhere",
+     "/one/1",
+     {.slots = 4, .refuse_share = 1},
+     false,
+     200,
+     1,
+     40000,
+     false},
+    {"refuses what must run once, asked again elsewhere",
+     "/once/1",
+     {.slots = 4, .refuse_share = 1},
+     false,
+     200,
+     1,
+     40000,
+     false},
+    {"loses the answer, run again",
+     "/one/1",
+     {.slots = 4, .lose_share = 1},
+     false,
+     200,
+     2,
+     60000,
+     false},
+    {"loses the answer of what must run once",
+     "/once/1",
+     {.slots = 4, .lose_share = 1},
+     false,
+     502,
+     1,
+     40000,
+     false},
+    {"no connection, asked elsewhere",
+     "/once/1",
+     {.slots = 4, .unreachable = true},
+     false,
+     200,
+     1,
+     40000,
+     false},
+    {"another has the address",
+     "/once/1",
+     {.slots = 4, .elsewhere = true},
+     false,
+     200,
+     1,
+     40000,
+     false},
+    {"silent, sent again",
+     "/one/1",
+     {.slots = 4, .silent = true},
+     false,
+     200,
+     1,
+     150000,
+     false},
+    {"silent with what must run once",
+     "/once/1",
+     {.slots = 4, .silent = true},
+     false,
+     504,
+     0,
+     PATIENCE_US,
+     false},
+    {"fails by itself, asked elsewhere",
+     "/one/1",
+     {.slots = 4, .fail_status = 500},
+     false,
+     200,
+     2,
+     60000,
+     false},
+    {"fails by itself what must run once: its word is passed on",
+     "/once/1",
+     {.slots = 4, .fail_status = 500},
+     false,
+     500,
+     1,
+     40000,
+     false},
+    {"refuses, and there is no other",
+     "/once/1",
+     {.slots = 4, .refuse_share = 1},
+     true,
+     503,
+     0,
+     GOAL_US / 2,
+     true},
+    {"no connection, and there is no other",
+     "/one/1",
+     {.slots = 4, .unreachable = true},
+     true,
+     503,
+     0,
+     GOAL_US / 2,
+     true},
+    {"loses all answers, and there is no other",
+     "/one/1",
+     {.slots = 4, .lose_share = 1},
+     true,
+     502,
+     2,
+     GOAL_US,
+     false},
+    {"its answer is late, and is delivered",
+     "/one/1",
+     {.slots = 4, .speed = 20},
+     true,
+     200,
+     1,
+     500000,
+     false},
+};
+
+START_TEST(test_fault)
+{
+    const fault_case_t *c = &fault_cases[_i];
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, 1, GOAL_US, 1));
+    tier_upstream_t first = c->first;
+    first.id = "i-1";
+    first.service = "s0";
+    first.zone = "a";
+    first.queue = 20;
+    tier_world_upstream(world, &first);
+    if (!c->alone) {
+        tier_world_upstream(world, &(tier_upstream_t){.id = "i-2",
+                                                      .service = "s0",
+                                                      .zone = "b",
+                                                      .slots = 4,
+                                                      .queue = 20});
+    }
+    tier_call_t *call = tier_world_call(world, START_US + 1000, 0, c->path,
+                                        WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + 2 * PATIENCE_US);
+    ck_assert_msg(call->done, "%s: no answer", c->name);
+    ck_assert_msg(call->status == c->status, "%s: %u", c->name, call->status);
+    ck_assert_msg(call->runs <= c->runs_most, "%s: %u runs", c->name,
+                  call->runs);
+    ck_assert_msg(call->done_us - call->at_us <= c->within_us, "%s: %ld us",
+                  c->name, (long)(call->done_us - call->at_us));
+    ck_assert_msg((call->retry_after_us > 0) == c->retry_after, "%s", c->name);
+    /* A promise that it has not run is true. */
+    ck_assert_msg(call->status != 503 || call->runs == 0, "%s: %u runs",
+                  c->name, call->runs);
+    tier_world_free(world);
+}
+END_TEST
+
+enum { SHARDS = 10 };
+
+/* Ten shards of three upstreams, some of them faulty from the start. */
+typedef struct {
+    const char *name;
+    tier_upstream_t fault;
+    uint32_t faulty_shards;    /* of which */
+    uint32_t faulty_upstreams; /* each has so many */
+    uint32_t status;
+    uint32_t missing;
+    int64_t within_us;
+} shard_case_t;
+
+static const shard_case_t shard_cases[] = {
+    {"all sound", {.slots = 4}, 0, 0, 200, 0, 40000},
+    {"one silent at each shard",
+     {.slots = 4, .silent = true},
+     10,
+     1,
+     200,
+     0,
+     150000},
+    {"a shard is silent: partial at the goal",
+     {.slots = 4, .silent = true},
+     1,
+     3,
+     200,
+     1,
+     GOAL_US},
+    {"a shard refuses: partial by the goal",
+     {.slots = 4, .refuse_share = 1},
+     1,
+     3,
+     200,
+     1,
+     GOAL_US},
+    {"a shard cannot be reached",
+     {.slots = 4, .unreachable = true},
+     1,
+     3,
+     200,
+     1,
+     GOAL_US},
+    {"two shards are silent: too few",
+     {.slots = 4, .silent = true},
+     2,
+     3,
+     504,
+     0,
+     PATIENCE_US},
+    {"two shards lose all answers: told at once",
+     {.slots = 4, .lose_share = 1},
+     2,
+     3,
+     502,
+     0,
+     GOAL_US},
+    {"half the answers of a shard are lost",
+     {.slots = 4, .lose_share = 0.5},
+     1,
+     1,
+     200,
+     0,
+     100000},
+};
+
+static void
+add_shards(tier_world_t *world, const shard_case_t *c)
+{
+    static const char *const zones[] = {"a", "b", "c"};
+    static char ids[SHARDS * 3][16];
+    static char services[SHARDS][16];
+    for (uint32_t i = 0; i < SHARDS * 3; i++) {
+        uint32_t shard = i / 3;
+        bool faulty = shard < c->faulty_shards && i % 3 < c->faulty_upstreams;
+        tier_upstream_t up = {.slots = 4};
+        if (faulty) {
+            up = c->fault;
+        }
+        snprintf(ids[i], sizeof(ids[i]), "i-%u", i);
+        snprintf(services[shard], sizeof(services[shard]), "s%u", shard);
+        up.id = ids[i];
+        up.service = services[shard];
+        up.zone = zones[i % 3];
+        up.queue = 20;
+        tier_world_upstream(world, &up);
+    }
+}
+
+START_TEST(test_shards)
+{
+    const shard_case_t *c = &shard_cases[_i];
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, SHARDS, GOAL_US, 0.89));
+    add_shards(world, c);
+    tier_call_t *call = tier_world_call(world, START_US + 1000, 0, "/all/1",
+                                        WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + 2 * PATIENCE_US);
+    ck_assert_msg(call->done, "%s: no answer", c->name);
+    ck_assert_msg(call->status == c->status, "%s: %u %s", c->name,
+                  call->status, call->reason);
+    ck_assert_msg(call->missing == c->missing, "%s: %u missing", c->name,
+                  call->missing);
+    ck_assert_msg(call->done_us - call->at_us <= c->within_us, "%s: %ld us",
+                  c->name, (long)(call->done_us - call->at_us));
+    /* No shard gets more than the route's two upstreams. */
+    ck_assert_msg(call->runs <= 2 * SHARDS, "%s: %u runs", c->name,
+                  call->runs);
+    tier_world_free(world);
+}
+END_TEST
+
+/* What cannot be served is refused before anything is sent. */
+START_TEST(test_hopeless_is_refused_unsent)
+{
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, SHARDS, GOAL_US, 0.89));
+    tier_world_upstream(
+        world, &(tier_upstream_t){.id = "i-1", .service = "s0", .slots = 4});
+    tier_call_t *call = tier_world_call(world, START_US + 1000, 0, "/all/1",
+                                        WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + PATIENCE_US);
+    ck_assert(call->done);
+    ck_assert_uint_eq(call->status, 503);
+    ck_assert_int_eq(call->done_us, call->at_us);
+    ck_assert_int_gt(call->retry_after_us, 0);
+    ck_assert_uint_eq(call->arrivals, 0);
+    tier_world_free(world);
+}
+END_TEST
+
+/* When the caller leaves nothing more is sent, and what runs is cut off. */
+START_TEST(test_left)
+{
+    static const char *const paths[] = {"/one/1", "/once/1", "/all/1"};
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, 1, GOAL_US, 1));
+    uint32_t up = tier_world_upstream(
+        world, &(tier_upstream_t){
+                   .id = "i-1", .service = "s0", .slots = 1, .queue = 9});
+    tier_call_t *call = tier_world_call(world, START_US + 1000, 0, paths[_i],
+                                        400000, PATIENCE_US);
+    tier_world_leave(world, call, START_US + 50000);
+    tier_call_t *next = tier_world_call(world, START_US + 60000, 0, "/one/2",
+                                        WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + 2 * PATIENCE_US);
+    ck_assert(call->left);
+    ck_assert(!call->done);
+    /* The slot was free again for the next, long before the first was done. */
+    ck_assert_uint_eq(next->status, 200);
+    ck_assert_int_lt(next->done_us, START_US + 200000);
+    ck_assert_uint_eq(tier_world_arrivals(world, up), 2);
+    tier_world_free(world);
+}
+END_TEST
+
+/* Nothing new goes to an upstream that drains or to a zone that is closed. */
+START_TEST(test_drain_and_evacuation)
+{
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, 1, GOAL_US, 1));
+    uint32_t near = tier_world_upstream(
+        world, &(tier_upstream_t){
+                   .id = "i-1", .service = "s0", .zone = "a", .slots = 4});
+    uint32_t far = tier_world_upstream(
+        world, &(tier_upstream_t){
+                   .id = "i-2", .service = "s0", .zone = "b", .slots = 4});
+    if (_i == 0) {
+        tier_world_drain(world, near);
+    }
+    else {
+        registry_close_zone(engine_registry(tier_world_engine(world, 0)), "a",
+                            true);
+    }
+    for (int64_t i = 0; i < 50; i++) {
+        tier_world_call(world, START_US + i * 10000, 0, "/one/1", WORK_US,
+                        PATIENCE_US);
+    }
+    tier_world_run(world, START_US + 2 * PATIENCE_US);
+    ck_assert_uint_eq(tier_world_arrivals(world, near), 0);
+    ck_assert_uint_ge(tier_world_arrivals(world, far), 50);
+    tier_world_free(world);
+}
+END_TEST
+
+/* Each part of a split gets its share of any few requests. */
+START_TEST(test_split)
+{
+    static const double weights[] = {0.7, 0.2, 0.1};
+    static const char *const services[] = {"s0", "s1", "s2"};
+    static const char *const ids[] = {"i-0", "i-1", "i-2"};
+    tier_world_t *world = tier_world_new(&one_daemon);
+    route_table_t *table = route_table_new(1);
+    route_t *route = route_table_add(table, "r", "h.example", "/split/");
+    route->kind = ROUTE_SPLIT;
+    route->repeatable = true;
+    route->goal_us = GOAL_US;
+    route->attempts = 2;
+    for (int i = 0; i < 3; i++) {
+        route_add_target(route, services[i], weights[i]);
+        tier_world_upstream(world, &(tier_upstream_t){.id = ids[i],
+                                                      .service = services[i],
+                                                      .slots = 50,
+                                                      .queue = 50});
+    }
+    route_table_seal(table);
+    tier_world_configure(world, table);
+    for (int64_t i = 0; i < 200; i++) {
+        tier_world_call(world, START_US + i * 5000, 0, "/split/1", 1000,
+                        PATIENCE_US);
+    }
+    tier_world_run(world, START_US + 2 * PATIENCE_US);
+    for (uint32_t i = 0; i < 3; i++) {
+        double share = tier_world_arrivals(world, i) / 200.0;
+        ck_assert_msg(share > weights[i] - 0.02 && share < weights[i] + 0.02,
+                      "part %u: %.3f", i, share);
+    }
+    tier_world_free(world);
+}
+END_TEST
+
+/* A request keeps the configuration it came in under. */
+START_TEST(test_version_of_a_request)
+{
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, 2, GOAL_US, 0.5));
+    static const char *const services[] = {"s0", "s1", "s2"};
+    static const char *const ids[] = {"i-0", "i-1", "i-2"};
+    for (int i = 0; i < 3; i++) {
+        tier_world_upstream(world, &(tier_upstream_t){.id = ids[i],
+                                                      .service = services[i],
+                                                      .slots = 4});
+    }
+    tier_call_t *call = tier_world_call(world, START_US + 1000, 0, "/all/1",
+                                        WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + 5000);
+    tier_world_configure(world, tier_world_table(2, 3, GOAL_US, 0.5));
+    tier_world_run(world, START_US + PATIENCE_US);
+    ck_assert_uint_eq(call->status, 200);
+    ck_assert_uint_eq(call->missing, 0);
+    ck_assert_uint_eq(tier_world_arrivals(world, 2), 0);
+    tier_world_free(world);
+}
+END_TEST
+
+START_TEST(test_no_configuration)
+{
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_call_t *call = tier_world_call(world, START_US + 1000, 0, "/one/1",
+                                        WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + PATIENCE_US);
+    ck_assert_uint_eq(call->status, 503);
+    ck_assert_int_gt(call->retry_after_us, 0);
+    tier_world_free(world);
+}
+END_TEST
+
+START_TEST(test_no_route)
+{
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, 1, GOAL_US, 1));
+    tier_call_t *call = tier_world_call(world, START_US + 1000, 0, "/none/1",
+                                        WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + PATIENCE_US);
+    ck_assert_uint_eq(call->status, 404);
+    tier_world_free(world);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("engine");
+    tcase_add_loop_test(tests, test_fault, 0,
+                        sizeof(fault_cases) / sizeof(fault_cases[0]));
+    tcase_add_loop_test(tests, test_shards, 0,
+                        sizeof(shard_cases) / sizeof(shard_cases[0]));
+    tcase_add_test(tests, test_hopeless_is_refused_unsent);
+    tcase_add_loop_test(tests, test_left, 0, 3);
+    tcase_add_loop_test(tests, test_drain_and_evacuation, 0, 2);
+    tcase_add_test(tests, test_split);
+    tcase_add_test(tests, test_version_of_a_request);
+    tcase_add_test(tests, test_no_configuration);
+    tcase_add_test(tests, test_no_route);
+    return suite_run("engine", tests);
+}
--- a/tier/engine_leg.c
+++ b/tier/engine_leg.c
@@ -174,9 +174,12 @@
 void
 leg_expect(leg_t *leg, int64_t now_us)
 {
-    int64_t half_us = leg->request->half_us;
-    if (half_us > 0 && leg_may_hedge(leg)) {
-        int64_t due_us = leg->sent_us + hedge_straggler_us(half_us);
+    const request_t *request = leg->request;
+    if (leg_may_hedge(leg)) {
+        int64_t due_us =
+            leg->sent_us + (request->half_us > 0
+                                ? hedge_straggler_us(request->half_us)
+                                : hedge_blind_us(request->route->goal_us));
         leg->hedge_us = due_us > now_us ? due_us : now_us;
     }
 }
--- a/tier/hedge.c
+++ b/tier/hedge.c
@@ -13,6 +13,7 @@
     HEDGE_SAMPLES_MIN = 20, /* fewer say nothing of a quantile */
     HEDGE_GOAL_PARTS = 4,   /* delay while nothing is known: goal by this */
     HEDGE_GOAL_LATEST = 2,  /* latest delay: goal by this */
+    HEDGE_BLIND_PARTS = 3,  /* delay while no sibling is a measure */
     HEDGE_LEAST_US = 5000   /* below it timers decide more than upstreams */
 };
 
@@ -41,6 +42,12 @@
     return (int64_t)((double)half_us * STRAGGLER_FACTOR) + HEDGE_LEAST_US;
 }
 
+int64_t
+hedge_blind_us(int64_t goal_us)
+{
+    return goal_us / HEDGE_BLIND_PARTS;
+}
+
 int64_t
 hedge_delay_us(const hedge_profile_t *profile, int64_t goal_us)
 {
