--- /dev/null
+++ b/t/lib/tier_store.c
@@ -0,0 +1,433 @@
+#include "t/lib/tier_store.h"
+
+#include "core/text.h"
+#include "daemon/clock.h"
+#include "http/server.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { KEYS_MAX = 512, LEASES_MAX = 64, WATCHES_MAX = 64, KEY_SIZE = 128 };
+
+typedef struct {
+    char key[KEY_SIZE];
+    char *base64; /* NULL: removed */
+    char *value;
+    uint64_t revision;
+    uint64_t lease;
+} item_t;
+
+typedef struct {
+    uint64_t id;
+    int64_t ttl_us;
+    int64_t ends_us;
+} lease_row_t;
+
+typedef struct {
+    exchange_t *exchange;
+    char prefix[KEY_SIZE];
+    uint64_t after;
+    int64_t until_us;
+} watch_t;
+
+struct tier_store {
+    struct ev_loop *loop;
+    http_server_t *server;
+    tier_store_mode_t mode;
+    item_t items[KEYS_MAX];
+    uint32_t item_count;
+    lease_row_t leases[LEASES_MAX];
+    uint32_t lease_count;
+    watch_t watches[WATCHES_MAX];
+    uint32_t watch_count;
+    uint64_t revision;
+    uint64_t next_lease;
+    uint32_t calls;
+    ev_timer tick;
+};
+
+static const char digits[] =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+static char *
+encode(const char *text)
+{
+    size_t size = strlen(text);
+    char *out = calloc(1, (size + 2) / 3 * 4 + 1);
+    for (size_t i = 0, o = 0; i < size; i += 3, o += 4) {
+        uint32_t word = 0;
+        for (size_t j = 0; j < 3; j++) {
+            word = word << 8 | (i + j < size ? (uint8_t)text[i + j] : 0);
+        }
+        for (size_t j = 0; j < 4; j++) {
+            out[o + j] =
+                i + j > size ? '=' : digits[word >> (18 - 6 * j) & 63];
+        }
+    }
+    return out;
+}
+
+static char *
+decode(const char *text)
+{
+    size_t size = strlen(text);
+    char *out = calloc(1, size + 1);
+    size_t length = 0;
+    uint32_t word = 0;
+    for (size_t i = 0; i < size && text[i] != '='; i++) {
+        word = word << 6 | (uint32_t)(strchr(digits, text[i]) - digits);
+        if (i % 4 != 0) {
+            out[length++] = (char)(word >> (6 - 2 * (i % 4)));
+        }
+    }
+    return out;
+}
+
+static item_t *
+item_of(tier_store_t *store, const char *key)
+{
+    for (uint32_t i = 0; i < store->item_count; i++) {
+        if (strcmp(store->items[i].key, key) == 0) {
+            return &store->items[i];
+        }
+    }
+    item_t *item = &store->items[store->item_count++];
+    (void)text_copy(item->key, sizeof(item->key), key);
+    return item;
+}
+
+static json_t *
+item_json(const item_t *item)
+{
+    if (item->base64 == NULL) {
+        return json_pack("{s:s, s:I, s:b}", "key", item->key, "rev",
+                         (json_int_t)item->revision, "deleted", 1);
+    }
+    return json_pack("{s:s, s:s, s:I, s:I}", "key", item->key, "value",
+                     item->base64, "rev", (json_int_t)item->revision, "lease",
+                     (json_int_t)item->lease);
+}
+
+static void
+answer(exchange_t *exchange, uint32_t status, json_t *body)
+{
+    char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : strdup("{}");
+    http_answer_t out = {
+        .status = status,
+        .body = text,
+        .body_size = strlen(text),
+    };
+    exchange_answer(exchange, &out);
+    free(text);
+    json_decref(body);
+}
+
+/* What has changed under a prefix since; NULL: nothing. */
+static json_t *
+changes(const tier_store_t *store, const char *prefix, uint64_t after)
+{
+    json_t *events = json_array();
+    for (uint32_t i = 0; i < store->item_count; i++) {
+        const item_t *item = &store->items[i];
+        if (item->revision > after &&
+            strncmp(item->key, prefix, strlen(prefix)) == 0) {
+            json_array_append_new(events, item_json(item));
+        }
+    }
+    if (json_array_size(events) == 0) {
+        json_decref(events);
+        return NULL;
+    }
+    return events;
+}
+
+static void
+answer_watch(tier_store_t *store, exchange_t *exchange, json_t *events)
+{
+    answer(exchange, 200,
+           json_pack("{s:o, s:I}", "events",
+                     events != NULL ? events : json_array(), "current_rev",
+                     (json_int_t)store->revision));
+}
+
+static void
+serve_watches(tier_store_t *store)
+{
+    int64_t now_us = clock_now_us();
+    for (uint32_t i = store->watch_count; i-- > 0;) {
+        watch_t watch = store->watches[i];
+        json_t *events = changes(store, watch.prefix, watch.after);
+        if (events != NULL || now_us >= watch.until_us) {
+            store->watches[i] = store->watches[--store->watch_count];
+            answer_watch(store, watch.exchange, events);
+        }
+    }
+}
+
+static void
+item_set(tier_store_t *store, const char *key, char *value, uint64_t lease)
+{
+    item_t *item = item_of(store, key);
+    free(item->base64);
+    free(item->value);
+    item->value = value;
+    item->base64 = value != NULL ? encode(value) : NULL;
+    item->lease = lease;
+    item->revision = ++store->revision;
+}
+
+void
+tier_store_put(tier_store_t *store, const char *key, const char *value)
+{
+    item_set(store, key, strdup(value), 0);
+    serve_watches(store);
+}
+
+void
+tier_store_remove(tier_store_t *store, const char *key)
+{
+    item_set(store, key, NULL, 0);
+    serve_watches(store);
+}
+
+const char *
+tier_store_get(const tier_store_t *store, const char *key)
+{
+    for (uint32_t i = 0; i < store->item_count; i++) {
+        if (strcmp(store->items[i].key, key) == 0) {
+            return store->items[i].value;
+        }
+    }
+    return NULL;
+}
+
+uint32_t
+tier_store_calls(const tier_store_t *store)
+{
+    return store->calls;
+}
+
+static void
+lease_end(tier_store_t *store, uint32_t row)
+{
+    uint64_t id = store->leases[row].id;
+    store->leases[row] = store->leases[--store->lease_count];
+    for (uint32_t i = 0; i < store->item_count; i++) {
+        if (store->items[i].lease == id && store->items[i].value != NULL) {
+            item_set(store, store->items[i].key, NULL, 0);
+        }
+    }
+}
+
+static void
+tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    tier_store_t *store = timer->data;
+    int64_t now_us = clock_now_us();
+    for (uint32_t i = store->lease_count; i-- > 0;) {
+        if (now_us >= store->leases[i].ends_us) {
+            lease_end(store, i);
+        }
+    }
+    serve_watches(store);
+}
+
+/* A parameter of the target's query; "" when it is not there. */
+static void
+parameter(const char *target, const char *name, char *out, size_t size)
+{
+    char wanted[32];
+    snprintf(wanted, sizeof(wanted), "%s=", name);
+    const char *place = strstr(target, wanted);
+    out[0] = '\0';
+    if (place != NULL) {
+        place += strlen(wanted);
+        snprintf(out, size, "%.*s", (int)strcspn(place, "&"), place);
+    }
+}
+
+static void
+call_range(tier_store_t *store, exchange_t *exchange, const char *target)
+{
+    char prefix[KEY_SIZE];
+    parameter(target, "prefix", prefix, sizeof(prefix));
+    json_t *items = json_array();
+    for (uint32_t i = 0; i < store->item_count; i++) {
+        const item_t *item = &store->items[i];
+        if (item->base64 != NULL &&
+            strncmp(item->key, prefix, strlen(prefix)) == 0) {
+            json_array_append_new(items, item_json(item));
+        }
+    }
+    answer(exchange, 200,
+           json_pack("{s:o, s:b, s:I}", "items", items, "has_more", 0,
+                     "current_rev", (json_int_t)store->revision));
+}
+
+static void
+call_watch(tier_store_t *store, exchange_t *exchange, const char *target)
+{
+    char prefix[KEY_SIZE];
+    char after[32];
+    char wait_ms[32];
+    parameter(target, "prefix", prefix, sizeof(prefix));
+    parameter(target, "after", after, sizeof(after));
+    parameter(target, "wait_ms", wait_ms, sizeof(wait_ms));
+    if (store->mode == TIER_STORE_FORGETFUL) {
+        answer(exchange, 410, NULL);
+        return;
+    }
+    uint64_t since = strtoull(after, NULL, 10);
+    json_t *events = changes(store, prefix, since);
+    int64_t wait_us = strtoll(wait_ms, NULL, 10) * 1000;
+    if (events != NULL || wait_us == 0 || store->watch_count == WATCHES_MAX) {
+        answer_watch(store, exchange, events);
+        return;
+    }
+    watch_t *watch = &store->watches[store->watch_count++];
+    watch->exchange = exchange;
+    watch->after = since;
+    watch->until_us = clock_now_us() + wait_us;
+    memcpy(watch->prefix, prefix, sizeof(prefix));
+}
+
+static void
+call_txn(tier_store_t *store, exchange_t *exchange, const json_t *body)
+{
+    const json_t *puts = json_object_get(body, "puts");
+    for (size_t i = 0; i < json_array_size(puts); i++) {
+        const json_t *put = json_array_get(puts, i);
+        item_set(store, json_string_value(json_object_get(put, "key")),
+                 decode(json_string_value(json_object_get(put, "value"))),
+                 (uint64_t)json_integer_value(json_object_get(put, "lease")));
+    }
+    answer(exchange, 200,
+           json_pack("{s:I}", "rev", (json_int_t)store->revision));
+    serve_watches(store);
+}
+
+static void
+call_lease(tier_store_t *store, exchange_t *exchange, const json_t *body)
+{
+    int64_t ttl_ms = json_integer_value(json_object_get(body, "ttl_ms"));
+    lease_row_t *lease = &store->leases[store->lease_count++];
+    *lease = (lease_row_t){
+        .id = ++store->next_lease,
+        .ttl_us = ttl_ms * 1000,
+        .ends_us = clock_now_us() + ttl_ms * 1000,
+    };
+    answer(exchange, 200,
+           json_pack("{s:I, s:I}", "lease", (json_int_t)lease->id, "ttl_ms",
+                     (json_int_t)ttl_ms));
+}
+
+static void
+call_keep(tier_store_t *store, exchange_t *exchange, const char *target)
+{
+    bool ends = strstr(target, "lease-end") != NULL;
+    uint64_t id = strtoull(strrchr(target, '/') + 1, NULL, 10);
+    for (uint32_t i = 0; i < store->lease_count; i++) {
+        lease_row_t *lease = &store->leases[i];
+        if (lease->id == id) {
+            if (ends) {
+                lease_end(store, i);
+            }
+            else {
+                lease->ends_us = clock_now_us() + lease->ttl_us;
+            }
+            answer(exchange, 200, NULL);
+            return;
+        }
+    }
+    answer(exchange, 404, NULL);
+}
+
+static void
+store_request(void *owner, exchange_t *exchange)
+{
+    tier_store_t *store = owner;
+    const http_message_t *message = exchange_request(exchange);
+    const char *target = http_target(message);
+    store->calls++;
+    if (store->mode == TIER_STORE_BUSY) {
+        answer(exchange, 503, NULL);
+        return;
+    }
+    if (store->mode == TIER_STORE_SILENT) {
+        return;
+    }
+    json_t *body = json_loadb((const char *)buffer_data(&message->body),
+                              buffer_size(&message->body), 0, NULL);
+    if (strncmp(target, "/-/kv-range", 11) == 0) {
+        call_range(store, exchange, target);
+    }
+    else if (strncmp(target, "/-/kv-watch", 11) == 0) {
+        call_watch(store, exchange, target);
+    }
+    else if (strncmp(target, "/-/kv-txn", 9) == 0) {
+        call_txn(store, exchange, body);
+    }
+    else if (strcmp(target, "/-/kv-lease") == 0) {
+        call_lease(store, exchange, body);
+    }
+    else {
+        call_keep(store, exchange, target);
+    }
+    json_decref(body);
+}
+
+static void
+store_gone(void *owner, exchange_t *exchange)
+{
+    tier_store_t *store = owner;
+    for (uint32_t i = store->watch_count; i-- > 0;) {
+        if (store->watches[i].exchange == exchange) {
+            store->watches[i] = store->watches[--store->watch_count];
+        }
+    }
+}
+
+static const http_service_t store_service = {
+    .request = store_request,
+    .gone = store_gone,
+};
+
+tier_store_t *
+tier_store_new(struct ev_loop *loop, const struct sockaddr_in *address)
+{
+    static const http_server_settings_t settings = {.connections_max = 200};
+    tier_store_t *store = calloc(1, sizeof(*store));
+    store->loop = loop;
+    store->revision = 10;
+    store->server = http_server_new(loop, &settings);
+    if (!http_server_listen(store->server, address, &store_service, store)) {
+        abort();
+    }
+    ev_timer_init(&store->tick, tick, 0.02, 0.02);
+    store->tick.data = store;
+    ev_timer_start(loop, &store->tick);
+    return store;
+}
+
+void
+tier_store_set_mode(tier_store_t *store, tier_store_mode_t mode)
+{
+    store->mode = mode;
+}
+
+void
+tier_store_free(tier_store_t *store)
+{
+    ev_timer_stop(store->loop, &store->tick);
+    http_server_free(store->server);
+    for (uint32_t i = 0; i < store->item_count; i++) {
+        free(store->items[i].base64);
+        free(store->items[i].value);
+    }
+    free(store);
+}
--- /dev/null
+++ b/t/t1001-platform.c
@@ -0,0 +1,305 @@
+/* Settings, store calls and documents of the platform, good and malformed. */
+#include "platform/boot.h"
+#include "platform/documents.h"
+#include "platform/kv.h"
+#include "t/lib/suite.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define GOOD_BOOT                                                             \
+    "node_name=front-a-1\nzone=a\nregion=r\nzones.a=r\nzones.b=r\n"           \
+    "listen.front=10.1.0.39:8226\nlisten.control=10.1.0.39:8224\n"            \
+    "platform.addr=10.200.1.7:8229\nheartbeat_ms=1200\n"                      \
+    "bounds.grace_s=6\nbounds.retry_ratio=0.2\nbounds.retry_slack=52\n"
+
+typedef struct {
+    const char *name;
+    const char *text;
+    bool good;
+    const char *why; /* is in the explanation */
+} boot_case_t;
+
+static const boot_case_t boot_cases[] = {
+    {"good", GOOD_BOOT, true, ""},
+    {"unknown names are ignored", GOOD_BOOT "later.field=x,y\n", true, ""},
+    {"lines without a value are ignored", GOOD_BOOT "a line\n\n", true, ""},
+    {"no name", "platform.addr=10.0.0.1:1\n", false, "no daemon name"},
+    {"no store", "node_name=a\n", false, "no daemon name"},
+    {"bad address", GOOD_BOOT "listen.front=10.1.0:8226\n", false,
+     "listen.front"},
+    {"no port", GOOD_BOOT "listen.front=10.1.0.39\n", false, "listen.front"},
+    {"port too large", GOOD_BOOT "listen.front=10.1.0.39:70000\n", false,
+     "listen.front"},
+    {"not a number", GOOD_BOOT "bounds.grace_s=soon\n", false,
+     "bounds.grace_s"},
+    {"negative", GOOD_BOOT "heartbeat_ms=-5\n", false, "heartbeat_ms"},
+};
+
+START_TEST(test_boot)
+{
+    const boot_case_t *c = &boot_cases[_i];
+    boot_t boot;
+    char why[256] = "";
+    bool good = boot_parse(&boot, c->text, why, sizeof(why));
+    ck_assert_msg(good == c->good, "%s: %s", c->name, why);
+    ck_assert_msg(strstr(why, c->why) != NULL, "%s: %s", c->name, why);
+    if (good) {
+        ck_assert_str_eq(boot.daemon, "front-a-1");
+        ck_assert_str_eq(boot.callers_text, "10.1.0.39:8226");
+        ck_assert_uint_eq(boot.zone_count, 2);
+        ck_assert_int_eq(boot.heartbeat_us, 1200000);
+        ck_assert_int_eq(boot.grace_us, 6000000);
+        ck_assert_uint_eq(boot.retry_slack, 52);
+        ck_assert(!boot.has_directory);
+        /* A bound that is left out has the program's default. */
+        ck_assert_int_eq(boot.drain_us, 3000000);
+    }
+}
+END_TEST
+
+typedef struct {
+    const char *name;
+    const char *body;
+    bool good;
+    size_t items;
+    uint64_t revision;
+    const char *value; /* of the first item; NULL: removed, or none */
+} answer_case_t;
+
+static const answer_case_t answer_cases[] = {
+    {"a page",
+     "{\"items\":[{\"key\":\"k\",\"value\":\"aGVsbG8=\",\"rev\":4,"
+     "\"lease\":0}],\"has_more\":false,\"current_rev\":9}",
+     true, 1, 9, "hello"},
+    {"a removal",
+     "{\"events\":[{\"key\":\"k\",\"rev\":4,\"deleted\":true}],"
+     "\"current_rev\":9}",
+     true, 1, 9, NULL},
+    {"no events", "{\"events\":[],\"current_rev\":9}", true, 0, 9, NULL},
+    {"a value of two bytes",
+     "{\"items\":[{\"key\":\"k\",\"value\":\"aGU=\"}],\"current_rev\":1}",
+     true, 1, 1, "he"},
+    {"an empty value",
+     "{\"items\":[{\"key\":\"k\",\"value\":\"\"}],\"current_rev\":1}", true, 1,
+     1, ""},
+    {"an item that is none is left out",
+     "{\"items\":[{\"key\":\"k\",\"value\":\"a?==\"},3,{\"key\":\"l\","
+     "\"value\":\"aGVsbG8=\"}],\"current_rev\":2}",
+     true, 1, 2, "hello"},
+    {"a write", "{\"rev\":412}", true, 0, 412, NULL},
+    {"a list", "[]", false, 0, 0, NULL},
+    {"cut short", "{\"items\":[", false, 0, 0, NULL},
+    {"nothing", "", false, 0, 0, NULL},
+};
+
+START_TEST(test_answer)
+{
+    const answer_case_t *c = &answer_cases[_i];
+    kv_answer_t answer;
+    bool good = kv_answer_parse(&answer, c->body, strlen(c->body));
+    ck_assert_msg(good == c->good, "%s", c->name);
+    if (good) {
+        ck_assert_msg(answer.count == c->items, "%s: %zu", c->name,
+                      answer.count);
+        ck_assert_msg(answer.revision == c->revision, "%s", c->name);
+        if (c->value != NULL) {
+            ck_assert_str_eq(answer.items[0].value, c->value);
+            ck_assert_uint_eq(answer.items[0].size, strlen(c->value));
+        }
+        else if (c->items > 0) {
+            ck_assert(answer.items[0].removed);
+        }
+        kv_answer_release(&answer);
+    }
+}
+END_TEST
+
+START_TEST(test_calls)
+{
+    kv_call_t call;
+    ck_assert(kv_range(&call, "servers/", "servers/i-1"));
+    ck_assert_str_eq(call.method, "GET");
+    ck_assert_str_eq(call.target,
+                     "/-/kv-range?prefix=servers/&after=servers/i-1");
+    ck_assert(kv_watch(&call, "op/", 12, 2500000));
+    ck_assert_str_eq(call.target,
+                     "/-/kv-watch?prefix=op/&after=12&wait_ms=2500");
+    ck_assert(!kv_range(&call, "servers/", "a b"));
+    ck_assert(!kv_watch(&call, "op/&x=1", 1, 0));
+    ck_assert(kv_put(&call, "own/a", "hello", 5, 77));
+    ck_assert_ptr_nonnull(strstr(call.body, "\"value\":\"aGVsbG8=\""));
+    ck_assert_ptr_nonnull(strstr(call.body, "\"lease\":77"));
+    kv_call_release(&call);
+    ck_assert(kv_lease_keep(&call, 9));
+    ck_assert_str_eq(call.target, "/-/kv-keep/9");
+    kv_call_release(&call);
+    ck_assert(kv_lease_end(&call, 9));
+    ck_assert_str_eq(call.method, "DELETE");
+    kv_call_release(&call);
+}
+END_TEST
+
+static int faults;
+
+static void
+count_fault(void *owner, const char *place, const char *why)
+{
+    (void)owner;
+    ck_assert_ptr_nonnull(place);
+    ck_assert_ptr_nonnull(why);
+    faults++;
+}
+
+typedef struct {
+    const char *name;
+    const char *text;
+    bool readable;
+    uint32_t routes;
+    int faults;
+} routes_case_t;
+
+#define ROUTE_A                                                               \
+    "{\"name\":\"a\",\"host\":\"H.example\",\"prefix\":\"/x/\",\"type\":"     \
+    "\"idempotent\",\"timeout_ms\":500,\"goal_ms\":80,\"priority\":2,"        \
+    "\"gather\":[\"s\",\"t\"],\"attempts\":2,\"top_k\":5,"                    \
+    "\"min_version\":0.75}"
+#define ROUTE_B                                                               \
+    "{\"name\":\"b\",\"host\":\"h.example\",\"prefix\":\"/x/y/\",\"type\":"   \
+    "\"non_idempotent\",\"service\":\"s\"}"
+
+static const routes_case_t routes_cases[] = {
+    {"two routes", "{\"version\":7,\"routes\":[" ROUTE_A "," ROUTE_B "]}",
+     true, 2, 0},
+    {"one without a host",
+     "{\"version\":7,\"routes\":[{\"name\":\"c\",\"prefix\":\"/\","
+     "\"type\":\"idempotent\",\"service\":\"s\"}," ROUTE_B "]}",
+     true, 1, 1},
+    {"a prefix without its end",
+     "{\"version\":7,\"routes\":[{\"name\":\"c\",\"host\":\"h\",\"prefix\":"
+     "\"/x\",\"type\":\"idempotent\",\"service\":\"s\"}]}",
+     true, 0, 1},
+    {"no service at all",
+     "{\"version\":7,\"routes\":[{\"name\":\"c\",\"host\":\"h\",\"prefix\":"
+     "\"/x/\",\"type\":\"idempotent\"}]}",
+     true, 0, 1},
+    {"rows that are no objects", "{\"version\":7,\"routes\":[1,null,\"a\"]}",
+     true, 0, 3},
+    {"a service without a name",
+     "{\"version\":7,\"routes\":[],\"services\":[{}]}", true, 0, 1},
+    {"no version", "{\"routes\":[]}", false, 0, 0},
+    {"no routes", "{\"version\":7}", false, 0, 0},
+    {"not JSON", "version: 7", false, 0, 0},
+};
+
+START_TEST(test_routes)
+{
+    const routes_case_t *c = &routes_cases[_i];
+    const document_faults_t sink = {.fault = count_fault};
+    faults = 0;
+    route_table_t *table = document_routes(c->text, strlen(c->text), &sink);
+    ck_assert_msg((table != NULL) == c->readable, "%s", c->name);
+    if (table != NULL) {
+        ck_assert_msg(table->route_count == c->routes, "%s", c->name);
+        ck_assert_msg(faults == c->faults, "%s: %d", c->name, faults);
+        route_table_release(table);
+    }
+}
+END_TEST
+
+START_TEST(test_route_fields)
+{
+    const char *text = "{\"version\":7,\"routes\":[" ROUTE_A "," ROUTE_B
+                       "],\"services\":[{\"name\":\"s\",\"max_conns\":45,"
+                       "\"warmup_s\":3.0,\"cold_per_s\":12.5}],\"limits\":"
+                       "{\"max_header_bytes\":16384,\"idle_timeout_ms\":150}}";
+    route_table_t *table = document_routes(text, strlen(text), NULL);
+    const route_t *a = route_table_match(table, "h.example:80", "/x/1");
+    ck_assert_str_eq(a->name, "a");
+    ck_assert_int_eq(a->kind, ROUTE_SHARDS);
+    ck_assert_uint_eq(a->target_count, 2);
+    ck_assert_uint_eq(a->top, 5);
+    ck_assert(a->least_share == 0.75);
+    ck_assert(a->repeatable);
+    ck_assert_int_eq(a->goal_us, 80000);
+    const route_t *b = route_table_match(table, "H.EXAMPLE", "/x/y/1");
+    ck_assert_str_eq(b->name, "b");
+    ck_assert(!b->repeatable);
+    ck_assert_uint_eq(b->attempts, 1);
+    ck_assert_ptr_null(route_table_match(table, "h.example", "/z/"));
+    ck_assert_ptr_null(route_table_match(table, "other.example", "/x/"));
+    const route_service_t *s = route_table_service(table, "s");
+    ck_assert_uint_eq(s->max_connections, 45);
+    ck_assert(s->cold_per_s == 12.5);
+    ck_assert_uint_eq(table->header_bytes, 16384);
+    ck_assert_int_eq(table->idle_timeout_us, 150000);
+    route_table_release(table);
+}
+END_TEST
+
+typedef struct {
+    const char *name;
+    const char *text;
+    bool good;
+} instance_case_t;
+
+#define ENTRY(state, more)                                                    \
+    "{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"a\","           \
+    "\"version\":\"v1\",\"slots\":6,\"state\":" state ",\"cold_left_ms\":5,"  \
+    "\"seq\":4" more "}"
+
+static const instance_case_t instance_cases[] = {
+    {"good", ENTRY("\"ready\"", ",\"born\":1712000000000"), true},
+    {"draining", ENTRY("\"draining\"", ""), true},
+    {"a state of another kind", ENTRY("\"paused\"", ""), false},
+    {"a state that is no text", ENTRY("3", ""), false},
+    {"a start that is no whole number", ENTRY("\"ready\"", ",\"born\":1.5"),
+     false},
+    {"no address",
+     "{\"service\":\"s\",\"zone\":\"a\",\"slots\":6,\"state\":"
+     "\"ready\",\"cold_left_ms\":0,\"seq\":1}",
+     false},
+    {"slots as text",
+     "{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"zone\":"
+     "\"a\",\"slots\":\"6\",\"state\":\"ready\","
+     "\"cold_left_ms\":0,\"seq\":1}",
+     false},
+    {"not an object", "[1]", false},
+    {"bytes that cannot be read", "\x01\x02{", false},
+    {"nothing", "", false},
+};
+
+START_TEST(test_instance)
+{
+    const instance_case_t *c = &instance_cases[_i];
+    instance_entry_t entry;
+    const char *why = NULL;
+    bool good =
+        document_instance(&entry, "i-1", c->text, strlen(c->text), &why);
+    ck_assert_msg(good == c->good, "%s: %s", c->name, why != NULL ? why : "");
+    ck_assert_msg(good || why != NULL, "%s", c->name);
+    if (good) {
+        ck_assert_str_eq(entry.id, "i-1");
+        ck_assert_uint_eq(entry.slots, 6);
+        ck_assert_int_eq(entry.cold_left_us, 5000);
+    }
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("platform");
+    tcase_add_loop_test(tests, test_boot, 0,
+                        sizeof(boot_cases) / sizeof(boot_cases[0]));
+    tcase_add_loop_test(tests, test_answer, 0,
+                        sizeof(answer_cases) / sizeof(answer_cases[0]));
+    tcase_add_test(tests, test_calls);
+    tcase_add_loop_test(tests, test_routes, 0,
+                        sizeof(routes_cases) / sizeof(routes_cases[0]));
+    tcase_add_test(tests, test_route_fields);
+    tcase_add_loop_test(tests, test_instance, 0,
+                        sizeof(instance_cases) / sizeof(instance_cases[0]));
+    return suite_run("platform", tests);
+}
--- /dev/null
+++ b/t/t1002-message.c
@@ -0,0 +1,169 @@
+/* HTTP messages, whole and byte by byte, good and faulty. */
+#include "http/message.h"
+#include "t/lib/suite.h"
+
+#include <string.h>
+
+typedef struct {
+    const char *name;
+    http_kind_t kind;
+    const char *bytes;
+    http_state_t state;
+    bool closes; /* the connection ends cleanly after the bytes */
+    const char *body;
+    size_t left; /* bytes that belong to no part of the message */
+} message_case_t;
+
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+
+static const message_case_t message_cases[] = {
+    {"a request", HTTP_REQUESTS, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+     HTTP_DONE, false, "", 0},
+    {"a body with its length", HTTP_REQUESTS,
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", HTTP_DONE,
+     false, "abc", 0},
+    {"a body in chunks", HTTP_REQUESTS,
+     "POST /a HTTP/1.1\r\nHost: h\r\n" CHUNKED
+     "3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n",
+     HTTP_DONE, false, "abcd", 0},
+    {"a request sent ahead", HTTP_REQUESTS,
+     "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b", HTTP_DONE, false, "", 6},
+    {"not all there", HTTP_REQUESTS, "GET /a HTTP/1.1\r\nHost: h\r\n",
+     HTTP_MORE, false, "", 0},
+    {"length and chunks at once", HTTP_REQUESTS,
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n" CHUNKED
+     "0\r\n\r\n",
+     HTTP_BAD, false, "", 0},
+    {"two lengths", HTTP_REQUESTS,
+     "POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+     HTTP_BAD, false, "", 0},
+    {"a length that is no number", HTTP_REQUESTS,
+     "POST /a HTTP/1.1\r\nContent-Length: 3a\r\n\r\nabc", HTTP_BAD, false, "",
+     0},
+    {"no HTTP", HTTP_REQUESTS, "\x16\x03\x01 hello\r\n\r\n", HTTP_BAD, false,
+     "", 0},
+    {"a body too long", HTTP_REQUESTS,
+     "POST /a HTTP/1.1\r\nContent-Length: 999\r\n\r\n", HTTP_BODY_LONG, false,
+     "", 0},
+    {"chunks too long", HTTP_REQUESTS,
+     "POST /a HTTP/1.1\r\n" CHUNKED
+     "20\r\n01234567890123456789012345678901\r\n20\r\n"
+     "01234567890123456789012345678901\r\n",
+     HTTP_BODY_LONG, false, "", 0},
+    {"headers too long", HTTP_REQUESTS,
+     "GET /a HTTP/1.1\r\nX: 012345678901234567890123456789012345678901234567890123456789012345678"
+     "90123456789012345678901234567890123456789012345678901234567890\r\n\r\n",
+     HTTP_HEADERS_LONG, false, "", 0},
+    {"an upgrade is not taken up", HTTP_REQUESTS,
+     "GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n"
+     "Content-Length: 2\r\n\r\nab",
+     HTTP_DONE, false, "ab", 0},
+    {"a response", HTTP_RESPONSES,
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", HTTP_DONE, false, "ab",
+     0},
+    {"bytes after it", HTTP_RESPONSES,
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP", HTTP_DONE, false,
+     "ab", 4},
+    {"an interim one before it", HTTP_RESPONSES,
+     "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n"
+     "Content-Length: 2\r\n\r\nab",
+     HTTP_DONE, false, "ab", 0},
+    {"no length, and the connection ends", HTTP_RESPONSES,
+     "HTTP/1.1 200 OK\r\n\r\nabc", HTTP_DONE, true, "abc", 0},
+    {"cut short", HTTP_RESPONSES,
+     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", HTTP_BAD, true, "", 0},
+    {"cut within the chunks", HTTP_RESPONSES,
+     "HTTP/1.1 200 OK\r\n" CHUNKED "3\r\nabc\r\n", HTTP_BAD, true, "", 0},
+    {"cut within the headers", HTTP_RESPONSES, "HTTP/1.1 200 OK\r\nX: y",
+     HTTP_BAD, true, "", 0},
+    {"nothing, and the connection ends", HTTP_RESPONSES, "", HTTP_BAD, true,
+     "", 0},
+    {"bytes that are no response", HTTP_RESPONSES, "garbage\r\n\r\n", HTTP_BAD,
+     false, "", 0},
+};
+
+static const http_limits_t limits = {.header_bytes = 120, .body_bytes = 60};
+
+static void
+check_case(const message_case_t *c, size_t step)
+{
+    http_reader_t reader;
+    http_reader_init(&reader, c->kind, &limits);
+    size_t size = strlen(c->bytes);
+    size_t place = 0;
+    http_state_t state = HTTP_MORE;
+    while (place < size && state == HTTP_MORE) {
+        size_t used = 0;
+        size_t piece = size - place < step ? size - place : step;
+        state = http_reader_feed(&reader, c->bytes + place, piece, &used);
+        place += used;
+    }
+    if (state == HTTP_MORE && c->closes) {
+        state = http_reader_close(&reader);
+    }
+    ck_assert_msg(state == c->state, "%s, %zu at a time: %d", c->name, step,
+                  state);
+    if (state == HTTP_DONE) {
+        const buffer_t *body = &reader.message.body;
+        ck_assert_msg(buffer_size(body) == strlen(c->body), "%s", c->name);
+        ck_assert_msg(
+            buffer_size(body) == 0 ||
+                memcmp(buffer_data(body), c->body, buffer_size(body)) == 0,
+            "%s", c->name);
+        ck_assert_msg(size - place == c->left, "%s: %zu left", c->name,
+                      size - place);
+    }
+    http_reader_release(&reader);
+}
+
+START_TEST(test_message)
+{
+    const message_case_t *c = &message_cases[_i];
+    check_case(c, 4096);
+    check_case(c, 1);
+    check_case(c, 7);
+}
+END_TEST
+
+START_TEST(test_headers)
+{
+    static const char bytes[] =
+        "GET /a?b HTTP/1.1\r\nHost: h\r\nX-Empty:\r\nConnection: close, "
+        "X-Own\r\nX-Own: 1\r\nx-other:  two words \r\n\r\n";
+    http_reader_t reader;
+    size_t used;
+    http_reader_init(&reader, HTTP_REQUESTS, &limits);
+    ck_assert_int_eq(
+        http_reader_feed(&reader, bytes, sizeof(bytes) - 1, &used), HTTP_DONE);
+    const http_message_t *message = &reader.message;
+    ck_assert_str_eq(http_target(message), "/a?b");
+    ck_assert_str_eq(message->method, "GET");
+    ck_assert_uint_eq(message->header_count, 5);
+    ck_assert_str_eq(http_header_find(message, "x-empty"), "");
+    ck_assert_str_eq(http_header_find(message, "X-Other"), "two words ");
+    ck_assert_ptr_null(http_header_find(message, "X-None"));
+    ck_assert(!message->keep_alive);
+    ck_assert(http_header_is_hop(message, "X-Own"));
+    ck_assert(http_header_is_hop(message, "connection"));
+    ck_assert(!http_header_is_hop(message, "X-Other"));
+    /* The next message starts afresh. */
+    http_reader_next(&reader);
+    static const char next[] = "GET /c HTTP/1.1\r\nA: b\r\n\r\n";
+    ck_assert_int_eq(http_reader_feed(&reader, next, sizeof(next) - 1, &used),
+                     HTTP_DONE);
+    ck_assert_str_eq(http_target(&reader.message), "/c");
+    ck_assert_uint_eq(reader.message.header_count, 1);
+    ck_assert(reader.message.keep_alive);
+    http_reader_release(&reader);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("message");
+    tcase_add_loop_test(tests, test_message, 0,
+                        sizeof(message_cases) / sizeof(message_cases[0]));
+    tcase_add_test(tests, test_headers);
+    return suite_run("message", tests);
+}
--- /dev/null
+++ b/t/t1004-placement.c
@@ -0,0 +1,374 @@
+/* Which upstream gets a request, how many, and what waits first. */
+#include "t/lib/suite.h"
+#include "tier/gather.h"
+#include "tier/hedge.h"
+#include "tier/pool.h"
+#include "tier/waiting.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum { T0 = 100000000, MS = 1000, SECOND = 1000000, EXPECTED_US = 20000 };
+
+typedef struct {
+    pool_t pool;
+    instance_t instances[3];
+} fixture_t;
+
+/* Three upstreams of four slots in the zones a, b and c. */
+static void
+fixture_init(fixture_t *f)
+{
+    static const char *const zones[] = {"a", "b", "c"};
+    memset(f, 0, sizeof(*f));
+    f->pool.limits.fleet = 4;
+    for (int i = 0; i < 3; i++) {
+        instance_entry_t entry = {.slots = 4};
+        snprintf(entry.id, sizeof(entry.id), "i-%d", i);
+        snprintf(entry.zone, sizeof(entry.zone), "%s", zones[i]);
+        instance_init(&f->instances[i], &entry, T0);
+        ck_assert(pool_add(&f->pool, &f->instances[i]));
+    }
+}
+
+static int
+pick_from(fixture_t *f, const pool_pick_t *more, int64_t now_us,
+          pick_result_t *result)
+{
+    pool_pick_t pick = *more;
+    pick.view.zone = "a";
+    pick.view.expected_us = EXPECTED_US;
+    instance_t *instance = NULL;
+    *result = pool_pick(&f->pool, &pick, now_us, &instance);
+    return instance == NULL ? -1 : (int)(instance - f->instances);
+}
+
+static void
+make_slow(instance_t *instance)
+{
+    for (int i = 0; i < 10; i++) {
+        instance_sent(instance, T0);
+        instance_answered(instance, 8 * EXPECTED_US, EXPECTED_US, true, T0);
+    }
+}
+
+static void
+make_refusing(instance_t *instance)
+{
+    for (int i = 0; i < 5; i++) {
+        instance_sent(instance, T0);
+        instance_refused(instance, T0);
+    }
+}
+
+static void
+make_losing(instance_t *instance)
+{
+    for (int i = 0; i < 5; i++) {
+        instance_sent(instance, T0);
+        instance_lost(instance, T0);
+    }
+}
+
+static void
+make_failing(instance_t *instance)
+{
+    for (int i = 0; i < 5; i++) {
+        instance_sent(instance, T0);
+        instance_answered(instance, 1000, EXPECTED_US, false, T0);
+    }
+}
+
+static void
+make_silent(instance_t *instance)
+{
+    instance_sent(instance, T0 - SECOND);
+}
+
+static void
+make_draining(instance_t *instance)
+{
+    instance->entry.draining = true;
+}
+
+static void
+make_misaddressed(instance_t *instance)
+{
+    instance->misaddressed = true;
+    instance->misaddressed_us = T0;
+}
+
+static void
+make_unreachable(instance_t *instance)
+{
+    instance->connect_after_us = T0 + SECOND;
+}
+
+static void
+make_busy(instance_t *instance)
+{
+    while (instance->in_flight < 4) {
+        instance_sent(instance, T0);
+    }
+}
+
+static void
+make_nothing(instance_t *instance)
+{
+    (void)instance;
+}
+
+/* The near upstream is left for another when it is worse. */
+typedef struct {
+    const char *name;
+    void (*make)(instance_t *instance);
+    bool left;        /* the request goes to another zone */
+    int64_t after_us; /* and is taken back after this; 0: not looked at */
+} near_case_t;
+
+static const near_case_t near_cases[] = {
+    {"sound", make_nothing, false, 0},
+    {"slow", make_slow, true, 20 * SECOND},
+    {"refusing", make_refusing, true, 20 * SECOND},
+    {"losing answers", make_losing, true, 20 * SECOND},
+    {"failing", make_failing, true, 20 * SECOND},
+    {"silent", make_silent, true, 0},
+    {"draining", make_draining, true, 0},
+    {"misaddressed", make_misaddressed, true, 6 * SECOND},
+    {"unreachable", make_unreachable, true, 2 * SECOND},
+    {"full", make_busy, true, 0},
+};
+
+START_TEST(test_near)
+{
+    const near_case_t *c = &near_cases[_i];
+    fixture_t f;
+    pick_result_t result;
+    fixture_init(&f);
+    c->make(&f.instances[0]);
+    int picked = pick_from(&f, &(pool_pick_t){0}, T0, &result);
+    ck_assert_int_eq(result, PICK_OK);
+    ck_assert_msg((picked != 0) == c->left, "%s: %d", c->name, picked);
+    if (c->after_us > 0) {
+        picked = pick_from(&f, &(pool_pick_t){0}, T0 + c->after_us, &result);
+        ck_assert_msg(picked == 0, "%s: not taken back", c->name);
+    }
+    pool_release(&f.pool);
+}
+END_TEST
+
+START_TEST(test_results)
+{
+    static const char *const closed[] = {"a", "b", "c"};
+    fixture_t f;
+    pick_result_t result;
+    fixture_init(&f);
+    /* Zones that are closed, and upstreams that were tried, get nothing. */
+    pool_pick_t pick = {.closed_zones = closed, .closed_count = 2};
+    ck_assert_int_eq(pick_from(&f, &pick, T0, &result), 2);
+    pick.closed_count = 3;
+    ck_assert_int_eq(pick_from(&f, &pick, T0, &result), -1);
+    ck_assert_int_eq(result, PICK_NONE);
+    pick = (pool_pick_t){.avoid = {&f.instances[0], &f.instances[2]},
+                         .avoid_count = 2};
+    ck_assert_int_eq(pick_from(&f, &pick, T0, &result), 1);
+    for (int i = 0; i < 3; i++) {
+        make_busy(&f.instances[i]);
+    }
+    ck_assert_int_eq(pick_from(&f, &(pool_pick_t){0}, T0, &result), -1);
+    ck_assert_int_eq(result, PICK_FULL);
+    /* A hedge goes to none that does badly. */
+    fixture_t g;
+    fixture_init(&g);
+    for (int i = 0; i < 3; i++) {
+        make_losing(&g.instances[i]);
+    }
+    pick = (pool_pick_t){.sound_only = true};
+    ck_assert_int_eq(pick_from(&g, &pick, T0, &result), -1);
+    ck_assert_int_eq(result, PICK_FULL);
+    pool_release(&f.pool);
+    pool_release(&g.pool);
+}
+END_TEST
+
+typedef struct {
+    uint32_t slots;
+    uint32_t fleet;
+    uint32_t connections;
+    bool slow;
+    uint32_t share;
+} share_case_t;
+
+static const share_case_t share_cases[] = {
+    {4, 8, 36, false, 3}, /* two more than its part of twice the slots */
+    {4, 8, 36, true, 1},  /* its part of the slots: eight for four slots */
+    {6, 6, 45, false, 4},  {6, 6, 45, true, 1},  {4, 1, 36, false, 10},
+    {4, 1, 36, true, 4},   {4, 8, 10, false, 1}, /* connections bound it */
+    {4, 89, 36, false, 1},                       /* never nothing */
+};
+
+START_TEST(test_share)
+{
+    const share_case_t *c = &share_cases[_i];
+    fixture_t f;
+    fixture_init(&f);
+    f.pool.limits.fleet = c->fleet;
+    f.pool.limits.connections = c->connections;
+    f.instances[0].entry.slots = c->slots;
+    if (c->slow) {
+        make_slow(&f.instances[0]);
+    }
+    ck_assert_uint_eq(pool_share(&f.pool, &f.instances[0], T0), c->share);
+    pool_release(&f.pool);
+}
+END_TEST
+
+/* All daemons together keep to a cold upstream's bound in every second. */
+START_TEST(test_cold_rate)
+{
+    enum { FLEET = 8, COLD_PER_S = 12 };
+    static int64_t sent[FLEET * 200];
+    size_t count = 0;
+    for (int d = 0; d < FLEET; d++) {
+        fixture_t f;
+        fixture_init(&f);
+        f.pool.limits.fleet = FLEET;
+        f.pool.limits.cold_per_s = COLD_PER_S;
+        f.instances[0].cold_until_us = T0 + 5 * SECOND;
+        pool_pick_t pick = {.avoid = {&f.instances[1], &f.instances[2]},
+                            .avoid_count = 2};
+        for (int64_t at = T0; at < T0 + 5 * SECOND; at += 5 * MS) {
+            pick_result_t result;
+            if (pick_from(&f, &pick, at, &result) == 0) {
+                pool_note_sent(&f.pool, &f.instances[0], at);
+                sent[count++] = at;
+            }
+        }
+        pool_release(&f.pool);
+    }
+    for (size_t i = 0; i < count; i++) {
+        uint32_t within = 0;
+        for (size_t j = 0; j < count; j++) {
+            within += sent[j] >= sent[i] && sent[j] < sent[i] + SECOND ? 1 : 0;
+        }
+        /* The platform's tolerance: a half more, and five. */
+        ck_assert_uint_le(within, COLD_PER_S * 3 / 2 + 5);
+    }
+    ck_assert_uint_ge(count, 5 * COLD_PER_S / 2);
+}
+END_TEST
+
+typedef struct {
+    const char *name;
+    gather_t gather;
+    int64_t now_us;
+    gather_verdict_t verdict;
+} gather_case_t;
+
+static const gather_case_t gather_cases[] = {
+    {"all are in", {10, 10, 0, 0.89, T0}, T0 - 1, GATHER_ANSWER},
+    {"one may still come", {10, 9, 0, 0.89, T0}, T0 - 1, GATHER_WAIT},
+    {"at the goal with enough", {10, 9, 0, 0.89, T0}, T0, GATHER_ANSWER},
+    {"at the goal without", {10, 8, 0, 0.89, T0}, T0, GATHER_WAIT},
+    {"one has failed, the others are in",
+     {10, 9, 1, 0.89, T0},
+     T0 - 1,
+     GATHER_ANSWER},
+    {"too many have failed", {10, 5, 2, 0.89, T0}, T0 - 1, GATHER_HOPELESS},
+    {"the share is met exactly", {4, 3, 1, 0.75, T0}, T0 - 1, GATHER_ANSWER},
+    {"nothing is asked, and yet one part is",
+     {3, 0, 3, 0, T0},
+     T0,
+     GATHER_HOPELESS},
+};
+
+START_TEST(test_gather)
+{
+    const gather_case_t *c = &gather_cases[_i];
+    ck_assert_msg(gather_judge(&c->gather, c->now_us) == c->verdict, "%s",
+                  c->name);
+}
+END_TEST
+
+START_TEST(test_records)
+{
+    records_t records = {0};
+    uint8_t bytes[3 * RECORD_BYTES + 5];
+    memset(bytes, 1, sizeof(bytes));
+    bytes[0] = 9;
+    bytes[RECORD_BYTES] = 200; /* compared as bytes, not as signed numbers */
+    ck_assert(records_add(&records, bytes, sizeof(bytes)));
+    ck_assert(records_add(&records, bytes, RECORD_BYTES - 1));
+    ck_assert(records_add(&records, bytes, RECORD_BYTES));
+    ck_assert_uint_eq(records_top(&records, 10), 4 * RECORD_BYTES);
+    ck_assert_uint_eq(records_top(&records, 3), 3 * RECORD_BYTES);
+    const uint8_t *top = buffer_data(&records.bytes);
+    ck_assert_uint_eq(top[0], 200);
+    ck_assert_uint_eq(top[RECORD_BYTES], 9);
+    ck_assert_uint_eq(top[2 * RECORD_BYTES], 9); /* equal ones all count */
+    buffer_release(&records.bytes);
+}
+END_TEST
+
+START_TEST(test_hedge_delay)
+{
+    hedge_profile_t profile = {0};
+    ck_assert_int_eq(hedge_delay_us(&profile, 200 * MS), 50 * MS);
+    ck_assert_int_eq(hedge_expected_us(&profile, 200 * MS), 50 * MS);
+    for (int i = 0; i < 100; i++) {
+        hedge_profile_add(&profile, i < 93 ? 20 * MS : 250 * MS);
+    }
+    /* Later than most, and not as late as the few. */
+    ck_assert_int_ge(hedge_delay_us(&profile, 200 * MS), 20 * MS);
+    ck_assert_int_le(hedge_delay_us(&profile, 200 * MS), 25 * MS);
+    for (int i = 0; i < 100; i++) {
+        hedge_profile_add(&profile, 250 * MS);
+    }
+    /* Early enough for a second answer. */
+    ck_assert_int_eq(hedge_delay_us(&profile, 200 * MS), 100 * MS);
+    ck_assert_int_gt(hedge_straggler_us(30 * MS), 45 * MS);
+    ck_assert_int_lt(hedge_blind_us(80 * MS), 40 * MS);
+}
+END_TEST
+
+static int64_t
+rank_of(const void *item, int64_t now_us)
+{
+    return *(const int64_t *)item + now_us;
+}
+
+START_TEST(test_waiting)
+{
+    static int64_t items[] = {5, 3, 9, 3, 1};
+    waiting_t waiting = {0};
+    for (size_t i = 0; i < 5; i++) {
+        ck_assert(waiting_add(&waiting, &items[i]));
+    }
+    ck_assert_ptr_eq(waiting_take(&waiting, rank_of, 0), &items[4]);
+    ck_assert_ptr_eq(waiting_take(&waiting, rank_of, 0), &items[1]);
+    ck_assert(waiting_remove(&waiting, &items[2]));
+    ck_assert(!waiting_remove(&waiting, &items[2]));
+    ck_assert_ptr_eq(waiting_take(&waiting, rank_of, 0), &items[3]);
+    ck_assert_ptr_eq(waiting_take(&waiting, rank_of, 0), &items[0]);
+    ck_assert_ptr_null(waiting_take(&waiting, rank_of, 0));
+    waiting_release(&waiting);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("placement");
+    tcase_add_loop_test(tests, test_near, 0,
+                        sizeof(near_cases) / sizeof(near_cases[0]));
+    tcase_add_test(tests, test_results);
+    tcase_add_loop_test(tests, test_share, 0,
+                        sizeof(share_cases) / sizeof(share_cases[0]));
+    tcase_add_test(tests, test_cold_rate);
+    tcase_add_loop_test(tests, test_gather, 0,
+                        sizeof(gather_cases) / sizeof(gather_cases[0]));
+    tcase_add_test(tests, test_records);
+    tcase_add_test(tests, test_hedge_delay);
+    tcase_add_test(tests, test_waiting);
+    return suite_run("placement", tests);
+}
--- /dev/null
+++ b/t/t1011-overload.c
@@ -0,0 +1,245 @@
+/* Loads at which upstreams are short of room, replayed in virtual time. */
+#include "t/lib/suite.h"
+#include "t/lib/tier_world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum {
+    START_US = 1000000,
+    SECOND = 1000000,
+    GOAL_US = 150000,
+    PATIENCE_US = 800000,
+    SHARDS = 10,
+    DAEMONS = 8
+};
+
+typedef struct {
+    uint32_t asked;
+    uint32_t in_time; /* answered with success within the goal */
+    uint32_t late;
+    uint32_t refused; /* 503, at once or not */
+    uint32_t failed;
+    double worth; /* share of the parts squared, of those in time */
+    uint32_t arrivals;
+} tally_t;
+
+typedef struct {
+    const char *name;
+    uint32_t fleet;        /* daemons that each takes to share; 0: the truth */
+    uint32_t short_shards; /* shards with one upstream left of three */
+    tier_upstream_t odd;   /* how one upstream of each shard behaves */
+    uint32_t odd_shards;
+    uint32_t per_s;
+    int64_t work_us;
+} load_case_t;
+
+static char ids[SHARDS * 3][16];
+static char services[SHARDS][16];
+
+static void
+add_upstreams(tier_world_t *world, const load_case_t *c)
+{
+    static const char *const zones[] = {"a", "b", "c"};
+    for (uint32_t i = 0; i < SHARDS * 3; i++) {
+        uint32_t shard = i / 3;
+        tier_upstream_t up = {.slots = 4};
+        if (i % 3 > 0 && shard < c->short_shards) {
+            continue;
+        }
+        if (i % 3 == 0 && shard < c->odd_shards) {
+            up = c->odd;
+        }
+        snprintf(ids[i], sizeof(ids[i]), "i-%u", i);
+        snprintf(services[shard], sizeof(services[shard]), "s%u", shard);
+        up.id = ids[i];
+        up.service = services[shard];
+        up.zone = zones[i % 3];
+        up.queue = 24;
+        tier_world_upstream(world, &up);
+    }
+}
+
+static tally_t
+play(const load_case_t *c, uint64_t seed)
+{
+    enum { CALLS_MAX = 8000, LENGTH_S = 10 };
+    static tier_call_t *calls[CALLS_MAX];
+    static const char *const zones[] = {"a", "b", "c", "d"};
+    tier_settings_t settings = {
+        .daemons = DAEMONS,
+        .engine = {.retry_ratio = 0.2,
+                   .retry_slack = 56,
+                   .requests_max = 1500},
+        .seed = seed,
+    };
+    snprintf(settings.engine.zone, sizeof(settings.engine.zone), "%s",
+             zones[seed % 4]);
+    tier_world_t *world = tier_world_new(&settings);
+    tier_world_configure(world, tier_world_table(1, SHARDS, GOAL_US, 0.89));
+    add_upstreams(world, c);
+    for (uint32_t i = 0; i < DAEMONS && c->fleet > 0; i++) {
+        engine_set_fleet(tier_world_engine(world, i), c->fleet, START_US);
+    }
+    uint32_t count = 0;
+    double at_s = 0;
+    while (at_s < LENGTH_S && count < CALLS_MAX) {
+        at_s += 2 * tier_world_random(world) / c->per_s;
+        double work = 0.5 + tier_world_random(world);
+        calls[count++] = tier_world_call(
+            world, START_US + (int64_t)(at_s * SECOND),
+            (uint32_t)(tier_world_random(world) * DAEMONS), "/all/1",
+            (int64_t)((double)c->work_us * work), PATIENCE_US);
+    }
+    tier_world_run(world, START_US + (LENGTH_S + 2) * SECOND);
+    tally_t tally = {.asked = count};
+    for (uint32_t i = 0; i < count; i++) {
+        const tier_call_t *call = calls[i];
+        ck_assert_msg(call->done, "%s: a call without an answer", c->name);
+        bool in_time = call->done_us - call->at_us <= GOAL_US;
+        double share = 1 - call->missing / (double)SHARDS;
+        tally.in_time += call->status == 200 && in_time ? 1 : 0;
+        tally.late += call->status == 200 && !in_time ? 1 : 0;
+        tally.refused += call->status == 503 ? 1 : 0;
+        tally.failed += call->status > 503 || call->status == 502 ? 1 : 0;
+        tally.worth += call->status == 200 && in_time ? share * share : 0;
+        tally.arrivals += call->arrivals;
+    }
+    tally.worth /= count;
+    tier_world_free(world);
+    return tally;
+}
+
+static void
+show(const load_case_t *c, const tally_t *t)
+{
+    printf("%-58s asked %u in time %u late %u refused %u failed %u worth %.3f "
+           "sends %.2f\n",
+           c->name, t->asked, t->in_time, t->late, t->refused, t->failed,
+           t->worth, t->arrivals / (double)t->asked / SHARDS);
+}
+
+/*
+ * One shard is left with one upstream that is asked for nearly all, and more
+ * than, it can do. Where each daemon keeps as much work in its queue as if it
+ * were alone, answers come too late for everybody; where work waits here,
+ * whoever can be in time goes first and the others do without the part.
+ */
+START_TEST(test_one_upstream_left)
+{
+    static const load_case_t cases[] = {
+        {"one upstream left, asked for 85 %", 0, 1, {0}, 0, 170, 20000},
+        {"one upstream left, asked for 110 %", 0, 1, {0}, 0, 220, 20000},
+        {"one upstream left, asked for 150 %", 0, 1, {0}, 0, 300, 20000},
+    };
+    static const double worth_least[] = {0.95, 0.85, 0.80};
+    const load_case_t *c = &cases[_i];
+    tally_t shared = play(c, 3);
+    show(c, &shared);
+    ck_assert_msg(shared.worth >= worth_least[_i], "%s: %.3f", c->name,
+                  shared.worth);
+    load_case_t alone = *c;
+    alone.name = "  the same, each daemon as if it were alone";
+    alone.fleet = 1;
+    tally_t unshared = play(&alone, 3);
+    show(&alone, &unshared);
+    ck_assert_msg(shared.worth >= unshared.worth, "%s: %.3f, %.3f", c->name,
+                  shared.worth, unshared.worth);
+}
+END_TEST
+
+/* Two shards short of room: few may do without both parts. */
+START_TEST(test_two_shards_short)
+{
+    static const load_case_t c = {
+        "two shards short, asked for 110 %", 0, 2, {0}, 0, 220, 20000};
+    tally_t tally = play(&c, 5);
+    show(&c, &tally);
+    ck_assert_msg(tally.in_time + tally.late >= tally.asked * 85 / 100,
+                  "%u of %u", tally.in_time, tally.asked);
+    ck_assert_msg(tally.worth >= 0.80, "%.3f", tally.worth);
+}
+END_TEST
+
+/* One upstream of each shard is odd, and the others have room. */
+typedef struct {
+    load_case_t load;
+    double worth_least;
+    double sends_most; /* of each part; the budget allows 1.2 and slack */
+} odd_case_t;
+
+static const odd_case_t odd_cases[] = {
+    {{"pauses of 200 ms each 4.5 s",
+      0,
+      0,
+      {.slots = 4, .pause_every_us = 4500000, .pause_us = 200000},
+      SHARDS,
+      150,
+      20000},
+     0.97,
+     1.25},
+    {{"one upstream of each shard ten times slower",
+      0,
+      0,
+      {.slots = 4, .speed = 10},
+      SHARDS,
+      150,
+      20000},
+     0.95,
+     1.25},
+    {{"one upstream of each shard silent for three seconds",
+      0,
+      0,
+      {.slots = 4,
+       .silent = true,
+       .since_us = START_US + 3 * SECOND,
+       .until_us = START_US + 6 * SECOND},
+      SHARDS,
+      150,
+      20000},
+     0.95,
+     1.25},
+    {{"one upstream of each shard refuses half",
+      0,
+      0,
+      {.slots = 4, .refuse_share = 0.5},
+      SHARDS,
+      150,
+      20000},
+     0.95,
+     1.25},
+    {{"one upstream of each shard loses a tenth of its answers",
+      0,
+      0,
+      {.slots = 4, .lose_share = 0.1},
+      SHARDS,
+      150,
+      20000},
+     0.95,
+     1.25},
+};
+
+START_TEST(test_odd_upstreams)
+{
+    const odd_case_t *c = &odd_cases[_i];
+    tally_t tally = play(&c->load, 11);
+    show(&c->load, &tally);
+    ck_assert_msg(tally.worth >= c->worth_least, "%s: %.3f", c->load.name,
+                  tally.worth);
+    ck_assert_msg(tally.arrivals <= c->sends_most * tally.asked * SHARDS,
+                  "%s: %u sends of %u", c->load.name, tally.arrivals,
+                  tally.asked * SHARDS);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("overload");
+    tcase_set_timeout(tests, 120);
+    tcase_add_loop_test(tests, test_one_upstream_left, 0, 3);
+    tcase_add_test(tests, test_two_shards_short);
+    tcase_add_loop_test(tests, test_odd_upstreams, 0,
+                        sizeof(odd_cases) / sizeof(odd_cases[0]));
+    return suite_run("overload", tests);
+}
--- /dev/null
+++ b/t/t1012-node.c
@@ -0,0 +1,612 @@
+/* A daemon on loopback sockets, against stand-ins of store and upstreams. */
+#include "daemon/clock.h"
+#include "http/conn.h"
+#include "t/lib/suite.h"
+#include "t/lib/tier_store.h"
+#include "t/lib/tier_upstream.h"
+#include "tier/node.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum { UPSTREAMS = 3, REPLY_SIZE = 16384, PATIENCE_MS = 600 };
+
+#define SIGNED "X-Yuccarun-Answer-Stamp: sig\r\nX-Yuccarun-Request-Id: %I\r\n"
+#define GOOD                                                                  \
+    "HTTP/1.1 200 OK\r\n" SIGNED "X-Kept: yes\r\nContent-Length: 16\r\n\r\n"  \
+    "0123456789abcdef"
+
+typedef struct {
+    struct ev_loop *loop;
+    tier_store_t *store;
+    tier_upstream_server_t *upstreams[UPSTREAMS];
+    node_t *node;
+    boot_t boot;
+} fixture_t;
+
+/* What one connection of a caller got. */
+typedef struct {
+    conn_t conn;
+    char text[REPLY_SIZE];
+    size_t size;
+    bool ended;
+} caller_t;
+
+/* A port that is free now. */
+static struct sockaddr_in
+free_address(void)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t size = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, size), 0);
+    ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &size), 0);
+    close(fd);
+    return address;
+}
+
+static void
+stop(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)timer;
+    (void)events;
+    ev_break(loop, EVBREAK_ONE);
+}
+
+static void
+run_ms(fixture_t *f, int64_t ms)
+{
+    ev_timer timer;
+    ev_timer_init(&timer, stop, (double)ms / 1000, 0);
+    ev_now_update(f->loop);
+    ev_timer_start(f->loop, &timer);
+    ev_run(f->loop, 0);
+    ev_timer_stop(f->loop, &timer);
+}
+
+static void
+list_upstream(fixture_t *f, int number, const struct sockaddr_in *address,
+              const char *service, const char *state)
+{
+    char key[64];
+    char text[256];
+    snprintf(key, sizeof(key), "servers/i-%d", number);
+    snprintf(text, sizeof(text),
+             "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"a\","
+             "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
+             "\"cold_left_ms\":0,\"seq\":1}",
+             service, ntohs(address->sin_port), state);
+    tier_store_put(f->store, key, text);
+}
+
+static void
+put_config(fixture_t *f, int version)
+{
+    char text[1024];
+    snprintf(
+        text, sizeof(text),
+        "{\"version\":%d,\"routes\":["
+        "{\"name\":\"one\",\"host\":\"h\",\"prefix\":\"/one/\",\"type\":"
+        "\"idempotent\",\"timeout_ms\":2000,\"goal_ms\":300,\"service\":"
+        "\"s0\","
+        "\"attempts\":2},"
+        "{\"name\":\"once\",\"host\":\"h\",\"prefix\":\"/once/\",\"type\":"
+        "\"non_idempotent\",\"timeout_ms\":2000,\"goal_ms\":300,"
+        "\"service\":\"s0\",\"attempts\":2},"
+        "{\"name\":\"all\",\"host\":\"h\",\"prefix\":\"/all/\",\"type\":"
+        "\"idempotent\",\"timeout_ms\":2000,\"goal_ms\":300,\"gather\":"
+        "[\"s0\",\"s1\",\"s2\"],\"attempts\":2,\"top_k\":2,"
+        "\"min_version\":0.6}],\"services\":[],"
+        "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1000,"
+        "\"header_timeout_ms\":400,\"idle_timeout_ms\":700}}",
+        version);
+    tier_store_put(f->store, "op/config", text);
+}
+
+/* One upstream at each of the services s0, s1, s2. */
+static void
+fixture_init(fixture_t *f)
+{
+    static const char *const services[] = {"s0", "s1", "s2"};
+    static const tier_script_t good = {.bytes = GOOD};
+    char why[128];
+    *f = (fixture_t){.loop = ev_loop_new(EVBACKEND_EPOLL)};
+    f->boot = (boot_t){
+        .daemon = "front-a-1",
+        .zone = "a",
+        .callers = free_address(),
+        .readiness = free_address(),
+        .directory = free_address(),
+        .store = free_address(),
+        .has_callers = true,
+        .has_readiness = true,
+        .has_directory = true,
+        .has_store = true,
+        .callers_text = "127.0.0.1:1",
+        .grace_us = 2500000,
+        .directory_ttl_us = 5000000,
+        .min_lease_us = 100000,
+        .retry_ratio = 0.2,
+        .retry_slack = 50,
+    };
+    f->store = tier_store_new(f->loop, &f->boot.store);
+    for (int i = 0; i < UPSTREAMS; i++) {
+        struct sockaddr_in address = free_address();
+        f->upstreams[i] = tier_upstream_new(f->loop, &address, &good);
+        list_upstream(f, i, &address, services[i], "ready");
+    }
+    put_config(f, 1);
+    f->node = node_start(f->loop, &f->boot, why, sizeof(why));
+    ck_assert_msg(f->node != NULL, "%s", why);
+    run_ms(f, 200);
+}
+
+static void
+fixture_release(fixture_t *f)
+{
+    node_free(f->node);
+    for (int i = 0; i < UPSTREAMS; i++) {
+        tier_upstream_free(f->upstreams[i]);
+    }
+    tier_store_free(f->store);
+    ev_loop_destroy(f->loop);
+}
+
+static void
+caller_data(conn_t *conn, const char *bytes, size_t size)
+{
+    caller_t *caller = conn->owner;
+    if (caller->size + size < sizeof(caller->text)) {
+        memcpy(caller->text + caller->size, bytes, size);
+        caller->size += size;
+        caller->text[caller->size] = '\0';
+    }
+}
+
+static void
+caller_ended(conn_t *conn, bool clean)
+{
+    caller_t *caller = conn->owner;
+    (void)clean;
+    caller->ended = true;
+    conn_close(conn);
+}
+
+static const conn_ops_t caller_ops = {
+    .data = caller_data,
+    .ended = caller_ended,
+};
+
+static void
+caller_open(fixture_t *f, caller_t *caller, const struct sockaddr_in *address)
+{
+    memset(caller, 0, sizeof(*caller));
+    ck_assert(conn_open(&caller->conn, f->loop, address, &caller_ops, caller));
+}
+
+static void
+caller_send(caller_t *caller, const char *text)
+{
+    ck_assert(conn_write(&caller->conn, text, strlen(text)));
+}
+
+/* Send it and wait for as many answers, or the time to pass. */
+static void
+exchange(fixture_t *f, caller_t *caller, const struct sockaddr_in *address,
+         const char *text, int64_t ms)
+{
+    caller_open(f, caller, address);
+    caller_send(caller, text);
+    int64_t until_us = clock_now_us() + ms * 1000;
+    while (!caller->ended && clock_now_us() < until_us &&
+           strstr(caller->text, "\r\n\r\n") == NULL) {
+        run_ms(f, 10);
+    }
+    run_ms(f, 10);
+}
+
+#define REQUEST(path, id)                                                     \
+    "GET " path " HTTP/1.1\r\nHost: h\r\nX-Yuccarun-Request-Id: " id          \
+    "\r\nX-Yuccarun-Deadline-Ms: 600\r\nX-More: kept\r\n\r\n"
+
+/* What the caller gets for what the upstream of s0 does. */
+typedef struct {
+    const char *name;
+    const char *path;
+    tier_script_t script;
+    uint32_t status;
+    uint32_t requests_most; /* at the upstream */
+} answer_case_t;
+
+static const answer_case_t answer_cases[] = {
+    {"good", "/one/", {.bytes = GOOD}, 200, 1},
+    {"good, once", "/once/", {.bytes = GOOD}, 200, 1},
+    {"in chunks",
+     "/one/",
+     {.bytes = "HTTP/1.1 200 OK\r\n" SIGNED
+               "Transfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n"
+               "0\r\n\r\n"},
+     200,
+     1},
+    {"no length, a clean end",
+     "/one/",
+     {.bytes = "HTTP/1.1 200 OK\r\n" SIGNED "\r\n0123456789abcdef",
+      .end = SCRIPT_CLOSE},
+     200,
+     1},
+    {"no length, a reset",
+     "/once/",
+     {.bytes = "HTTP/1.1 200 OK\r\n" SIGNED "\r\n01234", .end = SCRIPT_RESET},
+     502,
+     1},
+    {"cut short",
+     "/once/",
+     {.bytes = "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 16\r\n\r\n0123",
+      .end = SCRIPT_CLOSE},
+     502,
+     1},
+    {"nothing, closed", "/once/", {.end = SCRIPT_CLOSE}, 502, 1},
+    {"nothing, closed, may be repeated",
+     "/one/",
+     {.end = SCRIPT_CLOSE},
+     502,
+     2},
+    {"nothing at all", "/once/", {0}, 504, 1},
+    {"not HTTP", "/once/", {.bytes = "hello\r\n\r\n"}, 502, 1},
+    {"unsigned",
+     "/once/",
+     {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"},
+     502,
+     1},
+    {"encoded",
+     "/once/",
+     {.bytes = "HTTP/1.1 200 OK\r\n" SIGNED
+               "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nab"},
+     502,
+     1},
+    {"the answer to another request, then this one's",
+     "/once/",
+     {.bytes =
+          "HTTP/1.1 200 OK\r\nX-Yuccarun-Answer-Stamp: s\r\n"
+          "X-Yuccarun-Request-Id: other\r\nContent-Length: 2\r\n\r\nno" GOOD},
+     200,
+     1},
+    {"the answer to another request only",
+     "/once/",
+     {.bytes = "HTTP/1.1 200 OK\r\nX-Yuccarun-Answer-Stamp: s\r\n"
+               "X-Yuccarun-Request-Id: other\r\nContent-Length: 2\r\n\r\nno"},
+     504,
+     1},
+    {"an interim response first",
+     "/once/",
+     {.bytes = "HTTP/1.1 102 Processing\r\n\r\n" GOOD},
+     200,
+     1},
+    {"bytes after it", "/once/", {.bytes = GOOD "more"}, 200, 1},
+    {"its own failure",
+     "/once/",
+     {.bytes = "HTTP/1.1 500 Oops\r\n" SIGNED "Content-Length: 1\r\n\r\nx"},
+     500,
+     1},
+    {"its own refusal of the request",
+     "/once/",
+     {.bytes = "HTTP/1.1 409 Conflict\r\n" SIGNED "Content-Length: 0\r\n\r\n"},
+     409,
+     1},
+    {"refuses, and there is no other",
+     "/once/",
+     {.bytes = "HTTP/1.1 503 Full\r\nX-Yuccarun-Not-Run: 1\r\n"
+               "Content-Length: 0\r\n\r\n"},
+     503,
+     6},
+    {"another has the address",
+     "/once/",
+     {.bytes = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"},
+     503,
+     1},
+};
+
+static uint32_t
+status_of(const caller_t *caller)
+{
+    return caller->size > 12 ? (uint32_t)strtoul(caller->text + 9, NULL, 10)
+                             : 0;
+}
+
+START_TEST(test_answer)
+{
+    const answer_case_t *c = &answer_cases[_i];
+    fixture_t f;
+    caller_t caller;
+    char request[256];
+    fixture_init(&f);
+    tier_upstream_set(f.upstreams[0], &c->script);
+    snprintf(request, sizeof(request),
+             "GET %sx?y HTTP/1.1\r\nHost: h\r\nX-Yuccarun-Request-Id: r-1\r\n"
+             "X-Yuccarun-Deadline-Ms: %d\r\nX-More: kept\r\n\r\n",
+             c->path, PATIENCE_MS);
+    exchange(&f, &caller, &f.boot.callers, request, PATIENCE_MS + 200);
+    ck_assert_msg(status_of(&caller) == c->status, "%s: %s", c->name,
+                  caller.text);
+    uint32_t requests = tier_upstream_requests(f.upstreams[0]);
+    ck_assert_msg(requests >= 1 && requests <= c->requests_most, "%s: %u",
+                  c->name, requests);
+    const char *seen = tier_upstream_last(f.upstreams[0]);
+    ck_assert_ptr_nonnull(strstr(seen, "x?y HTTP/1.1\r\n"));
+    ck_assert_ptr_nonnull(strstr(seen, "X-More: kept\r\n"));
+    ck_assert_ptr_nonnull(strstr(seen, "X-Yuccarun-Request-Id: r-1\r\n"));
+    ck_assert_ptr_nonnull(strstr(seen, "X-Yuccarun-Expect-Instance: i-0\r\n"));
+    bool relayed = c->status != 502 && c->status != 503 && c->status != 504;
+    ck_assert_msg((strstr(caller.text, "Answer-Stamp: sig") != NULL) ==
+                      relayed,
+                  "%s: %s", c->name, caller.text);
+    ck_assert_msg((strstr(caller.text, "Retry-After:") != NULL) ==
+                      (c->status == 503),
+                  "%s: %s", c->name, caller.text);
+    ck_assert_msg(c->status != 200 ||
+                      strstr(caller.text, "\r\n\r\n0123456789abcdef") != NULL,
+                  "%s: %s", c->name, caller.text);
+    conn_close(&caller.conn);
+    fixture_release(&f);
+}
+END_TEST
+
+/* What callers send that is no good request. */
+typedef struct {
+    const char *name;
+    const char *bytes;
+    uint32_t status; /* 0: none, the connection ends or stays */
+} bad_case_t;
+
+static const bad_case_t bad_cases[] = {
+    {"not HTTP", "hello\r\n\r\n", 400},
+    {"no id", "GET /one/ HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+    {"no host", "GET /one/ HTTP/1.1\r\nX-Yuccarun-Request-Id: a\r\n\r\n", 400},
+    {"two hosts",
+     "GET /one/ HTTP/1.1\r\nHost: h\r\nHost: g\r\n"
+     "X-Yuccarun-Request-Id: a\r\n\r\n",
+     400},
+    {"length and chunks",
+     "POST /one/ HTTP/1.1\r\nHost: h\r\nX-Yuccarun-Request-Id: a\r\n"
+     "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     400},
+    {"no route", REQUEST("/none/", "a"), 404},
+    {"a body too long",
+     "POST /one/ HTTP/1.1\r\nHost: h\r\nX-Yuccarun-Request-Id: a\r\n"
+     "Content-Length: 1001\r\n\r\n",
+     413},
+    {"half a request, and no more", "GET /one/ HTTP/1.1\r\nHos", 408},
+};
+
+START_TEST(test_bad_request)
+{
+    const bad_case_t *c = &bad_cases[_i];
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    exchange(&f, &caller, &f.boot.callers, c->bytes, 1500);
+    ck_assert_msg(status_of(&caller) == c->status, "%s: %s", c->name,
+                  caller.text);
+    ck_assert_uint_eq(tier_upstream_requests(f.upstreams[0]), 0);
+    conn_close(&caller.conn);
+    fixture_release(&f);
+}
+END_TEST
+
+/* Parts are merged by their records, and name their signatures. */
+START_TEST(test_merged)
+{
+    static const char *const records[] = {
+        "aaaaaaaaaaaaaaaa", "cccccccccccccccc", "bbbbbbbbbbbbbbbb"};
+    static char bytes[UPSTREAMS][512];
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    for (int i = 0; i < UPSTREAMS; i++) {
+        snprintf(bytes[i], sizeof(bytes[i]),
+                 "HTTP/1.1 200 OK\r\nX-Yuccarun-Answer-Stamp: sig%d\r\n"
+                 "X-Yuccarun-Request-Id: %%I\r\nContent-Length: 18\r\n\r\n"
+                 "%sxx",
+                 i, records[i]);
+        tier_upstream_set(f.upstreams[i], &(tier_script_t){.bytes = bytes[i]});
+    }
+    exchange(&f, &caller, &f.boot.callers, REQUEST("/all/", "r-1"), 900);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    ck_assert_ptr_nonnull(
+        strstr(caller.text, "X-Yuccarun-Missing-Parts: 0\r\n"));
+    for (int i = 0; i < UPSTREAMS; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "sig%d", i);
+        ck_assert_ptr_nonnull(strstr(caller.text, name));
+    }
+    ck_assert_ptr_nonnull(
+        strstr(caller.text, "\r\n\r\nccccccccccccccccbbbbbbbbbbbbbbbb"));
+    conn_close(&caller.conn);
+    /* With one silent the rest is answered by the goal. */
+    tier_upstream_set(f.upstreams[1], &(tier_script_t){0});
+    int64_t begun_us = clock_now_us();
+    exchange(&f, &caller, &f.boot.callers, REQUEST("/all/", "r-2"), 900);
+    ck_assert_int_lt(clock_now_us() - begun_us, 400000);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    ck_assert_ptr_nonnull(
+        strstr(caller.text, "X-Yuccarun-Missing-Parts: 1\r\n"));
+    ck_assert_ptr_null(strstr(caller.text, "sig1"));
+    conn_close(&caller.conn);
+    fixture_release(&f);
+}
+END_TEST
+
+/* Requests sent ahead are answered in their order. */
+START_TEST(test_sent_ahead)
+{
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    caller_open(&f, &caller, &f.boot.callers);
+    caller_send(&caller, REQUEST("/one/", "r-1") REQUEST("/none/", "r-2")
+                             REQUEST("/one/", "r-3"));
+    run_ms(&f, 200);
+    const char *first = strstr(caller.text, "Request-Id: r-1");
+    const char *second = strstr(caller.text, "HTTP/1.1 404");
+    const char *third = strstr(caller.text, "Request-Id: r-3");
+    ck_assert(first != NULL && second != NULL && third != NULL);
+    ck_assert(first < second && second < third);
+    ck_assert_uint_eq(tier_upstream_requests(f.upstreams[0]), 2);
+    conn_close(&caller.conn);
+    fixture_release(&f);
+}
+END_TEST
+
+/* A caller that goes away stops the work for it. */
+START_TEST(test_left)
+{
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    tier_upstream_set(f.upstreams[0],
+                      &(tier_script_t){.bytes = GOOD, .delay_us = 400000});
+    caller_open(&f, &caller, &f.boot.callers);
+    caller_send(&caller,
+                _i == 0 ? REQUEST("/one/", "r-1") : REQUEST("/once/", "r-1"));
+    run_ms(&f, 100);
+    ck_assert_uint_eq(tier_upstream_requests(f.upstreams[0]), 1);
+    conn_close(&caller.conn);
+    run_ms(&f, 100);
+    ck_assert_uint_eq(tier_upstream_left(f.upstreams[0]), 1);
+    fixture_release(&f);
+}
+END_TEST
+
+/* Bytes that come late on an idle connection are nobody's answer. */
+START_TEST(test_late_extra_answer)
+{
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    tier_upstream_set(f.upstreams[0],
+                      &(tier_script_t){.bytes = GOOD,
+                                       .later =
+                                           "HTTP/1.1 200 OK\r\n"
+                                           "X-Yuccarun-Answer-Stamp: s\r\n"
+                                           "X-Yuccarun-Request-Id: %I\r\n"
+                                           "Content-Length: 5\r\n\r\nextra"});
+    for (int i = 0; i < 5; i++) {
+        char request[256];
+        snprintf(request, sizeof(request),
+                 "GET /one/ HTTP/1.1\r\nHost: h\r\n"
+                 "X-Yuccarun-Request-Id: r-%d\r\n\r\n",
+                 i);
+        exchange(&f, &caller, &f.boot.callers, request, 500);
+        ck_assert_uint_eq(status_of(&caller), 200);
+        ck_assert_ptr_null(strstr(caller.text, "extra"));
+        conn_close(&caller.conn);
+        run_ms(&f, i * 8); /* the extra answer comes at another moment */
+    }
+    fixture_release(&f);
+}
+END_TEST
+
+/* Readiness and directory, while the store is there and while it is not. */
+START_TEST(test_readiness_and_directory)
+{
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    exchange(&f, &caller, &f.boot.readiness,
+             "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n", 500);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    conn_close(&caller.conn);
+    tier_store_set_mode(f.store,
+                        _i == 0 ? TIER_STORE_BUSY : TIER_STORE_SILENT);
+    run_ms(&f, 2500);
+    exchange(&f, &caller, &f.boot.directory,
+             "GET /-/resolve?name=h&region=r&zone=a HTTP/1.1\r\nHost: h\r\n"
+             "\r\n",
+             500);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    ck_assert_ptr_nonnull(strstr(caller.text, "{\"addrs\":[\"127.0.0.1:1\"]"));
+    conn_close(&caller.conn);
+    exchange(&f, &caller, &f.boot.callers, REQUEST("/one/", "r-1"), 900);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    conn_close(&caller.conn);
+    /* A change made meanwhile is known soon after the return. */
+    put_config(&f, 2);
+    tier_store_set_mode(f.store, TIER_STORE_GOOD);
+    tier_store_remove(f.store, "servers/i-0");
+    run_ms(&f, 2000);
+    ck_assert_ptr_nonnull(
+        tier_store_get(f.store, "yuccarun/members/front-a-1"));
+    fixture_release(&f);
+}
+END_TEST
+
+/* History that the store forgot is made up for by reading all again. */
+START_TEST(test_forgotten_history)
+{
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    tier_store_set_mode(f.store, TIER_STORE_FORGETFUL);
+    tier_store_remove(f.store, "servers/i-0");
+    run_ms(&f, 1800);
+    exchange(&f, &caller, &f.boot.callers, REQUEST("/one/", "r-1"), 900);
+    ck_assert_uint_eq(status_of(&caller), 503);
+    ck_assert_uint_eq(tier_upstream_requests(f.upstreams[0]), 0);
+    conn_close(&caller.conn);
+    fixture_release(&f);
+}
+END_TEST
+
+/* An orderly end: what runs is answered, and the record is taken back. */
+START_TEST(test_leave)
+{
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    tier_upstream_set(f.upstreams[0],
+                      &(tier_script_t){.bytes = GOOD, .delay_us = 300000});
+    caller_open(&f, &caller, &f.boot.callers);
+    caller_send(&caller, REQUEST("/one/", "r-1"));
+    run_ms(&f, 100);
+    ck_assert_ptr_nonnull(
+        tier_store_get(f.store, "yuccarun/members/front-a-1"));
+    node_leave(f.node);
+    caller_t probe;
+    exchange(&f, &probe, &f.boot.readiness,
+             "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n", 500);
+    ck_assert_uint_eq(status_of(&probe), 503);
+    conn_close(&probe.conn);
+    run_ms(&f, 400);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    ck_assert_ptr_nonnull(strstr(caller.text, "Connection: close\r\n"));
+    ck_assert(caller.ended);
+    ck_assert_ptr_null(tier_store_get(f.store, "yuccarun/members/front-a-1"));
+    fixture_release(&f);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("node");
+    tcase_set_timeout(tests, 60);
+    tcase_add_loop_test(tests, test_answer, 0,
+                        sizeof(answer_cases) / sizeof(answer_cases[0]));
+    tcase_add_loop_test(tests, test_bad_request, 0,
+                        sizeof(bad_cases) / sizeof(bad_cases[0]));
+    tcase_add_test(tests, test_merged);
+    tcase_add_test(tests, test_sent_ahead);
+    tcase_add_loop_test(tests, test_left, 0, 2);
+    tcase_add_test(tests, test_late_extra_answer);
+    tcase_add_loop_test(tests, test_readiness_and_directory, 0, 2);
+    tcase_add_test(tests, test_forgotten_history);
+    tcase_add_test(tests, test_leave);
+    return suite_run("node", tests);
+}
