--- a/tier/engine.c
+++ b/tier/engine.c
@@ -323,9 +323,10 @@
         sends += request->legs[i].sends;
     }
     event_log(EVENT_REQUEST_ANSWERED,
-              "id=%s route=%s v=%llu %s status=%u reason=%s ms=%.1f goal_ms="
+              "id=%s target=%.48s route=%s v=%llu %s status=%u reason=%s "
+              "ms=%.1f goal_ms="
               "%.0f parts=%u/%u sends=%u hedges=%u repeats=%u waits=%u ran=%d",
-              request->id, request->route->name,
+              request->id, request->call.target, request->route->name,
               (unsigned long long)request->table->version, event, status,
               reason, (double)(now_us - request->begun_us) / 1000,
               (double)request->route->goal_us / 1000, done, request->leg_count,
