tier: under overload serve what came last, and let a query spare its slowest shard

Change: among work that can still be in time what came last goes first; of a query's waiting legs, those it can spare in the longest queues go last; how long work waits is learned from the pace at which it goes.

--- a/t/t1004-placement.c
+++ b/t/t1004-placement.c
@@ -342,7 +342,7 @@
     static int64_t items[] = {5, 3, 9, 3, 1};
     waiting_t waiting = {0};
     for (size_t i = 0; i < 5; i++) {
-        ck_assert(waiting_add(&waiting, &items[i]));
+        ck_assert(waiting_add(&waiting, &items[i], T0));
     }
     ck_assert_ptr_eq(waiting_take(&waiting, rank_of, 0), &items[4]);
     ck_assert_ptr_eq(waiting_take(&waiting, rank_of, 0), &items[1]);
--- a/tier/engine_leg.c
+++ b/tier/engine_leg.c
@@ -6,6 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Above every time in microseconds that a rank holds. */
+#define RANK_TIME_MAX ((int64_t)1 << 52)
+
 enum {
     /* How long an answer that is not needed may still come, so that its
        connection is kept: longer than a pause of an upstream, and less than
@@ -20,6 +23,8 @@
     /* How soon a repeat that the budget or the upstreams do not allow yet is
        tried again. */
     REPEAT_AGAIN_US = 20000,
+    /* Of a typical answer's time, what is allowed for one. */
+    TIME_PERCENT = 150,
     MISSES_MAX = 6, /* upstreams that could not be reached, for one shard */
     /* Room kept for the upstream's answer to reach the caller. */
     HANDOVER_US = 3000
@@ -51,6 +56,16 @@
                gather_least(&request->gather);
 }
 
+/* Time to allow for one send, so that most are done in it. */
+static int64_t
+leg_time_us(const leg_t *leg)
+{
+    const request_t *request = leg->request;
+    return hedge_expected_us(&request->memory->profile,
+                             request->route->goal_us) *
+           TIME_PERCENT / 100;
+}
+
 static pool_pick_t
 leg_pick(const leg_t *leg)
 {
@@ -76,10 +91,10 @@
 leg_is_possible(const leg_t *leg, int64_t by_us, int64_t now_us)
 {
     pool_pick_t pick = leg_pick(leg);
-    uint32_t capacity = pool_capacity(leg->pool, &pick, now_us);
-    int64_t rounds = capacity > 0 ? leg->pool->waiting.count / capacity : 0;
-    return capacity > 0 &&
-           now_us + (rounds + 1) * pick.view.expected_us <= by_us;
+    return pool_capacity(leg->pool, &pick, now_us) > 0 &&
+           now_us + waiting_estimate_us(&leg->pool->waiting, now_us) +
+                   leg_time_us(leg) <=
+               by_us;
 }
 
 static void
@@ -254,7 +269,8 @@
             }
             continue; /* it is among those tried now */
         }
-        if (result == PICK_FULL && waiting_add(&leg->pool->waiting, leg)) {
+        if (result == PICK_FULL &&
+            waiting_add(&leg->pool->waiting, leg, now_us)) {
             leg->state = LEG_WAITING;
             leg->request->waits += leg->waited ? 0 : 1;
             leg->waited = true;
@@ -560,23 +576,50 @@
     pool_serve(pool, now_us);
 }
 
+/*
+ * Whether the answer can do without this leg while it waits: of a query's
+ * legs that wait, as many as it can spare, those with most work before them.
+ */
+static bool
+leg_is_spare(const leg_t *leg)
+{
+    const request_t *request = leg->request;
+    if (request->route->kind != ROUTE_SHARDS) {
+        return false;
+    }
+    const gather_t *gather = &request->gather;
+    uint32_t left = gather->shards - gather->failed;
+    uint32_t least = gather_least(gather);
+    uint32_t longer = 0;
+    for (uint32_t i = 0; i < request->leg_count; i++) {
+        const leg_t *other = &request->legs[i];
+        if (other->state == LEG_WAITING &&
+            (other->pool->waiting.count > leg->pool->waiting.count ||
+             (other->pool->waiting.count == leg->pool->waiting.count &&
+              other < leg))) {
+            longer++;
+        }
+    }
+    return least + longer < left;
+}
+
 /*
  * Which of the work that waits goes first: what can still be in time, of that
- * the more urgent class, of that what a whole answer hangs on, and then what
- * has least time left.
+ * the more urgent class, of that what the answer cannot do without, and then
+ * what came last. When there is more than can be done, serving what came first
+ * makes everybody just late; docs/ROUNDS.md has trials of other orders.
  */
 static int64_t
 leg_rank(const void *item, int64_t now_us)
 {
     const leg_t *leg = item;
     const request_t *request = leg->request;
-    int64_t expected_us =
-        hedge_expected_us(&request->memory->profile, request->route->goal_us);
-    bool late = now_us + expected_us > request->goal_us;
+    bool late = now_us + leg_time_us(leg) > request->goal_us;
     uint32_t priority =
         request->route->priority < 255 ? request->route->priority : 255;
     return (int64_t)late << 62 | (int64_t)priority << 54 |
-           (int64_t)!leg_is_needed(leg) << 53 | request->goal_us;
+           (int64_t)leg_is_spare(leg) << 53 |
+           (RANK_TIME_MAX - request->goal_us);
 }
 
 void
@@ -590,6 +633,7 @@
         if (leg->state == LEG_WAITING) {
             return; /* no room, for the others neither */
         }
+        waiting_went(&pool->waiting, now_us);
         if (leg->state == LEG_FAILED) {
             request_progress(leg->request, now_us);
         }
--- a/tier/waiting.c
+++ b/tier/waiting.c
@@ -3,8 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+    INTERVAL_PARTS = 8 /* weight of the newest interval: one of so many */
+};
+
 bool
-waiting_add(waiting_t *waiting, void *item)
+waiting_add(waiting_t *waiting, void *item, int64_t now_us)
 {
     if (waiting->count == waiting->capacity) {
         uint32_t capacity = waiting->capacity == 0 ? 8 : waiting->capacity * 2;
@@ -16,10 +20,35 @@
         waiting->items = grown;
         waiting->capacity = capacity;
     }
+    if (waiting->count == 0) {
+        waiting->moved_us = now_us;
+    }
     waiting->items[waiting->count++] = item;
     return true;
 }
 
+void
+waiting_went(waiting_t *waiting, int64_t now_us)
+{
+    int64_t interval_us = now_us - waiting->moved_us;
+    waiting->moved_us = now_us;
+    waiting->interval_us +=
+        (interval_us - waiting->interval_us) / INTERVAL_PARTS;
+}
+
+int64_t
+waiting_estimate_us(const waiting_t *waiting, int64_t now_us)
+{
+    if (waiting->count == 0) {
+        return 0;
+    }
+    int64_t interval_us = now_us - waiting->moved_us;
+    if (interval_us < waiting->interval_us) {
+        interval_us = waiting->interval_us;
+    }
+    return interval_us * waiting->count;
+}
+
 static void
 waiting_cut(waiting_t *waiting, uint32_t place)
 {
--- a/tier/waiting.h
+++ b/tier/waiting.h
@@ -7,7 +7,7 @@
  * needed. The judge is a function of the item and the time; the least value
  * goes first, and what came first among equals.
  *
- *     waiting_add(&waiting, item);
+ *     waiting_add(&waiting, item, now_us);
  *     void *item = waiting_take(&waiting, rank, now_us);
  */
 #ifndef TIER_WAITING_H
@@ -23,10 +23,18 @@
     void **items; /* in the order they came */
     uint32_t count;
     uint32_t capacity;
+    int64_t moved_us;    /* last time one went, or the first came */
+    int64_t interval_us; /* moving mean between two that went; 0: unknown */
 } waiting_t;
 
 /* False: no memory. */
-bool waiting_add(waiting_t *waiting, void *item);
+bool waiting_add(waiting_t *waiting, void *item, int64_t now_us);
+
+/* One that was taken has gone; the pace is learned from that. */
+void waiting_went(waiting_t *waiting, int64_t now_us);
+
+/* How long one that came now would wait, behind all the others. */
+int64_t waiting_estimate_us(const waiting_t *waiting, int64_t now_us);
 
 /* The first by rank, taken out; NULL: empty. */
 void *waiting_take(waiting_t *waiting, waiting_rank_fn rank, int64_t now_us);
