tier: keep a copy of the registry in the store, refuse requests that crash upstreams

A request that crashes what runs it was sent to every upstream again and again. Change: the first daemon by name writes a copy of the registry, which does not lapse; what a daemon that starts finds only there is believed for two seconds. A request whose every send ended with its upstream's connection is told to the other daemons and refused from the second time on. Changes of members come in batches. Latency histograms by route on the metrics address.

--- a/Makefile
+++ b/Makefile
@@ -45,10 +45,11 @@
 TIER_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(filter-out tier/yuccarun-tier.c, \
 	$(sort $(wildcard $(addsuffix /*.c,$(TIER_DIRS))))))
 # What it needs of the library: few, so that the program stays small.
-TIER_CORE_OBJ := $(patsubst %.c,$(B)/%.o,core/budget.c core/latency.c \
+TIER_CORE_OBJ := $(patsubst %.c,$(B)/%.o,core/budget.c core/hist.c \
+	core/latency.c core/quarantine.c \
 	core/strmap.c core/text.c \
 	net/buffer.c edge/event.c edge/line_sink.c daemon/clock.c)
-TIER_LIBS = -lev -lhttp_parser -largtable2 -llog4c -ljansson -lm -pthread
+TIER_LIBS = -lev -lhttp_parser -lxxhash -largtable2 -llog4c -ljansson -lm -pthread
 DAEMON_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard daemon/*.c)))
 # What the daemon is made of, less its main, for tests that run it in-process.
 DAEMON_LIB_OBJ := $(filter-out $(B)/daemon/yuccarund.o,$(DAEMON_OBJ))
--- a/edge/event.h
+++ b/edge/event.h
@@ -51,6 +51,7 @@
     X(TOPOLOGY, 312, "topology_changed", INFO)                                \
     X(PARTITION, 313, "partition_changed", INFO)                              \
     X(INSTANCE, 314, "instance_changed", INFO)                                \
+    X(REGISTRY_COPY, 315, "registry_copy_read", INFO)                         \
     X(LEASE_HELD, 400, "lease_held", INFO)                                    \
     X(LEASE_LOST, 401, "lease_lost", WARN)                                    \
     X(MEMBER_JOINED, 402, "member_joined", INFO)                              \
@@ -65,6 +66,7 @@
     X(UPSTREAM_WARM, 501, "upstream_warm", INFO)                              \
     X(UPSTREAM_REPLY, 502, "upstream_bad_reply", WARN)                        \
     X(QUARANTINE, 503, "request_quarantined", ERROR)                          \
+    X(SUSPECTED, 504, "request_suspected", WARN)                              \
     X(REQUEST_REFUSED, 600, "request_refused", INFO)                          \
     X(OPERATOR_DENIED, 601, "operator_denied", WARN)                          \
     X(INPUT_REFUSED, 602, "input_refused", WARN)                              \
--- a/t/lib/tier_world.c
+++ b/t/lib/tier_world.c
@@ -510,17 +510,30 @@
     world_push(world, at_us, EVENT_LEAVE, call, REPLY_ANSWER);
 }
 
-static void
-call_begin(tier_world_t *world, tier_call_t *call)
+static call_t
+call_asked(const tier_call_t *call)
 {
-    call_t asked = {
-        .owner = call,
+    return (call_t){
+        .owner = (void *)call,
         .id = call->id,
         .host = "h.example",
         .method = call->method,
         .target = call->path,
         .patience_us = call->patience_us,
     };
+}
+
+uint64_t
+tier_world_fingerprint(const tier_call_t *call)
+{
+    call_t asked = call_asked(call);
+    return call_fingerprint(&asked);
+}
+
+static void
+call_begin(tier_world_t *world, tier_call_t *call)
+{
+    call_t asked = call_asked(call);
     request_t *request = engine_begin(world->daemons[call->daemon].engine,
                                       &asked, world->now_us);
     if (!call->done) {
--- a/t/lib/tier_world.h
+++ b/t/lib/tier_world.h
@@ -112,6 +112,9 @@
 uint32_t tier_world_arrivals(const tier_world_t *world, uint32_t number);
 uint32_t tier_world_runs(const tier_world_t *world, uint32_t number);
 
+/* As the engine takes the call. */
+uint64_t tier_world_fingerprint(const tier_call_t *call);
+
 /* A number from 0 to 1, of the world's seed. */
 double tier_world_random(tier_world_t *world);
 
--- a/t/t1010-engine.c
+++ b/t/t1010-engine.c
@@ -7,6 +7,7 @@
 
 enum {
     START_US = 1000000,
+    SECOND = 1000000,
     GOAL_US = 200000,
     WORK_US = 20000,
     PATIENCE_US = 1000000
@@ -405,6 +406,62 @@
 }
 END_TEST
 
+/*
+ * A request whose every send ends with its upstream's connection is refused
+ * once that has happened twice, here or elsewhere; others are not.
+ */
+START_TEST(test_crashing_request)
+{
+    bool elsewhere = _i == 1;
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, SHARDS, GOAL_US, 0.5));
+    add_shards(world, &(shard_case_t){.fault = {.slots = 4, .lose_share = 1},
+                                      .faulty_shards = SHARDS,
+                                      .faulty_upstreams = 3});
+    tier_call_t *first =
+        tier_world_call(world, START_US, 0, "/all/bad", WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + SECOND);
+    ck_assert_uint_eq(first->status, 502);
+    if (elsewhere) {
+        engine_suspect(tier_world_engine(world, 0),
+                       tier_world_fingerprint(first), START_US + SECOND);
+    }
+    tier_call_t *second = tier_world_call(world, START_US + 2 * SECOND, 0,
+                                          "/all/bad", WORK_US, PATIENCE_US);
+    tier_call_t *third = tier_world_call(world, START_US + 4 * SECOND, 0,
+                                         "/all/bad", WORK_US, PATIENCE_US);
+    tier_call_t *other = tier_world_call(world, START_US + 4 * SECOND, 0,
+                                         "/all/good", WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + 6 * SECOND);
+    ck_assert_uint_eq(second->status, elsewhere ? 503 : 502);
+    ck_assert_uint_eq(second->arrivals > 0, !elsewhere);
+    ck_assert_uint_eq(third->status, 503);
+    ck_assert_str_eq(third->reason, "crashes_upstreams");
+    ck_assert_uint_eq(third->arrivals, 0);
+    ck_assert_uint_gt(other->arrivals, 0);
+    tier_world_free(world);
+}
+END_TEST
+
+/* One good part clears a request of what befell the others. */
+START_TEST(test_innocent_request)
+{
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, SHARDS, GOAL_US, 0.5));
+    add_shards(world, &(shard_case_t){.fault = {.slots = 4, .lose_share = 1},
+                                      .faulty_shards = SHARDS - 1,
+                                      .faulty_upstreams = 3});
+    for (int64_t i = 0; i < 4; i++) {
+        tier_call_t *call = tier_world_call(world, START_US + i * SECOND, 0,
+                                            "/all/x", WORK_US, PATIENCE_US);
+        tier_world_run(world, START_US + (i + 1) * SECOND - 1);
+        ck_assert_uint_eq(call->status, 502);
+        ck_assert_uint_gt(call->arrivals, 0);
+    }
+    tier_world_free(world);
+}
+END_TEST
+
 /* A request keeps the configuration it came in under. */
 START_TEST(test_version_of_a_request)
 {
@@ -465,6 +522,8 @@
     tcase_add_loop_test(tests, test_left, 0, 3);
     tcase_add_loop_test(tests, test_drain_and_evacuation, 0, 2);
     tcase_add_test(tests, test_split);
+    tcase_add_loop_test(tests, test_crashing_request, 0, 2);
+    tcase_add_test(tests, test_innocent_request);
     tcase_add_test(tests, test_version_of_a_request);
     tcase_add_test(tests, test_no_configuration);
     tcase_add_test(tests, test_no_route);
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -542,7 +542,7 @@
     tier_store_remove(f.store, "servers/i-0");
     run_ms(&f, 2000);
     ck_assert_ptr_nonnull(
-        tier_store_get(f.store, "yuccarun/members/front-a-1"));
+        tier_store_get(f.store, "yuccarun/fleet/members/front-a-1"));
     fixture_release(&f);
 }
 END_TEST
@@ -576,7 +576,7 @@
     caller_send(&caller, REQUEST("/one/", "r-1"));
     run_ms(&f, 100);
     ck_assert_ptr_nonnull(
-        tier_store_get(f.store, "yuccarun/members/front-a-1"));
+        tier_store_get(f.store, "yuccarun/fleet/members/front-a-1"));
     node_leave(f.node);
     caller_t probe;
     exchange(&f, &probe, &f.boot.readiness,
@@ -587,7 +587,7 @@
     ck_assert_uint_eq(status_of(&caller), 200);
     ck_assert_ptr_nonnull(strstr(caller.text, "Connection: close\r\n"));
     ck_assert(caller.ended);
-    ck_assert_ptr_null(tier_store_get(f.store, "yuccarun/members/front-a-1"));
+    ck_assert_ptr_null(tier_store_get(f.store, "yuccarun/fleet/members/front-a-1"));
     fixture_release(&f);
 }
 END_TEST
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum {
     /* Before the goal by this much a merged answer sets out: its way to the
@@ -16,7 +17,12 @@
     /* Patience assumed when neither caller nor route says any. */
     PATIENCE_US = 10000000,
     /* How soon a caller is asked back when nothing better is known. */
-    RETURN_US = 150000
+    RETURN_US = 150000,
+    /* A request whose every send ended with the upstream's connection, in so
+       many attempts of its callers, at any daemons, is taken to crash what
+       runs it, and refused for a while. An upstream is back in seconds. */
+    CRASH_ATTEMPTS = 2,
+    CRASH_REFUSE_US = 60000000
 };
 
 uint64_t
@@ -45,6 +51,11 @@
     engine->fleet = 1;
     engine->random = 0x9e3779b97f4a7c15ULL ^ (uint64_t)(uintptr_t)engine;
     registry_init(&engine->registry);
+    engine->quarantine = quarantine_new(CRASH_ATTEMPTS, CRASH_REFUSE_US, 0);
+    if (engine->quarantine == NULL) {
+        engine_free(engine);
+        return NULL;
+    }
     return engine;
 }
 
@@ -85,6 +96,7 @@
     route_table_release(engine->table);
     strmap_release(&engine->memories, memory_free);
     registry_release(&engine->registry);
+    quarantine_free(engine->quarantine);
     free(engine);
 }
 
@@ -106,6 +118,16 @@
     return engine->request_count;
 }
 
+void
+engine_each_route(const engine_t *engine, engine_route_fn each, void *owner)
+{
+    for (const strmap_entry_t *at = strmap_first(&engine->memories);
+         at != NULL; at = strmap_next(at)) {
+        const route_memory_t *memory = strmap_value(at);
+        each(owner, strmap_name(at), &memory->answers);
+    }
+}
+
 void
 engine_configure(engine_t *engine, route_table_t *table, int64_t now_us)
 {
@@ -242,6 +264,47 @@
     return patience_us > 0 ? patience_us : PATIENCE_US;
 }
 
+uint64_t
+call_fingerprint(const call_t *call)
+{
+    uint64_t fingerprint = XXH64(call->host, strlen(call->host), 0);
+    fingerprint = XXH64(call->method, strlen(call->method), fingerprint);
+    fingerprint = XXH64(call->target, strlen(call->target), fingerprint);
+    return XXH64(call->body, call->body_size, fingerprint);
+}
+
+void
+engine_suspect(engine_t *engine, uint64_t fingerprint, int64_t now_us)
+{
+    quarantine_crash(engine->quarantine, fingerprint, true, now_us);
+    if (quarantine_verdict(engine->quarantine, fingerprint, now_us) ==
+        VERDICT_REFUSE) {
+        event_log(EVENT_QUARANTINE, "fingerprint=%016llx for_s=%d",
+                  (unsigned long long)fingerprint, CRASH_REFUSE_US / 1000000);
+    }
+}
+
+/* At its end: did all that was sent die with its connection? */
+static void
+request_judge_crash(const request_t *request, int64_t now_us)
+{
+    engine_t *engine = request->engine;
+    if (request->answered > 0) {
+        quarantine_pass(engine->quarantine, request->fingerprint, now_us);
+        return;
+    }
+    if (request->cut_off == 0 || request->cut_off < request->leg_count / 2) {
+        return;
+    }
+    event_log(EVENT_SUSPECTED, "id=%s fingerprint=%016llx cut_off=%u",
+              request->id, (unsigned long long)request->fingerprint,
+              request->cut_off);
+    engine_suspect(engine, request->fingerprint, now_us);
+    if (engine->ports.suspect != NULL) {
+        engine->ports.suspect(engine->owner, request->fingerprint);
+    }
+}
+
 static request_t *
 request_new(engine_t *engine, const call_t *call, const route_t *route,
             int64_t now_us)
@@ -265,6 +328,7 @@
     request->goal_us =
         now_us + goal_us -
         (goal_us / 4 < GOAL_MARGIN_US ? goal_us / 4 : GOAL_MARGIN_US);
+    request->fingerprint = call_fingerprint(call);
     request->memory = memory_of(engine, route);
     if (request->memory == NULL || !request_legs(request)) {
         request_free(request);
@@ -345,6 +409,10 @@
     };
     request_log(request, kinds[answer->kind], answer->status,
                 answer->reason != NULL ? answer->reason : "-", now_us);
+    if (answer->status >= 200 && answer->status < 300) {
+        hist_add(&request->memory->answers, now_us - request->begun_us);
+    }
+    request_judge_crash(request, now_us);
     engine->ports.answer(engine->owner, request->call.owner, answer);
     for (uint32_t i = 0; i < request->leg_count; i++) {
         leg_stop(&request->legs[i], request->route->repeatable, now_us);
@@ -488,6 +556,11 @@
         answer_now(engine, call, 404, "no_route", 0);
         return NULL;
     }
+    if (quarantine_verdict(engine->quarantine, call_fingerprint(call),
+                           now_us) == VERDICT_REFUSE) {
+        answer_now(engine, call, 503, "crashes_upstreams", 0);
+        return NULL;
+    }
     if (engine->request_count >= engine->settings.requests_max) {
         answer_now(engine, call, 503, "too_many_requests", RETURN_US);
         return NULL;
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -21,6 +21,7 @@
 #ifndef TIER_ENGINE_H
 #define TIER_ENGINE_H
 
+#include "core/hist.h"
 #include "http/message.h"
 #include "tier/registry.h"
 #include "tier/route.h"
@@ -100,6 +101,8 @@
     void (*answer)(void *owner, void *call_owner, const answer_t *answer);
     /* Call engine_wake then, once; a later call replaces an earlier one. */
     void (*wake_at)(void *owner, void *call_owner, int64_t at_us);
+    /* The request of that fingerprint may crash upstreams: tell the others. */
+    void (*suspect)(void *owner, uint64_t fingerprint);
 } engine_ports_t;
 
 typedef struct {
@@ -152,6 +155,18 @@
 /* The caller went away: work for it stops and nothing is answered. */
 void engine_leave(engine_t *engine, request_t *request, int64_t now_us);
 
+/* What tells a request from others: host, method, target and body. */
+uint64_t call_fingerprint(const call_t *call);
+
+/* Another daemon suspects the request of that fingerprint. */
+void engine_suspect(engine_t *engine, uint64_t fingerprint, int64_t now_us);
+
+/* Latencies of a route's answers. */
+typedef void (*engine_route_fn)(void *owner, const char *route,
+                                const hist_t *latency);
+void engine_each_route(const engine_t *engine, engine_route_fn each,
+                       void *owner);
+
 /* Room may have appeared: new upstreams, or bounds that were raised. */
 void engine_serve_waiting(engine_t *engine, int64_t now_us);
 
--- a/tier/engine_leg.c
+++ b/tier/engine_leg.c
@@ -525,6 +525,8 @@
     request_t *request = leg->request;
     const route_t *route = request->route;
     bool whole = reply->kind == REPLY_ANSWER;
+    request->answered += whole ? 1 : 0;
+    request->cut_off += reply->kind == REPLY_LOST ? 1 : 0;
     bool good = whole && reply->signature != NULL &&
                 reply->message->status >= 200 && reply->message->status < 300;
     int64_t took_us = now_us - attempt->sent_us;
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -4,6 +4,7 @@
 #ifndef TIER_ENGINE_STATE_H
 #define TIER_ENGINE_STATE_H
 
+#include "core/quarantine.h"
 #include "tier/engine.h"
 #include "tier/gather.h"
 #include "tier/hedge.h"
@@ -11,6 +12,7 @@
 /* What is known of a route across versions of the configuration. */
 typedef struct {
     hedge_profile_t profile;
+    hist_t answers;       /* from arrival to success */
     double *split_credit; /* of each part, for an even split by weight */
     uint32_t split_count;
     uint64_t table_version; /* the split's */
@@ -61,6 +63,9 @@
     gather_t gather;
     records_t records;
     buffer_t signatures;
+    uint64_t fingerprint; /* of host, method, target and body */
+    uint32_t cut_off;     /* sends whose connection ended without an answer */
+    uint32_t answered;    /* sends that were answered at all */
     uint32_t hedges;
     uint32_t repeats;
     uint32_t waits;
@@ -80,6 +85,7 @@
     request_t *requests;
     attempt_t *attempts; /* all, those not needed any more too */
     uint64_t random;
+    quarantine_t *quarantine; /* requests that crash what runs them */
 };
 
 /* Next of a sequence that spreads choices. */
--- a/tier/follow.c
+++ b/tier/follow.c
@@ -11,7 +11,8 @@
 bool
 follow_next(follow_t *follow, kv_call_t *call, int64_t now_us)
 {
-    if (follow->busy || now_us < follow->due_us) {
+    if (follow->busy || now_us < follow->due_us ||
+        (follow->watching && follow->settings.once)) {
         return false;
     }
     bool built =
--- a/tier/follow.h
+++ b/tier/follow.h
@@ -31,6 +31,7 @@
     const char *prefix;
     int64_t pause_us; /* between two calls for changes; 0: none */
     int64_t wait_us;  /* a call stays open for; 0: answers at once */
+    bool once;        /* it is read whole, and its changes are not wanted */
 } follow_settings_t;
 
 typedef struct {
--- a/tier/members.c
+++ b/tier/members.c
@@ -54,6 +54,17 @@
     return record != NULL && record->gone_us == 0;
 }
 
+bool
+members_is_first(const members_t *members, const char *name)
+{
+    for (uint32_t i = 0; i < members->count; i++) {
+        if (strcmp(members->records[i].name, name) < 0) {
+            return false;
+        }
+    }
+    return members_has(members, name);
+}
+
 static member_record_t *
 members_add(members_t *members, const char *name)
 {
--- a/tier/members.h
+++ b/tier/members.h
@@ -71,6 +71,9 @@
 /* Drop what has not come back in time; true: something was dropped. */
 bool members_expire(members_t *members, int64_t now_us);
 
+/* Whether nobody listed comes before that name. */
+bool members_is_first(const members_t *members, const char *name);
+
 bool members_has(const members_t *members, const char *name);
 
 /* Daemons that may be sending now; 1 at least. */
--- a/tier/metrics_text.c
+++ b/tier/metrics_text.c
@@ -29,6 +29,33 @@
     }
 }
 
+/* Upper bounds of the latency histogram's buckets, milliseconds: about the
+   goals of the deployments' classes and their parts. */
+static const int64_t bucket_ms[] = {5,   10,  20,  30,  40,  60,   80,  100,
+                                    150, 200, 400, 600, 800, 1200, 5000};
+
+static void
+print_route(void *owner, const char *route, const hist_t *latency)
+{
+    FILE *out = owner;
+    if (latency->count == 0) {
+        return;
+    }
+    for (size_t i = 0; i < sizeof(bucket_ms) / sizeof(bucket_ms[0]); i++) {
+        fprintf(out,
+                "yuccarun_answer_seconds_bucket{route=\"%s\",le=\"%g\"} "
+                "%" PRIu64 "\n",
+                route, (double)bucket_ms[i] / 1000,
+                hist_count_below(latency, bucket_ms[i] * 1000));
+    }
+    fprintf(out,
+            "yuccarun_answer_seconds_bucket{route=\"%s\",le=\"+Inf\"} "
+            "%" PRIu64 "\nyuccarun_answer_seconds_count{route=\"%s\"} "
+            "%" PRIu64 "\nyuccarun_answer_seconds_sum{route=\"%s\"} %.3f\n",
+            route, latency->count, route, latency->count, route,
+            (double)latency->sum_us / 1e6);
+}
+
 char *
 metrics_text(const node_t *node, size_t *size)
 {
@@ -42,6 +69,8 @@
     const http_server_stats_t *callers = http_server_stats(node->callers);
     print_events(out);
     print_answers(out, &node->front);
+    fprintf(out, "# TYPE yuccarun_answer_seconds histogram\n");
+    engine_each_route(node->engine, print_route, out);
     fprintf(out, "yuccarun_requests %u\n", engine_requests(node->engine));
     fprintf(out, "yuccarun_caller_connections %u\n", callers->open);
     fprintf(out, "yuccarun_upstream_connections %u\n", links->open);
--- a/tier/node.c
+++ b/tier/node.c
@@ -11,6 +11,7 @@
 #include "tier/members.h"
 #include "tier/metrics_text.h"
 #include "tier/node_state.h"
+#include "tier/registry_copy.h"
 #include "tier/store_link.h"
 #include "tier/upstream_link.h"
 
@@ -21,7 +22,11 @@
 #include <string.h>
 
 /* Keys of the fleet's own in the store. */
-#define KEY_MEMBERS "yuccarun/members/"
+#define KEY_FLEET "yuccarun/fleet/"
+#define KEY_MEMBERS KEY_FLEET "members/"
+#define KEY_SUSPECTS KEY_FLEET "suspects/"
+#define KEY_REGISTRY "yuccarun/registry/"
+#define KEY_REGISTRY_COPY KEY_REGISTRY "upstreams"
 
 enum {
     /* Turns in which waiting work, abandoned answers and calls to the store
@@ -36,6 +41,8 @@
     /* Configurations and members change seldom: a call waits for them. */
     OPERATOR_WAIT_US = 25000000,
     MEMBERS_WAIT_US = 25000000,
+    /* Several changes in a row, of a restart of the fleet, are one call. */
+    MEMBERS_PAUSE_US = 1000000,
     /* A daemon that dies is listed for so long; three renewals within. */
     MEMBER_LEASE_US = 3000000,
     /* How long a caller may keep a directory answer: soon after a daemon
@@ -47,7 +54,10 @@
     LEAVE_MARGIN_US = 900000,
     REQUESTS_MAX = 1500,    /* at a time: some kilobytes each */
     CONNECTIONS_MAX = 2000, /* of callers, about half of the descriptors */
-    DIRECTORY_SIZE = 4096
+    DIRECTORY_SIZE = 4096,
+    SUSPECTS_MAX = 16, /* fingerprints that a daemon names in the store */
+    /* How often the copy of the registry is written, at most. */
+    COPY_PAUSE_US = 5000000
 };
 
 /* --- what the store says --------------------------------------------- */
@@ -217,9 +227,10 @@
     const char *why = "removed";
     if (!item->removed &&
         document_instance(&entry, id, item->value, item->size, &why)) {
-        upstream_log(id, &entry,
-                     registry_put(registry, &entry, item->revision, now_us),
-                     item->revision);
+        registry_change_t change =
+            registry_put(registry, &entry, item->revision, now_us);
+        node->copy_is_old |= change != REGISTRY_SAME;
+        upstream_log(id, &entry, change, item->revision);
         return;
     }
     if (!item->removed) {
@@ -231,13 +242,21 @@
                  item->revision);
 }
 
+static const store_reader_t copy_reader;
+
 static void
 upstreams_list_end(void *owner, int64_t now_us)
 {
     node_t *node = owner;
     registry_list_end(engine_registry(node->engine), now_us);
     if (!node->upstreams_known) {
+        static const follow_settings_t copy_settings = {
+            .prefix = KEY_REGISTRY,
+            .once = true,
+        };
         node->upstreams_known = true;
+        (void)store_link_follow(node->store, &copy_settings, &copy_reader,
+                                node);
         event_log(EVENT_TOPOLOGY, "upstreams=%u",
                   registry_count(engine_registry(node->engine)));
     }
@@ -271,10 +290,36 @@
     members_list_begin(&node->members);
 }
 
+/* What another daemon suspects: DAEMON/SLOT, and the fingerprint as value. */
 static void
-members_item(void *owner, const kv_item_t *item, int64_t now_us)
+suspect_item(node_t *node, const kv_item_t *item, int64_t now_us)
+{
+    const char *daemon = item->key + sizeof(KEY_SUSPECTS) - 1;
+    size_t length = strlen(node->boot.daemon);
+    bool own = strncmp(daemon, node->boot.daemon, length) == 0 &&
+               daemon[length] == '/';
+    if (!item->removed && !own) {
+        engine_suspect(node->engine, strtoull(item->value, NULL, 16), now_us);
+    }
+}
+
+static void
+port_suspect(void *owner, uint64_t fingerprint)
 {
     node_t *node = owner;
+    char key[LEASE_KEY_SIZE];
+    char value[32];
+    snprintf(key, sizeof(key), KEY_SUSPECTS "%s/%u", node->boot.daemon,
+             node->suspects++ % SUSPECTS_MAX);
+    snprintf(value, sizeof(value), "%016" PRIx64, fingerprint);
+    if (!store_link_put(node->store, key, value, true)) {
+        event_log(EVENT_INPUT_REFUSED, "key=%s cause=too_many_writes", key);
+    }
+}
+
+static void
+member_item(node_t *node, const kv_item_t *item, int64_t now_us)
+{
     const char *name = item->key + sizeof(KEY_MEMBERS) - 1;
     bool own = strcmp(name, node->boot.daemon) == 0;
     if (item->removed) {
@@ -291,6 +336,17 @@
     }
 }
 
+static void
+members_item(void *owner, const kv_item_t *item, int64_t now_us)
+{
+    if (strncmp(item->key, KEY_MEMBERS, sizeof(KEY_MEMBERS) - 1) == 0) {
+        member_item(owner, item, now_us);
+    }
+    else if (strncmp(item->key, KEY_SUSPECTS, sizeof(KEY_SUSPECTS) - 1) == 0) {
+        suspect_item(owner, item, now_us);
+    }
+}
+
 static void
 members_list_ended(void *owner, int64_t now_us)
 {
@@ -309,6 +365,54 @@
     .list_end = members_list_ended,
 };
 
+static void
+copy_list_event(void *owner, int64_t now_us)
+{
+    (void)owner;
+    (void)now_us;
+}
+
+static void
+copy_item(void *owner, const kv_item_t *item, int64_t now_us)
+{
+    node_t *node = owner;
+    if (item->removed || strcmp(item->key, KEY_REGISTRY_COPY) != 0) {
+        return;
+    }
+    uint32_t added = registry_copy_read(engine_registry(node->engine),
+                                        item->value, item->size, now_us);
+    event_log(EVENT_REGISTRY_COPY, "rev=%" PRIu64 " believed=%u listed=%u",
+              item->revision, added,
+              registry_count(engine_registry(node->engine)) - added);
+    engine_serve_waiting(node->engine, now_us);
+}
+
+static const store_reader_t copy_reader = {
+    .list_begin = copy_list_event,
+    .item = copy_item,
+    .list_end = copy_list_event,
+};
+
+/* One daemon of the fleet writes the copy: the first by name. */
+static void
+node_copy_registry(node_t *node, int64_t now_us)
+{
+    if (!node->copy_is_old || node->leaving || !node->upstreams_known ||
+        now_us - node->copied_us < COPY_PAUSE_US ||
+        !store_link_stats(node->store)->reachable ||
+        !members_is_first(&node->members, node->boot.daemon)) {
+        return;
+    }
+    size_t size;
+    char *text = registry_copy_write(engine_registry(node->engine), &size);
+    if (text != NULL &&
+        store_link_put(node->store, KEY_REGISTRY_COPY, text, false)) {
+        node->copy_is_old = false;
+        node->copied_us = now_us;
+    }
+    free(text);
+}
+
 static void
 store_lost(void *owner, const char *why, int64_t now_us)
 {
@@ -375,6 +479,7 @@
     .cancel = port_cancel,
     .answer = port_answer,
     .wake_at = port_wake_at,
+    .suspect = port_suspect,
 };
 
 static void
@@ -522,6 +627,7 @@
 {
     registry_t *registry = engine_registry(node->engine);
     registry_expire(registry, now_us);
+    node_copy_registry(node, now_us);
     http_server_sweep(node->callers, now_us);
     http_server_sweep(node->services, now_us);
     bool dropped = members_expire(&node->members, now_us);
@@ -563,7 +669,8 @@
         .pause_us = UPSTREAMS_PAUSE_US,
     };
     static const follow_settings_t members_settings = {
-        .prefix = KEY_MEMBERS,
+        .prefix = KEY_FLEET,
+        .pause_us = MEMBERS_PAUSE_US,
         .wait_us = MEMBERS_WAIT_US,
     };
     /* The first is the one that asks on while the store is away. */
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -33,6 +33,9 @@
     uint32_t zones_seen_count;
     ev_timer tick;
     int64_t housekeeping_us;
+    uint32_t suspects; /* named in the store so far */
+    bool copy_is_old; /* the registry has changed since its copy was written */
+    int64_t copied_us;
     bool leaving;
     int64_t left_us;
 };
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -192,6 +192,35 @@
     }
 }
 
+bool
+registry_suggest(registry_t *registry, const instance_entry_t *entry,
+                 int64_t now_us)
+{
+    if (strmap_find(&registry->entries, entry->id) != NULL) {
+        return false;
+    }
+    registry_entry_t *added = registry_add(registry, entry, now_us);
+    if (added == NULL) {
+        return false;
+    }
+    added->listing = registry->listing;
+    added->gone_us = now_us + REGISTRY_RETURN_US;
+    return true;
+}
+
+const instance_t *
+registry_each(const registry_t *registry, void **at)
+{
+    const strmap_entry_t *next =
+        *at == NULL ? strmap_first(&registry->entries) : strmap_next(*at);
+    *at = (void *)next;
+    if (next == NULL) {
+        return NULL;
+    }
+    const registry_entry_t *entry = strmap_value(next);
+    return entry->instance;
+}
+
 void
 registry_store_lost(registry_t *registry)
 {
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -71,6 +71,16 @@
 void registry_list_begin(registry_t *registry);
 void registry_list_end(registry_t *registry, int64_t now_us);
 
+/*
+ * An upstream that was there before this daemon started: believed until it
+ * had its time to come back. False: it is known, or there is no memory.
+ */
+bool registry_suggest(registry_t *registry, const instance_entry_t *entry,
+                      int64_t now_us);
+
+/* The upstreams one after the other, *at NULL for the first; NULL: no more. */
+const instance_t *registry_each(const registry_t *registry, void **at);
+
 void registry_store_lost(registry_t *registry);
 void registry_store_back(registry_t *registry, int64_t now_us);
 
--- /dev/null
+++ b/tier/registry_copy.c
@@ -0,0 +1,78 @@
+#include "tier/registry_copy.h"
+
+#include "core/text.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+static json_t *
+copy_row(const instance_entry_t *entry)
+{
+    char host[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &entry->address.sin_addr, host, sizeof(host));
+    return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I}", "id", entry->id,
+                     "service", entry->service, "zone", entry->zone, "host",
+                     host, "port", (int)ntohs(entry->address.sin_port),
+                     "slots", (int)entry->slots, "started_ms",
+                     (json_int_t)entry->started_ms);
+}
+
+char *
+registry_copy_write(const registry_t *registry, size_t *size)
+{
+    json_t *rows = json_array();
+    const instance_t *instance = NULL;
+    for (void *at = NULL; (instance = registry_each(registry, &at)) != NULL;) {
+        if (!instance->entry.draining) {
+            json_array_append_new(rows, copy_row(&instance->entry));
+        }
+    }
+    char *text = json_dumps(rows, JSON_COMPACT);
+    json_decref(rows);
+    *size = text != NULL ? strlen(text) : 0;
+    return text;
+}
+
+static bool
+row_text(const json_t *row, const char *name, char *out, size_t size)
+{
+    const char *text = json_string_value(json_object_get(row, name));
+    return text != NULL && text[0] != '\0' && text_copy(out, size, text);
+}
+
+static bool
+row_read(instance_entry_t *entry, const json_t *row)
+{
+    char host[INET_ADDRSTRLEN];
+    *entry = (instance_entry_t){.address.sin_family = AF_INET};
+    json_int_t port = json_integer_value(json_object_get(row, "port"));
+    json_int_t slots = json_integer_value(json_object_get(row, "slots"));
+    entry->started_ms = json_integer_value(json_object_get(row, "started_ms"));
+    entry->address.sin_port = htons((uint16_t)port);
+    entry->slots = (uint32_t)slots;
+    return row_text(row, "id", entry->id, sizeof(entry->id)) &&
+           row_text(row, "service", entry->service, sizeof(entry->service)) &&
+           row_text(row, "zone", entry->zone, sizeof(entry->zone)) &&
+           row_text(row, "host", host, sizeof(host)) && port > 0 &&
+           port <= UINT16_MAX && slots > 0 && slots <= UINT16_MAX &&
+           inet_pton(AF_INET, host, &entry->address.sin_addr) == 1;
+}
+
+uint32_t
+registry_copy_read(registry_t *registry, const char *text, size_t size,
+                   int64_t now_us)
+{
+    json_t *rows = json_loadb(text, size, 0, NULL);
+    uint32_t added = 0;
+    for (size_t i = 0; i < json_array_size(rows); i++) {
+        instance_entry_t entry;
+        if (row_read(&entry, json_array_get(rows, i)) &&
+            registry_suggest(registry, &entry, now_us)) {
+            added++;
+        }
+    }
+    json_decref(rows);
+    return added;
+}
--- /dev/null
+++ b/tier/registry_copy.h
@@ -0,0 +1,28 @@
+/*
+ * A copy of the registry in the store, for daemons that start while entries
+ * have lapsed.
+ *
+ * An outage of the store can let the upstreams' own entries run out, and all
+ * daemons can be killed in it: who starts then would know no upstream until
+ * each has registered again. The copy does not lapse. What it names is
+ * believed for as long as an upstream has to come back, and no longer.
+ *
+ *     char *text = registry_copy_write(&registry, &size);
+ *     registry_copy_read(&registry, text, size, now_us);
+ */
+#ifndef TIER_REGISTRY_COPY_H
+#define TIER_REGISTRY_COPY_H
+
+#include "tier/registry.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* The text, to be freed; NULL: no memory. */
+char *registry_copy_write(const registry_t *registry, size_t *size);
+
+/* Add what is missing, for a while; how many were added. */
+uint32_t registry_copy_read(registry_t *registry, const char *text,
+                            size_t size, int64_t now_us);
+
+#endif
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -11,6 +11,8 @@
 enum {
     CHANNELS_MAX = 6,
     RECORD_SIZE = 256,
+    WRITES_MAX = 16, /* that wait */
+    WRITE_RETRY_US = 500000,
     /* A call that answers at once has failed after this: the store's answers
        take milliseconds, and a quarter of a second when it is slow. */
     CALL_US = 1500000,
@@ -23,15 +25,23 @@
     PROBE_COUNT = 2
 };
 
+typedef enum { CHANNEL_FOLLOWS, CHANNEL_HOLDS, CHANNEL_WRITES } channel_use_t;
+
+/* A write that waits for its turn. */
+typedef struct {
+    char key[LEASE_KEY_SIZE];
+    char *value;
+    bool leased;
+} write_t;
+
 typedef struct {
     store_link_t *store;
+    channel_use_t use;
     conn_t conn;
     http_reader_t reader;
     bool busy;
     int64_t until_us; /* the call at hand has failed then */
-    /* Either follows a prefix or holds the record. */
-    bool follows;
-    follow_t follow;
+    follow_t follow;  /* of one that follows a prefix */
     const store_reader_t *items;
     void *items_owner;
 } channel_t;
@@ -44,6 +54,10 @@
     channel_t channels[CHANNELS_MAX];
     uint32_t channel_count;
     channel_t holder;
+    channel_t writer;
+    write_t writes[WRITES_MAX]; /* the first is on its way if writer is busy */
+    uint32_t write_count;
+    int64_t write_due_us;
     lease_t lease;
     bool holds;
     char record[RECORD_SIZE];
@@ -57,9 +71,9 @@
 };
 
 static void
-channel_init(channel_t *channel, store_link_t *store)
+channel_init(channel_t *channel, store_link_t *store, channel_use_t use)
 {
-    *channel = (channel_t){.store = store};
+    *channel = (channel_t){.store = store, .use = use};
     channel->conn.fd = -1;
     http_reader_init(&channel->reader, HTTP_RESPONSES, &answer_limits);
 }
@@ -104,14 +118,19 @@
         return;
     }
     channel->busy = false;
-    if (channel->follows) {
+    store_link_t *store = channel->store;
+    if (channel->use == CHANNEL_FOLLOWS) {
         follow_failed(&channel->follow, false, now_us);
-        store_failed(channel->store, why, now_us);
+        store_failed(store, why, now_us);
+        return;
+    }
+    /* A lost answer to a write says nothing of what can be read. */
+    store->stats.failures++;
+    if (channel->use == CHANNEL_HOLDS) {
+        lease_failed(&store->lease, now_us);
     }
     else {
-        /* A lost answer to a write says nothing of what can be read. */
-        channel->store->stats.failures++;
-        lease_failed(&channel->store->lease, now_us);
+        store->write_due_us = now_us + WRITE_RETRY_US;
     }
 }
 
@@ -131,6 +150,69 @@
     }
 }
 
+static void
+write_drop(store_link_t *store)
+{
+    free(store->writes[0].value);
+    store->write_count--;
+    memmove(&store->writes[0], &store->writes[1],
+            store->write_count * sizeof(store->writes[0]));
+}
+
+static void
+write_answered(store_link_t *store, uint32_t status, int64_t now_us)
+{
+    if (status == 200 || status == 404) {
+        /* Without its lease a record is of no use either. */
+        write_drop(store);
+        return;
+    }
+    store->write_due_us = now_us + WRITE_RETRY_US;
+}
+
+static bool
+write_next(store_link_t *store, kv_call_t *call, int64_t now_us)
+{
+    if (store->write_count == 0 || now_us < store->write_due_us) {
+        return false;
+    }
+    const write_t *write = &store->writes[0];
+    if (write->leased && store->lease.lease == 0) {
+        return false;
+    }
+    return kv_put(call, write->key, write->value, strlen(write->value),
+                  write->leased ? store->lease.lease : 0);
+}
+
+bool
+store_link_put(store_link_t *store, const char *key, const char *value,
+               bool leased)
+{
+    uint32_t place = store->writer.busy ? 1 : 0;
+    while (place < store->write_count &&
+           strcmp(store->writes[place].key, key) != 0) {
+        place++;
+    }
+    if (place == WRITES_MAX) {
+        return false;
+    }
+    char *copy = strdup(value);
+    if (copy == NULL) {
+        return false;
+    }
+    write_t *write = &store->writes[place];
+    if (place < store->write_count) {
+        free(write->value);
+    }
+    else {
+        store->write_count++;
+    }
+    write->value = copy;
+    write->leased = leased;
+    snprintf(write->key, sizeof(write->key), "%s", key);
+    return true;
+}
+
 static void
 channel_answered(channel_t *channel, int64_t now_us)
 {
@@ -142,7 +224,10 @@
         kv_answer_parse(&answer, (const char *)buffer_data(&message->body),
                         buffer_size(&message->body));
     channel->busy = false;
-    if (!channel->follows) {
+    if (channel->use == CHANNEL_WRITES) {
+        write_answered(store, status, now_us);
+    }
+    else if (channel->use == CHANNEL_HOLDS) {
         if (status == 200 && !parsed) {
             lease_failed(&store->lease, now_us);
         }
@@ -268,7 +353,12 @@
         return;
     }
     kv_call_t call = {0};
-    if (channel->follows) {
+    if (channel->use == CHANNEL_WRITES) {
+        if (write_next(store, &call, now_us)) {
+            channel_send(channel, &call, 0, now_us);
+        }
+    }
+    else if (channel->use == CHANNEL_FOLLOWS) {
         if (follow_next(&channel->follow, &call, now_us)) {
             channel_send(channel, &call,
                          channel->follow.watching
@@ -292,6 +382,7 @@
         channel_tick(&store->channels[i], now_us);
     }
     channel_tick(&store->holder, now_us);
+    channel_tick(&store->writer, now_us);
 }
 
 static void
@@ -315,7 +406,8 @@
     store->address = *address;
     store->ops = *ops;
     store->owner = owner;
-    channel_init(&store->holder, store);
+    channel_init(&store->holder, store, CHANNEL_HOLDS);
+    channel_init(&store->writer, store, CHANNEL_WRITES);
     store_set_host(store);
     return store;
 }
@@ -330,6 +422,7 @@
         channel_failed(&store->channels[i], "moved", now_us);
     }
     channel_failed(&store->holder, "moved", now_us);
+    channel_failed(&store->writer, "moved", now_us);
 }
 
 bool
@@ -340,8 +433,7 @@
         return false;
     }
     channel_t *channel = &store->channels[store->channel_count++];
-    channel_init(channel, store);
-    channel->follows = true;
+    channel_init(channel, store, CHANNEL_FOLLOWS);
     channel->items = reader;
     channel->items_owner = owner;
     follow_init(&channel->follow, settings);
@@ -402,5 +494,9 @@
         channel_release(&store->channels[i]);
     }
     channel_release(&store->holder);
+    channel_release(&store->writer);
+    while (store->write_count > 0) {
+        write_drop(store);
+    }
     free(store);
 }
--- a/tier/store_link.h
+++ b/tier/store_link.h
@@ -57,6 +57,13 @@
 void store_link_hold(store_link_t *store, const char *key, const char *record,
                      int64_t ttl_us);
 
+/*
+ * Write a key once; leased: it goes with this daemon's record. What is still
+ * to be written under the same key is replaced. False: too much waits.
+ */
+bool store_link_put(store_link_t *store, const char *key, const char *value,
+                    bool leased);
+
 /* The record held is missing in the store. */
 void store_link_missing(store_link_t *store, int64_t now_us);
 
