tier: read the clock once a turn of the loop, and turn less often

Change: callbacks share the time of the loop's turn; timers of upkeep and of the log's flush run at 50 and 100 ms instead of 20 and 50.

--- a/http/server.c
+++ b/http/server.c
@@ -1,7 +1,7 @@
 #include "http/server.h"
 
-#include "daemon/clock.h"
 #include "http/conn.h"
+#include "http/loop_clock.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -128,7 +128,7 @@
 exchange_wanted(exchange_t *exchange)
 {
     exchange->state = EXCHANGE_WORKING;
-    exchange->arrived_us = clock_now_us();
+    exchange->arrived_us = loop_now_us();
     exchange->data = NULL;
     if (!exchange->reader.message.keep_alive || exchange->server->closing) {
         exchange->last = true;
@@ -176,7 +176,7 @@
         [HTTP_BODY_LONG] = 413,
     };
     if (!exchange->reader.started) {
-        exchange->since_us = clock_now_us();
+        exchange->since_us = loop_now_us();
     }
     size_t used = 0;
     http_state_t state =
@@ -276,7 +276,7 @@
     exchange->server = server;
     exchange->service = listener->service;
     exchange->owner = listener->owner;
-    exchange->since_us = clock_now_us();
+    exchange->since_us = loop_now_us();
     ev_timer_init(&exchange->timer, exchange_timed, 0, 0);
     exchange->timer.data = exchange;
     exchange->next = server->exchanges;
@@ -429,7 +429,7 @@
 void
 exchange_wake_at(exchange_t *exchange, int64_t at_us)
 {
-    int64_t wait_us = at_us - clock_now_us();
+    int64_t wait_us = at_us - loop_now_us();
     ev_timer_stop(exchange->server->loop, &exchange->timer);
     ev_timer_set(&exchange->timer, wait_us > 0 ? (double)wait_us / 1e6 : 0, 0);
     /* Counted from the start of the loop's turn, so it may come early; it is
@@ -463,7 +463,7 @@
     ev_timer_stop(server->loop, &exchange->timer);
     bool written = conn_writev(&exchange->conn, pieces,
                                sizeof(pieces) / sizeof(pieces[0]));
-    exchange->since_us = clock_now_us();
+    exchange->since_us = loop_now_us();
     exchange->data = NULL;
     if (last || !written) {
         exchange->state = EXCHANGE_ENDING;
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -587,7 +587,8 @@
     ck_assert_uint_eq(status_of(&caller), 200);
     ck_assert_ptr_nonnull(strstr(caller.text, "Connection: close\r\n"));
     ck_assert(caller.ended);
-    ck_assert_ptr_null(tier_store_get(f.store, "yuccarun/fleet/members/front-a-1"));
+    ck_assert_ptr_null(
+        tier_store_get(f.store, "yuccarun/fleet/members/front-a-1"));
     fixture_release(&f);
 }
 END_TEST
--- a/tier/front.c
+++ b/tier/front.c
@@ -1,7 +1,7 @@
 #include "tier/front.h"
 
-#include "daemon/clock.h"
 #include "edge/event.h"
+#include "http/loop_clock.h"
 #include "platform/names.h"
 
 #include <stdio.h>
@@ -180,7 +180,7 @@
     front_t *front = owner;
     pending_t *pending = exchange_data(exchange);
     if (pending != NULL && pending->request != NULL) {
-        engine_leave(front->engine, pending->request, clock_now_us());
+        engine_leave(front->engine, pending->request, loop_now_us());
     }
     pending_free(exchange);
 }
@@ -191,7 +191,7 @@
     front_t *front = owner;
     pending_t *pending = exchange_data(exchange);
     if (pending != NULL && pending->request != NULL) {
-        engine_wake(front->engine, pending->request, clock_now_us());
+        engine_wake(front->engine, pending->request, loop_now_us());
     }
 }
 
--- a/tier/node.c
+++ b/tier/node.c
@@ -1,8 +1,8 @@
 #include "tier/node.h"
 
 #include "core/text.h"
-#include "daemon/clock.h"
 #include "edge/event.h"
+#include "http/loop_clock.h"
 #include "http/server.h"
 #include "platform/documents.h"
 #include "platform/names.h"
@@ -31,7 +31,7 @@
 enum {
     /* Turns in which waiting work, abandoned answers and calls to the store
        are looked after. */
-    TICK_US = 20000,
+    TICK_US = 50000,
     /* How often idle connections and lapsed entries are. */
     HOUSEKEEPING_US = 250000,
     /* Upstreams renew their entries all the time, so changes are asked for
@@ -642,7 +642,7 @@
     (void)loop;
     (void)events;
     node_t *node = timer->data;
-    int64_t now_us = clock_now_us();
+    int64_t now_us = loop_now_us();
     store_link_tick(node->store, now_us);
     upstream_links_sweep(node->links, now_us);
     engine_serve_waiting(node->engine, now_us);
@@ -776,7 +776,8 @@
         snprintf(why, why_size, "no memory");
         return NULL;
     }
-    int64_t now_us = clock_now_us();
+    loop_clock_start(&node->clock, loop);
+    int64_t now_us = loop_now_us();
     node->loop = loop;
     node->boot = *boot;
     members_init(&node->members, now_us);
@@ -804,7 +805,7 @@
 void
 node_reload(node_t *node, const boot_t *boot)
 {
-    int64_t now_us = clock_now_us();
+    int64_t now_us = loop_now_us();
     bool moved =
         memcmp(&boot->store, &node->boot.store, sizeof(boot->store)) != 0;
     event_log(EVENT_SETTINGS, "store_moved=%d", moved);
@@ -823,7 +824,7 @@
         return;
     }
     node->leaving = true;
-    node->left_us = clock_now_us();
+    node->left_us = loop_now_us();
     event_log(EVENT_STOPPING, "requests=%u connections=%u",
               engine_requests(node->engine),
               http_server_stats(node->callers)->open);
@@ -838,6 +839,7 @@
         return;
     }
     ev_timer_stop(node->loop, &node->tick);
+    loop_clock_stop(&node->clock);
     http_server_free(node->callers);
     http_server_free(node->services);
     store_link_free(node->store);
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -4,6 +4,7 @@
 #ifndef TIER_NODE_STATE_H
 #define TIER_NODE_STATE_H
 
+#include "http/loop_clock.h"
 #include "http/server.h"
 #include "tier/engine.h"
 #include "tier/front.h"
@@ -18,6 +19,7 @@
 
 struct node {
     struct ev_loop *loop;
+    loop_clock_t clock;
     boot_t boot;
     engine_t *engine;
     upstream_links_t *links;
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -1,7 +1,7 @@
 #include "tier/store_link.h"
 
-#include "daemon/clock.h"
 #include "http/conn.h"
+#include "http/loop_clock.h"
 #include "http/message.h"
 
 #include <stdio.h>
@@ -256,7 +256,7 @@
 channel_data(conn_t *conn, const char *bytes, size_t size)
 {
     channel_t *channel = conn->owner;
-    int64_t now_us = clock_now_us();
+    int64_t now_us = loop_now_us();
     size_t used = 0;
     if (!channel->busy) {
         conn_close(conn);
@@ -284,7 +284,7 @@
     channel_t *channel = conn->owner;
     (void)clean;
     channel_failed(channel, conn->connecting ? "connect" : "closed",
-                   clock_now_us());
+                   loop_now_us());
 }
 
 static const conn_ops_t channel_ops = {
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -1,8 +1,8 @@
 #include "tier/upstream_link.h"
 
-#include "daemon/clock.h"
 #include "edge/event.h"
 #include "http/conn.h"
+#include "http/loop_clock.h"
 #include "platform/names.h"
 
 #include <inttypes.h>
@@ -108,7 +108,7 @@
 {
     upstream_links_t *links = link->links;
     attempt_t *attempt = link->attempt;
-    int64_t now_us = clock_now_us();
+    int64_t now_us = loop_now_us();
     if (kind == REPLY_NOT_SENT) {
         instance_t *instance = link->instance;
         int64_t pause_us =
@@ -209,7 +209,7 @@
     upstream_links_t *links = link->links;
     const http_message_t *message = &link->reader.message;
     attempt_t *attempt = link->attempt;
-    int64_t now_us = clock_now_us();
+    int64_t now_us = loop_now_us();
     reply_t reply = reply_of(message);
     link->attempt = NULL;
     link->reader_used = true;
--- a/tier/yuccarun-tier.c
+++ b/tier/yuccarun-tier.c
@@ -24,7 +24,7 @@
    change without a signal. */
 #define SETTINGS_CHECK_S 2.0
 /* How often lines are handed to the output: few writes, little lost. */
-#define LOG_FLUSH_S 0.05
+#define LOG_FLUSH_S 0.1
 
 typedef struct {
     node_t *node;
