tier: learn the state from another daemon while the store is away

Change: each daemon answers on its control address with its configuration, upstreams, members and closed zones; one that starts and does not hear the store within 0.3 s asks those its settings name. What it is told holds until the store is back and then lapses like any entry.

--- a/Makefile
+++ b/Makefile
@@ -113,7 +113,8 @@
 # What deploy/system.toml runs.
 target/yuccarun-tier: $(B)/yuccarun-tier
 	@mkdir -p target
-	cp $< $@
+	cp $< $@.new
+	mv $@.new $@
 
 $(B)/yuccarun: $(CLI_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS)
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -124,8 +124,11 @@
         .callers = free_address(),
         .readiness = free_address(),
         .directory = free_address(),
+        .control = free_address(),
         .store = free_address(),
+        .has_control = true,
         .has_callers = true,
+        .has_metrics = false,
         .has_readiness = true,
         .has_directory = true,
         .has_store = true,
@@ -564,6 +567,76 @@
 }
 END_TEST
 
+/* A second daemon, of the same store. */
+static node_t *
+start_second(fixture_t *f, boot_t *boot)
+{
+    char why[128];
+    *boot = f->boot;
+    snprintf(boot->daemon, sizeof(boot->daemon), "front-b-1");
+    boot->callers = free_address();
+    boot->readiness = free_address();
+    boot->directory = free_address();
+    boot->control = free_address();
+    boot->seeds[0] = f->boot.control;
+    boot->seed_count = 1;
+    boot->has_metrics = false;
+    node_t *second = node_start(f->loop, boot, why, sizeof(why));
+    ck_assert_msg(second != NULL, "%s", why);
+    return second;
+}
+
+/* A daemon that starts while the store is away is told by another. */
+START_TEST(test_start_without_store)
+{
+    fixture_t f;
+    boot_t boot;
+    caller_t caller;
+    fixture_init(&f);
+    tier_store_set_mode(f.store,
+                        _i == 0 ? TIER_STORE_SILENT : TIER_STORE_BUSY);
+    node_t *second = start_second(&f, &boot);
+    exchange(&f, &caller, &boot.callers, REQUEST("/one/", "r-1"), 200);
+    ck_assert_uint_eq(status_of(&caller), 503); /* it knows nothing yet */
+    conn_close(&caller.conn);
+    run_ms(&f, 1500);
+    exchange(&f, &caller, &boot.callers, REQUEST("/one/", "r-2"), 900);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    conn_close(&caller.conn);
+    exchange(&f, &caller, &boot.directory,
+             "GET /-/resolve?name=h HTTP/1.1\r\nHost: h\r\n\r\n", 500);
+    ck_assert_ptr_nonnull(strstr(caller.text, "\"127.0.0.1:1\""));
+    conn_close(&caller.conn);
+    node_free(second);
+    fixture_release(&f);
+}
+END_TEST
+
+/* What lapsed before a daemon started is believed, for two seconds. */
+START_TEST(test_start_with_lapsed_entries)
+{
+    fixture_t f;
+    boot_t boot;
+    caller_t caller;
+    fixture_init(&f);
+    run_ms(&f, 600);
+    ck_assert_ptr_nonnull(
+        tier_store_get(f.store, "yuccarun/registry/upstreams"));
+    tier_store_remove(f.store, "servers/i-0");
+    node_t *second = start_second(&f, &boot);
+    run_ms(&f, 300);
+    exchange(&f, &caller, &boot.callers, REQUEST("/one/", "r-1"), 900);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    conn_close(&caller.conn);
+    run_ms(&f, 2500);
+    exchange(&f, &caller, &boot.callers, REQUEST("/one/", "r-2"), 900);
+    ck_assert_uint_eq(status_of(&caller), 503);
+    conn_close(&caller.conn);
+    node_free(second);
+    fixture_release(&f);
+}
+END_TEST
+
 /* An orderly end: what runs is answered, and the record is taken back. */
 START_TEST(test_leave)
 {
@@ -608,6 +681,8 @@
     tcase_add_test(tests, test_late_extra_answer);
     tcase_add_loop_test(tests, test_readiness_and_directory, 0, 2);
     tcase_add_test(tests, test_forgotten_history);
+    tcase_add_loop_test(tests, test_start_without_store, 0, 2);
+    tcase_add_test(tests, test_start_with_lapsed_entries);
     tcase_add_test(tests, test_leave);
     return suite_run("node", tests);
 }
--- a/tier/members.c
+++ b/tier/members.c
@@ -17,7 +17,11 @@
 void
 members_init(members_t *members, int64_t now_us)
 {
-    *members = (members_t){.started_us = now_us, .half_us = now_us};
+    *members = (members_t){
+        .started_us = now_us,
+        .half_us = now_us,
+        .store_lost = true, /* until it is first heard */
+    };
 }
 
 void
@@ -197,7 +201,7 @@
 {
     if (members->store_lost) {
         members->store_lost = false;
-        members->store_back_us = now_us;
+        members->store_back_us = members->count > 0 ? now_us : 0;
     }
 }
 
--- a/tier/node.c
+++ b/tier/node.c
@@ -7,6 +7,7 @@
 #include "platform/documents.h"
 #include "platform/names.h"
 #include "tier/engine.h"
+#include "tier/fleet_state.h"
 #include "tier/front.h"
 #include "tier/members.h"
 #include "tier/metrics_text.h"
@@ -56,6 +57,8 @@
     CONNECTIONS_MAX = 2000, /* of callers, about half of the descriptors */
     DIRECTORY_SIZE = 4096,
     SUSPECTS_MAX = 16, /* fingerprints that a daemon names in the store */
+    /* A store that is there answers a starting daemon sooner than this. */
+    ASK_PEERS_US = 300000,
     /* How often the copy of the registry is written, at most. */
     COPY_PAUSE_US = 5000000
 };
@@ -86,32 +89,36 @@
     http_server_set(node->callers, &settings);
 }
 
+/* Put a document in force if it is newer. */
 static void
-config_read(node_t *node, const kv_item_t *item, int64_t now_us)
+config_read(node_t *node, const char *text, size_t size, uint64_t revision,
+            int64_t now_us)
 {
     const document_faults_t faults = {.fault = config_fault, .owner = node};
     const route_table_t *old = engine_table(node->engine);
-    route_table_t *table = document_routes(item->value, item->size, &faults);
+    route_table_t *table = document_routes(text, size, &faults);
     if (table == NULL) {
         event_log(EVENT_CONFIG_REFUSED, "rev=%" PRIu64 " cause=not_readable",
-                  item->revision);
+                  revision);
         return;
     }
     if (old != NULL && table->version <= old->version) {
         if (table->version < old->version) {
             event_log(EVENT_CONFIG_OLDER,
                       "v=%" PRIu64 " rev=%" PRIu64 " in_force=%" PRIu64,
-                      table->version, item->revision, old->version);
+                      table->version, revision, old->version);
         }
         route_table_release(table);
         return;
     }
-    table->revision = item->revision;
+    table->revision = revision;
     engine_configure(node->engine, table, now_us);
     node_limits(node);
+    free(node->config_text);
+    node->config_text = strndup(text, size);
     event_log(EVENT_CONFIG_IN_FORCE,
               "v=%" PRIu64 " rev=%" PRIu64 " routes=%u services=%u",
-              table->version, item->revision, table->route_count,
+              table->version, revision, table->route_count,
               table->service_count);
     route_table_release(table);
 }
@@ -144,7 +151,7 @@
     size_t length = sizeof(evacuate) - 1;
     if (strcmp(item->key, KEY_CONFIG) == 0) {
         if (!item->removed) {
-            config_read(node, item, now_us);
+            config_read(node, item->value, item->size, item->revision, now_us);
         }
     }
     else if (strncmp(item->key, evacuate, length) == 0) {
@@ -561,6 +568,68 @@
     answer_text(exchange, 200, "application/json", text, (size_t)length);
 }
 
+/* What this daemon knows, for one that has just started. */
+static void
+state_request(void *owner, exchange_t *exchange)
+{
+    node_t *node = owner;
+    const route_table_t *table = engine_table(node->engine);
+    size_t size = 0;
+    char *text = NULL;
+    if (target_is(exchange, PEER_STATE_PATH) && table != NULL &&
+        node->config_text != NULL) {
+        text = fleet_state_write(node->config_text, table->revision,
+                                 engine_registry(node->engine), &node->members,
+                                 &size);
+    }
+    answer_text(exchange, text != NULL ? 200 : 503, "application/json", text,
+                size);
+    free(text);
+}
+
+static void
+peer_told(void *owner, const char *text, size_t size, int64_t now_us)
+{
+    node_t *node = owner;
+    fleet_state_t state;
+    if (engine_table(node->engine) != NULL) {
+        return; /* the store was faster */
+    }
+    if (!fleet_state_read(&state, text, size)) {
+        event_log(EVENT_INPUT_REFUSED, "key=peer_state cause=not_readable");
+        return;
+    }
+    config_read(node, state.config, state.config_size, state.revision, now_us);
+    fleet_state_apply(&state, engine_registry(node->engine), &node->members,
+                      now_us);
+    fleet_state_release(&state);
+    char record[256];
+    size_t record_size = member_record_write(
+        record, sizeof(record), node->boot.callers_text, node->boot.zone);
+    if (node->boot.has_callers && record_size > 0) {
+        /* It cannot be written into the store yet, and yet it serves. */
+        members_put(&node->members, node->boot.daemon, record, record_size,
+                    now_us);
+    }
+    node->upstreams_known = engine_table(node->engine) != NULL;
+    event_log(EVENT_STATE_FROM_PEER, "upstreams=%u members=%u",
+              registry_count(engine_registry(node->engine)),
+              node->members.count);
+    members_changed(node, "-", "told", now_us);
+    engine_serve_waiting(node->engine, now_us);
+}
+
+/* While the store says nothing another daemon may know. */
+static void
+node_ask_peers(node_t *node, int64_t now_us)
+{
+    if (engine_table(node->engine) == NULL && !node->leaving &&
+        !store_link_stats(node->store)->reachable &&
+        now_us - node->started_us > ASK_PEERS_US) {
+        peer_link_tick(node->peers, now_us);
+    }
+}
+
 static void
 metrics_request(void *owner, exchange_t *exchange)
 {
@@ -587,6 +656,10 @@
     .request = directory_request,
     .gone = plain_gone,
 };
+static const http_service_t state_service = {
+    .request = state_request,
+    .gone = plain_gone,
+};
 static const http_service_t metrics_service = {
     .request = metrics_request,
     .gone = plain_gone,
@@ -644,6 +717,7 @@
     node_t *node = timer->data;
     int64_t now_us = loop_now_us();
     store_link_tick(node->store, now_us);
+    node_ask_peers(node, now_us);
     upstream_links_sweep(node->links, now_us);
     engine_serve_waiting(node->engine, now_us);
     if (now_us - node->housekeeping_us >= HOUSEKEEPING_US) {
@@ -719,8 +793,10 @@
          &readiness_service, node},
         {"directory", boot->has_directory, node->services, &boot->directory,
          &directory_service, node},
-        {"metrics", boot->has_callers, node->services, &metrics,
-         &metrics_service, node},
+        {"control", boot->has_control, node->services, &boot->control,
+         &state_service, node},
+        {"metrics", boot->has_callers && boot->has_metrics, node->services,
+         &metrics, &metrics_service, node},
     };
     for (size_t i = 0; i < sizeof(listeners) / sizeof(listeners[0]); i++) {
         if (listeners[i].wanted &&
@@ -762,9 +838,11 @@
     node->callers = http_server_new(node->loop, &callers);
     node->services = http_server_new(node->loop, &services);
     node->store = store_link_new(node->loop, &boot->store, &store_ops, node);
-    return node->engine != NULL && node->links != NULL &&
-           node->callers != NULL && node->services != NULL &&
-           node->store != NULL && node_follow(node);
+    node->peers = peer_link_new(node->loop, boot->seeds, boot->seed_count,
+                                peer_told, node);
+    return node->peers != NULL && node->engine != NULL &&
+           node->links != NULL && node->callers != NULL &&
+           node->services != NULL && node->store != NULL && node_follow(node);
 }
 
 node_t *
@@ -780,6 +858,7 @@
     int64_t now_us = loop_now_us();
     node->loop = loop;
     node->boot = *boot;
+    node->started_us = now_us;
     members_init(&node->members, now_us);
     ev_timer_init(&node->tick, node_tick, 0, TICK_US / 1e6);
     node->tick.data = node;
@@ -843,6 +922,8 @@
     http_server_free(node->callers);
     http_server_free(node->services);
     store_link_free(node->store);
+    peer_link_free(node->peers);
+    free(node->config_text);
     upstream_links_free(node->links);
     engine_free(node->engine);
     members_release(&node->members);
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -10,6 +10,7 @@
 #include "tier/front.h"
 #include "tier/members.h"
 #include "tier/node.h"
+#include "tier/peer_link.h"
 #include "tier/store_link.h"
 #include "tier/upstream_link.h"
 
@@ -26,6 +27,8 @@
     http_server_t *callers;
     http_server_t *services; /* readiness, directory, metrics */
     store_link_t *store;
+    peer_link_t *peers; /* asked while there is no configuration */
+    char *config_text;  /* in force, as the operator wrote it */
     front_t front;
     members_t members;
     uint32_t fleet;
@@ -34,6 +37,7 @@
     char zones_seen[REGISTRY_ZONES_MAX][INSTANCE_NAME_SIZE];
     uint32_t zones_seen_count;
     ev_timer tick;
+    int64_t started_us;
     int64_t housekeeping_us;
     uint32_t suspects; /* named in the store so far */
     bool copy_is_old; /* the registry has changed since its copy was written */
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -16,6 +16,7 @@
 registry_init(registry_t *registry)
 {
     memset(registry, 0, sizeof(*registry));
+    registry->store_lost = true; /* until it is first heard */
 }
 
 pool_t *
@@ -204,7 +205,9 @@
         return false;
     }
     added->listing = registry->listing;
-    added->gone_us = now_us + REGISTRY_RETURN_US;
+    if (!registry->store_lost) {
+        added->gone_us = now_us + REGISTRY_RETURN_US;
+    }
     return true;
 }
 
@@ -232,7 +235,8 @@
 {
     if (registry->store_lost) {
         registry->store_lost = false;
-        registry->store_back_us = now_us;
+        /* At a start there may be nothing that could have lapsed. */
+        registry->store_back_us = registry_count(registry) > 0 ? now_us : 0;
     }
 }
 
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -72,8 +72,9 @@
 void registry_list_end(registry_t *registry, int64_t now_us);
 
 /*
- * An upstream that was there before this daemon started: believed until it
- * had its time to come back. False: it is known, or there is no memory.
+ * An upstream that was there before this daemon started: believed while the
+ * store is away, and then until it had its time to come back. False: it is
+ * known, or there is no memory.
  */
 bool registry_suggest(registry_t *registry, const instance_entry_t *entry,
                       int64_t now_us);
