--- a/tier/engine_leg.c
+++ b/tier/engine_leg.c
@@ -87,11 +87,17 @@
     return pick;
 }
 
+uint32_t
+leg_room(const leg_t *leg, int64_t now_us)
+{
+    pool_pick_t pick = leg_pick(leg);
+    return pool_capacity(leg->pool, &pick, now_us);
+}
+
 bool
 leg_is_possible(const leg_t *leg, int64_t by_us, int64_t now_us)
 {
-    pool_pick_t pick = leg_pick(leg);
-    return pool_capacity(leg->pool, &pick, now_us) > 0 &&
+    return leg_room(leg, now_us) > 0 &&
            now_us + waiting_estimate_us(&leg->pool->waiting, now_us) +
                    leg_time_us(leg) <=
                by_us;
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -94,6 +94,10 @@
 /* Send a leg's first request, or let it wait, or fail it. */
 void leg_start(leg_t *leg, int64_t now_us);
 
+/* Requests that the upstreams it may go to take from here; 0: none is there.
+ */
+uint32_t leg_room(const leg_t *leg, int64_t now_us);
+
 /* Whether it could be done by then, as far as is known. */
 bool leg_is_possible(const leg_t *leg, int64_t by_us, int64_t now_us);
 
