tier: answer everybody before the end, and let a slow body arrive

Cause: requests still running at the end of the grace time were cut off without an answer, and a body that arrived slowly was refused with 408 (both tests of t1012-node failed first; the end also overstayed a grace time under 4 s). Change: what is not done 0.9 s before SIGKILL gets 502, 503 or 504 by what is true; the time for a head no longer runs while a body moves.

--- a/http/server.c
+++ b/http/server.c
@@ -175,7 +175,8 @@
         [HTTP_HEADERS_LONG] = 431,
         [HTTP_BODY_LONG] = 413,
     };
-    if (!exchange->reader.started) {
+    if (!exchange->reader.started || exchange->reader.headers_done) {
+        /* A head has its time as a whole, a body as long as it moves. */
         exchange->since_us = loop_now_us();
     }
     size_t used = 0;
--- a/http/server.h
+++ b/http/server.h
@@ -48,7 +48,7 @@
 /* Bounds on what callers send; 0: none. */
 typedef struct {
     http_limits_t limits;
-    int64_t header_timeout_us; /* for a request to arrive once it began */
+    int64_t header_timeout_us; /* for a head, and between bytes of a body */
     int64_t idle_timeout_us;   /* for the next request to begin */
     uint32_t connections_max;
 } http_server_settings_t;
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -666,6 +666,47 @@
 }
 END_TEST
 
+/* What is not done when the daemon must end is told so. */
+START_TEST(test_leave_unfinished)
+{
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    tier_upstream_set(f.upstreams[0], &(tier_script_t){0});
+    node_leave(f.node);
+    run_ms(&f, 1000);
+    exchange(&f, &caller, &f.boot.callers,
+             "GET /once/ HTTP/1.1\r\nHost: h\r\nX-Yuccarun-Request-Id: r\r\n"
+             "\r\n",
+             1200);
+    ck_assert_msg(status_of(&caller) == 504, "%s", caller.text);
+    ck_assert_ptr_nonnull(strstr(caller.text, "Connection: close\r\n"));
+    conn_close(&caller.conn);
+    fixture_release(&f);
+}
+END_TEST
+
+/* A body may take its time as long as it moves; a head may not. */
+START_TEST(test_slow_body)
+{
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    caller_open(&f, &caller, &f.boot.callers);
+    caller_send(&caller, "POST /one/ HTTP/1.1\r\nHost: h\r\n"
+                         "X-Yuccarun-Request-Id: r\r\n"
+                         "Content-Length: 4\r\n\r\n");
+    for (int i = 0; i < 4; i++) {
+        run_ms(&f, 200);
+        caller_send(&caller, "x");
+    }
+    run_ms(&f, 100);
+    ck_assert_msg(status_of(&caller) == 200, "%s", caller.text);
+    conn_close(&caller.conn);
+    fixture_release(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -684,5 +725,7 @@
     tcase_add_loop_test(tests, test_start_without_store, 0, 2);
     tcase_add_test(tests, test_start_with_lapsed_entries);
     tcase_add_test(tests, test_leave);
+    tcase_add_test(tests, test_leave_unfinished);
+    tcase_add_test(tests, test_slow_body);
     return suite_run("node", tests);
 }
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -647,6 +647,14 @@
     return request;
 }
 
+void
+engine_give_up(engine_t *engine, int64_t now_us)
+{
+    while (engine->requests != NULL) {
+        request_fail(engine->requests, "leaving", true, now_us);
+    }
+}
+
 void
 engine_wake(engine_t *engine, request_t *request, int64_t now_us)
 {
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -167,6 +167,9 @@
 void engine_each_route(const engine_t *engine, engine_route_fn each,
                        void *owner);
 
+/* The daemon ends: every request gets its final answer now. */
+void engine_give_up(engine_t *engine, int64_t now_us);
+
 /* Room may have appeared: new upstreams, or bounds that were raised. */
 void engine_serve_waiting(engine_t *engine, int64_t now_us);
 
--- a/tier/node.c
+++ b/tier/node.c
@@ -53,8 +53,9 @@
     LEAVE_SERVE_US = 3000000,
     /* ... and what is not done by then is given up, before SIGKILL. */
     LEAVE_MARGIN_US = 900000,
-    REQUESTS_MAX = 1500,    /* at a time: some kilobytes each */
-    CONNECTIONS_MAX = 2000, /* of callers, about half of the descriptors */
+    LEAVE_FLUSH_US = 200000, /* for the last answers to leave */
+    REQUESTS_MAX = 1500,     /* at a time: some kilobytes each */
+    CONNECTIONS_MAX = 2000,  /* of callers, about half of the descriptors */
     DIRECTORY_SIZE = 4096,
     SUSPECTS_MAX = 16, /* fingerprints that a daemon names in the store */
     /* A store that is there answers a starting daemon sooner than this. */
@@ -680,17 +681,26 @@
 node_leaving(node_t *node, int64_t now_us)
 {
     int64_t since_us = now_us - node->left_us;
-    if (since_us < LEAVE_SERVE_US) {
+    int64_t serve_us = node->boot.grace_us / 2 < LEAVE_SERVE_US
+                           ? node->boot.grace_us / 2
+                           : LEAVE_SERVE_US;
+    if (since_us < serve_us) {
         return;
     }
     if (!node->front.leaving) {
         node->front.leaving = true;
         http_server_close_idle(node->callers);
     }
+    if (since_us >= node->boot.grace_us - LEAVE_MARGIN_US) {
+        /* What is not done in time is told so; the answers have until the
+           next turn to leave. */
+        engine_give_up(node->engine, now_us);
+    }
     bool done = engine_requests(node->engine) == 0 &&
                 http_server_stats(node->callers)->open == 0 &&
                 store_link_has_left(node->store);
-    if (done || since_us >= node->boot.grace_us - LEAVE_MARGIN_US) {
+    if (done ||
+        since_us >= node->boot.grace_us - LEAVE_MARGIN_US + LEAVE_FLUSH_US) {
         node_end(node, now_us);
     }
 }
