tier: let a part of a large fleet carry the callers' traffic

Change: above 16 daemons the directory names one in five, stronger VMs first, each zone by its part; shares are computed for those; who stands by asks for the upstreams' changes as seldom as the drain bound allows.

--- a/t/t1003-beliefs.c
+++ b/t/t1003-beliefs.c
@@ -269,7 +269,7 @@
     char text[128];
     char address[32];
     snprintf(address, sizeof(address), "10.0.0.%s:80", name);
-    size_t size = member_record_write(text, sizeof(text), address, "a");
+    size_t size = member_record_write(text, sizeof(text), address, "a", 1);
     ck_assert_uint_gt(size, 0);
     members_put(members, name, text, size, now_us);
 }
@@ -289,6 +289,7 @@
     ck_assert(!members_put(&members, "4", "{}", 2, T0));
     ck_assert(!members_put(&members, "4", "\x01", 1, T0));
     ck_assert_uint_eq(members_fleet(&members, T0 + 4 * SECOND), 3);
+    ck_assert_uint_eq(members_choose(&members), 3);
     members_addresses(&members, "2", text, sizeof(text));
     ck_assert_str_eq(text, "[\"10.0.0.1:80\",\"10.0.0.3:80\"]");
     /* One that goes may still send for a while. */
@@ -311,6 +312,86 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    uint32_t zones[3]; /* daemons in each */
+    uint32_t serving[3];
+} serving_case_t;
+
+static const serving_case_t serving_cases[] = {
+    {"a small fleet: all", {6, 6, 4}, {6, 6, 4}},
+    {"a larger one: a part of each zone", {30, 20, 10}, {8, 6, 3}},
+    {"a zone of one", {40, 29, 1}, {10, 7, 1}},
+    {"a large one: one in five", {100, 100, 100}, {20, 20, 20}},
+};
+
+START_TEST(test_serving)
+{
+    const serving_case_t *c = &serving_cases[_i];
+    static const char *const zones[] = {"a", "b", "c"};
+    members_t members;
+    members_init(&members, T0);
+    for (uint32_t z = 0; z < 3; z++) {
+        for (uint32_t i = 0; i < c->zones[z]; i++) {
+            char name[32];
+            char text[128];
+            snprintf(name, sizeof(name), "%s-%u", zones[z], i);
+            size_t size = member_record_write(text, sizeof(text), "10.0.0.1:1",
+                                              zones[z], 100 + i % 7);
+            members_put(&members, name, text, size, T0);
+        }
+    }
+    uint32_t total = members_choose(&members);
+    uint32_t serving[3] = {0};
+    uint32_t weakest[3] = {1000, 1000, 1000};
+    uint32_t strongest[3] = {0};
+    for (uint32_t i = 0; i < members.count; i++) {
+        const member_record_t *record = &members.records[i];
+        uint32_t z = (uint32_t)(record->zone[0] - 'a');
+        if (record->serves) {
+            serving[z]++;
+            weakest[z] =
+                record->weight < weakest[z] ? record->weight : weakest[z];
+        }
+        else if (record->weight > strongest[z]) {
+            strongest[z] = record->weight;
+        }
+    }
+    for (uint32_t z = 0; z < 3; z++) {
+        ck_assert_msg(serving[z] == c->serving[z], "%s: %u in %s", c->name,
+                      serving[z], zones[z]);
+        ck_assert_msg(weakest[z] >= strongest[z], "%s", c->name);
+        total -= serving[z];
+    }
+    ck_assert_uint_eq(total, 0);
+    /* When one goes, only its place is taken by another. */
+    bool before[300];
+    uint32_t gone = 0;
+    while (!members.records[gone].serves) {
+        gone++;
+    }
+    char name[MEMBER_NAME_SIZE];
+    memcpy(name, members.records[gone].name, sizeof(name));
+    static char kept[300][MEMBER_NAME_SIZE];
+    uint32_t kept_count = 0;
+    for (uint32_t i = 0; i < members.count; i++) {
+        before[i] = members.records[i].serves;
+        if (before[i] && i != gone) {
+            memcpy(kept[kept_count++], members.records[i].name,
+                   MEMBER_NAME_SIZE);
+        }
+    }
+    members_remove(&members, name, T0);
+    members_choose(&members);
+    uint32_t lost = 0;
+    for (uint32_t i = 0; i < kept_count; i++) {
+        lost += members_serves(&members, kept[i]) ? 0 : 1;
+    }
+    ck_assert_msg(lost <= 1, "%s: %u lost their places", c->name, lost);
+    members_release(&members);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -325,5 +406,7 @@
                         sizeof(lease_cases) / sizeof(lease_cases[0]));
     tcase_add_test(tests, test_lease_leave);
     tcase_add_test(tests, test_members);
+    tcase_add_loop_test(tests, test_serving, 0,
+                        sizeof(serving_cases) / sizeof(serving_cases[0]));
     return suite_run("beliefs", tests);
 }
--- a/tier/fleet_state.c
+++ b/tier/fleet_state.c
@@ -13,8 +13,9 @@
     for (uint32_t i = 0; i < members->count; i++) {
         const member_record_t *record = &members->records[i];
         json_array_append_new(
-            rows, json_pack("{s:s, s:s, s:s}", "name", record->name, "address",
-                            record->address, "zone", record->zone));
+            rows, json_pack("{s:s, s:s, s:s, s:I}", "name", record->name,
+                            "address", record->address, "zone", record->zone,
+                            "weight", (json_int_t)record->weight));
     }
     return rows;
 }
--- a/tier/members.c
+++ b/tier/members.c
@@ -1,6 +1,7 @@
 #include "tier/members.h"
 
 #include "core/text.h"
+#include "tier/serving.h"
 
 #include <jansson.h>
 #include <stdio.h>
@@ -33,10 +34,11 @@
 
 size_t
 member_record_write(char *text, size_t size, const char *address,
-                    const char *zone)
+                    const char *zone, uint32_t weight)
 {
-    int length = snprintf(text, size, "{\"address\":\"%s\",\"zone\":\"%s\"}",
-                          address, zone);
+    int length = snprintf(text, size,
+                          "{\"address\":\"%s\",\"zone\":\"%s\",\"weight\":%u}",
+                          address, zone, weight);
     return length > 0 && (size_t)length < size ? (size_t)length : 0;
 }
 
@@ -102,6 +104,8 @@
     bool good = address != NULL && zone != NULL &&
                 text_copy(record->address, sizeof(record->address), address) &&
                 text_copy(record->zone, sizeof(record->zone), zone);
+    json_int_t weight = json_integer_value(json_object_get(root, "weight"));
+    record->weight = weight > 0 && weight < UINT32_MAX ? (uint32_t)weight : 0;
     json_decref(root);
     return good;
 }
@@ -138,6 +142,7 @@
     }
     memcpy(record->address, read.address, sizeof(record->address));
     memcpy(record->zone, read.zone, sizeof(record->zone));
+    record->weight = read.weight;
     record->listing = members->listing;
     record->gone_us = 0;
     members_note(members, now_us);
@@ -232,6 +237,28 @@
     return fleet > 0 ? fleet : 1;
 }
 
+uint32_t
+members_choose(members_t *members)
+{
+    bool *chosen = calloc(members->count + 1, sizeof(*chosen));
+    uint32_t serving = 0;
+    if (chosen != NULL) {
+        serving = serving_choose(members, chosen);
+    }
+    for (uint32_t i = 0; i < members->count; i++) {
+        members->records[i].serves = chosen == NULL || chosen[i];
+    }
+    free(chosen);
+    return serving;
+}
+
+bool
+members_serves(const members_t *members, const char *name)
+{
+    const member_record_t *record = members_find(members, name);
+    return record != NULL && record->serves;
+}
+
 size_t
 members_addresses(const members_t *members, const char *without, char *text,
                   size_t size)
@@ -244,7 +271,8 @@
     text[length++] = '[';
     for (uint32_t i = 0; i < members->count && written < ADDRESSES_MAX; i++) {
         const member_record_t *record = &members->records[i];
-        if (without != NULL && strcmp(record->name, without) == 0) {
+        if (!record->serves ||
+            (without != NULL && strcmp(record->name, without) == 0)) {
             continue;
         }
         int added = snprintf(text + length, size - length, "%s\"%s\"",
--- a/tier/members.h
+++ b/tier/members.h
@@ -34,6 +34,8 @@
     char name[MEMBER_NAME_SIZE];
     char address[MEMBER_NAME_SIZE]; /* for callers, "IP:PORT" */
     char zone[MEMBER_NAME_SIZE];
+    uint32_t weight; /* of the VM: how much it can carry beside the others */
+    bool serves;     /* the directory names it; see serving.h */
     uint32_t listing;
     int64_t gone_us; /* when it is gone unless it comes back; 0: it is there */
 } member_record_t;
@@ -55,7 +57,7 @@
 
 /* The text of this daemon's own record; how long it is, 0: no room. */
 size_t member_record_write(char *text, size_t size, const char *address,
-                           const char *zone);
+                           const char *zone, uint32_t weight);
 
 /* True: something changed. False too for a record that is no good. */
 bool members_put(members_t *members, const char *name, const char *value,
@@ -79,9 +81,15 @@
 /* Daemons that may be sending now; 1 at least. */
 uint32_t members_fleet(members_t *members, int64_t now_us);
 
+/* Choose who serves; how many do. */
+uint32_t members_choose(members_t *members);
+
+/* Whether that member is listed and serves. */
+bool members_serves(const members_t *members, const char *name);
+
 /*
- * The addresses callers may use, as a JSON array; `without` is left out
- * (NULL: nobody). `zone` first. How long the text is.
+ * The addresses callers may use, as a JSON array, of those who serve;
+ * `without` is left out (NULL: nobody). How long the text is.
  */
 size_t members_addresses(const members_t *members, const char *without,
                          char *text, size_t size);
--- a/tier/node.c
+++ b/tier/node.c
@@ -46,6 +46,13 @@
     MEMBERS_PAUSE_US = 1000000,
     /* A daemon that dies is listed for so long; three renewals within. */
     MEMBER_LEASE_US = 3000000,
+    /* Daemons beyond those that serve now, that shares allow for. */
+    SERVING_SPARE = 2,
+    /* A daemon that stands by takes one in so many of a full share. */
+    STANDBY_PARTS = 4,
+    /* It learns of a drain so long before the drain must be kept. */
+    STANDBY_MARGIN_US = 1500000,
+    LINK_AMPLE_MBPS = 100, /* Mbit/s; more makes no VM stronger */
     /* How long a caller may keep a directory answer: soon after a daemon
        leaves nobody knows its address any more. */
     DIRECTORY_TTL_US = 2000000,
@@ -277,19 +284,51 @@
     .list_end = upstreams_list_end,
 };
 
+/* How much the VM can carry: its processor, less where its link is narrow. */
+static uint32_t
+boot_weight(const boot_t *boot)
+{
+    double link = boot->link_mbps < LINK_AMPLE_MBPS
+                      ? boot->link_mbps / LINK_AMPLE_MBPS
+                      : 1;
+    return (uint32_t)(boot->cpu_share * boot->cores * link * 1000);
+}
+
+/* What depends on who the members are, and on whether this one serves. */
 static void
-members_changed(node_t *node, const char *name, const char *change,
-                int64_t now_us)
+members_settle(node_t *node, int64_t now_us)
 {
+    uint32_t serving = members_choose(&node->members);
+    bool serves = members_serves(&node->members, node->boot.daemon);
     uint32_t fleet = members_fleet(&node->members, now_us);
-    event_log(EVENT_MEMBERS, "daemon_name=%s change=%s members=%u fleet=%u",
-              name, change, node->members.count, fleet);
+    if (serving < node->members.count) {
+        /* Who stands by sends next to nothing. */
+        fleet = serves ? serving + SERVING_SPARE : fleet * STANDBY_PARTS;
+    }
+    int64_t pause_us = serves || serving == node->members.count
+                           ? UPSTREAMS_PAUSE_US
+                           : node->boot.drain_us - STANDBY_MARGIN_US;
+    store_link_pace(node->store, KEY_UPSTREAMS,
+                    pause_us > UPSTREAMS_PAUSE_US ? pause_us
+                                                  : UPSTREAMS_PAUSE_US);
     if (fleet != node->fleet) {
         node->fleet = fleet;
         engine_set_fleet(node->engine, fleet, now_us);
     }
 }
 
+static void
+members_changed(node_t *node, const char *name, const char *change,
+                int64_t now_us)
+{
+    members_settle(node, now_us);
+    event_log(EVENT_MEMBERS,
+              "daemon_name=%s change=%s members=%u serves=%d "
+              "shares=%u",
+              name, change, node->members.count,
+              members_serves(&node->members, node->boot.daemon), node->fleet);
+}
+
 static void
 members_list_began(void *owner, int64_t now_us)
 {
@@ -605,8 +644,9 @@
                       now_us);
     fleet_state_release(&state);
     char record[256];
-    size_t record_size = member_record_write(
-        record, sizeof(record), node->boot.callers_text, node->boot.zone);
+    size_t record_size =
+        member_record_write(record, sizeof(record), node->boot.callers_text,
+                            node->boot.zone, boot_weight(&node->boot));
     if (node->boot.has_callers && record_size > 0) {
         /* It cannot be written into the store yet, and yet it serves. */
         members_put(&node->members, node->boot.daemon, record, record_size,
@@ -714,8 +754,11 @@
     http_server_sweep(node->callers, now_us);
     http_server_sweep(node->services, now_us);
     bool dropped = members_expire(&node->members, now_us);
-    if (dropped || members_fleet(&node->members, now_us) != node->fleet) {
-        members_changed(node, "-", dropped ? "expired" : "counted", now_us);
+    if (dropped) {
+        members_changed(node, "-", "expired", now_us);
+    }
+    else {
+        members_settle(node, now_us);
     }
 }
 
@@ -775,7 +818,7 @@
     snprintf(key, sizeof(key), KEY_MEMBERS "%s", boot->daemon);
     if (boot->has_callers &&
         member_record_write(record, sizeof(record), boot->callers_text,
-                            boot->zone) > 0) {
+                            boot->zone, boot_weight(boot)) > 0) {
         store_link_hold(node->store, key, record,
                         MEMBER_LEASE_US > boot->min_lease_us
                             ? MEMBER_LEASE_US
--- /dev/null
+++ b/tier/serving.h
@@ -0,0 +1,32 @@
+/*
+ * Which daemons carry callers' traffic.
+ *
+ * The load it answers: many more daemons than the traffic needs. If callers
+ * spread over all, each upstream is connected to by all, every connection is
+ * opened anew for a few requests, shares of what an upstream bears fall under
+ * one, and each daemon asks the store as often as if it were busy. So the
+ * directory names a part of a large fleet, the stronger VMs first and each
+ * availability zone by its part of the daemons; the others stand by, ready.
+ * Everybody works it out alike from the members listed, and when one goes the
+ * next of its zone takes its place.
+ *
+ *     serving_choose(members, count, chosen);
+ */
+#ifndef TIER_SERVING_H
+#define TIER_SERVING_H
+
+#include "tier/members.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    SERVING_ALL = 16,    /* daemons up to which all of them serve */
+    SERVING_PARTS = 5,   /* of a larger fleet one in so many, and ... */
+    SERVING_ZONE_MIN = 2 /* ... so many of each zone at least */
+};
+
+/* Set chosen[i] for each member; how many were chosen. */
+uint32_t serving_choose(const members_t *members, bool *chosen);
+
+#endif
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -440,6 +440,17 @@
     return true;
 }
 
+void
+store_link_pace(store_link_t *store, const char *prefix, int64_t pause_us)
+{
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        follow_t *follow = &store->channels[i].follow;
+        if (strcmp(follow->settings.prefix, prefix) == 0) {
+            follow->settings.pause_us = pause_us;
+        }
+    }
+}
+
 void
 store_link_hold(store_link_t *store, const char *key, const char *record,
                 int64_t ttl_us)
--- a/tier/store_link.h
+++ b/tier/store_link.h
@@ -57,6 +57,10 @@
 void store_link_hold(store_link_t *store, const char *key, const char *record,
                      int64_t ttl_us);
 
+/* How long to wait between two calls for the changes of a prefix. */
+void store_link_pace(store_link_t *store, const char *prefix,
+                     int64_t pause_us);
+
 /*
  * Write a key once; leased: it goes with this daemon's record. What is still
  * to be written under the same key is replaced. False: too much waits.
