tier: in a large fleet few daemons ask the store for the upstreams

Change: two daemons of each zone read the store every 2 s, all others ask one of them every 1.5 s and the store only without a good answer for 2.5 s; an answer that may not be all is followed at once.

--- a/t/t1003-beliefs.c
+++ b/t/t1003-beliefs.c
@@ -269,7 +269,7 @@
     char text[128];
     char address[32];
     snprintf(address, sizeof(address), "10.0.0.%s:80", name);
-    size_t size = member_record_write(text, sizeof(text), address, "a", 1);
+    size_t size = member_record_write(text, sizeof(text), address, "", "a", 1);
     ck_assert_uint_gt(size, 0);
     members_put(members, name, text, size, now_us);
 }
@@ -336,8 +336,9 @@
             char name[32];
             char text[128];
             snprintf(name, sizeof(name), "%s-%u", zones[z], i);
-            size_t size = member_record_write(text, sizeof(text), "10.0.0.1:1",
-                                              zones[z], 100 + i % 7);
+            size_t size =
+                member_record_write(text, sizeof(text), "10.0.0.1:1",
+                                    "10.0.0.1:2", zones[z], 100 + i % 7);
             members_put(&members, name, text, size, T0);
         }
     }
@@ -348,7 +349,7 @@
     for (uint32_t i = 0; i < members.count; i++) {
         const member_record_t *record = &members.records[i];
         uint32_t z = (uint32_t)(record->zone[0] - 'a');
-        if (record->serves) {
+        if (record->role != MEMBER_STANDS_BY) {
             serving[z]++;
             weakest[z] =
                 record->weight < weakest[z] ? record->weight : weakest[z];
@@ -357,6 +358,11 @@
             strongest[z] = record->weight;
         }
     }
+    /* Somebody of each zone can be asked, and nobody asks itself. */
+    for (uint32_t turn = 0; turn < 4 && total < members.count; turn++) {
+        ck_assert_ptr_nonnull(members_to_ask(&members, "a", "a-0", turn));
+        ck_assert_ptr_nonnull(members_to_ask(&members, "none", "a-0", turn));
+    }
     for (uint32_t z = 0; z < 3; z++) {
         ck_assert_msg(serving[z] == c->serving[z], "%s: %u in %s", c->name,
                       serving[z], zones[z]);
@@ -367,7 +373,7 @@
     /* When one goes, only its place is taken by another. */
     bool before[300];
     uint32_t gone = 0;
-    while (!members.records[gone].serves) {
+    while (members.records[gone].role == MEMBER_STANDS_BY) {
         gone++;
     }
     char name[MEMBER_NAME_SIZE];
@@ -375,7 +381,7 @@
     static char kept[300][MEMBER_NAME_SIZE];
     uint32_t kept_count = 0;
     for (uint32_t i = 0; i < members.count; i++) {
-        before[i] = members.records[i].serves;
+        before[i] = members.records[i].role != MEMBER_STANDS_BY;
         if (before[i] && i != gone) {
             memcpy(kept[kept_count++], members.records[i].name,
                    MEMBER_NAME_SIZE);
@@ -385,7 +391,7 @@
     members_choose(&members);
     uint32_t lost = 0;
     for (uint32_t i = 0; i < kept_count; i++) {
-        lost += members_serves(&members, kept[i]) ? 0 : 1;
+        lost += members_role(&members, kept[i]) == MEMBER_STANDS_BY ? 1 : 0;
     }
     ck_assert_msg(lost <= 1, "%s: %u lost their places", c->name, lost);
     members_release(&members);
--- a/tier/fleet_state.c
+++ b/tier/fleet_state.c
@@ -13,9 +13,10 @@
     for (uint32_t i = 0; i < members->count; i++) {
         const member_record_t *record = &members->records[i];
         json_array_append_new(
-            rows, json_pack("{s:s, s:s, s:s, s:I}", "name", record->name,
+            rows, json_pack("{s:s, s:s, s:s, s:s, s:I}", "name", record->name,
                             "address", record->address, "zone", record->zone,
-                            "weight", (json_int_t)record->weight));
+                            "control", record->control, "weight",
+                            (json_int_t)record->weight));
     }
     return rows;
 }
@@ -31,17 +32,23 @@
 }
 
 char *
-fleet_state_write(const char *config, uint64_t revision,
-                  const registry_t *registry, const members_t *members,
-                  size_t *size)
+fleet_state_write(const fleet_state_t *state, const registry_t *registry,
+                  const members_t *members, int64_t now_us, size_t *size)
 {
     size_t copy_size;
-    char *copy = registry_copy_write(registry, &copy_size);
-    json_t *root = json_pack(
-        "{s:s, s:I, s:s, s:o, s:o}", "config", config, "revision",
-        (json_int_t)revision, "upstreams", copy != NULL ? copy : "[]",
-        "members", members_json(members), "closed", closed_json(registry));
+    char *copy = registry_copy_write(registry, now_us, &copy_size);
+    json_t *root =
+        json_pack("{s:s, s:I, s:I}", "upstreams", copy != NULL ? copy : "[]",
+                  "upstreams_revision", (json_int_t)state->upstreams_revision,
+                  "age_us", (json_int_t)state->age_us);
     free(copy);
+    if (root != NULL && state->config != NULL) {
+        json_object_set_new(root, "config", json_string(state->config));
+        json_object_set_new(root, "revision",
+                            json_integer((json_int_t)state->revision));
+        json_object_set_new(root, "members", members_json(members));
+        json_object_set_new(root, "closed", closed_json(registry));
+    }
     char *text = root != NULL ? json_dumps(root, JSON_COMPACT) : NULL;
     json_decref(root);
     *size = text != NULL ? strlen(text) : 0;
@@ -54,13 +61,16 @@
     json_t *root = json_loadb(text, size, 0, NULL);
     const json_t *config = json_object_get(root, "config");
     const json_t *upstreams = json_object_get(root, "upstreams");
-    if (!json_is_string(config) || !json_is_string(upstreams)) {
+    if (!json_is_string(upstreams)) {
         json_decref(root);
         return false;
     }
     *state = (fleet_state_t){
         .revision =
             (uint64_t)json_integer_value(json_object_get(root, "revision")),
+        .upstreams_revision = (uint64_t)json_integer_value(
+            json_object_get(root, "upstreams_revision")),
+        .age_us = json_integer_value(json_object_get(root, "age_us")),
         .config = json_string_value(config),
         .config_size = json_string_length(config),
         .upstreams = (char *)json_string_value(upstreams),
--- a/tier/fleet_state.h
+++ b/tier/fleet_state.h
@@ -2,7 +2,8 @@
  * What a daemon knows, as one text for another that has just started: the
  * configuration as the operator wrote it, upstreams, members, closed zones.
  *
- *     char *text = fleet_state_write(&state, &size);
+ *     char *text = fleet_state_write(&state, &registry, &members, now_us,
+ *                                    &size);
  *     fleet_state_t read;
  *     if (fleet_state_read(&read, text, size)) { ...;
  *         fleet_state_release(&read); }
@@ -17,18 +18,24 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Read from another's text; the strings are its own. */
+/*
+ * What is written besides registry and members; read from another's text, the
+ * strings are its own.
+ */
 typedef struct {
-    uint64_t revision; /* of the store, of the configuration */
+    uint64_t revision;           /* of the store, of the configuration */
+    uint64_t upstreams_revision; /* up to which the upstreams are known */
+    int64_t age_us;              /* since that was heard from the store */
     const char *config;
     size_t config_size;
     char *upstreams; /* as registry_copy.h has it */
     void *document;
 } fleet_state_t;
 
-/* The text, to be freed; NULL: no memory. */
-char *fleet_state_write(const char *config, uint64_t revision,
-                        const registry_t *registry, const members_t *members,
+/* The text, to be freed; NULL: no memory. Without a configuration it has the
+   upstreams only. */
+char *fleet_state_write(const fleet_state_t *state, const registry_t *registry,
+                        const members_t *members, int64_t now_us,
                         size_t *size);
 
 /* False: it is no state. */
--- a/tier/follow.c
+++ b/tier/follow.c
@@ -63,7 +63,8 @@
     if (answer->revision > follow->revision) {
         follow->revision = answer->revision;
     }
-    follow->due_us = now_us + follow->settings.pause_us;
+    follow->due_us =
+        now_us + (answer->count < FOLLOW_FULL ? follow->settings.pause_us : 0);
     return FOLLOW_CHANGES;
 }
 
--- a/tier/follow.h
+++ b/tier/follow.h
@@ -24,6 +24,9 @@
     /* Pause after a failed call: short, since what was missed in an outage is
        wanted within a second of its end. */
     FOLLOW_RETRY_US = 400000,
+    /* An answer of so many changes may not be all: the store's pages end at
+       about 500. */
+    FOLLOW_FULL = 400,
     FOLLOW_KEY_SIZE = 256
 };
 
--- a/tier/members.c
+++ b/tier/members.c
@@ -34,11 +34,12 @@
 
 size_t
 member_record_write(char *text, size_t size, const char *address,
-                    const char *zone, uint32_t weight)
+                    const char *control, const char *zone, uint32_t weight)
 {
     int length = snprintf(text, size,
-                          "{\"address\":\"%s\",\"zone\":\"%s\",\"weight\":%u}",
-                          address, zone, weight);
+                          "{\"address\":\"%s\",\"control\":\"%s\","
+                          "\"zone\":\"%s\",\"weight\":%u}",
+                          address, control, zone, weight);
     return length > 0 && (size_t)length < size ? (size_t)length : 0;
 }
 
@@ -104,6 +105,11 @@
     bool good = address != NULL && zone != NULL &&
                 text_copy(record->address, sizeof(record->address), address) &&
                 text_copy(record->zone, sizeof(record->zone), zone);
+    const char *control = json_string_value(json_object_get(root, "control"));
+    if (control == NULL ||
+        !text_copy(record->control, sizeof(record->control), control)) {
+        record->control[0] = '\0';
+    }
     json_int_t weight = json_integer_value(json_object_get(root, "weight"));
     record->weight = weight > 0 && weight < UINT32_MAX ? (uint32_t)weight : 0;
     json_decref(root);
@@ -142,6 +148,7 @@
     }
     memcpy(record->address, read.address, sizeof(record->address));
     memcpy(record->zone, read.zone, sizeof(record->zone));
+    memcpy(record->control, read.control, sizeof(record->control));
     record->weight = read.weight;
     record->listing = members->listing;
     record->gone_us = 0;
@@ -240,23 +247,51 @@
 uint32_t
 members_choose(members_t *members)
 {
-    bool *chosen = calloc(members->count + 1, sizeof(*chosen));
-    uint32_t serving = 0;
-    if (chosen != NULL) {
-        serving = serving_choose(members, chosen);
+    member_role_t *roles = calloc(members->count + 1, sizeof(*roles));
+    uint32_t serving = members->count;
+    if (roles != NULL) {
+        serving = serving_choose(members, roles);
     }
     for (uint32_t i = 0; i < members->count; i++) {
-        members->records[i].serves = chosen == NULL || chosen[i];
+        members->records[i].role = roles != NULL ? roles[i] : MEMBER_READS;
     }
-    free(chosen);
+    free(roles);
     return serving;
 }
 
-bool
-members_serves(const members_t *members, const char *name)
+const char *
+members_to_ask(const members_t *members, const char *zone, const char *without,
+               uint32_t turn)
+{
+    for (int anywhere = 0; anywhere < 2; anywhere++) {
+        uint32_t fit = 0;
+        const char *found = NULL;
+        for (uint32_t pass = 0; pass < 2 && (pass == 0 || fit > 0); pass++) {
+            uint32_t wanted = pass == 0 ? UINT32_MAX : turn % fit;
+            fit = 0;
+            for (uint32_t i = 0; i < members->count; i++) {
+                const member_record_t *record = &members->records[i];
+                if (record->role != MEMBER_READS || record->gone_us != 0 ||
+                    record->control[0] == '\0' ||
+                    strcmp(record->name, without) == 0 ||
+                    (anywhere == 0 && strcmp(record->zone, zone) != 0)) {
+                    continue;
+                }
+                found = fit++ == wanted ? record->control : found;
+            }
+        }
+        if (found != NULL) {
+            return found;
+        }
+    }
+    return NULL;
+}
+
+member_role_t
+members_role(const members_t *members, const char *name)
 {
     const member_record_t *record = members_find(members, name);
-    return record != NULL && record->serves;
+    return record != NULL ? record->role : MEMBER_STANDS_BY;
 }
 
 size_t
@@ -271,7 +306,7 @@
     text[length++] = '[';
     for (uint32_t i = 0; i < members->count && written < ADDRESSES_MAX; i++) {
         const member_record_t *record = &members->records[i];
-        if (!record->serves ||
+        if (record->role == MEMBER_STANDS_BY ||
             (without != NULL && strcmp(record->name, without) == 0)) {
             continue;
         }
--- a/tier/members.h
+++ b/tier/members.h
@@ -30,12 +30,20 @@
     MEMBERS_UNSURE_US = 3000000
 };
 
+/* What a member does; see serving.h. */
+typedef enum {
+    MEMBER_STANDS_BY, /* ready, and not named to callers */
+    MEMBER_SERVES,
+    MEMBER_READS /* serves, and asks the store for the upstreams */
+} member_role_t;
+
 typedef struct {
     char name[MEMBER_NAME_SIZE];
     char address[MEMBER_NAME_SIZE]; /* for callers, "IP:PORT" */
     char zone[MEMBER_NAME_SIZE];
+    char control[MEMBER_NAME_SIZE]; /* for other daemons; "": none */
     uint32_t weight; /* of the VM: how much it can carry beside the others */
-    bool serves;     /* the directory names it; see serving.h */
+    member_role_t role;
     uint32_t listing;
     int64_t gone_us; /* when it is gone unless it comes back; 0: it is there */
 } member_record_t;
@@ -57,7 +65,8 @@
 
 /* The text of this daemon's own record; how long it is, 0: no room. */
 size_t member_record_write(char *text, size_t size, const char *address,
-                           const char *zone, uint32_t weight);
+                           const char *control, const char *zone,
+                           uint32_t weight);
 
 /* True: something changed. False too for a record that is no good. */
 bool members_put(members_t *members, const char *name, const char *value,
@@ -84,8 +93,15 @@
 /* Choose who serves; how many do. */
 uint32_t members_choose(members_t *members);
 
-/* Whether that member is listed and serves. */
-bool members_serves(const members_t *members, const char *name);
+/*
+ * The address at which a member that reads can be asked, of that zone if
+ * there is one; turn counts questions and spreads them. NULL: there is none.
+ */
+const char *members_to_ask(const members_t *members, const char *zone,
+                           const char *without, uint32_t turn);
+
+/* The role of a member; one that is not listed stands by. */
+member_role_t members_role(const members_t *members, const char *name);
 
 /*
  * The addresses callers may use, as a JSON array, of those who serve;
--- a/tier/node.c
+++ b/tier/node.c
@@ -50,8 +50,12 @@
     SERVING_SPARE = 2,
     /* A daemon that stands by takes one in so many of a full share. */
     STANDBY_PARTS = 4,
-    /* It learns of a drain so long before the drain must be kept. */
-    STANDBY_MARGIN_US = 1500000,
+    /* In a large fleet few ask the store, and so often; ... */
+    LARGE_PAUSE_US = 2000000,
+    /* ... the others ask them so often, and the store only when they had no
+       good answer for so long. */
+    PEER_ASK_US = 1500000,
+    PEER_REST_US = 2500000,
     LINK_AMPLE_MBPS = 100, /* Mbit/s; more makes no VM stronger */
     /* How long a caller may keep a directory answer: soon after a daemon
        leaves nobody knows its address any more. */
@@ -67,6 +71,8 @@
     SUSPECTS_MAX = 16, /* fingerprints that a daemon names in the store */
     /* A store that is there answers a starting daemon sooner than this. */
     ASK_PEERS_US = 300000,
+    ASK_AGAIN_US = 200000,  /* the next of the daemons it may ask */
+    PEER_SLACK_US = 500000, /* on top of a pause: the call itself */
     /* How often the copy of the registry is written, at most. */
     COPY_PAUSE_US = 5000000
 };
@@ -259,6 +265,13 @@
 
 static const store_reader_t copy_reader;
 
+static void
+upstreams_heard(void *owner, int64_t now_us)
+{
+    node_t *node = owner;
+    node->upstreams_read_us = now_us;
+}
+
 static void
 upstreams_list_end(void *owner, int64_t now_us)
 {
@@ -282,6 +295,7 @@
     .list_begin = upstreams_list_begin,
     .item = upstreams_item,
     .list_end = upstreams_list_end,
+    .heard = upstreams_heard,
 };
 
 /* How much the VM can carry: its processor, less where its link is narrow. */
@@ -294,23 +308,38 @@
     return (uint32_t)(boot->cpu_share * boot->cores * link * 1000);
 }
 
+/* This daemon's record; 0: callers do not connect to it. */
+static size_t
+node_record(const node_t *node, char *text, size_t size)
+{
+    const boot_t *boot = &node->boot;
+    return boot->has_callers
+               ? member_record_write(text, size, boot->callers_text,
+                                     boot->control_text, boot->zone,
+                                     boot_weight(boot))
+               : 0;
+}
+
 /* What depends on who the members are, and on whether this one serves. */
 static void
 members_settle(node_t *node, int64_t now_us)
 {
     uint32_t serving = members_choose(&node->members);
-    bool serves = members_serves(&node->members, node->boot.daemon);
+    member_role_t role = members_role(&node->members, node->boot.daemon);
     uint32_t fleet = members_fleet(&node->members, now_us);
-    if (serving < node->members.count) {
+    bool large = serving < node->members.count;
+    if (large) {
         /* Who stands by sends next to nothing. */
-        fleet = serves ? serving + SERVING_SPARE : fleet * STANDBY_PARTS;
-    }
-    int64_t pause_us = serves || serving == node->members.count
-                           ? UPSTREAMS_PAUSE_US
-                           : node->boot.drain_us - STANDBY_MARGIN_US;
-    store_link_pace(node->store, KEY_UPSTREAMS,
-                    pause_us > UPSTREAMS_PAUSE_US ? pause_us
-                                                  : UPSTREAMS_PAUSE_US);
+        fleet = role != MEMBER_STANDS_BY ? serving + SERVING_SPARE
+                                         : fleet * STANDBY_PARTS;
+    }
+    node->asks_peers = large && role != MEMBER_READS;
+    /* In a large fleet a drain takes two steps to be known everywhere. */
+    int64_t pause_us = UPSTREAMS_PAUSE_US;
+    if (large && node->boot.drain_us > 2 * LARGE_PAUSE_US) {
+        pause_us = LARGE_PAUSE_US;
+    }
+    store_link_pace(node->store, KEY_UPSTREAMS, pause_us);
     if (fleet != node->fleet) {
         node->fleet = fleet;
         engine_set_fleet(node->engine, fleet, now_us);
@@ -326,7 +355,8 @@
               "daemon_name=%s change=%s members=%u serves=%d "
               "shares=%u",
               name, change, node->members.count,
-              members_serves(&node->members, node->boot.daemon), node->fleet);
+              (int)members_role(&node->members, node->boot.daemon),
+              node->fleet);
 }
 
 static void
@@ -451,7 +481,8 @@
         return;
     }
     size_t size;
-    char *text = registry_copy_write(engine_registry(node->engine), &size);
+    char *text =
+        registry_copy_write(engine_registry(node->engine), now_us, &size);
     if (text != NULL &&
         store_link_put(node->store, KEY_REGISTRY_COPY, text, false)) {
         node->copy_is_old = false;
@@ -614,60 +645,115 @@
 {
     node_t *node = owner;
     const route_table_t *table = engine_table(node->engine);
+    const store_link_stats_t *store = store_link_stats(node->store);
+    int64_t now_us = loop_now_us();
+    bool whole = target_is(exchange, PEER_STATE_PATH) && table != NULL;
+    fleet_state_t state = {
+        .config = whole ? node->config_text : NULL,
+        .revision = whole ? table->revision : 0,
+        .upstreams_revision =
+            store->reachable && !node->asks_peers
+                ? store_link_revision(node->store, KEY_UPSTREAMS)
+                : 0,
+        .age_us = now_us - node->upstreams_read_us,
+    };
     size_t size = 0;
     char *text = NULL;
-    if (target_is(exchange, PEER_STATE_PATH) && table != NULL &&
-        node->config_text != NULL) {
-        text = fleet_state_write(node->config_text, table->revision,
-                                 engine_registry(node->engine), &node->members,
-                                 &size);
+    if (state.config != NULL || target_is(exchange, PEER_UPSTREAMS_PATH)) {
+        text = fleet_state_write(&state, engine_registry(node->engine),
+                                 &node->members, now_us, &size);
     }
     answer_text(exchange, text != NULL ? 200 : 503, "application/json", text,
                 size);
     free(text);
 }
 
+/* The state of another daemon, for one that has none. */
 static void
-peer_told(void *owner, const char *text, size_t size, int64_t now_us)
+state_told(node_t *node, const fleet_state_t *state, int64_t now_us)
 {
-    node_t *node = owner;
-    fleet_state_t state;
-    if (engine_table(node->engine) != NULL) {
+    if (state->config == NULL || engine_table(node->engine) != NULL) {
         return; /* the store was faster */
     }
-    if (!fleet_state_read(&state, text, size)) {
-        event_log(EVENT_INPUT_REFUSED, "key=peer_state cause=not_readable");
-        return;
-    }
-    config_read(node, state.config, state.config_size, state.revision, now_us);
-    fleet_state_apply(&state, engine_registry(node->engine), &node->members,
+    config_read(node, state->config, state->config_size, state->revision,
+                now_us);
+    fleet_state_apply(state, engine_registry(node->engine), &node->members,
                       now_us);
-    fleet_state_release(&state);
     char record[256];
-    size_t record_size =
-        member_record_write(record, sizeof(record), node->boot.callers_text,
-                            node->boot.zone, boot_weight(&node->boot));
-    if (node->boot.has_callers && record_size > 0) {
+    size_t size = node_record(node, record, sizeof(record));
+    if (size > 0) {
         /* It cannot be written into the store yet, and yet it serves. */
-        members_put(&node->members, node->boot.daemon, record, record_size,
-                    now_us);
+        members_put(&node->members, node->boot.daemon, record, size, now_us);
     }
     node->upstreams_known = engine_table(node->engine) != NULL;
     event_log(EVENT_STATE_FROM_PEER, "upstreams=%u members=%u",
               registry_count(engine_registry(node->engine)),
               node->members.count);
     members_changed(node, "-", "told", now_us);
+}
+
+/* The upstreams as one that serves knows them, for one that does not read. */
+static void
+upstreams_told(node_t *node, const fleet_state_t *state, int64_t now_us)
+{
+    if (!node->asks_peers || !node->upstreams_known ||
+        state->upstreams_revision == 0 ||
+        state->age_us > LARGE_PAUSE_US + PEER_SLACK_US) {
+        return;
+    }
+    bool taken = registry_copy_follow(
+        engine_registry(node->engine), state->upstreams,
+        strlen(state->upstreams), state->upstreams_revision, now_us);
+    /* While the store is away this call is the one that finds it back. */
+    if (taken && store_link_stats(node->store)->reachable) {
+        store_link_rest(node->store, KEY_UPSTREAMS, now_us + PEER_REST_US);
+    }
+}
+
+static void
+peer_told(void *owner, const char *text, size_t size, int64_t now_us)
+{
+    node_t *node = owner;
+    fleet_state_t state;
+    if (!fleet_state_read(&state, text, size)) {
+        event_log(EVENT_INPUT_REFUSED, "key=peer_state cause=not_readable");
+        return;
+    }
+    state_told(node, &state, now_us);
+    upstreams_told(node, &state, now_us);
+    fleet_state_release(&state);
     engine_serve_waiting(node->engine, now_us);
 }
 
-/* While the store says nothing another daemon may know. */
+/* Ask another daemon, where that is better than the store, or all there is. */
 static void
 node_ask_peers(node_t *node, int64_t now_us)
 {
-    if (engine_table(node->engine) == NULL && !node->leaving &&
-        !store_link_stats(node->store)->reachable &&
-        now_us - node->started_us > ASK_PEERS_US) {
-        peer_link_tick(node->peers, now_us);
+    const boot_t *boot = &node->boot;
+    struct sockaddr_in address;
+    peer_link_tick(node->peers, now_us);
+    if (node->leaving || now_us < node->ask_due_us ||
+        !peer_link_is_free(node->peers)) {
+        return;
+    }
+    if (engine_table(node->engine) == NULL) {
+        if (boot->seed_count > 0 &&
+            !store_link_stats(node->store)->reachable &&
+            now_us - node->started_us > ASK_PEERS_US) {
+            node->ask_due_us = now_us + ASK_AGAIN_US;
+            peer_link_ask(node->peers,
+                          &boot->seeds[node->asked++ % boot->seed_count],
+                          PEER_STATE_PATH, now_us);
+        }
+        return;
+    }
+    const char *control = node->asks_peers
+                              ? members_to_ask(&node->members, boot->zone,
+                                               boot->daemon, node->asked++)
+                              : NULL;
+    if (control != NULL && boot_address(control, &address)) {
+        node->ask_due_us = now_us + PEER_ASK_US;
+        peer_link_ask(node->peers, &address, PEER_UPSTREAMS_PATH, now_us);
     }
 }
 
@@ -816,9 +902,7 @@
     char record[256];
     const boot_t *boot = &node->boot;
     snprintf(key, sizeof(key), KEY_MEMBERS "%s", boot->daemon);
-    if (boot->has_callers &&
-        member_record_write(record, sizeof(record), boot->callers_text,
-                            boot->zone, boot_weight(boot)) > 0) {
+    if (node_record(node, record, sizeof(record)) > 0) {
         store_link_hold(node->store, key, record,
                         MEMBER_LEASE_US > boot->min_lease_us
                             ? MEMBER_LEASE_US
@@ -891,8 +975,7 @@
     node->callers = http_server_new(node->loop, &callers);
     node->services = http_server_new(node->loop, &services);
     node->store = store_link_new(node->loop, &boot->store, &store_ops, node);
-    node->peers = peer_link_new(node->loop, boot->seeds, boot->seed_count,
-                                peer_told, node);
+    node->peers = peer_link_new(node->loop, peer_told, node);
     return node->peers != NULL && node->engine != NULL &&
            node->links != NULL && node->callers != NULL &&
            node->services != NULL && node->store != NULL && node_follow(node);
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -27,7 +27,7 @@
     http_server_t *callers;
     http_server_t *services; /* readiness, directory, metrics */
     store_link_t *store;
-    peer_link_t *peers; /* asked while there is no configuration */
+    peer_link_t *peers; /* see node_ask_peers */
     char *config_text;  /* in force, as the operator wrote it */
     front_t front;
     members_t members;
@@ -37,6 +37,10 @@
     char zones_seen[REGISTRY_ZONES_MAX][INSTANCE_NAME_SIZE];
     uint32_t zones_seen_count;
     ev_timer tick;
+    bool asks_peers;           /* for the upstreams, and not the store */
+    uint32_t asked;            /* questions to other daemons so far */
+    int64_t ask_due_us;        /* the next */
+    int64_t upstreams_read_us; /* when the store was last heard of them */
     int64_t started_us;
     int64_t housekeeping_us;
     uint32_t suspects; /* named in the store so far */
--- a/tier/peer_link.h
+++ b/tier/peer_link.h
@@ -1,25 +1,26 @@
 /*
- * Asking another daemon for what it knows, when this one has just started and
- * the store cannot be reached.
+ * Asking another daemon for what it knows: when this one has just started and
+ * the store cannot be reached, and instead of the store when it stands by.
  *
- * The daemons named in the settings are asked one after the other, again and
- * again, until one answers or the answer is not needed any more.
- *
- *     peer_link_t *peers = peer_link_new(loop, addresses, count, told, owner);
- *     peer_link_tick(peers, now_us);      // often, while it is needed
+ *     peer_link_t *peers = peer_link_new(loop, told, owner);
+ *     if (peer_link_is_free(peers)) {
+ *         peer_link_ask(peers, &address, PEER_STATE_PATH, now_us);
+ *     }
+ *     peer_link_tick(peers, now_us);      // often
  */
 #ifndef TIER_PEER_LINK_H
 #define TIER_PEER_LINK_H
 
 #include <ev.h>
 #include <netinet/in.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-enum { PEER_SEEDS_MAX = 8 };
-
-/* Where a daemon answers with its state, on its control address. */
+/* Where a daemon answers with its state, on its control address, and with its
+   upstreams alone. */
 #define PEER_STATE_PATH "/fleet/state"
+#define PEER_UPSTREAMS_PATH "/fleet/upstreams"
 
 typedef struct peer_link peer_link_t;
 
@@ -28,11 +29,18 @@
                              int64_t now_us);
 
 /* NULL: no memory. */
-peer_link_t *peer_link_new(struct ev_loop *loop,
-                           const struct sockaddr_in *addresses, uint32_t count,
-                           peer_told_fn told, void *owner);
+peer_link_t *peer_link_new(struct ev_loop *loop, peer_told_fn told,
+                           void *owner);
 void peer_link_free(peer_link_t *peers);
 
+/* Whether no answer is awaited. */
+bool peer_link_is_free(const peer_link_t *peers);
+
+/* Ask; there is no word of a question that fails. */
+void peer_link_ask(peer_link_t *peers, const struct sockaddr_in *address,
+                   const char *path, int64_t now_us);
+
+/* Give up an answer that does not come. */
 void peer_link_tick(peer_link_t *peers, int64_t now_us);
 
 #endif
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -181,18 +181,25 @@
 }
 
 void
-registry_list_end(registry_t *registry, int64_t now_us)
+registry_list_end_at(registry_t *registry, uint64_t revision, int64_t now_us)
 {
     for (strmap_entry_t *at = strmap_first(&registry->entries), *next;
          at != NULL; at = next) {
         registry_entry_t *entry = strmap_value(at);
         next = strmap_next(at);
-        if (entry->listing != registry->listing) {
+        if (entry->listing != registry->listing &&
+            entry->revision <= revision) {
             registry_vanish(registry, entry, now_us);
         }
     }
 }
 
+void
+registry_list_end(registry_t *registry, int64_t now_us)
+{
+    registry_list_end_at(registry, UINT64_MAX, now_us);
+}
+
 bool
 registry_suggest(registry_t *registry, const instance_entry_t *entry,
                  int64_t now_us)
@@ -212,7 +219,7 @@
 }
 
 const instance_t *
-registry_each(const registry_t *registry, void **at)
+registry_each(const registry_t *registry, void **at, uint64_t *revision)
 {
     const strmap_entry_t *next =
         *at == NULL ? strmap_first(&registry->entries) : strmap_next(*at);
@@ -221,6 +228,7 @@
         return NULL;
     }
     const registry_entry_t *entry = strmap_value(next);
+    *revision = entry->revision;
     return entry->instance;
 }
 
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -71,6 +71,10 @@
 void registry_list_begin(registry_t *registry);
 void registry_list_end(registry_t *registry, int64_t now_us);
 
+/* As registry_list_end, for a list that is good up to that revision only. */
+void registry_list_end_at(registry_t *registry, uint64_t revision,
+                          int64_t now_us);
+
 /*
  * An upstream that was there before this daemon started: believed while the
  * store is away, and then until it had its time to come back. False: it is
@@ -79,8 +83,12 @@
 bool registry_suggest(registry_t *registry, const instance_entry_t *entry,
                       int64_t now_us);
 
-/* The upstreams one after the other, *at NULL for the first; NULL: no more. */
-const instance_t *registry_each(const registry_t *registry, void **at);
+/*
+ * The upstreams one after the other, *at NULL for the first, each with the
+ * revision of its entry; NULL: no more.
+ */
+const instance_t *registry_each(const registry_t *registry, void **at,
+                                uint64_t *revision);
 
 void registry_store_lost(registry_t *registry);
 void registry_store_back(registry_t *registry, int64_t now_us);
--- a/tier/registry_copy.c
+++ b/tier/registry_copy.c
@@ -8,26 +8,31 @@
 #include <string.h>
 
 static json_t *
-copy_row(const instance_entry_t *entry)
+copy_row(const instance_t *instance, uint64_t revision, int64_t now_us)
 {
+    const instance_entry_t *entry = &instance->entry;
     char host[INET_ADDRSTRLEN];
+    int64_t cold_us = instance->cold_until_us - now_us;
     inet_ntop(AF_INET, &entry->address.sin_addr, host, sizeof(host));
-    return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I}", "id", entry->id,
-                     "service", entry->service, "zone", entry->zone, "host",
-                     host, "port", (int)ntohs(entry->address.sin_port),
-                     "slots", (int)entry->slots, "started_ms",
-                     (json_int_t)entry->started_ms);
+    return json_pack(
+        "{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:b, s:I, s:I}", "id", entry->id,
+        "service", entry->service, "zone", entry->zone, "host", host, "port",
+        (int)ntohs(entry->address.sin_port), "slots", (int)entry->slots,
+        "started_ms", (json_int_t)entry->started_ms, "draining",
+        (int)entry->draining, "cold_us",
+        (json_int_t)(cold_us > 0 ? cold_us : 0), "revision",
+        (json_int_t)revision);
 }
 
 char *
-registry_copy_write(const registry_t *registry, size_t *size)
+registry_copy_write(const registry_t *registry, int64_t now_us, size_t *size)
 {
     json_t *rows = json_array();
-    const instance_t *instance = NULL;
-    for (void *at = NULL; (instance = registry_each(registry, &at)) != NULL;) {
-        if (!instance->entry.draining) {
-            json_array_append_new(rows, copy_row(&instance->entry));
-        }
+    uint64_t revision;
+    const instance_t *instance;
+    for (void *at = NULL;
+         (instance = registry_each(registry, &at, &revision)) != NULL;) {
+        json_array_append_new(rows, copy_row(instance, revision, now_us));
     }
     char *text = json_dumps(rows, JSON_COMPACT);
     json_decref(rows);
@@ -52,6 +57,8 @@
     entry->started_ms = json_integer_value(json_object_get(row, "started_ms"));
     entry->address.sin_port = htons((uint16_t)port);
     entry->slots = (uint32_t)slots;
+    entry->draining = json_is_true(json_object_get(row, "draining"));
+    entry->cold_left_us = json_integer_value(json_object_get(row, "cold_us"));
     return row_text(row, "id", entry->id, sizeof(entry->id)) &&
            row_text(row, "service", entry->service, sizeof(entry->service)) &&
            row_text(row, "zone", entry->zone, sizeof(entry->zone)) &&
@@ -68,7 +75,7 @@
     uint32_t added = 0;
     for (size_t i = 0; i < json_array_size(rows); i++) {
         instance_entry_t entry;
-        if (row_read(&entry, json_array_get(rows, i)) &&
+        if (row_read(&entry, json_array_get(rows, i)) && !entry.draining &&
             registry_suggest(registry, &entry, now_us)) {
             added++;
         }
@@ -76,3 +83,27 @@
     json_decref(rows);
     return added;
 }
+
+bool
+registry_copy_follow(registry_t *registry, const char *text, size_t size,
+                     uint64_t revision, int64_t now_us)
+{
+    json_t *rows = json_loadb(text, size, 0, NULL);
+    if (!json_is_array(rows)) {
+        json_decref(rows);
+        return false;
+    }
+    registry_list_begin(registry);
+    for (size_t i = 0; i < json_array_size(rows); i++) {
+        instance_entry_t entry;
+        const json_t *row = json_array_get(rows, i);
+        json_int_t written =
+            json_integer_value(json_object_get(row, "revision"));
+        if (row_read(&entry, row) && written > 0) {
+            registry_put(registry, &entry, (uint64_t)written, now_us);
+        }
+    }
+    registry_list_end_at(registry, revision, now_us);
+    json_decref(rows);
+    return true;
+}
--- a/tier/registry_copy.h
+++ b/tier/registry_copy.h
@@ -7,7 +7,7 @@
  * each has registered again. The copy does not lapse. What it names is
  * believed for as long as an upstream has to come back, and no longer.
  *
- *     char *text = registry_copy_write(&registry, &size);
+ *     char *text = registry_copy_write(&registry, now_us, &size);
  *     registry_copy_read(&registry, text, size, now_us);
  */
 #ifndef TIER_REGISTRY_COPY_H
@@ -19,10 +19,18 @@
 #include <stdint.h>
 
 /* The text, to be freed; NULL: no memory. */
-char *registry_copy_write(const registry_t *registry, size_t *size);
+char *registry_copy_write(const registry_t *registry, int64_t now_us,
+                          size_t *size);
 
 /* Add what is missing, for a while; how many were added. */
 uint32_t registry_copy_read(registry_t *registry, const char *text,
                             size_t size, int64_t now_us);
 
+/*
+ * Take over all of it, as a list that is good up to that revision of the
+ * store. False: it is none.
+ */
+bool registry_copy_follow(registry_t *registry, const char *text, size_t size,
+                          uint64_t revision, int64_t now_us);
+
 #endif
--- a/tier/serving.c
+++ b/tier/serving.c
@@ -26,12 +26,14 @@
 }
 
 uint32_t
-serving_choose(const members_t *members, bool *chosen)
+serving_choose(const members_t *members, member_role_t *roles)
 {
     uint32_t count = members->count;
     candidate_t *candidates = malloc((count + 1) * sizeof(*candidates));
     if (count <= SERVING_ALL || candidates == NULL) {
-        memset(chosen, 1, count * sizeof(*chosen));
+        for (uint32_t i = 0; i < count; i++) {
+            roles[i] = MEMBER_READS;
+        }
         free(candidates);
         return count;
     }
@@ -44,7 +46,6 @@
         };
     }
     qsort(candidates, count, sizeof(*candidates), candidate_order);
-    memset(chosen, 0, count * sizeof(*chosen));
     uint32_t total = 0;
     uint32_t wanted = count / SERVING_PARTS > SERVING_ALL
                           ? count / SERVING_PARTS
@@ -57,10 +58,12 @@
         }
         uint32_t part = (wanted * size + count - 1) / count;
         part = part < SERVING_ZONE_MIN ? SERVING_ZONE_MIN : part;
-        for (uint32_t j = 0; j < size && j < part; j++) {
-            chosen[candidates[i + j].place] = true;
-            total++;
+        for (uint32_t j = 0; j < size; j++) {
+            roles[candidates[i + j].place] = j < SERVING_READERS ? MEMBER_READS
+                                             : j < part ? MEMBER_SERVES
+                                                        : MEMBER_STANDS_BY;
         }
+        total += size < part ? size : part;
         i += size;
     }
     free(candidates);
--- a/tier/serving.h
+++ b/tier/serving.h
@@ -10,7 +10,7 @@
  * Everybody works it out alike from the members listed, and when one goes the
  * next of its zone takes its place.
  *
- *     serving_choose(members, count, chosen);
+ *     uint32_t serving = serving_choose(&members, roles);
  */
 #ifndef TIER_SERVING_H
 #define TIER_SERVING_H
@@ -21,12 +21,16 @@
 #include <stdint.h>
 
 enum {
-    SERVING_ALL = 16,    /* daemons up to which all of them serve */
-    SERVING_PARTS = 5,   /* of a larger fleet one in so many, and ... */
-    SERVING_ZONE_MIN = 2 /* ... so many of each zone at least */
+    SERVING_ALL = 16,     /* daemons up to which all of them serve */
+    SERVING_PARTS = 5,    /* of a larger fleet one in so many, and ... */
+    SERVING_ZONE_MIN = 2, /* ... so many of each zone at least */
+    SERVING_READERS = 2   /* of a zone's that serve, so many ask the store */
 };
 
-/* Set chosen[i] for each member; how many were chosen. */
-uint32_t serving_choose(const members_t *members, bool *chosen);
+/*
+ * Set the role of each member; how many serve. In a large fleet two of each
+ * zone ask the store for the upstreams, and the others ask those.
+ */
+uint32_t serving_choose(const members_t *members, member_role_t *roles);
 
 #endif
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -148,6 +148,9 @@
     if (step == FOLLOW_LIST_LAST || step == FOLLOW_LIST_WHOLE) {
         items->list_end(channel->items_owner, now_us);
     }
+    if (items->heard != NULL) {
+        items->heard(channel->items_owner, now_us);
+    }
 }
 
 static void
@@ -451,6 +454,30 @@
     }
 }
 
+uint64_t
+store_link_revision(const store_link_t *store, const char *prefix)
+{
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        const follow_t *follow = &store->channels[i].follow;
+        if (strcmp(follow->settings.prefix, prefix) == 0) {
+            return follow->watching ? follow->revision : 0;
+        }
+    }
+    return 0;
+}
+
+void
+store_link_rest(store_link_t *store, const char *prefix, int64_t until_us)
+{
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        follow_t *follow = &store->channels[i].follow;
+        if (strcmp(follow->settings.prefix, prefix) == 0 && !follow->busy &&
+            follow->watching && follow->due_us < until_us) {
+            follow->due_us = until_us;
+        }
+    }
+}
+
 void
 store_link_hold(store_link_t *store, const char *key, const char *record,
                 int64_t ttl_us)
--- a/tier/store_link.h
+++ b/tier/store_link.h
@@ -25,6 +25,7 @@
     void (*list_begin)(void *owner, int64_t now_us);
     void (*item)(void *owner, const kv_item_t *item, int64_t now_us);
     void (*list_end)(void *owner, int64_t now_us);
+    void (*heard)(void *owner, int64_t now_us); /* after each; may be NULL */
 } store_reader_t;
 
 typedef struct {
@@ -61,6 +62,13 @@
 void store_link_pace(store_link_t *store, const char *prefix,
                      int64_t pause_us);
 
+/* Up to which revision a prefix is known; 0: it was not read yet. */
+uint64_t store_link_revision(const store_link_t *store, const char *prefix);
+
+/* Ask for no changes of a prefix before then. */
+void store_link_rest(store_link_t *store, const char *prefix,
+                     int64_t until_us);
+
 /*
  * Write a key once; leased: it goes with this daemon's record. What is still
  * to be written under the same key is replaced. False: too much waits.
