--- a/tier/node.c
+++ b/tier/node.c
@@ -41,6 +41,9 @@
     UPSTREAMS_PAUSE_US = 1500000,
     /* Configurations and members change seldom: a call waits for them. */
     OPERATOR_WAIT_US = 25000000,
+    /* Versions in quick succession are one call; a sixth of the time in which
+       one must be in force. */
+    OPERATOR_PAUSE_US = 500000,
     MEMBERS_WAIT_US = 25000000,
     /* Several changes in a row, of a restart of the fleet, are one call. */
     MEMBERS_PAUSE_US = 1000000,
@@ -340,6 +343,8 @@
         pause_us = LARGE_PAUSE_US;
     }
     store_link_pace(node->store, KEY_UPSTREAMS, pause_us);
+    store_link_pace(node->store, KEY_FLEET,
+                    large ? LARGE_PAUSE_US : MEMBERS_PAUSE_US);
     if (fleet != node->fleet) {
         node->fleet = fleet;
         engine_set_fleet(node->engine, fleet, now_us);
@@ -875,6 +880,7 @@
 {
     static const follow_settings_t operator_settings = {
         .prefix = KEY_OPERATOR,
+        .pause_us = OPERATOR_PAUSE_US,
         .wait_us = OPERATOR_WAIT_US,
     };
     static const follow_settings_t upstreams_settings = {
