tier: take node.c apart by what each part speaks with

Change: configuration, upstreams, members, other daemons and services each have a file; node.c keeps start, end, time and the engine's ports. No behaviour changes.

--- /dev/null
+++ b/tier/node_config.c
@@ -0,0 +1,137 @@
+/* The configuration and the closed zones, as the operator writes them. */
+#include "core/text.h"
+#include "edge/event.h"
+#include "platform/documents.h"
+#include "platform/names.h"
+#include "tier/node_state.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+config_fault(void *owner, const char *place, const char *why)
+{
+    (void)owner;
+    event_log(EVENT_CONFIG_REFUSED, "place=%s cause=%s", place, why);
+}
+
+static void
+node_limits(node_t *node)
+{
+    const route_table_t *table = engine_table(node->engine);
+    http_server_settings_t settings = {
+        .connections_max = CONNECTIONS_MAX,
+        .limits =
+            {
+                .header_bytes = table != NULL ? table->header_bytes : 0,
+                .body_bytes = table != NULL ? table->body_bytes : 0,
+            },
+        .header_timeout_us = table != NULL ? table->header_timeout_us : 0,
+        .idle_timeout_us = table != NULL ? table->idle_timeout_us : 0,
+    };
+    http_server_set(node->callers, &settings);
+}
+
+/* Put a document in force if it is newer. */
+void
+node_config_read(node_t *node, const char *text, size_t size,
+                 uint64_t revision, int64_t now_us)
+{
+    const document_faults_t faults = {.fault = config_fault, .owner = node};
+    const route_table_t *old = engine_table(node->engine);
+    route_table_t *table = document_routes(text, size, &faults);
+    if (table == NULL) {
+        event_log(EVENT_CONFIG_REFUSED, "rev=%" PRIu64 " cause=not_readable",
+                  revision);
+        return;
+    }
+    if (old != NULL && table->version <= old->version) {
+        if (table->version < old->version) {
+            event_log(EVENT_CONFIG_OLDER,
+                      "v=%" PRIu64 " rev=%" PRIu64 " in_force=%" PRIu64,
+                      table->version, revision, old->version);
+        }
+        route_table_release(table);
+        return;
+    }
+    table->revision = revision;
+    engine_configure(node->engine, table, now_us);
+    node_limits(node);
+    free(node->config_text);
+    node->config_text = strndup(text, size);
+    event_log(EVENT_CONFIG_IN_FORCE,
+              "v=%" PRIu64 " rev=%" PRIu64 " routes=%u services=%u",
+              table->version, revision, table->route_count,
+              table->service_count);
+    route_table_release(table);
+}
+
+static void
+zone_read(node_t *node, const char *zone, bool closed)
+{
+    registry_t *registry = engine_registry(node->engine);
+    if (registry_zone_is_closed(registry, zone) == closed) {
+        return;
+    }
+    bool done = registry_close_zone(registry, zone, closed);
+    event_log(EVENT_ZONE_CLOSED, "zone=%s closed=%d done=%d", zone, closed,
+              done);
+}
+
+static void
+operator_list_begin(void *owner, int64_t now_us)
+{
+    node_t *node = owner;
+    (void)now_us;
+    node->zones_seen_count = 0;
+}
+
+static void
+operator_item(void *owner, const kv_item_t *item, int64_t now_us)
+{
+    node_t *node = owner;
+    static const char evacuate[] = KEY_EVACUATE;
+    size_t length = sizeof(evacuate) - 1;
+    if (strcmp(item->key, KEY_CONFIG) == 0) {
+        if (!item->removed) {
+            node_config_read(node, item->value, item->size, item->revision,
+                             now_us);
+        }
+    }
+    else if (strncmp(item->key, evacuate, length) == 0) {
+        const char *zone = item->key + length;
+        zone_read(node, zone, !item->removed);
+        if (!item->removed && node->zones_seen_count < REGISTRY_ZONES_MAX &&
+            text_copy(node->zones_seen[node->zones_seen_count],
+                      INSTANCE_NAME_SIZE, zone)) {
+            node->zones_seen_count++;
+        }
+    }
+}
+
+/* Zones that were closed and are not in the list are open again. */
+static void
+operator_list_end(void *owner, int64_t now_us)
+{
+    node_t *node = owner;
+    registry_t *registry = engine_registry(node->engine);
+    for (uint32_t i = registry->closed_count; i-- > 0;) {
+        char zone[INSTANCE_NAME_SIZE];
+        bool seen = false;
+        memcpy(zone, registry->closed[i], sizeof(zone));
+        for (uint32_t j = 0; j < node->zones_seen_count; j++) {
+            seen |= strcmp(node->zones_seen[j], zone) == 0;
+        }
+        if (!seen) {
+            zone_read(node, zone, false);
+        }
+    }
+    engine_serve_waiting(node->engine, now_us);
+}
+
+const store_reader_t node_operator_reader = {
+    .list_begin = operator_list_begin,
+    .item = operator_item,
+    .list_end = operator_list_end,
+};
--- /dev/null
+++ b/tier/node_members.c
@@ -0,0 +1,164 @@
+/* The daemons of the fleet, what each does, and what they suspect. */
+#include "edge/event.h"
+#include "platform/names.h"
+#include "tier/node_state.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    /* Daemons beyond those that serve now, that shares allow for. */
+    SERVING_SPARE = 2,
+    /* A daemon that stands by takes one in so many of a full share. */
+    STANDBY_PARTS = 4,
+    LINK_AMPLE_MBPS = 100, /* Mbit/s; more makes no VM stronger */
+    SUSPECTS_MAX = 16      /* fingerprints that a daemon names in the store */
+};
+
+/* How much the VM can carry: its processor, less where its link is narrow. */
+static uint32_t
+boot_weight(const boot_t *boot)
+{
+    double link = boot->link_mbps < LINK_AMPLE_MBPS
+                      ? boot->link_mbps / LINK_AMPLE_MBPS
+                      : 1;
+    return (uint32_t)(boot->cpu_share * boot->cores * link * 1000);
+}
+
+/* This daemon's record; 0: callers do not connect to it. */
+size_t
+node_record(const node_t *node, char *text, size_t size)
+{
+    const boot_t *boot = &node->boot;
+    return boot->has_callers
+               ? member_record_write(text, size, boot->callers_text,
+                                     boot->control_text, boot->zone,
+                                     boot_weight(boot))
+               : 0;
+}
+
+/* What depends on who the members are, and on whether this one serves. */
+void
+node_members_settle(node_t *node, int64_t now_us)
+{
+    uint32_t serving = members_choose(&node->members);
+    member_role_t role = members_role(&node->members, node->boot.daemon);
+    uint32_t fleet = members_fleet(&node->members, now_us);
+    bool large = serving < node->members.count;
+    if (large) {
+        /* Who stands by sends next to nothing. */
+        fleet = role != MEMBER_STANDS_BY ? serving + SERVING_SPARE
+                                         : fleet * STANDBY_PARTS;
+    }
+    node->asks_peers = large && role != MEMBER_READS;
+    /* In a large fleet a drain takes two steps to be known everywhere. */
+    int64_t pause_us = UPSTREAMS_PAUSE_US;
+    if (large && node->boot.drain_us > 2 * LARGE_PAUSE_US) {
+        pause_us = LARGE_PAUSE_US;
+    }
+    store_link_pace(node->store, KEY_UPSTREAMS, pause_us);
+    store_link_pace(node->store, KEY_FLEET,
+                    large ? LARGE_PAUSE_US : MEMBERS_PAUSE_US);
+    if (fleet != node->fleet) {
+        node->fleet = fleet;
+        engine_set_fleet(node->engine, fleet, now_us);
+    }
+}
+
+void
+node_members_changed(node_t *node, const char *name, const char *change,
+                     int64_t now_us)
+{
+    node_members_settle(node, now_us);
+    event_log(EVENT_MEMBERS,
+              "daemon_name=%s change=%s members=%u serves=%d "
+              "shares=%u",
+              name, change, node->members.count,
+              (int)members_role(&node->members, node->boot.daemon),
+              node->fleet);
+}
+
+static void
+members_list_began(void *owner, int64_t now_us)
+{
+    node_t *node = owner;
+    (void)now_us;
+    members_list_begin(&node->members);
+}
+
+/* What another daemon suspects: DAEMON/SLOT, and the fingerprint as value. */
+static void
+suspect_item(node_t *node, const kv_item_t *item, int64_t now_us)
+{
+    const char *daemon = item->key + sizeof(KEY_SUSPECTS) - 1;
+    size_t length = strlen(node->boot.daemon);
+    bool own = strncmp(daemon, node->boot.daemon, length) == 0 &&
+               daemon[length] == '/';
+    if (!item->removed && !own) {
+        engine_suspect(node->engine, strtoull(item->value, NULL, 16), now_us);
+    }
+}
+
+void
+node_suspect(void *owner, uint64_t fingerprint)
+{
+    node_t *node = owner;
+    char key[LEASE_KEY_SIZE];
+    char value[32];
+    snprintf(key, sizeof(key), KEY_SUSPECTS "%s/%u", node->boot.daemon,
+             node->suspects++ % SUSPECTS_MAX);
+    snprintf(value, sizeof(value), "%016" PRIx64, fingerprint);
+    if (!store_link_put(node->store, key, value, true)) {
+        event_log(EVENT_INPUT_REFUSED, "key=%s cause=too_many_writes", key);
+    }
+}
+
+static void
+member_item(node_t *node, const kv_item_t *item, int64_t now_us)
+{
+    const char *name = item->key + sizeof(KEY_MEMBERS) - 1;
+    bool own = strcmp(name, node->boot.daemon) == 0;
+    if (item->removed) {
+        if (members_remove(&node->members, name, now_us)) {
+            node_members_changed(node, name, "gone", now_us);
+        }
+        if (own && !node->leaving) {
+            store_link_missing(node->store, now_us);
+        }
+        return;
+    }
+    if (members_put(&node->members, name, item->value, item->size, now_us)) {
+        node_members_changed(node, name, "listed", now_us);
+    }
+}
+
+static void
+members_item(void *owner, const kv_item_t *item, int64_t now_us)
+{
+    if (strncmp(item->key, KEY_MEMBERS, sizeof(KEY_MEMBERS) - 1) == 0) {
+        member_item(owner, item, now_us);
+    }
+    else if (strncmp(item->key, KEY_SUSPECTS, sizeof(KEY_SUSPECTS) - 1) == 0) {
+        suspect_item(owner, item, now_us);
+    }
+}
+
+static void
+members_list_ended(void *owner, int64_t now_us)
+{
+    node_t *node = owner;
+    if (members_list_end(&node->members, now_us)) {
+        node_members_changed(node, "-", "list", now_us);
+    }
+    if (!node->leaving && !members_has(&node->members, node->boot.daemon)) {
+        store_link_missing(node->store, now_us);
+    }
+}
+
+const store_reader_t node_members_reader = {
+    .list_begin = members_list_began,
+    .item = members_item,
+    .list_end = members_list_ended,
+};
--- /dev/null
+++ b/tier/node_services.c
@@ -0,0 +1,119 @@
+/* Readiness, directory and metrics, for whom the platform lets ask. */
+#include "platform/names.h"
+#include "tier/metrics_text.h"
+#include "tier/node_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    /* How long a caller may keep a directory answer: soon after a daemon
+       leaves nobody knows its address any more. */
+    DIRECTORY_TTL_US = 2000000,
+    DIRECTORY_SIZE = 4096
+};
+
+void
+node_answer_text(exchange_t *exchange, uint32_t status, const char *type,
+                 const char *text, size_t size)
+{
+    char head[96];
+    int head_size = snprintf(head, sizeof(head), "Content-Type: %s\r\n", type);
+    http_answer_t answer = {
+        .status = status,
+        .head = head,
+        .head_size = (size_t)head_size,
+        .body = text,
+        .body_size = size,
+    };
+    exchange_answer(exchange, &answer);
+}
+
+static bool
+node_is_ready(const node_t *node)
+{
+    return !node->leaving && engine_table(node->engine) != NULL &&
+           node->upstreams_known;
+}
+
+bool
+node_target_is(const exchange_t *exchange, const char *path)
+{
+    const char *target = http_target(exchange_request(exchange));
+    size_t length = strlen(path);
+    return strncmp(target, path, length) == 0 &&
+           (target[length] == '\0' || target[length] == '?');
+}
+
+static void
+readiness_request(void *owner, exchange_t *exchange)
+{
+    const node_t *node = owner;
+    if (!node_target_is(exchange, CALL_READY)) {
+        node_answer_text(exchange, 404, "text/plain", "", 0);
+        return;
+    }
+    node_answer_text(exchange, node_is_ready(node) ? 200 : 503, "text/plain",
+                     "", 0);
+}
+
+static void
+directory_request(void *owner, exchange_t *exchange)
+{
+    node_t *node = owner;
+    char text[DIRECTORY_SIZE];
+    char addresses[DIRECTORY_SIZE - 64];
+    if (!node_target_is(exchange, CALL_DIRECTORY)) {
+        node_answer_text(exchange, 404, "text/plain", "", 0);
+        return;
+    }
+    size_t size = members_addresses(&node->members,
+                                    node->leaving ? node->boot.daemon : NULL,
+                                    addresses, sizeof(addresses));
+    if (size == 0) {
+        node_answer_text(exchange, 503, "text/plain", "", 0);
+        return;
+    }
+    int64_t ttl_us = node->boot.directory_ttl_us < DIRECTORY_TTL_US
+                         ? node->boot.directory_ttl_us
+                         : DIRECTORY_TTL_US;
+    int length = snprintf(text, sizeof(text), "{\"addrs\":%s,\"ttl_s\":%g}",
+                          addresses, (double)ttl_us / 1e6);
+    node_answer_text(exchange, 200, "application/json", text, (size_t)length);
+}
+
+static void
+metrics_request(void *owner, exchange_t *exchange)
+{
+    node_t *node = owner;
+    size_t size = 0;
+    char *text = metrics_text(node, &size);
+    node_answer_text(exchange, text != NULL ? 200 : 503,
+                     "text/plain; version=0.0.4", text, size);
+    free(text);
+}
+
+static void
+plain_gone(void *owner, exchange_t *exchange)
+{
+    (void)owner;
+    (void)exchange;
+}
+
+const http_service_t node_readiness_service = {
+    .request = readiness_request,
+    .gone = plain_gone,
+};
+const http_service_t node_directory_service = {
+    .request = directory_request,
+    .gone = plain_gone,
+};
+const http_service_t node_state_service = {
+    .request = node_state_request,
+    .gone = plain_gone,
+};
+const http_service_t node_metrics_service = {
+    .request = metrics_request,
+    .gone = plain_gone,
+};
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -14,8 +14,24 @@
 #include "tier/store_link.h"
 #include "tier/upstream_link.h"
 
+/* Keys of the fleet's own in the store. */
+#define KEY_FLEET "yuccarun/fleet/"
+#define KEY_MEMBERS KEY_FLEET "members/"
+#define KEY_SUSPECTS KEY_FLEET "suspects/"
+#define KEY_REGISTRY "yuccarun/registry/"
+#define KEY_REGISTRY_COPY KEY_REGISTRY "upstreams"
+
 enum {
-    METRICS_PORT = 9464 /* as deploy/system.toml says */
+    METRICS_PORT = 9464, /* as deploy/system.toml says */
+    /* Upstreams renew their entries all the time, so changes are asked for
+       in batches: a drain is then known a second before the three seconds in
+       which it must be, and each call has a price. */
+    UPSTREAMS_PAUSE_US = 1500000,
+    /* Several changes in a row, of a restart of the fleet, are one call. */
+    MEMBERS_PAUSE_US = 1000000,
+    /* In a large fleet few ask the store, and so often; ... */
+    LARGE_PAUSE_US = 2000000,
+    CONNECTIONS_MAX = 2000 /* of callers, about half of the descriptors */
 };
 
 struct node {
@@ -50,4 +66,53 @@
     int64_t left_us;
 };
 
+/* node_config.c */
+extern const store_reader_t node_operator_reader;
+
+/* Put a document in force if it is newer. */
+void node_config_read(node_t *node, const char *text, size_t size,
+                      uint64_t revision, int64_t now_us);
+
+/* node_upstreams.c */
+extern const store_reader_t node_upstreams_reader;
+
+/* Write the copy of the registry if that is this daemon's to do, and due. */
+void node_copy_registry(node_t *node, int64_t now_us);
+
+/* node_members.c */
+extern const store_reader_t node_members_reader;
+
+/* This daemon's record; 0: callers do not connect to it. */
+size_t node_record(const node_t *node, char *text, size_t size);
+
+/* What depends on who the members are, and on what this one does. */
+void node_members_settle(node_t *node, int64_t now_us);
+
+/* The same after a change, which is logged. */
+void node_members_changed(node_t *node, const char *name, const char *change,
+                          int64_t now_us);
+
+/* The engine's port; owner is the node. */
+void node_suspect(void *owner, uint64_t fingerprint);
+
+/* node_peers.c; owners are the node. */
+void node_state_request(void *owner, exchange_t *exchange);
+void node_peer_told(void *owner, const char *text, size_t size,
+                    int64_t now_us);
+
+/* Ask another daemon, where that is better than the store, or all there is. */
+void node_ask_peers(node_t *node, int64_t now_us);
+
+/* node_services.c */
+extern const http_service_t node_readiness_service;
+extern const http_service_t node_directory_service;
+extern const http_service_t node_state_service;
+extern const http_service_t node_metrics_service;
+
+void node_answer_text(exchange_t *exchange, uint32_t status, const char *type,
+                      const char *text, size_t size);
+
+/* Whether the request is for that path, whatever its query. */
+bool node_target_is(const exchange_t *exchange, const char *path);
+
 #endif
--- /dev/null
+++ b/tier/node_upstreams.c
@@ -0,0 +1,155 @@
+/* The upstreams as the registry lists them, and the copy of it. */
+#include "edge/event.h"
+#include "platform/documents.h"
+#include "platform/names.h"
+#include "tier/node_state.h"
+#include "tier/registry_copy.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    /* How often the copy of the registry is written, at most. */
+    COPY_PAUSE_US = 5000000
+};
+
+static void
+copy_list_event(void *owner, int64_t now_us)
+{
+    (void)owner;
+    (void)now_us;
+}
+
+static void
+copy_item(void *owner, const kv_item_t *item, int64_t now_us)
+{
+    node_t *node = owner;
+    if (item->removed || strcmp(item->key, KEY_REGISTRY_COPY) != 0) {
+        return;
+    }
+    uint32_t added = registry_copy_read(engine_registry(node->engine),
+                                        item->value, item->size, now_us);
+    event_log(EVENT_REGISTRY_COPY, "rev=%" PRIu64 " believed=%u listed=%u",
+              item->revision, added,
+              registry_count(engine_registry(node->engine)) - added);
+    engine_serve_waiting(node->engine, now_us);
+}
+
+static const store_reader_t copy_reader = {
+    .list_begin = copy_list_event,
+    .item = copy_item,
+    .list_end = copy_list_event,
+};
+
+static void
+upstreams_list_begin(void *owner, int64_t now_us)
+{
+    node_t *node = owner;
+    (void)now_us;
+    registry_list_begin(engine_registry(node->engine));
+}
+
+static void
+upstream_log(const char *id, const instance_entry_t *entry,
+             registry_change_t change, uint64_t revision)
+{
+    static const char *const changes[] = {
+        [REGISTRY_SAME] = "same",       [REGISTRY_ADDED] = "added",
+        [REGISTRY_CHANGED] = "changed", [REGISTRY_GONE] = "gone",
+        [REGISTRY_KEPT] = "kept",
+    };
+    if (change == REGISTRY_SAME) {
+        return;
+    }
+    event_log(
+        EVENT_INSTANCE,
+        "instance=%s change=%s rev=%" PRIu64
+        " service=%s zone=%s draining=%d cold_ms=%" PRId64,
+        id, changes[change], revision, entry != NULL ? entry->service : "-",
+        entry != NULL ? entry->zone : "-", entry != NULL && entry->draining,
+        entry != NULL ? entry->cold_left_us / 1000 : 0);
+}
+
+static void
+upstreams_item(void *owner, const kv_item_t *item, int64_t now_us)
+{
+    static const char prefix[] = KEY_UPSTREAMS;
+    node_t *node = owner;
+    registry_t *registry = engine_registry(node->engine);
+    if (strncmp(item->key, prefix, sizeof(prefix) - 1) != 0) {
+        return;
+    }
+    const char *id = item->key + sizeof(prefix) - 1;
+    instance_entry_t entry;
+    const char *why = "removed";
+    if (!item->removed &&
+        document_instance(&entry, id, item->value, item->size, &why)) {
+        registry_change_t change =
+            registry_put(registry, &entry, item->revision, now_us);
+        node->copy_is_old |= change != REGISTRY_SAME;
+        upstream_log(id, &entry, change, item->revision);
+        return;
+    }
+    if (!item->removed) {
+        event_log(EVENT_INPUT_REFUSED, "key=%s rev=%" PRIu64 " cause=%s",
+                  item->key, item->revision, why);
+    }
+    upstream_log(id, NULL,
+                 registry_remove(registry, id, item->revision, now_us),
+                 item->revision);
+}
+
+static void
+upstreams_heard(void *owner, int64_t now_us)
+{
+    node_t *node = owner;
+    node->upstreams_read_us = now_us;
+}
+
+static void
+upstreams_list_end(void *owner, int64_t now_us)
+{
+    node_t *node = owner;
+    registry_list_end(engine_registry(node->engine), now_us);
+    if (!node->upstreams_known) {
+        static const follow_settings_t copy_settings = {
+            .prefix = KEY_REGISTRY,
+            .once = true,
+        };
+        node->upstreams_known = true;
+        (void)store_link_follow(node->store, &copy_settings, &copy_reader,
+                                node);
+        event_log(EVENT_TOPOLOGY, "upstreams=%u",
+                  registry_count(engine_registry(node->engine)));
+    }
+    engine_serve_waiting(node->engine, now_us);
+}
+
+const store_reader_t node_upstreams_reader = {
+    .list_begin = upstreams_list_begin,
+    .item = upstreams_item,
+    .list_end = upstreams_list_end,
+    .heard = upstreams_heard,
+};
+
+/* One daemon of the fleet writes the copy: the first by name. */
+void
+node_copy_registry(node_t *node, int64_t now_us)
+{
+    if (!node->copy_is_old || node->leaving || !node->upstreams_known ||
+        now_us - node->copied_us < COPY_PAUSE_US ||
+        !store_link_stats(node->store)->reachable ||
+        !members_is_first(&node->members, node->boot.daemon)) {
+        return;
+    }
+    size_t size;
+    char *text =
+        registry_copy_write(engine_registry(node->engine), now_us, &size);
+    if (text != NULL &&
+        store_link_put(node->store, KEY_REGISTRY_COPY, text, false)) {
+        node->copy_is_old = false;
+        node->copied_us = now_us;
+    }
+    free(text);
+}
