--- /dev/null
+++ b/t/t1006-mutated.c
@@ -0,0 +1,231 @@
+/*
+ * Inputs from outside, changed at random: nothing is read or written out of
+ * bounds (address sanitizer), and a reader always comes to an end.
+ */
+#include "http/message.h"
+#include "platform/boot.h"
+#include "platform/documents.h"
+#include "platform/kv.h"
+#include "t/lib/suite.h"
+#include "tier/fleet_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { ROUNDS = 4000, SIZE_MAX_BYTES = 2048 };
+
+typedef void (*feed_fn)(const char *bytes, size_t size);
+
+static void
+feed_http(http_kind_t kind, const char *bytes, size_t size)
+{
+    static const http_limits_t limits = {.header_bytes = 512,
+                                         .body_bytes = 256};
+    http_reader_t reader;
+    http_reader_init(&reader, kind, &limits);
+    size_t place = 0;
+    int messages = 0;
+    while (place < size) {
+        size_t used = 0;
+        size_t piece = size - place < 37 ? size - place : 37;
+        http_state_t state =
+            http_reader_feed(&reader, bytes + place, piece, &used);
+        ck_assert_uint_le(used, piece);
+        place += used;
+        if (state == HTTP_DONE) {
+            ck_assert_uint_le(buffer_size(&reader.message.body), 256);
+            (void)http_header_find(&reader.message, "Host");
+            http_reader_next(&reader);
+            ck_assert_int_lt(++messages, 200);
+        }
+        else if (state != HTTP_MORE) {
+            break;
+        }
+    }
+    (void)http_reader_close(&reader);
+    http_reader_release(&reader);
+}
+
+static void
+feed_request(const char *bytes, size_t size)
+{
+    feed_http(HTTP_REQUESTS, bytes, size);
+}
+
+static void
+feed_response(const char *bytes, size_t size)
+{
+    feed_http(HTTP_RESPONSES, bytes, size);
+}
+
+static void
+feed_answer(const char *bytes, size_t size)
+{
+    kv_answer_t answer;
+    if (kv_answer_parse(&answer, bytes, size)) {
+        kv_answer_release(&answer);
+    }
+}
+
+static void
+feed_routes(const char *bytes, size_t size)
+{
+    route_table_t *table = document_routes(bytes, size, NULL);
+    if (table != NULL) {
+        (void)route_table_match(table, "h.example", "/x/y");
+        route_table_release(table);
+    }
+}
+
+static void
+feed_instance(const char *bytes, size_t size)
+{
+    instance_entry_t entry;
+    const char *why;
+    bool good = document_instance(&entry, "i-1", bytes, size, &why);
+    ck_assert(good || why != NULL);
+}
+
+static void
+feed_boot(const char *bytes, size_t size)
+{
+    char why[128];
+    char *text = strndup(bytes, size);
+    boot_t boot;
+    (void)boot_parse(&boot, text, why, sizeof(why));
+    free(text);
+}
+
+static void
+feed_state(const char *bytes, size_t size)
+{
+    fleet_state_t state;
+    if (fleet_state_read(&state, bytes, size)) {
+        registry_t registry;
+        members_t members;
+        registry_init(&registry);
+        members_init(&members, 1);
+        fleet_state_apply(&state, &registry, &members, 1);
+        fleet_state_release(&state);
+        registry_release(&registry);
+        members_release(&members);
+    }
+}
+
+typedef struct {
+    const char *name;
+    feed_fn feed;
+    const char *seed;
+} target_t;
+
+static const target_t targets[] = {
+    {"request", feed_request,
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b "
+     "HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0"
+     "\r\n\r\n"},
+    {"response", feed_response,
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nab"
+     "HTTP/1.1 103 E\r\n\r\nHTTP/1.1 503 Full\r\nTransfer-Encoding: chunked"
+     "\r\n\r\n1\r\na\r\n0\r\n\r\n"},
+    {"answer of the store", feed_answer,
+     "{\"items\":[{\"key\":\"k\",\"value\":\"aGVsbG8=\",\"rev\":4,\"lease\":0}"
+     ",{\"key\":\"l\",\"rev\":5,\"deleted\":true}],\"has_more\":false,"
+     "\"current_rev\":9}"},
+    {"configuration", feed_routes,
+     "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.example\","
+     "\"prefix\":\"/x/\",\"type\":\"idempotent\",\"gather\":[\"s\",\"t\"],"
+     "\"top_k\":5,\"min_version\":0.75},{\"name\":\"b\",\"host\":\"h\","
+     "\"prefix\":\"/\",\"type\":\"non_idempotent\",\"split\":[{\"service\":"
+     "\"s\",\"weight\":2}]}],\"services\":[{\"name\":\"s\",\"max_conns\":4}]"
+     "}"},
+    {"upstream's entry", feed_instance,
+     "{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"a\","
+     "\"version\":"
+     "\"v1\",\"slots\":6,\"state\":\"ready\",\"cold_left_ms\":5,\"seq\":4}"},
+    {"settings", feed_boot,
+     "node_name=a\nzone=b\nzones.a=r\nlisten.front=10.1.0.39:8226\n"
+     "seeds=10.1.0.39:8224,10.2.0.33:8224\nplatform.addr=10.200.1.7:8229\n"
+     "bounds.grace_s=6\n"},
+    {"state of a daemon", feed_state,
+     "{\"upstreams\":\"[{\\\"id\\\":\\\"i\\\",\\\"service\\\":\\\"s\\\","
+     "\\\"zone\\\":\\\"a\\\",\\\"host\\\":\\\"10.0.0.1\\\",\\\"port\\\":80,"
+     "\\\"slots\\\":4}]\",\"config\":\"{}\",\"revision\":3,\"members\":[{"
+     "\"name\":\"m\",\"address\":\"a\",\"zone\":\"z\"}],\"closed\":[\"z\"]}"},
+};
+
+static uint64_t random_state = 88172645463325252ULL;
+
+static uint32_t
+next(uint32_t below)
+{
+    random_state ^= random_state << 13;
+    random_state ^= random_state >> 7;
+    random_state ^= random_state << 17;
+    return (uint32_t)((random_state >> 20) % below);
+}
+
+/* A few bytes changed, taken out, put in or doubled. */
+static size_t
+mutate(char *bytes, size_t size)
+{
+    static const char tokens[] = "\r\n:,{}[]\"0123456789-/ \0\x7f\xff";
+    uint32_t changes = 1 + next(6);
+    while (changes-- > 0 && size > 2) {
+        size_t place = next((uint32_t)size);
+        char token = tokens[next(sizeof(tokens))];
+        switch (next(4)) {
+        case 0:
+            bytes[place] = token;
+            break;
+        case 1:
+            memmove(bytes + place, bytes + place + 1, size - place - 1);
+            size--;
+            break;
+        case 2:
+            if (size + 1 < SIZE_MAX_BYTES) {
+                memmove(bytes + place + 1, bytes + place, size - place);
+                bytes[place] = token;
+                size++;
+            }
+            break;
+        default: {
+            size_t piece = 1 + next(40);
+            if (place + piece <= size && size + piece < SIZE_MAX_BYTES) {
+                memmove(bytes + place + piece, bytes + place, size - place);
+                size += piece;
+            }
+            break;
+        }
+        }
+    }
+    return size;
+}
+
+START_TEST(test_mutated)
+{
+    const target_t *target = &targets[_i];
+    size_t size = strlen(target->seed);
+    target->feed(target->seed, size);
+    for (int i = 0; i < ROUNDS; i++) {
+        char bytes[SIZE_MAX_BYTES];
+        memcpy(bytes, target->seed, size);
+        size_t changed = mutate(bytes, size);
+        /* A block of its own size, so that a byte too far is seen. */
+        char *block = malloc(changed + 1);
+        memcpy(block, bytes, changed);
+        block[changed] = '\0';
+        target->feed(block, changed);
+        free(block);
+    }
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("mutated");
+    tcase_set_timeout(tests, 120);
+    tcase_add_loop_test(tests, test_mutated, 0,
+                        sizeof(targets) / sizeof(targets[0]));
+    return suite_run("mutated", tests);
+}
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -22,9 +22,7 @@
        many attempts of its callers, at any daemons, is taken to crash what
        runs it, and refused for a while. An upstream is back in seconds. */
     CRASH_ATTEMPTS = 2,
-    CRASH_REFUSE_US = 60000000,
-    OPEN_LEG_SIZE = 96,  /* of one shard in a log line, at most */
-    OPEN_TEXT_SIZE = 260 /* of all that are named in it */
+    CRASH_REFUSE_US = 60000000
 };
 
 uint64_t
@@ -379,54 +377,6 @@
     return false;
 }
 
-/* Which shards are not in, where they were sent and how long ago. */
-static void
-open_legs(const request_t *request, char *text, size_t size, int64_t now_us)
-{
-    size_t length = 0;
-    text[0] = '\0';
-    for (uint32_t i = 0; i < request->leg_count; i++) {
-        const leg_t *leg = &request->legs[i];
-        if (leg->state == LEG_DONE || size - length < OPEN_LEG_SIZE) {
-            continue;
-        }
-        const attempt_t *attempt =
-            leg->attempt_count > 0 ? leg->attempts[0] : NULL;
-        length += (size_t)snprintf(
-            text + length, size - length, "%s%s:%s:%.0f",
-            length > 0 ? "," : "", leg->pool->name,
-            attempt != NULL             ? attempt->instance->entry.id
-            : leg->state == LEG_WAITING ? "waiting"
-            : leg->state == LEG_PAUSED  ? "paused"
-                                        : "failed",
-            attempt != NULL ? (double)(now_us - attempt->sent_us) / 1000 : 0);
-    }
-}
-
-static void
-request_log(const request_t *request, const char *event, uint32_t status,
-            const char *reason, int64_t now_us)
-{
-    uint32_t done = 0;
-    uint32_t sends = 0;
-    char open[OPEN_TEXT_SIZE];
-    for (uint32_t i = 0; i < request->leg_count; i++) {
-        done += request->legs[i].state == LEG_DONE ? 1 : 0;
-        sends += request->legs[i].sends;
-    }
-    open_legs(request, open, sizeof(open), now_us);
-    event_log(EVENT_REQUEST_ANSWERED,
-              "id=%s target=%.48s route=%s v=%llu %s status=%u reason=%s "
-              "ms=%.1f goal_ms=%.0f parts=%u/%u sends=%u hedges=%u repeats=%u "
-              "waits=%u ran=%d open=%s",
-              request->id, request->call.target, request->route->name,
-              (unsigned long long)request->table->version, event, status,
-              reason, (double)(now_us - request->begun_us) / 1000,
-              (double)request->route->goal_us / 1000, done, request->leg_count,
-              sends, request->hedges, request->repeats, request->waits,
-              request_may_have_run(request), open[0] != '\0' ? open : "-");
-}
-
 void
 request_answer(request_t *request, const answer_t *answer, int64_t now_us)
 {
@@ -572,26 +522,6 @@
                : possible > 0;
 }
 
-/* Which services cannot: upstreams listed, room at them, work that waits. */
-static void
-impossible_legs(const request_t *request, char *text, size_t size,
-                int64_t now_us)
-{
-    size_t length = 0;
-    text[0] = '\0';
-    for (uint32_t i = 0; i < request->leg_count; i++) {
-        const leg_t *leg = &request->legs[i];
-        if (size - length >= OPEN_LEG_SIZE &&
-            !leg_is_possible(leg, request->deadline_us, now_us)) {
-            length += (size_t)snprintf(text + length, size - length,
-                                       "%s%s:listed=%u:room=%u:waiting=%u",
-                                       length > 0 ? "," : "", leg->pool->name,
-                                       leg->pool->count, leg_room(leg, now_us),
-                                       leg->pool->waiting.count);
-        }
-    }
-}
-
 request_t *
 engine_begin(engine_t *engine, const call_t *call, int64_t now_us)
 {
@@ -623,8 +553,8 @@
         budget_first(&request->legs[i].pool->repeats, now_us);
     }
     if (!request_is_possible(request, now_us)) {
-        char cause[OPEN_TEXT_SIZE];
-        impossible_legs(request, cause, sizeof(cause), now_us);
+        char cause[REQUEST_TEXT_SIZE];
+        request_impossible(request, cause, sizeof(cause), now_us);
         answer_now(engine, call, 503, "no_room_in_time", cause, RETURN_US);
         request_forget(request);
         return NULL;
--- /dev/null
+++ b/tier/engine_attempt.c
@@ -0,0 +1,106 @@
+/* One send to one upstream: its record, and what is learned from its end. */
+#include "edge/event.h"
+#include "tier/engine_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    /* Room kept for the upstream's answer to reach the caller. */
+    HANDOVER_US = 3000
+};
+
+attempt_t *
+attempt_new(leg_t *leg, instance_t *instance, bool hedge, int64_t now_us)
+{
+    request_t *request = leg->request;
+    engine_t *engine = request->engine;
+    attempt_t *attempt = calloc(1, sizeof(*attempt));
+    if (attempt == NULL) {
+        return NULL;
+    }
+    attempt->request = request;
+    attempt->leg = (uint32_t)(leg - request->legs);
+    attempt->pool = leg->pool;
+    attempt->instance = instance;
+    attempt->sent_us = now_us;
+    attempt->expected_us =
+        hedge_expected_us(&request->memory->profile, request->route->goal_us);
+    attempt->deadline_us = request->deadline_us - HANDOVER_US;
+    attempt->hedge = hedge;
+    attempt->repeatable = request->route->repeatable;
+    attempt->call = &request->call;
+    memcpy(attempt->id, request->id, sizeof(attempt->id));
+    attempt->next = engine->attempts;
+    if (attempt->next != NULL) {
+        attempt->next->prev = attempt;
+    }
+    engine->attempts = attempt;
+    instance->holders++;
+    leg->attempts[leg->attempt_count++] = attempt;
+    return attempt;
+}
+
+/* Unlink and free; the upstream's counts were brought up before. */
+void
+attempt_free(engine_t *engine, attempt_t *attempt)
+{
+    if (attempt->prev != NULL) {
+        attempt->prev->next = attempt->next;
+    }
+    else {
+        engine->attempts = attempt->next;
+    }
+    if (attempt->next != NULL) {
+        attempt->next->prev = attempt->prev;
+    }
+    attempt->instance->holders--;
+    free(attempt);
+}
+
+/* Bring up what is known of the upstream. */
+void
+attempt_learn(const attempt_t *attempt, const reply_t *reply, int64_t now_us)
+{
+    instance_t *instance = attempt->instance;
+    int64_t took_us = now_us - attempt->sent_us;
+    switch (reply->kind) {
+    case REPLY_ANSWER:
+        instance_answered(instance, took_us, attempt->expected_us,
+                          reply->message->status < 500, now_us);
+        break;
+    case REPLY_NOT_RUN:
+        instance_refused(instance, now_us);
+        break;
+    case REPLY_ELSEWHERE:
+        instance_refused(instance, now_us);
+        instance->misaddressed = true;
+        instance->misaddressed_us = now_us;
+        break;
+    case REPLY_UNFINISHED:
+        instance_unfinished(instance, took_us, attempt->expected_us, now_us);
+        break;
+    default:
+        instance_lost(instance, now_us);
+        break;
+    }
+}
+
+void
+attempt_log(const attempt_t *attempt, const reply_t *reply, int64_t now_us)
+{
+    static const char *const kinds[REPLY_KINDS] = {
+        [REPLY_ANSWER] = "failed",       [REPLY_NOT_RUN] = "not_run",
+        [REPLY_ELSEWHERE] = "elsewhere", [REPLY_NOT_SENT] = "not_sent",
+        [REPLY_LOST] = "lost",           [REPLY_UNFINISHED] = "unfinished",
+    };
+    event_log(EVENT_ATTEMPT_FAILED,
+              "id=%s service=%s instance=%s outcome=%s status=%u detail=%s "
+              "ms=%.1f badness=%.2f in_flight=%u",
+              attempt->id, attempt->pool->name, attempt->instance->entry.id,
+              kinds[reply->kind],
+              reply->message != NULL ? reply->message->status : 0,
+              reply->detail != NULL ? reply->detail : "-",
+              (double)(now_us - attempt->sent_us) / 1000,
+              attempt->instance->badness, attempt->instance->in_flight);
+}
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -9,6 +9,10 @@
 #include "tier/gather.h"
 #include "tier/hedge.h"
 
+enum {
+    REQUEST_TEXT_SIZE = 260 /* of shards named in one log line */
+};
+
 /* What is known of a route across versions of the configuration. */
 typedef struct {
     hedge_profile_t profile;
@@ -91,6 +95,21 @@
 /* Next of a sequence that spreads choices. */
 uint64_t engine_random(engine_t *engine);
 
+/* A send of a leg, in the lists of engine and leg; NULL: no memory. */
+attempt_t *attempt_new(leg_t *leg, instance_t *instance, bool hedge,
+                       int64_t now_us);
+
+/* Unlink and free; the upstream's counts were brought up before. */
+void attempt_free(engine_t *engine, attempt_t *attempt);
+
+/* Bring up what is known of the upstream. */
+void attempt_learn(const attempt_t *attempt, const reply_t *reply,
+                   int64_t now_us);
+
+/* One line for a send that came to nothing. */
+void attempt_log(const attempt_t *attempt, const reply_t *reply,
+                 int64_t now_us);
+
 /* Send a leg's first request, or let it wait, or fail it. */
 void leg_start(leg_t *leg, int64_t now_us);
 
@@ -124,6 +143,14 @@
 /* Whether some upstream may have begun to work on it. */
 bool request_may_have_run(const request_t *request);
 
+/* One line at its end; event: whose answer it was, or that the caller left. */
+void request_log(const request_t *request, const char *event, uint32_t status,
+                 const char *reason, int64_t now_us);
+
+/* Which services cannot do their part: upstreams, room, work that waits. */
+void request_impossible(const request_t *request, char *text, size_t size,
+                        int64_t now_us);
+
 /* Answer and forget it. */
 void request_answer(request_t *request, const answer_t *answer,
                     int64_t now_us);
--- a/tier/node_services.c
+++ b/tier/node_services.c
@@ -1,4 +1,5 @@
 /* Readiness, directory and metrics, for whom the platform lets ask. */
+#include "platform/documents.h"
 #include "platform/names.h"
 #include "tier/metrics_text.h"
 #include "tier/node_state.h"
@@ -78,9 +79,8 @@
     int64_t ttl_us = node->boot.directory_ttl_us < DIRECTORY_TTL_US
                          ? node->boot.directory_ttl_us
                          : DIRECTORY_TTL_US;
-    int length = snprintf(text, sizeof(text), "{\"addrs\":%s,\"ttl_s\":%g}",
-                          addresses, (double)ttl_us / 1e6);
-    node_answer_text(exchange, 200, "application/json", text, (size_t)length);
+    size = document_directory(text, sizeof(text), addresses, ttl_us);
+    node_answer_text(exchange, 200, "application/json", text, size);
 }
 
 static void
