--- a/edge/event.c
+++ b/edge/event.c
@@ -41,7 +41,7 @@
 static struct {
     pthread_mutex_t lock;
     log4c_category_t *category;
-    event_sink_fn sink; /* in place of the category */
+    event_sink_fn_t sink; /* in place of the category */
     void *sink_owner;
     event_level_t sink_level;
     char daemon[64];
@@ -124,7 +124,7 @@
 
 void
 event_log_open_sink(event_level_t level, const char *daemon,
-                    event_sink_fn sink, void *owner)
+                    event_sink_fn_t sink, void *owner)
 {
     pthread_mutex_lock(&event_state.lock);
     event_state.sink = sink;
--- a/edge/event.h
+++ b/edge/event.h
@@ -108,12 +108,12 @@
 bool event_log_open(event_level_t level, const char *path, const char *daemon);
 
 /* Takes one line without its end; now_us is monotonic. */
-typedef void (*event_sink_fn)(void *owner, const char *line, size_t size,
-                              int64_t now_us);
+typedef void (*event_sink_fn_t)(void *owner, const char *line, size_t size,
+                                int64_t now_us);
 
 /* Start logging to a sink that never blocks, in place of a file. */
 void event_log_open_sink(event_level_t level, const char *daemon,
-                         event_sink_fn sink, void *owner);
+                         event_sink_fn_t sink, void *owner);
 void event_log_close(void);
 
 void event_log(event_t event, const char *format, ...)
--- a/t/t1005-peers.c
+++ b/t/t1005-peers.c
@@ -184,14 +184,17 @@
 }
 END_TEST
 
+static const char bad_rows[] =
+    "{\"upstreams\":\"[1,{},{\\\"id\\\":\\\"i\\\",\\\"port\\\":99999}]\","
+    "\"members\":[1,{\"name\":3},{\"name\":\"m\"}],\"closed\":[1,null]}";
+
 static const char *const malformed[] = {
     "",
     "{",
     "[]",
     "{\"upstreams\":3}",
     "{\"upstreams\":\"[{]\",\"config\":\"x\"}",
-    "{\"upstreams\":\"[1,{},{\\\"id\\\":\\\"i\\\",\\\"port\\\":99999}]\","
-    "\"members\":[1,{\"name\":3},{\"name\":\"m\"}],\"closed\":[1,null]}",
+    bad_rows,
 };
 
 START_TEST(test_malformed)
--- a/t/t1006-mutated.c
+++ b/t/t1006-mutated.c
@@ -14,7 +14,7 @@
 
 enum { ROUNDS = 4000, SIZE_MAX_BYTES = 2048 };
 
-typedef void (*feed_fn)(const char *bytes, size_t size);
+typedef void (*feed_fn_t)(const char *bytes, size_t size);
 
 static void
 feed_http(http_kind_t kind, const char *bytes, size_t size)
@@ -114,7 +114,7 @@
 
 typedef struct {
     const char *name;
-    feed_fn feed;
+    feed_fn_t feed;
     const char *seed;
 } target_t;
 
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -119,7 +119,7 @@
 }
 
 void
-engine_each_route(const engine_t *engine, engine_route_fn each, void *owner)
+engine_each_route(const engine_t *engine, engine_route_fn_t each, void *owner)
 {
     for (const strmap_entry_t *at = strmap_first(&engine->memories);
          at != NULL; at = strmap_next(at)) {
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -162,9 +162,9 @@
 void engine_suspect(engine_t *engine, uint64_t fingerprint, int64_t now_us);
 
 /* Latencies of a route's answers. */
-typedef void (*engine_route_fn)(void *owner, const char *route,
-                                const hist_t *latency);
-void engine_each_route(const engine_t *engine, engine_route_fn each,
+typedef void (*engine_route_fn_t)(void *owner, const char *route,
+                                  const hist_t *latency);
+void engine_each_route(const engine_t *engine, engine_route_fn_t each,
                        void *owner);
 
 /* The daemon ends: every request gets its final answer now. */
--- a/tier/members.c
+++ b/tier/members.c
@@ -259,32 +259,47 @@
     return serving;
 }
 
+/*
+ * The wanted one of those who can be asked, of a zone (NULL: of any); NULL:
+ * there are not so many. count, unless NULL, is how many there are.
+ */
+static const member_record_t *
+members_reader(const members_t *members, const char *zone, const char *without,
+               uint32_t wanted, uint32_t *count)
+{
+    const member_record_t *found = NULL;
+    uint32_t fit = 0;
+    for (uint32_t i = 0; i < members->count; i++) {
+        const member_record_t *record = &members->records[i];
+        if (record->role != MEMBER_READS || record->gone_us != 0 ||
+            record->control[0] == '\0' || strcmp(record->name, without) == 0 ||
+            (zone != NULL && strcmp(record->zone, zone) != 0)) {
+            continue;
+        }
+        if (fit++ == wanted) {
+            found = record;
+        }
+    }
+    if (count != NULL) {
+        *count = fit;
+    }
+    return found;
+}
+
 const char *
 members_to_ask(const members_t *members, const char *zone, const char *without,
                uint32_t turn)
 {
-    for (int anywhere = 0; anywhere < 2; anywhere++) {
-        uint32_t fit = 0;
-        const char *found = NULL;
-        for (uint32_t pass = 0; pass < 2 && (pass == 0 || fit > 0); pass++) {
-            uint32_t wanted = pass == 0 ? UINT32_MAX : turn % fit;
-            fit = 0;
-            for (uint32_t i = 0; i < members->count; i++) {
-                const member_record_t *record = &members->records[i];
-                if (record->role != MEMBER_READS || record->gone_us != 0 ||
-                    record->control[0] == '\0' ||
-                    strcmp(record->name, without) == 0 ||
-                    (anywhere == 0 && strcmp(record->zone, zone) != 0)) {
-                    continue;
-                }
-                found = fit++ == wanted ? record->control : found;
-            }
-        }
-        if (found != NULL) {
-            return found;
-        }
+    uint32_t count = 0;
+    members_reader(members, zone, without, UINT32_MAX, &count);
+    if (count == 0) {
+        zone = NULL;
+        members_reader(members, zone, without, UINT32_MAX, &count);
     }
-    return NULL;
+    if (count == 0) {
+        return NULL;
+    }
+    return members_reader(members, zone, without, turn % count, NULL)->control;
 }
 
 member_role_t
--- a/tier/peer_link.c
+++ b/tier/peer_link.c
@@ -15,7 +15,7 @@
 
 struct peer_link {
     struct ev_loop *loop;
-    peer_told_fn told;
+    peer_told_fn_t told;
     void *owner;
     conn_t conn;
     http_reader_t reader;
@@ -23,7 +23,7 @@
 };
 
 peer_link_t *
-peer_link_new(struct ev_loop *loop, peer_told_fn told, void *owner)
+peer_link_new(struct ev_loop *loop, peer_told_fn_t told, void *owner)
 {
     static const http_limits_t limits = {
         .header_bytes = 8192,
--- a/tier/peer_link.h
+++ b/tier/peer_link.h
@@ -25,11 +25,11 @@
 typedef struct peer_link peer_link_t;
 
 /* What a peer has answered; the bytes are valid during the call. */
-typedef void (*peer_told_fn)(void *owner, const char *text, size_t size,
-                             int64_t now_us);
+typedef void (*peer_told_fn_t)(void *owner, const char *text, size_t size,
+                               int64_t now_us);
 
 /* NULL: no memory. */
-peer_link_t *peer_link_new(struct ev_loop *loop, peer_told_fn told,
+peer_link_t *peer_link_new(struct ev_loop *loop, peer_told_fn_t told,
                            void *owner);
 void peer_link_free(peer_link_t *peers);
 
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -51,7 +51,7 @@
 struct upstream_links {
     struct ev_loop *loop;
     void *owner;
-    upstream_replied_fn replied;
+    upstream_replied_fn_t replied;
     link_t *all;
     link_t *swept_next; /* where a sweep goes on; moved when that is freed */
     upstream_links_stats_t stats;
@@ -59,7 +59,7 @@
 
 upstream_links_t *
 upstream_links_new(struct ev_loop *loop, void *owner,
-                   upstream_replied_fn replied)
+                   upstream_replied_fn_t replied)
 {
     upstream_links_t *links = calloc(1, sizeof(*links));
     if (links != NULL) {
--- a/tier/upstream_link.h
+++ b/tier/upstream_link.h
@@ -21,8 +21,8 @@
 typedef struct upstream_links upstream_links_t;
 
 /* An attempt has ended; it is not the links' any more. */
-typedef void (*upstream_replied_fn)(void *owner, attempt_t *attempt,
-                                    const reply_t *reply, int64_t now_us);
+typedef void (*upstream_replied_fn_t)(void *owner, attempt_t *attempt,
+                                      const reply_t *reply, int64_t now_us);
 
 typedef struct {
     uint32_t open;
@@ -32,7 +32,7 @@
 } upstream_links_stats_t;
 
 upstream_links_t *upstream_links_new(struct ev_loop *loop, void *owner,
-                                     upstream_replied_fn replied);
+                                     upstream_replied_fn_t replied);
 void upstream_links_free(upstream_links_t *links);
 
 /* False: no connection can be made; nothing left. */
--- a/tier/waiting.c
+++ b/tier/waiting.c
@@ -58,7 +58,7 @@
 }
 
 void *
-waiting_take(waiting_t *waiting, waiting_rank_fn rank, int64_t now_us)
+waiting_take(waiting_t *waiting, waiting_rank_fn_t rank, int64_t now_us)
 {
     if (waiting->count == 0) {
         return NULL;
--- a/tier/waiting.h
+++ b/tier/waiting.h
@@ -16,7 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-typedef int64_t (*waiting_rank_fn)(const void *item, int64_t now_us);
+typedef int64_t (*waiting_rank_fn_t)(const void *item, int64_t now_us);
 
 /* Zeroed: empty. */
 typedef struct {
@@ -37,7 +37,7 @@
 int64_t waiting_estimate_us(const waiting_t *waiting, int64_t now_us);
 
 /* The first by rank, taken out; NULL: empty. */
-void *waiting_take(waiting_t *waiting, waiting_rank_fn rank, int64_t now_us);
+void *waiting_take(waiting_t *waiting, waiting_rank_fn_t rank, int64_t now_us);
 
 /* Take an item out of the middle; false: it is not there. */
 bool waiting_remove(waiting_t *waiting, const void *item);
