tier: wait for a part that may still come beside a failed second send

Cause: a query's shard counted as failed when the second of two sends was refused by its upstream, though the first was still at work (t1010, 'failure beside a slow part', answered 502 before). Change: the shard fails with its last send. A reload asked for by a signal is logged also when nothing has changed.

--- a/t/t1010-engine.c
+++ b/t/t1010-engine.c
@@ -462,6 +462,31 @@
 }
 END_TEST
 
+/* A failure of the second send is no end while the first may still answer. */
+START_TEST(test_failure_beside_a_slow_part)
+{
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, 1, GOAL_US, 1));
+    tier_world_upstream(world, &(tier_upstream_t){.id = "i-1",
+                                                  .service = "s0",
+                                                  .zone = "a",
+                                                  .slots = 4,
+                                                  .speed = 6});
+    tier_world_upstream(world, &(tier_upstream_t){.id = "i-2",
+                                                  .service = "s0",
+                                                  .zone = "b",
+                                                  .slots = 4,
+                                                  .fail_status = 404});
+    tier_call_t *call =
+        tier_world_call(world, START_US, 0, "/all/1", WORK_US, PATIENCE_US);
+    tier_world_run(world, START_US + PATIENCE_US);
+    ck_assert_uint_eq(call->arrivals, 2);
+    ck_assert_msg(call->status == 200, "%u", call->status);
+    ck_assert_uint_eq(call->missing, 0);
+    tier_world_free(world);
+}
+END_TEST
+
 /* A request keeps the configuration it came in under. */
 START_TEST(test_version_of_a_request)
 {
@@ -524,6 +549,7 @@
     tcase_add_test(tests, test_split);
     tcase_add_loop_test(tests, test_crashing_request, 0, 2);
     tcase_add_test(tests, test_innocent_request);
+    tcase_add_test(tests, test_failure_beside_a_slow_part);
     tcase_add_test(tests, test_version_of_a_request);
     tcase_add_test(tests, test_no_configuration);
     tcase_add_test(tests, test_no_route);
--- a/tier/engine_leg.c
+++ b/tier/engine_leg.c
@@ -409,8 +409,9 @@
             return false;
         }
     }
-    else if (leg->attempt_count > 0 && reply->message->status >= 500) {
-        return false;
+    else if (leg->attempt_count > 0 &&
+             (reply->message->status >= 500 || route->kind == ROUTE_SHARDS)) {
+        return false; /* another may still answer */
     }
     if (route->kind == ROUTE_SHARDS) {
         if (leg->state != LEG_FAILED) {
--- a/tier/node.c
+++ b/tier/node.c
@@ -343,7 +343,7 @@
     int64_t now_us = loop_now_us();
     bool moved =
         memcmp(&boot->store, &node->boot.store, sizeof(boot->store)) != 0;
-    event_log(EVENT_SETTINGS, "store_moved=%d", moved);
+    event_log(EVENT_SETTINGS, "changed=1 store_moved=%d", moved);
     node->boot.grace_us = boot->grace_us;
     node->boot.directory_ttl_us = boot->directory_ttl_us;
     if (moved) {
--- a/tier/node_peers.c
+++ b/tier/node_peers.c
@@ -10,8 +10,8 @@
 #include <string.h>
 
 enum {
-    /* ... the others ask them so often, and the store only when they had no
-       good answer for so long. */
+    /* In a large fleet those who do not read the store ask one who does so
+       often, and the store only without a good answer for so long. */
     PEER_ASK_US = 1500000,
     PEER_REST_US = 2500000,
     /* A store that is there answers a starting daemon sooner than this. */
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -29,7 +29,7 @@
     UPSTREAMS_PAUSE_US = 1500000,
     /* Several changes in a row, of a restart of the fleet, are one call. */
     MEMBERS_PAUSE_US = 1000000,
-    /* In a large fleet few ask the store, and so often; ... */
+    /* The same in a large fleet, where others ask this daemon in turn. */
     LARGE_PAUSE_US = 2000000,
     CONNECTIONS_MAX = 2000 /* of callers, about half of the descriptors */
 };
--- a/tier/yuccarun-tier.c
+++ b/tier/yuccarun-tier.c
@@ -36,13 +36,16 @@
 
 /* Take the settings file over if it has changed. */
 static void
-settings_read(program_t *program)
+settings_read(program_t *program, bool asked)
 {
     boot_t boot;
     char why[256];
     char *text = boot_load(program->path, why, sizeof(why));
     if (text != NULL && strcmp(text, program->text) == 0) {
         free(text);
+        if (asked) {
+            event_log(EVENT_SETTINGS, "changed=0 store_moved=0");
+        }
         return;
     }
     if (text == NULL || !boot_parse(&boot, text, why, sizeof(why))) {
@@ -69,7 +72,7 @@
 {
     (void)loop;
     (void)events;
-    settings_read(signal->data);
+    settings_read(signal->data, true);
 }
 
 static void
@@ -77,7 +80,7 @@
 {
     (void)loop;
     (void)events;
-    settings_read(timer->data);
+    settings_read(timer->data, false);
 }
 
 static void
