cli: list the commands of a group that is named alone

Cause: 'yuccarun table', 'zone' and 'vm' failed with 'no command', where a user expects to see what can follow. Change: they print the group's commands and succeed; the test's case of 'zone' is replaced by four that are as strict (three lists, and an unknown second word that is still refused).

--- a/cli/commands.c
+++ b/cli/commands.c
@@ -1,5 +1,6 @@
 #include "cli/cli.h"
 
+#include <stdbool.h>
 #include <string.h>
 
 const cli_command_t cli_commands[] = {
@@ -20,12 +21,17 @@
     {0},
 };
 
+/* All commands, or those of one group. */
 static void
-print_commands(FILE *out)
+print_commands(FILE *out, const char *group)
 {
-    fprintf(out, "Usage: yuccarun COMMAND [ARGUMENTS]\n\nCommands:\n");
+    fprintf(out, "Usage: yuccarun %s%sCOMMAND [ARGUMENTS]\n\nCommands:\n",
+            group != NULL ? group : "", group != NULL ? " " : "");
     for (const cli_command_t *c = cli_commands; c->group != NULL; c++) {
         char name[32];
+        if (group != NULL && strcmp(group, c->group) != 0) {
+            continue;
+        }
         snprintf(name, sizeof(name), "%s %s", c->group,
                  c->action == NULL ? "" : c->action);
         fprintf(out, "  %-14s%s\n", name, c->help);
@@ -63,6 +69,18 @@
     return NULL;
 }
 
+/* Whether commands begin with that word and a second. */
+static bool
+is_group(const char *word)
+{
+    for (const cli_command_t *c = cli_commands; c->group != NULL; c++) {
+        if (c->action != NULL && strcmp(c->group, word) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static cli_exit_t
 run_command(const cli_command_t *command, int argc, char **argv, FILE *out,
             FILE *err)
@@ -107,16 +125,20 @@
     int group = find_word(argc, argv, 1);
     if (group == argc) {
         bool help = argc > 1 && strcmp(argv[1], "--help") == 0;
-        print_commands(help ? out : err);
+        print_commands(help ? out : err, NULL);
         return help ? CLI_OK : CLI_USAGE;
     }
     int action = find_word(argc, argv, group + 1);
     const cli_command_t *command =
         find_command(argv[group], action < argc ? argv[action] : NULL);
+    if (command == NULL && action == argc && is_group(argv[group])) {
+        print_commands(out, argv[group]);
+        return CLI_OK;
+    }
     if (command == NULL) {
         fprintf(err, "yuccarun: no command \"%s%s%s\"\n", argv[group],
                 action < argc ? " " : "", action < argc ? argv[action] : "");
-        print_commands(err);
+        print_commands(err, NULL);
         return CLI_USAGE;
     }
     int second = command->action == NULL ? -1 : action;
