test: give each process of t1012 a loopback address of its own

Change: each process listens on an address of 127/8 made of its process id, where no other's connections take ports. Conclusion: the checks are as they were.

--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -36,19 +36,22 @@
     bool ended;
 } caller_t;
 
-/* A port that is free now. */
+/*
+ * An address of this process alone: loopback has many, and no connection of
+ * another test takes a port of this one for its own end.
+ */
 static struct sockaddr_in
-free_address(void)
+own_address(void)
 {
+    enum { FIRST_PORT = 20000, PORTS = 10000 };
+    static uint16_t used;
+    uint32_t process = (uint32_t)getpid();
     struct sockaddr_in address = {
         .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_port = htons((uint16_t)(FIRST_PORT + used++ % PORTS)),
+        .sin_addr.s_addr = htonl(
+            127U << 24 | (1 + process / 65536 % 200) << 16 | process % 65536),
     };
-    socklen_t size = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, size), 0);
-    ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &size), 0);
-    close(fd);
     return address;
 }
 
@@ -77,12 +80,14 @@
 {
     char key[64];
     char text[256];
+    char host[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &address->sin_addr, host, sizeof(host));
     snprintf(key, sizeof(key), "servers/i-%d", number);
     snprintf(text, sizeof(text),
-             "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"a\","
+             "{\"service\":\"%s\",\"addr\":\"%s:%u\",\"zone\":\"a\","
              "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
              "\"cold_left_ms\":0,\"seq\":1}",
-             service, ntohs(address->sin_port), state);
+             service, host, ntohs(address->sin_port), state);
     tier_store_put(f->store, key, text);
 }
 
@@ -121,11 +126,11 @@
     f->boot = (boot_t){
         .daemon = "front-a-1",
         .zone = "a",
-        .callers = free_address(),
-        .readiness = free_address(),
-        .directory = free_address(),
-        .control = free_address(),
-        .store = free_address(),
+        .callers = own_address(),
+        .readiness = own_address(),
+        .directory = own_address(),
+        .control = own_address(),
+        .store = own_address(),
         .has_control = true,
         .has_callers = true,
         .has_metrics = false,
@@ -141,7 +146,7 @@
     };
     f->store = tier_store_new(f->loop, &f->boot.store);
     for (int i = 0; i < UPSTREAMS; i++) {
-        struct sockaddr_in address = free_address();
+        struct sockaddr_in address = own_address();
         f->upstreams[i] = tier_upstream_new(f->loop, &address, &good);
         list_upstream(f, i, &address, services[i], "ready");
     }
@@ -574,10 +579,10 @@
     char why[128];
     *boot = f->boot;
     snprintf(boot->daemon, sizeof(boot->daemon), "front-b-1");
-    boot->callers = free_address();
-    boot->readiness = free_address();
-    boot->directory = free_address();
-    boot->control = free_address();
+    boot->callers = own_address();
+    boot->readiness = own_address();
+    boot->directory = own_address();
+    boot->control = own_address();
     boot->seeds[0] = f->boot.control;
     boot->seed_count = 1;
     boot->has_metrics = false;
