tier: serve without metrics when their port is taken

Cause: the metrics port is fixed while all ports of the settings are drawn anew; where both meet the daemon would not have started. Change: the metrics listener is not needed, the others are; bounds of the small services have names.

--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -591,6 +591,37 @@
     return second;
 }
 
+/* A metrics port that is taken is no reason not to serve. */
+START_TEST(test_metrics_port_taken)
+{
+    fixture_t f;
+    boot_t boot;
+    char why[128];
+    fixture_init(&f);
+    boot = f.boot;
+    boot.callers = own_address();
+    boot.readiness = own_address();
+    boot.directory = own_address();
+    boot.control = own_address();
+    boot.has_metrics = true;
+    struct sockaddr_in taken = boot.callers;
+    taken.sin_port = htons(9464);
+    int fd = listener_open(&taken);
+    ck_assert_int_ge(fd, 0);
+    node_t *second = node_start(f.loop, &boot, why, sizeof(why));
+    ck_assert_msg(second != NULL, "%s", why);
+    node_free(second);
+    close(fd);
+    /* The port of callers is another matter. */
+    fd = listener_open(&boot.callers);
+    ck_assert_int_ge(fd, 0);
+    ck_assert_ptr_null(node_start(f.loop, &boot, why, sizeof(why)));
+    ck_assert_ptr_nonnull(strstr(why, "callers"));
+    close(fd);
+    fixture_release(&f);
+}
+END_TEST
+
 /* A daemon that starts while the store is away is told by another. */
 START_TEST(test_start_without_store)
 {
@@ -727,6 +758,7 @@
     tcase_add_test(tests, test_late_extra_answer);
     tcase_add_loop_test(tests, test_readiness_and_directory, 0, 2);
     tcase_add_test(tests, test_forgotten_history);
+    tcase_add_test(tests, test_metrics_port_taken);
     tcase_add_loop_test(tests, test_start_without_store, 0, 2);
     tcase_add_test(tests, test_start_with_lapsed_entries);
     tcase_add_test(tests, test_leave);
--- a/tier/node.c
+++ b/tier/node.c
@@ -29,7 +29,13 @@
     /* ... and what is not done by then is given up, before SIGKILL. */
     LEAVE_MARGIN_US = 900000,
     LEAVE_FLUSH_US = 200000, /* for the last answers to leave */
-    REQUESTS_MAX = 1500      /* at a time: some kilobytes each */
+    REQUESTS_MAX = 1500,     /* at a time: some kilobytes each */
+    /* Readiness, directory, metrics and other daemons: short questions. */
+    SERVICE_CONNECTIONS_MAX = 500,
+    SERVICE_HEADER_BYTES = 16384,
+    SERVICE_BODY_BYTES = 1024,
+    SERVICE_HEADER_US = 3000000,
+    SERVICE_IDLE_US = 30000000
 };
 
 /* --- the store -------------------------------------------------------- */
@@ -239,30 +245,35 @@
     const struct {
         const char *name;
         bool wanted;
+        bool needed; /* without it the daemon is of no use */
         http_server_t *server;
         const struct sockaddr_in *address;
         const http_service_t *service;
         void *owner;
     } listeners[] = {
-        {"callers", boot->has_callers, node->callers, &boot->callers,
+        {"callers", boot->has_callers, true, node->callers, &boot->callers,
          &front_service, &node->front},
-        {"readiness", boot->has_readiness, node->services, &boot->readiness,
-         &node_readiness_service, node},
-        {"directory", boot->has_directory, node->services, &boot->directory,
-         &node_directory_service, node},
-        {"control", boot->has_control, node->services, &boot->control,
+        {"readiness", boot->has_readiness, true, node->services,
+         &boot->readiness, &node_readiness_service, node},
+        {"directory", boot->has_directory, true, node->services,
+         &boot->directory, &node_directory_service, node},
+        {"control", boot->has_control, true, node->services, &boot->control,
          &node_state_service, node},
-        {"metrics", boot->has_callers && boot->has_metrics, node->services,
-         &metrics, &node_metrics_service, node},
+        {"metrics", boot->has_callers && boot->has_metrics, false,
+         node->services, &metrics, &node_metrics_service, node},
     };
     for (size_t i = 0; i < sizeof(listeners) / sizeof(listeners[0]); i++) {
-        if (listeners[i].wanted &&
-            !http_server_listen(listeners[i].server, listeners[i].address,
-                                listeners[i].service, listeners[i].owner)) {
-            snprintf(why, why_size, "listen %s: %s", listeners[i].name,
-                     strerror(errno));
+        if (!listeners[i].wanted ||
+            http_server_listen(listeners[i].server, listeners[i].address,
+                               listeners[i].service, listeners[i].owner)) {
+            continue;
+        }
+        snprintf(why, why_size, "listen %s: %s", listeners[i].name,
+                 strerror(errno));
+        if (listeners[i].needed) {
             return false;
         }
+        event_log(EVENT_LISTEN_FAILED, "%s", why);
     }
     return true;
 }
@@ -271,10 +282,11 @@
 node_build(node_t *node)
 {
     static const http_server_settings_t services = {
-        .connections_max = 500,
-        .limits = {.header_bytes = 16384, .body_bytes = 1024},
-        .header_timeout_us = 3000000,
-        .idle_timeout_us = 30000000,
+        .connections_max = SERVICE_CONNECTIONS_MAX,
+        .limits = {.header_bytes = SERVICE_HEADER_BYTES,
+                   .body_bytes = SERVICE_BODY_BYTES},
+        .header_timeout_us = SERVICE_HEADER_US,
+        .idle_timeout_us = SERVICE_IDLE_US,
     };
     static const http_server_settings_t callers = {
         .connections_max = CONNECTIONS_MAX,
