tier: seed the engine's choices, so that replays repeat

The engine seeded its choices among equal upstreams with an address, so each run of the same seed was another. Change: the seed is a setting, of the daemon's name and the time in the daemon, of the case's seed in tests.

--- a/t/lib/tier_world.c
+++ b/t/lib/tier_world.c
@@ -397,7 +397,9 @@
         daemon_t *daemon = &world->daemons[i];
         daemon->world = world;
         daemon->number = i;
-        daemon->engine = engine_new(&settings->engine, &world_ports, daemon);
+        engine_settings_t engine = settings->engine;
+        engine.seed = settings->seed * TIER_DAEMONS_MAX + i;
+        daemon->engine = engine_new(&engine, &world_ports, daemon);
         engine_set_fleet(daemon->engine, settings->daemons, world->now_us);
     }
     return world;
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -49,7 +49,8 @@
     engine->ports = *ports;
     engine->owner = owner;
     engine->fleet = 1;
-    engine->random = 0x9e3779b97f4a7c15ULL ^ (uint64_t)(uintptr_t)engine;
+    /* The sequence must not start at 0. */
+    engine->random = XXH64(&settings->seed, sizeof(settings->seed), 0) | 1;
     registry_init(&engine->registry);
     engine->quarantine = quarantine_new(CRASH_ATTEMPTS, CRASH_REFUSE_US, 0);
     if (engine->quarantine == NULL) {
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -110,6 +110,7 @@
     double retry_ratio;    /* sends beyond the first, of requests */
     uint32_t retry_slack;  /* and in any case, of the whole fleet */
     uint32_t requests_max; /* at a time */
+    uint64_t seed;         /* of choices among equals */
 } engine_settings_t;
 
 /* One send to one upstream. */
--- a/tier/node.c
+++ b/tier/node.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum {
     /* Turns in which waiting work, abandoned answers and calls to the store
@@ -297,6 +298,8 @@
     };
     const boot_t *boot = &node->boot;
     engine_settings_t settings = {
+        .seed =
+            XXH64(boot->daemon, strlen(boot->daemon), (uint64_t)loop_now_us()),
         .retry_ratio = boot->retry_ratio,
         .retry_slack = boot->retry_slack,
         .requests_max = REQUESTS_MAX,
