--- a/edge/event.h
+++ b/edge/event.h
@@ -53,6 +53,7 @@
     X(INSTANCE, 314, "instance_changed", INFO)                                \
     X(REGISTRY_COPY, 315, "registry_copy_read", INFO)                         \
     X(STATE_FROM_PEER, 316, "state_from_peer", WARN)                          \
+    X(UPSTREAMS_TOLD, 317, "upstreams_told", INFO)                            \
     X(LEASE_HELD, 400, "lease_held", INFO)                                    \
     X(LEASE_LOST, 401, "lease_lost", WARN)                                    \
     X(MEMBER_JOINED, 402, "member_joined", INFO)                              \
--- a/t/lib/tier_store.c
+++ b/t/lib/tier_store.c
@@ -10,7 +10,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { KEYS_MAX = 512, LEASES_MAX = 64, WATCHES_MAX = 64, KEY_SIZE = 128 };
+enum {
+    KEYS_MAX = 512,
+    LEASES_MAX = 64,
+    WATCHES_MAX = 64,
+    KEY_SIZE = 128,
+    PREFIXES_MAX = 8
+};
 
 typedef struct {
     char key[KEY_SIZE];
@@ -33,6 +39,12 @@
     int64_t until_us;
 } watch_t;
 
+typedef struct {
+    char prefix[KEY_SIZE];
+    uint32_t lists;
+    uint32_t watches;
+} reads_t;
+
 struct tier_store {
     struct ev_loop *loop;
     http_server_t *server;
@@ -46,6 +58,7 @@
     uint64_t revision;
     uint64_t next_lease;
     uint32_t calls;
+    reads_t reads[PREFIXES_MAX];
     ev_timer tick;
 };
 
@@ -251,11 +264,39 @@
     }
 }
 
+static reads_t *
+reads_of(tier_store_t *store, const char *prefix)
+{
+    for (uint32_t i = 0; i < PREFIXES_MAX; i++) {
+        reads_t *reads = &store->reads[i];
+        if (reads->prefix[0] == '\0') {
+            (void)text_copy(reads->prefix, sizeof(reads->prefix), prefix);
+        }
+        if (strcmp(reads->prefix, prefix) == 0) {
+            return reads;
+        }
+    }
+    abort();
+}
+
+uint32_t
+tier_store_lists(tier_store_t *store, const char *prefix)
+{
+    return reads_of(store, prefix)->lists;
+}
+
+uint32_t
+tier_store_watches(tier_store_t *store, const char *prefix)
+{
+    return reads_of(store, prefix)->watches;
+}
+
 static void
 call_range(tier_store_t *store, exchange_t *exchange, const char *target)
 {
     char prefix[KEY_SIZE];
     parameter(target, "prefix", prefix, sizeof(prefix));
+    reads_of(store, prefix)->lists++;
     json_t *items = json_array();
     for (uint32_t i = 0; i < store->item_count; i++) {
         const item_t *item = &store->items[i];
@@ -278,6 +319,7 @@
     parameter(target, "prefix", prefix, sizeof(prefix));
     parameter(target, "after", after, sizeof(after));
     parameter(target, "wait_ms", wait_ms, sizeof(wait_ms));
+    reads_of(store, prefix)->watches++;
     if (store->mode == TIER_STORE_FORGETFUL) {
         answer(exchange, 410, NULL);
         return;
@@ -418,6 +460,10 @@
 tier_store_set_mode(tier_store_t *store, tier_store_mode_t mode)
 {
     store->mode = mode;
+    /* Calls that wait do not outlast the outage. */
+    while (mode == TIER_STORE_BUSY && store->watch_count > 0) {
+        answer(store->watches[--store->watch_count].exchange, 503, NULL);
+    }
 }
 
 void
--- a/t/lib/tier_store.h
+++ b/t/lib/tier_store.h
@@ -19,7 +19,7 @@
 
 typedef enum {
     TIER_STORE_GOOD,
-    TIER_STORE_BUSY,     /* 503 to everything */
+    TIER_STORE_BUSY,     /* 503 to everything, waiting watches too */
     TIER_STORE_SILENT,   /* takes calls and says nothing */
     TIER_STORE_FORGETFUL /* 410 to watches, once each */
 } tier_store_mode_t;
@@ -39,4 +39,8 @@
 
 uint32_t tier_store_calls(const tier_store_t *store);
 
+/* How often exactly that prefix was read: whole, and for its changes. */
+uint32_t tier_store_lists(tier_store_t *store, const char *prefix);
+uint32_t tier_store_watches(tier_store_t *store, const char *prefix);
+
 #endif
--- a/t/t1005-peers.c
+++ b/t/t1005-peers.c
@@ -28,6 +28,21 @@
 }
 
 /* The daemon that is asked: i-1 and i-2 at the revisions 10 and 20. */
+static json_t *
+told_rows(void)
+{
+    registry_t asked;
+    registry_init(&asked);
+    instance_entry_t one = entry_of("i-1", false);
+    instance_entry_t two = entry_of("i-2", true);
+    registry_put(&asked, &one, 10, T0);
+    registry_put(&asked, &two, 20, T0);
+    json_t *rows = registry_copy_rows(&asked, T0);
+    registry_release(&asked);
+    return rows;
+}
+
+/* The same as text. */
 static char *
 told_copy(size_t *size)
 {
@@ -78,16 +93,15 @@
 START_TEST(test_follow)
 {
     const follow_case_t *c = &follow_cases[_i];
-    size_t size;
-    char *text = told_copy(&size);
+    json_t *rows = told_rows();
     registry_t registry;
     registry_init(&registry);
     if (c->known_at > 0) {
         instance_entry_t known = entry_of(c->id, c->known_draining);
         registry_put(&registry, &known, c->known_at, T0);
     }
-    ck_assert(registry_copy_follow(&registry, text, size, c->list_revision,
-                                   T0 + SECOND));
+    ck_assert(
+        registry_copy_follow(&registry, rows, c->list_revision, T0 + SECOND));
     const instance_t *found = find(&registry, c->id);
     ck_assert_msg((found != NULL) == c->there, "%s", c->name);
     if (found != NULL) {
@@ -96,7 +110,7 @@
         ck_assert_uint_eq(ntohs(found->entry.address.sin_port), 8080);
     }
     registry_release(&registry);
-    free(text);
+    json_decref(rows);
 }
 END_TEST
 
@@ -131,91 +145,202 @@
 }
 END_TEST
 
-START_TEST(test_state)
-{
+/* One daemon's knowledge. */
+typedef struct {
     registry_t registry;
     members_t members;
-    char record[256];
-    registry_init(&registry);
-    members_init(&members, T0);
+    fleet_known_t known;
+} mind_t;
+
+static void
+mind_init(mind_t *mind)
+{
+    registry_init(&mind->registry);
+    members_init(&mind->members, T0);
+    mind->known = (fleet_known_t){0};
+}
+
+static void
+mind_release(mind_t *mind)
+{
+    registry_release(&mind->registry);
+    members_release(&mind->members);
+}
+
+static void
+mind_add_member(mind_t *mind, const char *name)
+{
+    char record[MEMBER_RECORD_SIZE];
+    size_t size = member_record_write(record, sizeof(record), "10.0.0.1:80",
+                                      "10.0.0.1:81", "a", 250);
+    members_put(&mind->members, name, record, size, T0);
+}
+
+/* i-1, the member front-a-1 and the closed zone b, good up to a revision. */
+static void
+mind_fill(mind_t *mind, uint64_t revision)
+{
     instance_entry_t one = entry_of("i-1", false);
-    registry_put(&registry, &one, 10, T0);
-    registry_close_zone(&registry, "b", true);
-    size_t record_size = member_record_write(
-        record, sizeof(record), "10.0.0.1:80", "10.0.0.1:81", "a", 250);
-    members_put(&members, "front-a-1", record, record_size, T0);
+    mind_init(mind);
+    registry_put(&mind->registry, &one, 10, T0);
+    registry_close_zone(&mind->registry, "b", true);
+    mind_add_member(mind, "front-a-1");
+    mind->known = (fleet_known_t){
+        .upstreams = revision, .members = revision, .zones = revision};
+}
+
+/* What one daemon learns by asking another; the text's size. */
+static size_t
+ask(mind_t *asks, const mind_t *tells, unsigned *taken)
+{
     fleet_state_t said = {
+        .known = tells->known,
         .config = "{\"version\":7,\"routes\":[]}",
-        .revision = 40,
-        .upstreams_revision = 50,
+        .config_revision = 40,
         .age_us = 300000,
     };
+    fleet_digest_t digest;
+    fleet_digest_t have;
+    char question[256];
     size_t size;
-    char *text = fleet_state_write(&said, &registry, &members, T0, &size);
+    fleet_digest(&digest, 40, &asks->registry, &asks->members);
+    ck_assert_uint_gt(
+        fleet_query_write(question, sizeof(question), "/fleet/state", &digest),
+        0);
+    fleet_query_read(&have, question);
+    ck_assert_mem_eq(&have, &digest, sizeof(have));
+    char *text = fleet_state_write(&said, &have, &tells->registry,
+                                   &tells->members, T0, &size);
     fleet_state_t heard;
     ck_assert(fleet_state_read(&heard, text, size));
-    ck_assert_str_eq(heard.config, said.config);
-    ck_assert_uint_eq(heard.revision, 40);
-    ck_assert_uint_eq(heard.upstreams_revision, 50);
-    ck_assert_int_eq(heard.age_us, 300000);
-    registry_t other;
-    members_t others;
-    registry_init(&other);
-    members_init(&others, T0);
-    fleet_state_apply(&heard, &other, &others, T0);
-    ck_assert_ptr_nonnull(find(&other, "i-1"));
-    ck_assert(registry_zone_is_closed(&other, "b"));
-    ck_assert(members_has(&others, "front-a-1"));
-    ck_assert_uint_eq(others.records[0].weight, 250);
-    ck_assert_str_eq(others.records[0].control, "10.0.0.1:81");
+    ck_assert_ptr_null(heard.config); /* both have it */
+    *taken = fleet_state_follow(&heard, &asks->known, &asks->registry,
+                                &asks->members, T0);
     fleet_state_release(&heard);
     free(text);
-    /* Without a configuration it has the upstreams only. */
-    said.config = NULL;
-    text = fleet_state_write(&said, &registry, &members, T0, &size);
+    return size;
+}
+
+START_TEST(test_state)
+{
+    mind_t tells;
+    mind_t asks;
+    unsigned taken;
+    mind_fill(&tells, 50);
+    mind_init(&asks);
+    size_t whole = ask(&asks, &tells, &taken);
+    ck_assert_uint_eq(taken, FLEET_UPSTREAMS | FLEET_MEMBERS | FLEET_ZONES);
+    ck_assert_ptr_nonnull(find(&asks.registry, "i-1"));
+    ck_assert(members_has(&asks.members, "front-a-1"));
+    ck_assert_uint_eq(asks.members.records[0].weight, 250);
+    ck_assert_str_eq(asks.members.records[0].control, "10.0.0.1:81");
+    ck_assert_uint_eq(asks.known.upstreams, 50);
+    /* Who knows the same is told nothing, and that it holds on. */
+    registry_close_zone(&asks.registry, "b", true);
+    tells.known.upstreams = 60;
+    ck_assert_uint_lt(ask(&asks, &tells, &taken), whole / 2);
+    ck_assert_uint_eq(taken, 0);
+    ck_assert_uint_eq(asks.known.upstreams, 60);
+    /* One part has changed. */
+    instance_entry_t two = entry_of("i-2", false);
+    registry_put(&tells.registry, &two, 70, T0);
+    tells.known.upstreams = 70;
+    ask(&asks, &tells, &taken);
+    ck_assert_uint_eq(taken, FLEET_UPSTREAMS);
+    ck_assert_ptr_nonnull(find(&asks.registry, "i-2"));
+    mind_release(&tells);
+    mind_release(&asks);
+}
+END_TEST
+
+/* One that is behind cannot bring back what another has seen go. */
+START_TEST(test_behind)
+{
+    mind_t behind;
+    mind_t ahead;
+    mind_t asks;
+    unsigned taken;
+    mind_fill(&behind, 50);
+    mind_fill(&ahead, 50);
+    registry_remove(&ahead.registry, "i-1", 60, T0);
+    members_remove(&ahead.members, "front-a-1", T0);
+    registry_close_zone(&ahead.registry, "b", false);
+    ahead.known = (fleet_known_t){.upstreams = 60, .members = 60, .zones = 60};
+    mind_init(&asks);
+    ask(&asks, &ahead, &taken);
+    ask(&asks, &behind, &taken);
+    ck_assert_uint_eq(taken, 0);
+    ck_assert_uint_eq(registry_count(&asks.registry), 0);
+    ck_assert_uint_eq(asks.members.count, 0);
+    mind_release(&behind);
+    mind_release(&ahead);
+    mind_release(&asks);
+}
+END_TEST
+
+/* A daemon that knows nothing takes all of it, for as long as it holds. */
+START_TEST(test_begin)
+{
+    mind_t tells;
+    mind_t starts;
+    fleet_state_t heard;
+    size_t size;
+    char zones[4][INSTANCE_NAME_SIZE];
+    mind_fill(&tells, 0);
+    fleet_state_t said = {.config = "{}", .config_revision = 40};
+    fleet_digest_t nothing = {0};
+    char *text = fleet_state_write(&said, &nothing, &tells.registry,
+                                   &tells.members, T0, &size);
     ck_assert(fleet_state_read(&heard, text, size));
-    ck_assert_ptr_null(heard.config);
+    ck_assert_str_eq(heard.config, "{}");
+    ck_assert_uint_eq(heard.config_size, 2);
+    ck_assert_uint_eq(heard.config_revision, 40);
+    mind_init(&starts);
+    fleet_state_begin(&heard, &starts.registry, &starts.members, T0);
+    ck_assert_ptr_nonnull(find(&starts.registry, "i-1"));
+    ck_assert(members_has(&starts.members, "front-a-1"));
+    ck_assert_uint_eq(fleet_state_zones(&heard, zones, 4), 1);
+    ck_assert_str_eq(zones[0], "b");
     fleet_state_release(&heard);
     free(text);
-    registry_release(&registry);
-    registry_release(&other);
-    members_release(&members);
-    members_release(&others);
+    mind_release(&tells);
+    mind_release(&starts);
 }
 END_TEST
 
 static const char bad_rows[] =
-    "{\"upstreams\":\"[1,{},{\\\"id\\\":\\\"i\\\",\\\"port\\\":99999}]\","
-    "\"members\":[1,{\"name\":3},{\"name\":\"m\"}],\"closed\":[1,null]}";
+    "{\"age_us\":1,\"upstreams_revision\":9,\"members_revision\":9,"
+    "\"zones_revision\":9,\"upstreams\":[1,{},{\"id\":\"i\",\"port\":99999,"
+    "\"revision\":3}],\"members\":[1,{\"name\":3},{\"name\":\"m\"}],"
+    "\"zones\":[1,null]}";
 
 static const char *const malformed[] = {
     "",
     "{",
     "[]",
-    "{\"upstreams\":3}",
-    "{\"upstreams\":\"[{]\",\"config\":\"x\"}",
+    "{\"age_us\":\"1\"}",
+    "{\"age_us\":1,\"upstreams_revision\":9,\"upstreams\":3}",
+    "{\"age_us\":1,\"members_revision\":9,\"members\":{\"name\":1}}",
     bad_rows,
 };
 
 START_TEST(test_malformed)
 {
     const char *text = malformed[_i];
-    registry_t registry;
-    members_t members;
-    registry_init(&registry);
-    members_init(&members, T0);
+    mind_t mind;
+    mind_init(&mind);
     fleet_state_t state;
     if (fleet_state_read(&state, text, strlen(text))) {
-        fleet_state_apply(&state, &registry, &members, T0);
-        registry_copy_follow(&registry, state.upstreams,
-                             strlen(state.upstreams), 9, T0);
+        char zones[4][INSTANCE_NAME_SIZE];
+        fleet_state_begin(&state, &mind.registry, &mind.members, T0);
+        (void)fleet_state_follow(&state, &mind.known, &mind.registry,
+                                 &mind.members, T0);
+        ck_assert_uint_eq(fleet_state_zones(&state, zones, 4), 0);
         fleet_state_release(&state);
     }
-    ck_assert_uint_eq(registry_count(&registry), 0);
-    ck_assert_uint_eq(members.count, 0);
-    ck_assert_uint_eq(registry.closed_count, 0);
-    registry_release(&registry);
-    members_release(&members);
+    ck_assert_uint_eq(registry_count(&mind.registry), 0);
+    ck_assert_uint_eq(mind.members.count, 0);
+    mind_release(&mind);
 }
 END_TEST
 
@@ -227,6 +352,8 @@
                         sizeof(follow_cases) / sizeof(follow_cases[0]));
     tcase_add_test(tests, test_copy);
     tcase_add_test(tests, test_state);
+    tcase_add_test(tests, test_behind);
+    tcase_add_test(tests, test_begin);
     tcase_add_loop_test(tests, test_malformed, 0,
                         sizeof(malformed) / sizeof(malformed[0]));
     return suite_run("peers", tests);
--- a/t/t1006-mutated.c
+++ b/t/t1006-mutated.c
@@ -105,7 +105,9 @@
         members_t members;
         registry_init(&registry);
         members_init(&members, 1);
-        fleet_state_apply(&state, &registry, &members, 1);
+        fleet_known_t known = {0};
+        fleet_state_begin(&state, &registry, &members, 1);
+        (void)fleet_state_follow(&state, &known, &registry, &members, 1);
         fleet_state_release(&state);
         registry_release(&registry);
         members_release(&members);
@@ -147,10 +149,12 @@
      "seeds=10.1.0.39:8224,10.2.0.33:8224\nplatform.addr=10.200.1.7:8229\n"
      "bounds.grace_s=6\n"},
     {"state of a daemon", feed_state,
-     "{\"upstreams\":\"[{\\\"id\\\":\\\"i\\\",\\\"service\\\":\\\"s\\\","
-     "\\\"zone\\\":\\\"a\\\",\\\"host\\\":\\\"10.0.0.1\\\",\\\"port\\\":80,"
-     "\\\"slots\\\":4}]\",\"config\":\"{}\",\"revision\":3,\"members\":[{"
-     "\"name\":\"m\",\"address\":\"a\",\"zone\":\"z\"}],\"closed\":[\"z\"]}"},
+     "{\"age_us\":3,\"upstreams_revision\":5,\"members_revision\":5,"
+     "\"zones_revision\":5,\"upstreams\":[{\"id\":\"i\",\"service\":\"s\","
+     "\"zone\":\"a\",\"host\":\"10.0.0.1\",\"port\":80,\"slots\":4,"
+     "\"revision\":4}],\"config\":\"{}\",\"config_revision\":3,"
+     "\"members\":[{\"name\":\"m\",\"address\":\"a\",\"zone\":\"z\"}],"
+     "\"zones\":[\"z\"]}"},
 };
 
 static uint64_t random_state = 88172645463325252ULL;
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -4,6 +4,7 @@
 #include "t/lib/suite.h"
 #include "t/lib/tier_store.h"
 #include "t/lib/tier_upstream.h"
+#include "tier/members.h"
 #include "tier/node.h"
 
 #include <arpa/inet.h>
@@ -117,7 +118,7 @@
 
 /* One upstream at each of the services s0, s1, s2. */
 static void
-fixture_init(fixture_t *f)
+fixture_start(fixture_t *f, bool first_start)
 {
     static const char *const services[] = {"s0", "s1", "s2"};
     static const tier_script_t good = {.bytes = GOOD};
@@ -139,10 +140,12 @@
         .has_store = true,
         .callers_text = "127.0.0.1:1",
         .grace_us = 2500000,
+        .drain_us = 5000000,
         .directory_ttl_us = 5000000,
         .min_lease_us = 100000,
         .retry_ratio = 0.2,
         .retry_slack = 50,
+        .first_start = first_start,
     };
     f->store = tier_store_new(f->loop, &f->boot.store);
     for (int i = 0; i < UPSTREAMS; i++) {
@@ -156,6 +159,12 @@
     run_ms(f, 200);
 }
 
+static void
+fixture_init(fixture_t *f)
+{
+    fixture_start(f, false);
+}
+
 static void
 fixture_release(fixture_t *f)
 {
@@ -648,6 +657,158 @@
 }
 END_TEST
 
+/* What is read at a start is read once. */
+START_TEST(test_reads_at_start)
+{
+    fixture_t f;
+    fixture_start(&f, _i == 1);
+    ck_assert_uint_eq(tier_store_lists(f.store, "op/"), 1);
+    ck_assert_uint_eq(tier_store_lists(f.store, "servers/"), 1);
+    ck_assert_uint_eq(tier_store_lists(f.store, "yuccarun/fleet/"), 1);
+    /* Nothing of the fleet's own is there before its first start. */
+    ck_assert_uint_eq(tier_store_lists(f.store, "yuccarun/registry/"),
+                      _i == 0 ? 1 : 0);
+    fixture_release(&f);
+}
+END_TEST
+
+static void
+list_member(fixture_t *f, const char *name, const char *control,
+            uint32_t weight)
+{
+    char key[64];
+    char record[MEMBER_RECORD_SIZE];
+    snprintf(key, sizeof(key), "yuccarun/fleet/members/%s", name);
+    member_record_write(record, sizeof(record), "127.0.0.1:2", control, "a",
+                        weight);
+    tier_store_put(f->store, key, record);
+}
+
+/* So many that the daemon at hand need not serve. */
+static void
+list_others(fixture_t *f)
+{
+    enum { OTHERS = 20 };
+    for (int i = 0; i < OTHERS; i++) {
+        char name[32];
+        snprintf(name, sizeof(name), "front-x-%d", i);
+        list_member(f, name, "", 9);
+    }
+}
+
+static const char *
+address_text(const struct sockaddr_in *address, char *text, size_t size)
+{
+    char host[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &address->sin_addr, host, sizeof(host));
+    snprintf(text, size, "%s:%u", host, ntohs(address->sin_port));
+    return text;
+}
+
+/* Whether a daemon says that it has that configuration. */
+static bool
+has_version(fixture_t *f, const struct sockaddr_in *control,
+            const char *version)
+{
+    caller_t caller;
+    char field[32];
+    snprintf(field, sizeof(field), "\"version\\\":%s,", version);
+    exchange(f, &caller, control,
+             "GET /fleet/state HTTP/1.1\r\nHost: h\r\n\r\n", 500);
+    bool has = strstr(caller.text, field) != NULL;
+    conn_close(&caller.conn);
+    return has;
+}
+
+/* The one among them that reads the store. */
+static node_t *
+start_reader(fixture_t *f, boot_t *boot)
+{
+    list_others(f);
+    *boot = f->boot;
+    snprintf(boot->daemon, sizeof(boot->daemon), "front-b-1");
+    boot->cpu_share = boot->cores = 1; /* the strongest */
+    boot->callers = own_address();
+    boot->readiness = own_address();
+    boot->directory = own_address();
+    boot->control = own_address();
+    address_text(&boot->control, boot->control_text,
+                 sizeof(boot->control_text));
+    char why[128];
+    node_t *reader = node_start(f->loop, boot, why, sizeof(why));
+    ck_assert_msg(reader != NULL, "%s", why);
+    return reader;
+}
+
+/* Who stands by learns from it what changes, and leaves the store alone. */
+START_TEST(test_stands_by)
+{
+    fixture_t f;
+    boot_t boot;
+    caller_t caller;
+    fixture_init(&f);
+    node_t *reader = start_reader(&f, &boot);
+    run_ms(&f, 4500);
+    uint32_t operator_reads = tier_store_watches(f.store, "op/");
+    uint32_t upstream_reads = tier_store_watches(f.store, "servers/");
+    put_config(&f, 2);
+    tier_store_put(f.store, "op/evacuate/b", "{}");
+    tier_store_remove(f.store, "servers/i-0");
+    run_ms(&f, 3900);
+    /* The reader's two for the version and the zone, and one each 2 s. */
+    ck_assert_uint_le(tier_store_watches(f.store, "op/") - operator_reads, 2);
+    ck_assert_uint_le(tier_store_watches(f.store, "servers/") - upstream_reads,
+                      2);
+    exchange(&f, &caller, &f.boot.callers, REQUEST("/one/", "r-1"), 900);
+    ck_assert_uint_eq(status_of(&caller), 503);
+    conn_close(&caller.conn);
+    ck_assert(has_version(&f, &f.boot.control, "2"));
+    exchange(&f, &caller, &f.boot.control,
+             "GET /fleet/state HTTP/1.1\r\nHost: h\r\n\r\n", 500);
+    ck_assert_ptr_nonnull(strstr(caller.text, "\"zones\":[\"b\"]"));
+    conn_close(&caller.conn);
+    /* Without the one it asks it goes to the store by itself. */
+    node_free(reader);
+    put_config(&f, 3);
+    run_ms(&f, 4500);
+    ck_assert(has_version(&f, &f.boot.control, "3"));
+    fixture_release(&f);
+}
+END_TEST
+
+/*
+ * After an outage a daemon that stands by finds the store by itself, though
+ * the one it asks never does: two that stand by may take each other for the
+ * one that reads.
+ */
+START_TEST(test_stands_by_alone)
+{
+    fixture_t f;
+    char control[64];
+    static const tier_script_t nothing = {
+        .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"
+                 "{\"age_us\":0}",
+    };
+    struct sockaddr_in address = own_address();
+    fixture_init(&f);
+    tier_upstream_server_t *told =
+        tier_upstream_new(f.loop, &address, &nothing);
+    list_others(&f);
+    list_member(&f, "front-r",
+                address_text(&address, control, sizeof(control)), 999);
+    run_ms(&f, 4000);
+    ck_assert_uint_gt(tier_upstream_requests(told), 0);
+    tier_store_set_mode(f.store, TIER_STORE_BUSY);
+    run_ms(&f, 4500);
+    tier_store_set_mode(f.store, TIER_STORE_GOOD);
+    put_config(&f, 2);
+    run_ms(&f, 3000);
+    ck_assert(has_version(&f, &f.boot.control, "2"));
+    tier_upstream_free(told);
+    fixture_release(&f);
+}
+END_TEST
+
 /* What lapsed before a daemon started is believed, for two seconds. */
 START_TEST(test_start_with_lapsed_entries)
 {
@@ -760,6 +921,9 @@
     tcase_add_test(tests, test_forgotten_history);
     tcase_add_test(tests, test_metrics_port_taken);
     tcase_add_loop_test(tests, test_start_without_store, 0, 2);
+    tcase_add_loop_test(tests, test_reads_at_start, 0, 2);
+    tcase_add_test(tests, test_stands_by);
+    tcase_add_test(tests, test_stands_by_alone);
     tcase_add_test(tests, test_start_with_lapsed_entries);
     tcase_add_test(tests, test_leave);
     tcase_add_test(tests, test_leave_unfinished);
--- a/tier/follow.c
+++ b/tier/follow.c
@@ -12,13 +12,15 @@
 follow_next(follow_t *follow, kv_call_t *call, int64_t now_us)
 {
     if (follow->busy || now_us < follow->due_us ||
-        (follow->watching && follow->settings.once)) {
+        (follow->watching &&
+         (follow->settings.once || now_us < follow->rest_us))) {
         return false;
     }
     bool built =
         follow->watching
-            ? kv_watch(call, follow->settings.prefix, follow->revision,
-                       follow->settings.wait_us)
+            ? kv_watch(call,
+                       follow->settings.all ? "" : follow->settings.prefix,
+                       follow->revision, follow->settings.wait_us)
             : kv_range(call, follow->settings.prefix,
                        follow->after[0] != '\0' ? follow->after : NULL);
     if (!built) {
@@ -48,7 +50,10 @@
     follow->watching = true;
     /* The pages are no snapshot: changes since the first are heard again. */
     follow->revision = follow->list_revision;
-    follow->due_us = now_us + follow->settings.pause_us;
+    follow->due_us =
+        now_us + (follow->settings.first_us > follow->settings.pause_us
+                      ? follow->settings.first_us
+                      : follow->settings.pause_us);
     return first ? FOLLOW_LIST_WHOLE : FOLLOW_LIST_LAST;
 }
 
@@ -77,7 +82,24 @@
         return;
     }
     follow->failures++;
-    follow->due_us = now_us + FOLLOW_RETRY_US;
+    follow->due_us =
+        now_us + (follow->settings.retry_us > 0 ? follow->settings.retry_us
+                                                : FOLLOW_RETRY_US);
+}
+
+void
+follow_skip(follow_t *follow, uint64_t from, uint64_t to)
+{
+    if (follow->watching && follow->revision >= from &&
+        follow->revision < to) {
+        follow->revision = to;
+    }
+}
+
+void
+follow_rest(follow_t *follow, int64_t until_us)
+{
+    follow->rest_us = until_us;
 }
 
 void
--- a/tier/follow.h
+++ b/tier/follow.h
@@ -33,8 +33,11 @@
 typedef struct {
     const char *prefix;
     int64_t pause_us; /* between two calls for changes; 0: none */
+    int64_t first_us; /* the pause after the list, where that is longer */
     int64_t wait_us;  /* a call stays open for; 0: answers at once */
+    int64_t retry_us; /* after a failed call; 0: FOLLOW_RETRY_US */
     bool once;        /* it is read whole, and its changes are not wanted */
+    bool all;         /* the changes of all prefixes are asked for */
 } follow_settings_t;
 
 typedef struct {
@@ -45,6 +48,7 @@
     uint64_t list_revision;      /* of the first page */
     char after[FOLLOW_KEY_SIZE]; /* the last key of the page before */
     int64_t due_us;              /* the next call's time */
+    int64_t rest_us;             /* no call for changes before then */
     uint32_t failures;           /* in a row */
 } follow_t;
 
@@ -68,6 +72,15 @@
 /* forgotten: the store has no history from the revision asked for. */
 void follow_failed(follow_t *follow, bool forgotten, int64_t now_us);
 
+/*
+ * The changes of all prefixes between two revisions of the store were heard
+ * by another follow_t, and those of this one were delivered with them.
+ */
+void follow_skip(follow_t *follow, uint64_t from, uint64_t to);
+
+/* What changes is learnt elsewhere: ask for no changes before then. */
+void follow_rest(follow_t *follow, int64_t until_us);
+
 /* Read the prefix whole again, at once. */
 void follow_restart(follow_t *follow, int64_t now_us);
 
--- a/tier/members.c
+++ b/tier/members.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum {
     /* After the store's return a daemon has this long to write its record
@@ -61,6 +62,21 @@
     return record != NULL && record->gone_us == 0;
 }
 
+uint64_t
+members_digest(const members_t *members)
+{
+    uint64_t digest = 0;
+    for (uint32_t i = 0; i < members->count; i++) {
+        const member_record_t *record = &members->records[i];
+        uint64_t row =
+            XXH64(record->name, strlen(record->name), record->weight);
+        row = XXH64(record->address, strlen(record->address), row);
+        row = XXH64(record->control, strlen(record->control), row);
+        digest ^= XXH64(record->zone, strlen(record->zone), row);
+    }
+    return digest;
+}
+
 bool
 members_is_first(const members_t *members, const char *name)
 {
@@ -213,7 +229,8 @@
 {
     if (members->store_lost) {
         members->store_lost = false;
-        members->store_back_us = members->count > 0 ? now_us : 0;
+        /* Whoever knows only of itself has missed nobody. */
+        members->store_back_us = members->count > 1 ? now_us : 0;
     }
 }
 
@@ -288,10 +305,13 @@
 
 const char *
 members_to_ask(const members_t *members, const char *zone, const char *without,
-               uint32_t turn)
+               uint32_t in_vain)
 {
     uint32_t count = 0;
-    members_reader(members, zone, without, UINT32_MAX, &count);
+    uint32_t lot = (uint32_t)XXH64(without, strlen(without), 0);
+    if (in_vain == 0) {
+        members_reader(members, zone, without, UINT32_MAX, &count);
+    }
     if (count == 0) {
         zone = NULL;
         members_reader(members, zone, without, UINT32_MAX, &count);
@@ -299,7 +319,8 @@
     if (count == 0) {
         return NULL;
     }
-    return members_reader(members, zone, without, turn % count, NULL)->control;
+    uint32_t wanted = (lot % count + in_vain) % count;
+    return members_reader(members, zone, without, wanted, NULL)->control;
 }
 
 member_role_t
--- a/tier/members.h
+++ b/tier/members.h
@@ -19,6 +19,7 @@
 
 enum {
     MEMBER_NAME_SIZE = 64,
+    MEMBER_RECORD_SIZE = 256, /* of the text of a record */
     MEMBERS_MAX = 2048,
     /* A daemon that is listed no more may still send for so long: the time
        of an outage that is met for a share of the daemons, and of the window
@@ -85,6 +86,9 @@
 /* Whether nobody listed comes before that name. */
 bool members_is_first(const members_t *members, const char *name);
 
+/* Alike for two who list the same; 0: nobody is listed. */
+uint64_t members_digest(const members_t *members);
+
 bool members_has(const members_t *members, const char *name);
 
 /* Daemons that may be sending now; 1 at least. */
@@ -94,11 +98,12 @@
 uint32_t members_choose(members_t *members);
 
 /*
- * The address at which a member that reads can be asked, of that zone if
- * there is one; turn counts questions and spreads them. NULL: there is none.
+ * The address at which a member that reads can be asked: one of that zone if
+ * there is one, and once that was in vain any. in_vain counts and spreads
+ * questions. NULL: there is none.
  */
 const char *members_to_ask(const members_t *members, const char *zone,
-                           const char *without, uint32_t turn);
+                           const char *without, uint32_t in_vain);
 
 /* The role of a member; one that is not listed stands by. */
 member_role_t members_role(const members_t *members, const char *name);
--- a/tier/node.c
+++ b/tier/node.c
@@ -17,12 +17,16 @@
     TICK_US = 50000,
     /* How often idle connections and lapsed entries are. */
     HOUSEKEEPING_US = 250000,
-    /* Configurations and members change seldom: a call waits for them. */
-    OPERATOR_WAIT_US = 25000000,
+    /* Configurations and members change seldom: a call waits for them, less
+       long than the store keeps its history (in percent of that). */
+    WATCH_US = 25000000,
+    WATCH_HISTORY_PERCENT = 90,
     /* Versions in quick succession are one call; a sixth of the time in which
        one must be in force. */
     OPERATOR_PAUSE_US = 500000,
-    MEMBERS_WAIT_US = 25000000,
+    /* By then a daemon that starts with all others knows whether it will ask
+       one of those instead: their records have been read, and an answer. */
+    OPERATOR_FIRST_US = 3000000,
     /* A daemon that dies is listed for so long; three renewals within. */
     MEMBER_LEASE_US = 3000000,
     /* After SIGTERM: requests are served this long as before, ... */
@@ -199,19 +203,25 @@
 static bool
 node_follow(node_t *node)
 {
-    static const follow_settings_t operator_settings = {
+    int64_t wait_us = node->boot.history_us * WATCH_HISTORY_PERCENT / 100;
+    if (wait_us == 0 || wait_us > WATCH_US) {
+        wait_us = WATCH_US;
+    }
+    const follow_settings_t operator_settings = {
         .prefix = KEY_OPERATOR,
         .pause_us = OPERATOR_PAUSE_US,
-        .wait_us = OPERATOR_WAIT_US,
+        .first_us = OPERATOR_FIRST_US,
+        .wait_us = wait_us,
     };
-    static const follow_settings_t upstreams_settings = {
+    const follow_settings_t upstreams_settings = {
         .prefix = KEY_UPSTREAMS,
         .pause_us = UPSTREAMS_PAUSE_US,
+        .all = true, /* a call that waits for changes may never be answered */
     };
-    static const follow_settings_t members_settings = {
+    const follow_settings_t members_settings = {
         .prefix = KEY_FLEET,
         .pause_us = MEMBERS_PAUSE_US,
-        .wait_us = MEMBERS_WAIT_US,
+        .wait_us = wait_us,
     };
     /* The first is the one that asks on while the store is away. */
     return store_link_follow(node->store, &upstreams_settings,
@@ -226,7 +236,7 @@
 node_register(node_t *node)
 {
     char key[LEASE_KEY_SIZE];
-    char record[256];
+    char record[MEMBER_RECORD_SIZE];
     const boot_t *boot = &node->boot;
     snprintf(key, sizeof(key), KEY_MEMBERS "%s", boot->daemon);
     if (node_record(node, record, sizeof(record)) > 0) {
@@ -344,6 +354,7 @@
         return NULL;
     }
     node_register(node);
+    node_list_itself(node, now_us);
     node->fleet = members_fleet(&node->members, now_us);
     engine_set_fleet(node->engine, node->fleet, now_us);
     ev_timer_start(loop, &node->tick);
--- a/tier/node_config.c
+++ b/tier/node_config.c
@@ -130,6 +130,21 @@
     engine_serve_waiting(node->engine, now_us);
 }
 
+void
+node_zones_told(node_t *node, char (*names)[INSTANCE_NAME_SIZE],
+                uint32_t count, int64_t now_us)
+{
+    node->zones_seen_count = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        zone_read(node, names[i], true);
+        if (text_copy(node->zones_seen[node->zones_seen_count],
+                      INSTANCE_NAME_SIZE, names[i])) {
+            node->zones_seen_count++;
+        }
+    }
+    operator_list_end(node, now_us);
+}
+
 const store_reader_t node_operator_reader = {
     .list_begin = operator_list_begin,
     .item = operator_item,
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -21,7 +21,8 @@
 static uint32_t
 boot_weight(const boot_t *boot)
 {
-    double link = boot->link_mbps < LINK_AMPLE_MBPS
+    /* A link whose width is not said is an ample one. */
+    double link = boot->link_mbps > 0 && boot->link_mbps < LINK_AMPLE_MBPS
                       ? boot->link_mbps / LINK_AMPLE_MBPS
                       : 1;
     return (uint32_t)(boot->cpu_share * boot->cores * link * 1000);
@@ -39,6 +40,17 @@
                : 0;
 }
 
+/* It is a member in its own eyes, whatever has reached the store of it. */
+void
+node_list_itself(node_t *node, int64_t now_us)
+{
+    char record[MEMBER_RECORD_SIZE];
+    size_t size = node_record(node, record, sizeof(record));
+    if (size > 0 && !node->leaving) {
+        members_put(&node->members, node->boot.daemon, record, size, now_us);
+    }
+}
+
 /* What depends on who the members are, and on whether this one serves. */
 void
 node_members_settle(node_t *node, int64_t now_us)
@@ -61,6 +73,9 @@
     store_link_pace(node->store, KEY_UPSTREAMS, pause_us);
     store_link_pace(node->store, KEY_FLEET,
                     large ? LARGE_PAUSE_US : MEMBERS_PAUSE_US);
+    /* Those who are asked tell the others when the store is back. */
+    store_link_retry(node->store,
+                     node->asks_peers ? LARGE_PAUSE_US : FOLLOW_RETRY_US);
     if (fleet != node->fleet) {
         node->fleet = fleet;
         engine_set_fleet(node->engine, fleet, now_us);
@@ -71,6 +86,7 @@
 node_members_changed(node_t *node, const char *name, const char *change,
                      int64_t now_us)
 {
+    node->asked = 0; /* whoever did not answer may be replaced */
     node_members_settle(node, now_us);
     event_log(EVENT_MEMBERS,
               "daemon_name=%s change=%s members=%u serves=%d "
@@ -85,6 +101,7 @@
 {
     node_t *node = owner;
     (void)now_us;
+    node->members_listing = true;
     members_list_begin(&node->members);
 }
 
@@ -121,16 +138,21 @@
     const char *name = item->key + sizeof(KEY_MEMBERS) - 1;
     bool own = strcmp(name, node->boot.daemon) == 0;
     if (item->removed) {
-        if (members_remove(&node->members, name, now_us)) {
-            node_members_changed(node, name, "gone", now_us);
-        }
         if (own && !node->leaving) {
             store_link_missing(node->store, now_us);
         }
+        else if (members_remove(&node->members, name, now_us)) {
+            node_members_changed(node, name, "gone", now_us);
+        }
         return;
     }
     if (members_put(&node->members, name, item->value, item->size, now_us)) {
-        node_members_changed(node, name, "listed", now_us);
+        if (node->members_listing) {
+            node->members_listed = true;
+        }
+        else {
+            node_members_changed(node, name, "listed", now_us);
+        }
     }
 }
 
@@ -149,11 +171,15 @@
 members_list_ended(void *owner, int64_t now_us)
 {
     node_t *node = owner;
-    if (members_list_end(&node->members, now_us)) {
-        node_members_changed(node, "-", "list", now_us);
-    }
+    node->members_listing = false;
+    bool changed = members_list_end(&node->members, now_us);
     if (!node->leaving && !members_has(&node->members, node->boot.daemon)) {
         store_link_missing(node->store, now_us);
+        node_list_itself(node, now_us);
+    }
+    if (changed || node->members_listed) {
+        node->members_listed = false;
+        node_members_changed(node, "-", "list", now_us);
     }
 }
 
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -7,6 +7,7 @@
 #include "http/loop_clock.h"
 #include "http/server.h"
 #include "tier/engine.h"
+#include "tier/fleet_state.h"
 #include "tier/front.h"
 #include "tier/members.h"
 #include "tier/node.h"
@@ -47,6 +48,8 @@
     char *config_text;  /* in force, as the operator wrote it */
     front_t front;
     members_t members;
+    bool members_listing; /* a list of them is being read ... */
+    bool members_listed;  /* ... and has somebody new */
     uint32_t fleet;
     bool upstreams_known; /* the registry was read at least once */
     /* Evacuated zones in the list being read. */
@@ -54,7 +57,8 @@
     uint32_t zones_seen_count;
     ev_timer tick;
     bool asks_peers;           /* for the upstreams, and not the store */
-    uint32_t asked;            /* questions to other daemons so far */
+    uint32_t asked;            /* daemons that were asked in vain so far */
+    fleet_known_t told;        /* up to which revisions others told what */
     int64_t ask_due_us;        /* the next */
     int64_t upstreams_read_us; /* when the store was last heard of them */
     int64_t started_us;
@@ -73,6 +77,10 @@
 void node_config_read(node_t *node, const char *text, size_t size,
                       uint64_t revision, int64_t now_us);
 
+/* The zones that are closed, as another daemon knows them. */
+void node_zones_told(node_t *node, char (*names)[INSTANCE_NAME_SIZE],
+                     uint32_t count, int64_t now_us);
+
 /* node_upstreams.c */
 extern const store_reader_t node_upstreams_reader;
 
@@ -85,6 +93,9 @@
 /* This daemon's record; 0: callers do not connect to it. */
 size_t node_record(const node_t *node, char *text, size_t size);
 
+/* Put this daemon among the members it knows of, unless it leaves. */
+void node_list_itself(node_t *node, int64_t now_us);
+
 /* What depends on who the members are, and on what this one does. */
 void node_members_settle(node_t *node, int64_t now_us);
 
--- a/tier/node_upstreams.c
+++ b/tier/node_upstreams.c
@@ -78,6 +78,9 @@
     node_t *node = owner;
     registry_t *registry = engine_registry(node->engine);
     if (strncmp(item->key, prefix, sizeof(prefix) - 1) != 0) {
+        /* Each of these takes its own, and what is new only. */
+        node_operator_reader.item(owner, item, now_us);
+        node_members_reader.item(owner, item, now_us);
         return;
     }
     const char *id = item->key + sizeof(prefix) - 1;
@@ -118,8 +121,10 @@
             .once = true,
         };
         node->upstreams_known = true;
-        (void)store_link_follow(node->store, &copy_settings, &copy_reader,
-                                node);
+        if (!node->boot.first_start) {
+            (void)store_link_follow(node->store, &copy_settings, &copy_reader,
+                                    node);
+        }
         event_log(EVENT_TOPOLOGY, "upstreams=%u",
                   registry_count(engine_registry(node->engine)));
     }
--- a/tier/peer_link.c
+++ b/tier/peer_link.c
@@ -9,8 +9,9 @@
 #include <string.h>
 
 enum {
-    ASK_US = 500000,          /* for one answer: peers are milliseconds away */
-    STATE_BYTES_MAX = 4 << 20 /* a configuration and some thousand entries */
+    ASK_US = 500000, /* for one answer: peers are milliseconds away */
+    STATE_BYTES_MAX = 4 << 20, /* a configuration and some thousand entries */
+    QUESTION_SIZE = 512
 };
 
 struct peer_link {
@@ -18,6 +19,7 @@
     peer_told_fn_t told;
     void *owner;
     conn_t conn;
+    struct sockaddr_in address; /* of the connection */
     http_reader_t reader;
     int64_t until_us; /* the answer at hand is due; 0: none is awaited */
 };
@@ -41,11 +43,16 @@
     return peers;
 }
 
+/* The question at hand has no good answer. */
 static void
-ask_end(peer_link_t *peers)
+ask_failed(peer_link_t *peers, int64_t now_us)
 {
+    bool awaited = peers->until_us != 0;
     conn_close(&peers->conn);
     peers->until_us = 0;
+    if (awaited) {
+        peers->told(peers->owner, NULL, 0, now_us);
+    }
 }
 
 static void
@@ -54,23 +61,32 @@
     peer_link_t *peers = conn->owner;
     int64_t now_us = loop_now_us();
     size_t used = 0;
+    if (peers->until_us == 0) {
+        conn_close(conn); /* nothing was asked */
+        return;
+    }
     http_state_t state = http_reader_feed(&peers->reader, bytes, size, &used);
     if (state == HTTP_MORE) {
         return;
     }
     const http_message_t *message = &peers->reader.message;
-    ask_end(peers);
-    if (state == HTTP_DONE && message->status == 200) {
-        peers->told(peers->owner, (const char *)buffer_data(&message->body),
-                    buffer_size(&message->body), now_us);
+    if (state != HTTP_DONE || used < size || message->status != 200) {
+        ask_failed(peers, now_us);
+        return;
     }
+    peers->until_us = 0;
+    if (!message->keep_alive) {
+        conn_close(conn);
+    }
+    peers->told(peers->owner, (const char *)buffer_data(&message->body),
+                buffer_size(&message->body), now_us);
 }
 
 static void
 peer_ended(conn_t *conn, bool clean)
 {
     (void)clean;
-    ask_end(conn->owner);
+    ask_failed(conn->owner, loop_now_us());
 }
 
 static const conn_ops_t peer_ops = {
@@ -88,14 +104,22 @@
 peer_link_ask(peer_link_t *peers, const struct sockaddr_in *address,
               const char *path, int64_t now_us)
 {
-    char question[128];
+    char question[QUESTION_SIZE];
     int size = snprintf(question, sizeof(question),
                         "GET %s HTTP/1.1\r\nHost: peer\r\n\r\n", path);
+    bool same = conn_is_open(&peers->conn) &&
+                peers->address.sin_addr.s_addr == address->sin_addr.s_addr &&
+                peers->address.sin_port == address->sin_port;
     http_reader_next(&peers->reader);
     peers->until_us = now_us + ASK_US;
-    if (!conn_open(&peers->conn, peers->loop, address, &peer_ops, peers) ||
+    if (!same) {
+        conn_close(&peers->conn);
+        peers->address = *address;
+        same = conn_open(&peers->conn, peers->loop, address, &peer_ops, peers);
+    }
+    if (size <= 0 || (size_t)size >= sizeof(question) || !same ||
         !conn_write(&peers->conn, question, (size_t)size)) {
-        ask_end(peers);
+        ask_failed(peers, now_us);
     }
 }
 
@@ -103,7 +127,7 @@
 peer_link_tick(peer_link_t *peers, int64_t now_us)
 {
     if (peers->until_us != 0 && now_us >= peers->until_us) {
-        ask_end(peers);
+        ask_failed(peers, now_us);
     }
 }
 
--- a/tier/peer_link.h
+++ b/tier/peer_link.h
@@ -1,6 +1,6 @@
 /*
- * Asking another daemon for what it knows: when this one has just started and
- * the store cannot be reached, and instead of the store when it stands by.
+ * Asking another daemon for what it knows: when the store cannot be reached,
+ * and in a large fleet instead of the store.
  *
  *     peer_link_t *peers = peer_link_new(loop, told, owner);
  *     if (peer_link_is_free(peers)) {
@@ -17,14 +17,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Where a daemon answers with its state, on its control address, and with its
-   upstreams alone. */
+/* Where a daemon answers with its state, on its control address. */
 #define PEER_STATE_PATH "/fleet/state"
-#define PEER_UPSTREAMS_PATH "/fleet/upstreams"
 
 typedef struct peer_link peer_link_t;
 
-/* What a peer has answered; the bytes are valid during the call. */
+/* What a peer has answered; the bytes are valid during the call. NULL: there
+   is no answer, or none that is good. */
 typedef void (*peer_told_fn_t)(void *owner, const char *text, size_t size,
                                int64_t now_us);
 
@@ -36,7 +35,7 @@
 /* Whether no answer is awaited. */
 bool peer_link_is_free(const peer_link_t *peers);
 
-/* Ask; there is no word of a question that fails. */
+/* Ask. A connection is kept for the next question to the same address. */
 void peer_link_ask(peer_link_t *peers, const struct sockaddr_in *address,
                    const char *path, int64_t now_us);
 
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -4,6 +4,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 typedef struct {
     instance_t *instance;
@@ -325,6 +326,19 @@
     return (uint32_t)strmap_count(&registry->entries);
 }
 
+uint64_t
+registry_digest(const registry_t *registry)
+{
+    uint64_t digest = 0;
+    for (strmap_entry_t *at = strmap_first(&registry->entries); at != NULL;
+         at = strmap_next(at)) {
+        const registry_entry_t *entry = strmap_value(at);
+        const char *id = entry->instance->entry.id;
+        digest ^= XXH64(id, strlen(id), entry->revision);
+    }
+    return digest;
+}
+
 void
 registry_apply(registry_t *registry, const route_table_t *table,
                uint32_t fleet)
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -103,6 +103,9 @@
 
 uint32_t registry_count(const registry_t *registry);
 
+/* Alike for two registries with the same entries; 0: there is none. */
+uint64_t registry_digest(const registry_t *registry);
+
 /* Take over what a configuration says of services; fleet: daemons sharing. */
 void registry_apply(registry_t *registry, const route_table_t *table,
                     uint32_t fleet);
--- a/tier/registry_copy.c
+++ b/tier/registry_copy.c
@@ -24,8 +24,8 @@
         (json_int_t)revision);
 }
 
-char *
-registry_copy_write(const registry_t *registry, int64_t now_us, size_t *size)
+json_t *
+registry_copy_rows(const registry_t *registry, int64_t now_us)
 {
     json_t *rows = json_array();
     uint64_t revision;
@@ -34,6 +34,13 @@
          (instance = registry_each(registry, &at, &revision)) != NULL;) {
         json_array_append_new(rows, copy_row(instance, revision, now_us));
     }
+    return rows;
+}
+
+char *
+registry_copy_write(const registry_t *registry, int64_t now_us, size_t *size)
+{
+    json_t *rows = registry_copy_rows(registry, now_us);
     char *text = json_dumps(rows, JSON_COMPACT);
     json_decref(rows);
     *size = text != NULL ? strlen(text) : 0;
@@ -68,10 +75,8 @@
 }
 
 uint32_t
-registry_copy_read(registry_t *registry, const char *text, size_t size,
-                   int64_t now_us)
+registry_copy_suggest(registry_t *registry, const json_t *rows, int64_t now_us)
 {
-    json_t *rows = json_loadb(text, size, 0, NULL);
     uint32_t added = 0;
     for (size_t i = 0; i < json_array_size(rows); i++) {
         instance_entry_t entry;
@@ -80,17 +85,24 @@
             added++;
         }
     }
+    return added;
+}
+
+uint32_t
+registry_copy_read(registry_t *registry, const char *text, size_t size,
+                   int64_t now_us)
+{
+    json_t *rows = json_loadb(text, size, 0, NULL);
+    uint32_t added = registry_copy_suggest(registry, rows, now_us);
     json_decref(rows);
     return added;
 }
 
 bool
-registry_copy_follow(registry_t *registry, const char *text, size_t size,
+registry_copy_follow(registry_t *registry, const json_t *rows,
                      uint64_t revision, int64_t now_us)
 {
-    json_t *rows = json_loadb(text, size, 0, NULL);
     if (!json_is_array(rows)) {
-        json_decref(rows);
         return false;
     }
     registry_list_begin(registry);
@@ -104,6 +116,5 @@
         }
     }
     registry_list_end_at(registry, revision, now_us);
-    json_decref(rows);
     return true;
 }
--- a/tier/registry_copy.h
+++ b/tier/registry_copy.h
@@ -15,6 +15,7 @@
 
 #include "tier/registry.h"
 
+#include <jansson.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -26,11 +27,16 @@
 uint32_t registry_copy_read(registry_t *registry, const char *text,
                             size_t size, int64_t now_us);
 
+/* The same as rows of another document. */
+json_t *registry_copy_rows(const registry_t *registry, int64_t now_us);
+uint32_t registry_copy_suggest(registry_t *registry, const json_t *rows,
+                               int64_t now_us);
+
 /*
- * Take over all of it, as a list that is good up to that revision of the
- * store. False: it is none.
+ * Take over all rows, as a list that is good up to that revision of the
+ * store. False: they are none.
  */
-bool registry_copy_follow(registry_t *registry, const char *text, size_t size,
+bool registry_copy_follow(registry_t *registry, const json_t *rows,
                           uint64_t revision, int64_t now_us);
 
 #endif
--- a/tier/serving.c
+++ b/tier/serving.c
@@ -25,6 +25,31 @@
     return a->lot < b->lot ? -1 : a->lot > b->lot ? 1 : 0;
 }
 
+/* How many candidates there are of the zone of the first. */
+static uint32_t
+zone_size(const candidate_t *candidates, uint32_t count)
+{
+    uint32_t size = 1;
+    while (size < count && strcmp(candidates[size].record->zone,
+                                  candidates[0].record->zone) == 0) {
+        size++;
+    }
+    return size;
+}
+
+/* How many of each zone ask the store. */
+static uint32_t
+zone_readers(const candidate_t *candidates, uint32_t count)
+{
+    uint32_t zones = 1;
+    for (uint32_t i = zone_size(candidates, count); i < count;
+         i += zone_size(&candidates[i], count - i)) {
+        zones++;
+    }
+    return zones >= SERVING_READERS ? 1
+                                    : (SERVING_READERS + zones - 1) / zones;
+}
+
 uint32_t
 serving_choose(const members_t *members, member_role_t *roles)
 {
@@ -50,18 +75,16 @@
     uint32_t wanted = count / SERVING_PARTS > SERVING_ALL
                           ? count / SERVING_PARTS
                           : SERVING_ALL;
+    uint32_t readers = zone_readers(candidates, count);
     for (uint32_t i = 0; i < count;) {
-        uint32_t size = 1;
-        while (i + size < count && strcmp(candidates[i + size].record->zone,
-                                          candidates[i].record->zone) == 0) {
-            size++;
-        }
+        uint32_t size = zone_size(&candidates[i], count - i);
         uint32_t part = (wanted * size + count - 1) / count;
         part = part < SERVING_ZONE_MIN ? SERVING_ZONE_MIN : part;
+        part = part < readers ? readers : part;
         for (uint32_t j = 0; j < size; j++) {
-            roles[candidates[i + j].place] = j < SERVING_READERS ? MEMBER_READS
-                                             : j < part ? MEMBER_SERVES
-                                                        : MEMBER_STANDS_BY;
+            roles[candidates[i + j].place] = j < readers ? MEMBER_READS
+                                             : j < part  ? MEMBER_SERVES
+                                                         : MEMBER_STANDS_BY;
         }
         total += size < part ? size : part;
         i += size;
--- a/tier/serving.h
+++ b/tier/serving.h
@@ -24,12 +24,12 @@
     SERVING_ALL = 16,     /* daemons up to which all of them serve */
     SERVING_PARTS = 5,    /* of a larger fleet one in so many, and ... */
     SERVING_ZONE_MIN = 2, /* ... so many of each zone at least */
-    SERVING_READERS = 2   /* of a zone's that serve, so many ask the store */
+    SERVING_READERS = 3   /* so many ask the store, and one of each zone */
 };
 
 /*
- * Set the role of each member; how many serve. In a large fleet two of each
- * zone ask the store for the upstreams, and the others ask those.
+ * Set the role of each member; how many serve. In a large fleet one of each
+ * zone asks the store for the upstreams, and the others ask those.
  */
 uint32_t serving_choose(const members_t *members, member_role_t *roles);
 
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -90,7 +90,8 @@
     store->lease.due_us = now_us;
     for (uint32_t i = 0; i < store->channel_count; i++) {
         channel_t *channel = &store->channels[i];
-        if (channel->busy && channel->follow.settings.wait_us > 0) {
+        if (channel->busy && channel->follow.watching &&
+            channel->follow.settings.wait_us > 0) {
             /* A call opened before the outage may never be answered. */
             conn_close(&channel->conn);
             channel->busy = false;
@@ -134,9 +135,25 @@
     }
 }
 
+/* What one channel heard of all prefixes the others need not hear again. */
+static void
+follow_share(const channel_t *channel, uint64_t from,
+             const kv_answer_t *answer)
+{
+    store_link_t *store = channel->store;
+    if (!channel->follow.settings.all || answer->count >= FOLLOW_FULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        follow_skip(&store->channels[i].follow, from,
+                    channel->follow.revision);
+    }
+}
+
 static void
 follow_deliver(channel_t *channel, const kv_answer_t *answer, int64_t now_us)
 {
+    uint64_t from = channel->follow.revision;
     follow_step_t step = follow_answered(&channel->follow, answer, now_us);
     const store_reader_t *items = channel->items;
     if (step == FOLLOW_LIST_FIRST || step == FOLLOW_LIST_WHOLE) {
@@ -148,6 +165,9 @@
     if (step == FOLLOW_LIST_LAST || step == FOLLOW_LIST_WHOLE) {
         items->list_end(channel->items_owner, now_us);
     }
+    if (step == FOLLOW_CHANGES) {
+        follow_share(channel, from, answer);
+    }
     if (items->heard != NULL) {
         items->heard(channel->items_owner, now_us);
     }
@@ -454,6 +474,14 @@
     }
 }
 
+void
+store_link_retry(store_link_t *store, int64_t retry_us)
+{
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        store->channels[i].follow.settings.retry_us = retry_us;
+    }
+}
+
 uint64_t
 store_link_revision(const store_link_t *store, const char *prefix)
 {
@@ -471,13 +499,21 @@
 {
     for (uint32_t i = 0; i < store->channel_count; i++) {
         follow_t *follow = &store->channels[i].follow;
-        if (strcmp(follow->settings.prefix, prefix) == 0 && !follow->busy &&
-            follow->watching && follow->due_us < until_us) {
-            follow->due_us = until_us;
+        if (strcmp(follow->settings.prefix, prefix) == 0) {
+            follow_rest(follow, until_us);
         }
     }
 }
 
+void
+store_link_try(store_link_t *store, int64_t now_us)
+{
+    if (!store->stats.reachable && store->channel_count > 0) {
+        follow_rest(&store->channels[0].follow, now_us);
+        store->channels[0].follow.due_us = now_us;
+    }
+}
+
 void
 store_link_hold(store_link_t *store, const char *key, const char *record,
                 int64_t ttl_us)
--- a/tier/store_link.h
+++ b/tier/store_link.h
@@ -62,6 +62,9 @@
 void store_link_pace(store_link_t *store, const char *prefix,
                      int64_t pause_us);
 
+/* How long to wait after a call that failed. */
+void store_link_retry(store_link_t *store, int64_t retry_us);
+
 /* Up to which revision a prefix is known; 0: it was not read yet. */
 uint64_t store_link_revision(const store_link_t *store, const char *prefix);
 
@@ -69,6 +72,9 @@
 void store_link_rest(store_link_t *store, const char *prefix,
                      int64_t until_us);
 
+/* Somebody else reaches the store: if this daemon does not, ask at once. */
+void store_link_try(store_link_t *store, int64_t now_us);
+
 /*
  * Write a key once; leased: it goes with this daemon's record. What is still
  * to be written under the same key is replaced. False: too much waits.
