tier: derive how often to look for news from the bounds of the settings

Cause: in a fleet of more than 16 daemons the two steps from the store to a daemon that reads and from there to those who ask it took up to 3.5 s, also where the settings allow 3 s for a drain or a configuration; the pauses were constants made for bounds of 5 s.

Change: tier/pace.c works them out from the bounds (both steps and their slack in four fifths of the lesser one); a daemon whose question fails asks another after 0.2 s instead of at its next turn. Where bounds are 5 s the figures stay as they were (2 s, 1.5 s), but for the time after which a daemon without a good answer asks the store itself (2 s, 2.5 before).

Test: t1003, test_pace, a table of bounds; "a large fleet, a short drain" read every 1.5 s before.

--- a/t/t1003-beliefs.c
+++ b/t/t1003-beliefs.c
@@ -3,6 +3,7 @@
 #include "tier/follow.h"
 #include "tier/lease.h"
 #include "tier/members.h"
+#include "tier/pace.h"
 #include "tier/registry.h"
 
 #include <stdio.h>
@@ -398,6 +399,47 @@
 }
 END_TEST
 
+/* Times of the bounds in which it must be known everywhere. */
+typedef struct {
+    const char *name;
+    int64_t drain_us;
+    int64_t converge_us;
+    bool large;
+    int64_t read_us;
+} pace_case_t;
+
+static const pace_case_t pace_cases[] = {
+    {"a small fleet", 3 * SECOND, 3 * SECOND, false, 1500000},
+    {"a small fleet that has time", 5 * SECOND, 5 * SECOND, false, 1500000},
+    {"a small fleet in a hurry", 2 * SECOND, 3 * SECOND, false, 1000000},
+    {"a large fleet", 5 * SECOND, 5 * SECOND, true, 2000000},
+    {"a large fleet, a short drain", 3 * SECOND, 5 * SECOND, true, 1200000},
+    {"a large fleet, quick changes", 5 * SECOND, 3 * SECOND, true, 1200000},
+    {"nothing is said", 0, 0, true, 2000000},
+    {"one is said", 0, 3 * SECOND, true, 1200000},
+};
+
+START_TEST(test_pace)
+{
+    const pace_case_t *c = &pace_cases[_i];
+    pace_t pace;
+    pace_set(&pace, c->drain_us, c->converge_us, c->large);
+    ck_assert_msg(pace.read_us == c->read_us, "%s: %lld", c->name,
+                  (long long)pace.read_us);
+    int64_t bound_us = c->drain_us > 0 ? c->drain_us : 5 * SECOND;
+    if (c->converge_us > 0 && c->converge_us < bound_us) {
+        bound_us = c->converge_us;
+    }
+    /* Both steps, and a tenth of the bound for calls. */
+    ck_assert_msg(pace.fresh_us + pace.ask_us + bound_us / 10 <= bound_us ||
+                      !c->large,
+                  "%s", c->name);
+    ck_assert_msg(pace.fresh_us + pace.alone_us <= bound_us || !c->large, "%s",
+                  c->name);
+    ck_assert_msg(pace.read_us + bound_us / 10 <= bound_us, "%s", c->name);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -414,5 +456,7 @@
     tcase_add_test(tests, test_members);
     tcase_add_loop_test(tests, test_serving, 0,
                         sizeof(serving_cases) / sizeof(serving_cases[0]));
+    tcase_add_loop_test(tests, test_pace, 0,
+                        sizeof(pace_cases) / sizeof(pace_cases[0]));
     return suite_run("beliefs", tests);
 }
--- a/tier/node.c
+++ b/tier/node.c
@@ -215,12 +215,12 @@
     };
     const follow_settings_t upstreams_settings = {
         .prefix = KEY_UPSTREAMS,
-        .pause_us = UPSTREAMS_PAUSE_US,
+        .pause_us = node->pace.read_us,
         .all = true, /* a call that waits for changes may never be answered */
     };
     const follow_settings_t members_settings = {
         .prefix = KEY_FLEET,
-        .pause_us = MEMBERS_PAUSE_US,
+        .pause_us = node->pace.members_us,
         .wait_us = wait_us,
     };
     /* The first is the one that asks on while the store is away. */
@@ -341,6 +341,7 @@
     node->boot = *boot;
     node->started_us = now_us;
     members_init(&node->members, now_us);
+    pace_set(&node->pace, boot->drain_us, boot->converge_us, false);
     ev_timer_init(&node->tick, node_tick, 0, TICK_US / 1e6);
     node->tick.data = node;
     if (!node_build(node)) {
@@ -371,6 +372,8 @@
         memcmp(&boot->store, &node->boot.store, sizeof(boot->store)) != 0;
     event_log(EVENT_SETTINGS, "changed=1 store_moved=%d", moved);
     node->boot.grace_us = boot->grace_us;
+    node->boot.drain_us = boot->drain_us;
+    node->boot.converge_us = boot->converge_us;
     node->boot.directory_ttl_us = boot->directory_ttl_us;
     if (moved) {
         node->boot.store = boot->store;
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -65,17 +65,12 @@
                                          : fleet * STANDBY_PARTS;
     }
     node->asks_peers = large && role != MEMBER_READS;
-    /* In a large fleet a drain takes two steps to be known everywhere. */
-    int64_t pause_us = UPSTREAMS_PAUSE_US;
-    if (large && node->boot.drain_us > 2 * LARGE_PAUSE_US) {
-        pause_us = LARGE_PAUSE_US;
-    }
-    store_link_pace(node->store, KEY_UPSTREAMS, pause_us);
-    store_link_pace(node->store, KEY_FLEET,
-                    large ? LARGE_PAUSE_US : MEMBERS_PAUSE_US);
+    pace_set(&node->pace, node->boot.drain_us, node->boot.converge_us, large);
+    store_link_pace(node->store, KEY_UPSTREAMS, node->pace.read_us);
+    store_link_pace(node->store, KEY_FLEET, node->pace.members_us);
     /* Those who are asked tell the others when the store is back. */
     store_link_retry(node->store,
-                     node->asks_peers ? LARGE_PAUSE_US : FOLLOW_RETRY_US);
+                     node->asks_peers ? node->pace.read_us : FOLLOW_RETRY_US);
     if (fleet != node->fleet) {
         node->fleet = fleet;
         engine_set_fleet(node->engine, fleet, now_us);
--- a/tier/node_peers.c
+++ b/tier/node_peers.c
@@ -10,17 +10,12 @@
 #include <string.h>
 
 enum {
-    /* In a large fleet those who do not read the store ask one who does so
-       often, and the store only without a good answer for so long. */
-    PEER_ASK_US = 1500000,
-    PEER_REST_US = 2500000,
     /* While the store is away the others tell of its return: what lapsed has
        two seconds from then. */
     PEER_ASK_LOST_US = 500000,
     /* A store that is there answers a starting daemon sooner than this. */
     ASK_PEERS_US = 300000,
-    ASK_AGAIN_US = 200000,  /* the next of the daemons it may ask */
-    PEER_SLACK_US = 500000, /* on top of a pause: the call itself */
+    ASK_AGAIN_US = 200000, /* the next of the daemons it may ask */
     PEER_PATH_SIZE = 256
 };
 
@@ -141,7 +136,7 @@
 static void
 store_rests(node_t *node, int64_t now_us)
 {
-    int64_t until_us = now_us + PEER_REST_US;
+    int64_t until_us = now_us + node->pace.alone_us;
     if (!node->asks_peers) {
         return;
     }
@@ -163,7 +158,7 @@
         }
         return false;
     }
-    if (state->age_us > LARGE_PAUSE_US + PEER_SLACK_US) {
+    if (state->age_us > node->pace.fresh_us) {
         return false;
     }
     state_follow(node, state, now_us);
@@ -176,22 +171,34 @@
     return true;
 }
 
+/* The one that was asked is of no help. In an outage the others have no more
+   to say than that one, and are not hurried. */
+static void
+ask_another(node_t *node, int64_t now_us)
+{
+    node->asked++;
+    if (store_link_stats(node->store)->reachable &&
+        node->ask_due_us > now_us + ASK_AGAIN_US) {
+        node->ask_due_us = now_us + ASK_AGAIN_US;
+    }
+}
+
 void
 node_peer_told(void *owner, const char *text, size_t size, int64_t now_us)
 {
     node_t *node = owner;
     fleet_state_t state;
     if (text == NULL) {
-        node->asked++; /* another one, the next time */
+        ask_another(node, now_us);
         return;
     }
     if (!fleet_state_read(&state, text, size)) {
         event_log(EVENT_INPUT_REFUSED, "key=peer_state cause=not_readable");
-        node->asked++;
+        ask_another(node, now_us);
         return;
     }
     if (!peer_told(node, &state, now_us)) {
-        node->asked++;
+        ask_another(node, now_us);
     }
     fleet_state_release(&state);
     engine_serve_waiting(node->engine, now_us);
@@ -216,7 +223,7 @@
                               : NULL;
     if (control != NULL && boot_address(control, &address)) {
         node->ask_due_us =
-            now_us + (reachable ? PEER_ASK_US : PEER_ASK_LOST_US);
+            now_us + (reachable ? node->pace.ask_us : PEER_ASK_LOST_US);
     }
     else if (!knows && boot->seed_count > 0 && !reachable &&
              now_us - node->started_us > ASK_PEERS_US) {
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -11,6 +11,7 @@
 #include "tier/front.h"
 #include "tier/members.h"
 #include "tier/node.h"
+#include "tier/pace.h"
 #include "tier/peer_link.h"
 #include "tier/store_link.h"
 #include "tier/upstream_link.h"
@@ -24,14 +25,6 @@
 
 enum {
     METRICS_PORT = 9464, /* as deploy/system.toml says */
-    /* Upstreams renew their entries all the time, so changes are asked for
-       in batches: a drain is then known a second before the three seconds in
-       which it must be, and each call has a price. */
-    UPSTREAMS_PAUSE_US = 1500000,
-    /* Several changes in a row, of a restart of the fleet, are one call. */
-    MEMBERS_PAUSE_US = 1000000,
-    /* The same in a large fleet, where others ask this daemon in turn. */
-    LARGE_PAUSE_US = 2000000,
     CONNECTIONS_MAX = 2000 /* of callers, about half of the descriptors */
 };
 
@@ -51,6 +44,7 @@
     bool members_listing; /* a list of them is being read ... */
     bool members_listed;  /* ... and has somebody new */
     uint32_t fleet;
+    pace_t pace;
     bool upstreams_known; /* the registry was read at least once */
     /* Evacuated zones in the list being read. */
     char zones_seen[REGISTRY_ZONES_MAX][INSTANCE_NAME_SIZE];
--- /dev/null
+++ b/tier/pace.h
@@ -0,0 +1,29 @@
+/*
+ * How often a daemon looks for what is new.
+ *
+ * The load it answers: every question to the store has a price, and what an
+ * upstream or the operator says must be in force everywhere within a bound.
+ * In a large fleet it takes two steps to get there, from the store to a daemon
+ * that reads and from that one to those who ask it; both together have to fit.
+ *
+ *     pace_t pace;
+ *     pace_set(&pace, drain_us, converge_us, large);
+ */
+#ifndef TIER_PACE_H
+#define TIER_PACE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct {
+    int64_t read_us;    /* between two readings of changes in the store */
+    int64_t members_us; /* between two of changes of members */
+    int64_t ask_us;     /* between two questions to a daemon that reads */
+    int64_t fresh_us;   /* a reading older than this is not gone by */
+    int64_t alone_us;   /* without a good answer for so long: the store */
+} pace_t;
+
+/* The bounds of the settings, microseconds; 0: not said. */
+void pace_set(pace_t *pace, int64_t drain_us, int64_t converge_us, bool large);
+
+#endif
