t: a fault soak of real daemons on loopback

Daemons run as processes of their own (4, in every third seed 20, so that some stand by); store, upstreams and callers belong to the soak. A seed draws five to eleven faults that may overlap: processes stopped, killed, asked to end and restarted, signals for settings, ways to store and upstreams delayed, held one way, silenced or reset by proxies, the store away with entries lapsing, upstreams slow or draining, configurations, evacuations. The ledger judges what callers got and upstreams ran: twice, refused though it ran, mixed, unasked, routes, drains, evacuations, configurations, repeats over the budget, answers held, connections lost at an orderly end, recovery.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 #   make demo-faults  the same through killed, paused and cut off parts
 #   make bench      measures, by hand
 #   make lint       formatter and linters, changing nothing
+#   make fault-soak real daemons under faults, SEEDS from FIRST, 22 s each
 #   make soak       random mixes of faults, SEEDS=1000 of them from FIRST=1000
 #   make mutants    break one decision at a time; which scenario tells
 #   make fuzz       every decoder and parser, FUZZ_SECONDS=20 each
@@ -70,7 +71,7 @@
 # Tests of the query tier on the platform need nothing of yuccarund.
 TIER_TEST_BIN := $(filter $(B)/t/t10%,$(TEST_BIN))
 TIER_TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,t/lib/suite.c \
-	$(sort $(wildcard t/lib/tier_*.c)))
+	$(sort $(wildcard t/lib/tier_*.c t/soak/*.c)))
 # Only tests that start threads run under the thread sanitizer.
 TSAN_TEST_BIN := $(patsubst t/%.c,build/tsan/t/%,$(shell \
 	grep -l pthread t/t[0-9]*.c 2>/dev/null))
@@ -80,7 +81,7 @@
 BINS := $(B)/yuccarund $(B)/yuccarun $(B)/yuccarun-tier $(STANDIN_BIN)
 
 .PHONY: all deps check check-variant demo demo-faults lint format install clean bench \
-	tests fuzz soak mutants generate
+	tests fuzz soak fault-soak mutants tier-mutants generate
 .SECONDARY:
 
 all: $(BINS)
@@ -130,6 +131,9 @@
 $(SCENARIO_BIN): $(B)/t/%: $(B)/t/%.o $(SCENARIO_OBJ) $(TEST_LIB_OBJ) $(STANDIN_LIB_OBJ) $(DAEMON_LIB_OBJ) $(CLI_LIB_OBJ) $(LIB)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
+# It starts the daemon of its own variant.
+$(B)/t/t1020-fault-soak: | $(B)/yuccarun-tier
+
 $(TIER_TEST_BIN): $(B)/t/%: $(B)/t/%.o $(TIER_TEST_LIB_OBJ) $(TIER_LIB_OBJ) $(TIER_CORE_OBJ)
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(CHECK_LIBS) $(TIER_LIBS)
 
@@ -162,10 +166,20 @@
 	$(MAKE) $(B)/t/t0802-soak
 	SOAK_SEEDS="$(FIRST) $(SEEDS)" $(B)/t/t0802-soak
 
+# Real daemons under faults from outside: SEEDS of them from FIRST.
+fault-soak: deps
+	$(MAKE) $(B)/t/t1020-fault-soak
+	SOAK_SEEDS="$(FIRST) $(SEEDS)" $(B)/t/t1020-fault-soak
+
 # MUTANTS= names some of t/scenario/mutants.txt.
 mutants: deps
 	sh t/scenario/mutants $(MUTANTS)
 
+# The same for the query tier on the platform: its tests, and the fault soak.
+tier-mutants: deps
+	LIST=t/soak/mutants.txt TESTS="t1003-beliefs t1004-placement \
+	    t1005-peers t1010-engine t1012-node" sh t/scenario/mutants $(MUTANTS)
+
 demo: deps
 	$(MAKE) all
 	sh demo/run
--- /dev/null
+++ b/t/soak/proxy.h
@@ -0,0 +1,36 @@
+/*
+ * A loopback proxy that harms the connections it carries.
+ *
+ *     proxy_t *proxy = proxy_new(loop, &listens_at, &passes_to);
+ *     proxy_set(proxy, PROXY_HOLD_BACK, 0);
+ *     proxy_set(proxy, PROXY_PASS, 0);
+ *     proxy_free(proxy);
+ */
+#ifndef T_SOAK_PROXY_H
+#define T_SOAK_PROXY_H
+
+#include <ev.h>
+#include <netinet/in.h>
+#include <stdint.h>
+
+typedef struct proxy proxy_t;
+
+typedef enum {
+    PROXY_PASS,
+    PROXY_DELAY,      /* bytes wait for a time, both ways */
+    PROXY_HOLD_ASKED, /* bytes of who connected wait until the next mode */
+    PROXY_HOLD_BACK,  /* bytes back to who connected do */
+    PROXY_SILENT,     /* what is open passes nothing any more, for good */
+    PROXY_RESET,      /* what is open and what comes is reset */
+    PROXY_MODES
+} proxy_mode_t;
+
+/* Ends the program when it cannot listen. */
+proxy_t *proxy_new(struct ev_loop *loop, const struct sockaddr_in *listens_at,
+                   const struct sockaddr_in *passes_to);
+void proxy_free(proxy_t *proxy);
+
+/* delay_us matters for PROXY_DELAY only. */
+void proxy_set(proxy_t *proxy, proxy_mode_t mode, int64_t delay_us);
+
+#endif
--- /dev/null
+++ b/t/soak/world.h
@@ -0,0 +1,31 @@
+/*
+ * A fleet of real daemons on loopback: store, upstreams and callers are of
+ * this process, the daemons processes of their own. A seed decides which
+ * faults meet them when; the ledger says which promises were broken.
+ *
+ *     soak_result_t result = soak_run(&(soak_settings_t){.seed = 7});
+ */
+#ifndef T_SOAK_WORLD_H
+#define T_SOAK_WORLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct {
+    uint64_t seed;
+    const char *program; /* the daemon's */
+    bool calm;           /* no faults */
+    bool large;          /* so many daemons that some stand by */
+} soak_settings_t;
+
+typedef struct {
+    uint32_t requests;
+    uint32_t broken;
+    double served;    /* of all */
+    double recovered; /* of those sent after the last fault and its grace */
+} soak_result_t;
+
+/* Prints the seed, the faults and what was broken; takes about 20 s. */
+soak_result_t soak_run(const soak_settings_t *settings);
+
+#endif
--- /dev/null
+++ b/t/t1020-fault-soak.c
@@ -0,0 +1,98 @@
+/*
+ * Real daemons under random faults. SOAK_SEEDS="FIRST COUNT" plays other
+ * seeds, one after the other.
+ */
+#include "t/lib/suite.h"
+#include "t/soak/world.h"
+
+#include <libgen.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Of requests sent when all faults have ended; the rules say a quarter. */
+#define RECOVERED_LEAST 0.95
+/* Of requests of a run without faults. */
+#define CALM_LEAST 0.999
+
+/* Every third seed has a large fleet. */
+enum { LARGE_EACH = 3 };
+
+/* Two that stand for the rest, and each that ever failed, with its cause. */
+static const uint64_t seeds[] = {1, 3};
+
+/* The daemon of the same build, beside this test's directory. */
+static void
+find_program(char *path, size_t size)
+{
+    char self[256] = "";
+    if (readlink("/proc/self/exe", self, sizeof(self) - 1) <= 0) {
+        perror("/proc/self/exe");
+        abort();
+    }
+    snprintf(path, size, "%s/../yuccarun-tier", dirname(self));
+}
+
+static soak_result_t
+play(uint64_t seed, bool calm)
+{
+    char program[300];
+    find_program(program, sizeof(program));
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    return soak_run(&(soak_settings_t){
+        .seed = seed,
+        .program = program,
+        .calm = calm,
+        .large = seed % LARGE_EACH == 0,
+    });
+}
+
+START_TEST(test_calm)
+{
+    soak_result_t result = play(1, true);
+    ck_assert_uint_eq(result.broken, 0);
+    ck_assert_msg(result.served >= CALM_LEAST, "%f", result.served);
+}
+END_TEST
+
+START_TEST(test_seed)
+{
+    soak_result_t result = play(seeds[_i], false);
+    ck_assert_uint_gt(result.requests, 1000);
+    ck_assert_uint_eq(result.broken, 0);
+    ck_assert_msg(result.recovered >= RECOVERED_LEAST, "%f", result.recovered);
+}
+END_TEST
+
+/* Seeds asked for; how many failed. */
+static int
+play_seeds(const char *asked)
+{
+    char *rest;
+    uint64_t first = strtoull(asked, &rest, 10);
+    uint64_t count = strtoull(rest, NULL, 10);
+    int failed = 0;
+    for (uint64_t seed = first; seed < first + count; seed++) {
+        soak_result_t result = play(seed, false);
+        if (result.broken > 0 || result.recovered < RECOVERED_LEAST) {
+            printf("FAILED seed %llu\n", (unsigned long long)seed);
+            failed++;
+        }
+    }
+    return failed;
+}
+
+int
+main(void)
+{
+    const char *asked = getenv("SOAK_SEEDS");
+    if (asked != NULL) {
+        return play_seeds(asked) == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    }
+    TCase *tests = tcase_create("soak");
+    tcase_set_timeout(tests, 120);
+    tcase_add_test(tests, test_calm);
+    tcase_add_loop_test(tests, test_seed, 0, sizeof(seeds) / sizeof(seeds[0]));
+    return suite_run("soak", tests);
+}
