--- /dev/null
+++ b/cli/explain_log.c
@@ -0,0 +1,291 @@
+#include "cli/explain_log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { VALUE_SIZE = 512, INSTANCES_MAX = 16, FIRST_LINES = 256 };
+
+/* What was said of an upstream so long before and after matters. */
+#define AROUND_S 10.0
+
+/* How a request can end, and what that means; the first row that fits. */
+typedef struct {
+    const char *event;
+    const char *reason;  /* NULL: any */
+    const char *outcome; /* of one of its sends; NULL: any */
+    const char *meaning;
+} cause_t;
+
+static const cause_t causes[] = {
+    {"E610", "no_upstream_left", "lost",
+     "An upstream took the request and its answer was lost. It may have run, "
+     "and its route may not repeat it or nothing was left to send it to."},
+    {"E610", "no_upstream_left", "failed",
+     "Upstreams answered with a failure, or with an answer that is not good."},
+    {"E610", "no_upstream_left", NULL,
+     "No upstream was left to send the request to."},
+    {"E610", "too_few_shards", NULL,
+     "More shards failed than the answer may lack."},
+    {"E610", "deadline", NULL,
+     "The caller's time was over; open= names what was still awaited, where "
+     "it was sent and how many milliseconds before."},
+    {"E610", "leaving", NULL,
+     "The daemon had to end before the answer was there."},
+    {"E610", "caller_gone", NULL, "The caller left before its answer."},
+    {"E610", "crashes_upstreams", NULL,
+     "Each upstream that took the request died of it; it is sent nowhere."},
+    {"E600", "no_room_in_time", NULL,
+     "No upstream could have served it in its time; cause= names the services "
+     "with the upstreams listed, those with room and the requests waiting. It "
+     "was sent nowhere."},
+    {"E600", "crashes_upstreams", NULL,
+     "Upstreams died of requests like this one; it was sent nowhere."},
+    {"E600", "no_route", NULL,
+     "The configuration in force there has no route for it."},
+    {"E600", "no_configuration", NULL,
+     "The daemon had no configuration yet: it had just started, and reached "
+     "neither the store nor another daemon."},
+    {"E600", "too_many_requests", NULL,
+     "The daemon had more requests than it holds."},
+    {"E600", "leaving", NULL, "The daemon was about to end."},
+    {"E600", NULL, NULL, "It was refused and sent nowhere."},
+    {"E610", NULL, NULL, "It was answered."},
+};
+
+/* The value of a field of a line; false: it has none. */
+static bool
+field(const char *line, const char *name, char *value, size_t size)
+{
+    size_t length = strlen(name);
+    for (const char *at = line; (at = strstr(at, name)) != NULL; at++) {
+        if (at != line && at[-1] == ' ' && at[length] == '=') {
+            snprintf(value, size, "%.*s", (int)strcspn(at + length + 1, " \n"),
+                     at + length + 1);
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+field_is(const char *line, const char *name, const char *wanted)
+{
+    char value[VALUE_SIZE];
+    return field(line, name, value, sizeof(value)) &&
+           strcmp(value, wanted) == 0;
+}
+
+/* Whether the line is of that event, E610 as an example. */
+static bool
+is_event(const char *line, const char *event)
+{
+    const char *at = strstr(line, event);
+    return at != NULL && at != line && at[-1] == ' ' &&
+           at[strlen(event)] == ' ';
+}
+
+/* Lines of one request, and those of what daemons believe. */
+static bool
+can_matter(const char *line, const char *id)
+{
+    static const char *const beliefs[] = {"E100", "E101", "E102", "E200",
+                                          "E209", "E300", "E301", "E314",
+                                          "E315", "E316", "E317"};
+    for (size_t i = 0; i < sizeof(beliefs) / sizeof(beliefs[0]); i++) {
+        if (is_event(line, beliefs[i])) {
+            return true;
+        }
+    }
+    return field_is(line, "id", id);
+}
+
+bool
+explain_log_add(explain_log_t *log, const char *line, const char *id)
+{
+    if (!can_matter(line, id)) {
+        return true;
+    }
+    if (log->count == log->capacity) {
+        size_t capacity = log->capacity > 0 ? 2 * log->capacity : FIRST_LINES;
+        explain_line_t *grown =
+            realloc(log->lines, capacity * sizeof(*log->lines));
+        if (grown == NULL) {
+            return false;
+        }
+        log->lines = grown;
+        log->capacity = capacity;
+    }
+    char *text = strdup(line);
+    if (text == NULL) {
+        return false;
+    }
+    text[strcspn(text, "\r\n")] = '\0';
+    log->lines[log->count++] =
+        (explain_line_t){.text = text, .time_s = strtod(text, NULL)};
+    return true;
+}
+
+static int
+line_order(const void *left, const void *right)
+{
+    const explain_line_t *a = left;
+    const explain_line_t *b = right;
+    return a->time_s < b->time_s ? -1 : a->time_s > b->time_s ? 1 : 0;
+}
+
+/* The line with which the request ended; NULL: there is none. */
+static const explain_line_t *
+last_word(const explain_log_t *log, const char *id)
+{
+    for (size_t i = log->count; i-- > 0;) {
+        const explain_line_t *line = &log->lines[i];
+        if (field_is(line->text, "id", id) &&
+            (is_event(line->text, "E610") || is_event(line->text, "E600"))) {
+            return line;
+        }
+    }
+    return NULL;
+}
+
+static bool
+some_send_ended(const explain_log_t *log, const char *id, const char *outcome)
+{
+    for (size_t i = 0; i < log->count; i++) {
+        const char *line = log->lines[i].text;
+        if (is_event(line, "E612") && field_is(line, "id", id) &&
+            field_is(line, "outcome", outcome)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static const char *
+cause_of(const explain_log_t *log, const char *id, const char *word)
+{
+    for (size_t i = 0; i < sizeof(causes) / sizeof(causes[0]); i++) {
+        const cause_t *cause = &causes[i];
+        if (is_event(word, cause->event) &&
+            (cause->reason == NULL ||
+             field_is(word, "reason", cause->reason)) &&
+            (cause->outcome == NULL ||
+             some_send_ended(log, id, cause->outcome))) {
+            return cause->meaning;
+        }
+    }
+    return "It is not known here how it ended.";
+}
+
+static void
+line_print(const explain_line_t *line, double since_s, FILE *out)
+{
+    const char *text = strchr(line->text, ' ');
+    fprintf(out, "  %+9.3f s%s\n", line->time_s - since_s,
+            text != NULL ? text : "");
+}
+
+/* The last line of an event at a daemon before that time. */
+static const explain_line_t *
+belief_before(const explain_log_t *log, const char *daemon,
+              const char *const *events, size_t event_count, double until_s)
+{
+    const explain_line_t *found = NULL;
+    for (size_t i = 0; i < log->count; i++) {
+        const explain_line_t *line = &log->lines[i];
+        if (line->time_s > until_s ||
+            !field_is(line->text, "daemon", daemon)) {
+            continue;
+        }
+        for (size_t j = 0; j < event_count; j++) {
+            if (is_event(line->text, events[j])) {
+                found = line;
+            }
+        }
+    }
+    return found;
+}
+
+static void
+beliefs_print(const explain_log_t *log, const char *daemon, double until_s,
+              FILE *out)
+{
+    static const char *const kinds[][2] = {
+        {"E100", "E101"}, {"E200", "E200"}, {"E300", "E301"},
+        {"E209", "E209"}, {"E316", "E317"},
+    };
+    fprintf(out, "what %s went by, as last logged before:\n", daemon);
+    for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+        const explain_line_t *line =
+            belief_before(log, daemon, kinds[i], 2, until_s);
+        if (line != NULL) {
+            line_print(line, until_s, out);
+        }
+    }
+}
+
+/* What the daemon heard around that time of upstreams the request met. */
+static void
+upstreams_print(const explain_log_t *log, const char *id, const char *daemon,
+                double around_s, FILE *out)
+{
+    char names[INSTANCES_MAX][VALUE_SIZE];
+    size_t count = 0;
+    for (size_t i = 0; i < log->count && count < INSTANCES_MAX; i++) {
+        const char *line = log->lines[i].text;
+        if (field_is(line, "id", id) &&
+            field(line, "instance", names[count], VALUE_SIZE)) {
+            count++;
+        }
+    }
+    fprintf(out, "what it heard of the upstreams it used:\n");
+    for (size_t i = 0; i < log->count; i++) {
+        const explain_line_t *line = &log->lines[i];
+        bool used = false;
+        for (size_t j = 0; j < count; j++) {
+            used |= field_is(line->text, "instance", names[j]);
+        }
+        if (used && is_event(line->text, "E314") &&
+            field_is(line->text, "daemon", daemon) &&
+            line->time_s > around_s - AROUND_S &&
+            line->time_s < around_s + AROUND_S) {
+            line_print(line, around_s, out);
+        }
+    }
+}
+
+bool
+explain_log_print(explain_log_t *log, const char *id, FILE *out)
+{
+    qsort(log->lines, log->count, sizeof(*log->lines), line_order);
+    const explain_line_t *word = last_word(log, id);
+    if (word == NULL) {
+        return false;
+    }
+    char daemon[VALUE_SIZE] = "-";
+    char status[VALUE_SIZE] = "-";
+    char reason[VALUE_SIZE] = "-";
+    field(word->text, "daemon", daemon, sizeof(daemon));
+    field(word->text, "status", status, sizeof(status));
+    field(word->text, "reason", reason, sizeof(reason));
+    fprintf(out, "%s: %s %s, at %s\n%s\n", id, status, reason, daemon,
+            cause_of(log, id, word->text));
+    fprintf(out, "its own lines:\n");
+    for (size_t i = 0; i < log->count; i++) {
+        if (field_is(log->lines[i].text, "id", id)) {
+            line_print(&log->lines[i], word->time_s, out);
+        }
+    }
+    beliefs_print(log, daemon, word->time_s, out);
+    upstreams_print(log, id, daemon, word->time_s, out);
+    return true;
+}
+
+void
+explain_log_release(explain_log_t *log)
+{
+    for (size_t i = 0; i < log->count; i++) {
+        free(log->lines[i].text);
+    }
+    free(log->lines);
+    *log = (explain_log_t){0};
+}
--- a/cli/show.c
+++ b/cli/show.c
@@ -1,7 +1,10 @@
 /* Subcommands that only read: entries, status, explain. */
+#include "cli/explain_log.h"
 #include "cli/print.h"
 #include "cli/request.h"
 
+#include <stdlib.h>
+
 /* GET a path and print it whole, or member as a table when it is named. */
 static cli_exit_t
 show(const cli_t *cli, const char *path, const char *member)
@@ -57,6 +60,40 @@
     return code;
 }
 
+/* Explain from log lines on the standard input; no daemon is asked. */
+static cli_exit_t
+explain_from_logs(const cli_t *cli, const char *id)
+{
+    explain_log_t log = {0};
+    char *line = NULL;
+    size_t size = 0;
+    bool kept = true;
+    while (kept && getline(&line, &size, stdin) >= 0) {
+        kept = explain_log_add(&log, line, id);
+    }
+    free(line);
+    cli_exit_t code = CLI_OK;
+    if (!kept) {
+        code = cli_fail(cli, CLI_INVALID, "too many lines for the memory");
+    }
+    else if (!explain_log_print(&log, id, cli->out)) {
+        code = cli_fail(cli, CLI_NOT_FOUND, "no line says how %s ended", id);
+    }
+    explain_log_release(&log);
+    return code;
+}
+
+/* Ask a daemon of the product's own interface. */
+static cli_exit_t
+explain_by_daemon(const cli_t *cli, const char *id)
+{
+    char path[256];
+    snprintf(path, sizeof(path), "/v1/explain/%s", id);
+    return cli_path_word(id)
+               ? show(cli, path, NULL)
+               : cli_fail(cli, CLI_USAGE, "QUERY-ID: not a query's id");
+}
+
 cli_exit_t
 explain_run(cli_t *cli, int argc, char **argv)
 {
@@ -64,12 +101,11 @@
     cli_exit_t code;
     struct arg_str *query = cli_arg(
         &args, arg_str1(NULL, NULL, "QUERY-ID", "as an answer names it"));
+    struct arg_lit *logs = cli_arg(
+        &args, arg_lit0(NULL, "logs", "read daemons' logs from the input"));
     if (cli_parse(cli, &args, argc, argv, &code)) {
-        char path[256];
-        snprintf(path, sizeof(path), "/v1/explain/%s", query->sval[0]);
-        code = cli_path_word(query->sval[0])
-                   ? show(cli, path, NULL)
-                   : cli_fail(cli, CLI_USAGE, "QUERY-ID: not a query's id");
+        code = logs->count > 0 ? explain_from_logs(cli, query->sval[0])
+                               : explain_by_daemon(cli, query->sval[0]);
     }
     cli_args_release(&args);
     return code;
