t: repeats of requests stay within the budget

The mutant budget-ignored (make tier-mutants) survived every test: t1011 and the soak have too few lost answers to reach the bound. t1010 now loses the answers of 200 requests in one window; with the mutant it counts over the bound.

--- a/t/t1010-engine.c
+++ b/t/t1010-engine.c
@@ -443,6 +443,44 @@
 }
 END_TEST
 
+/* Upstreams that lose every answer: repeats stay within the budget. */
+START_TEST(test_repeats_are_bounded)
+{
+    enum { CALLS = 200, SLACK = 5, UPSTREAMS_OF_IT = 4 };
+    static char paths[CALLS][16];
+    tier_settings_t settings = one_daemon;
+    settings.engine.retry_slack = SLACK;
+    tier_world_t *world = tier_world_new(&settings);
+    tier_call_t *calls[CALLS];
+    tier_world_configure(world, tier_world_table(1, 1, GOAL_US, 1));
+    for (uint32_t i = 0; i < UPSTREAMS_OF_IT; i++) {
+        static const char *const ids[UPSTREAMS_OF_IT] = {"i-1", "i-2", "i-3",
+                                                         "i-4"};
+        tier_world_upstream(world, &(tier_upstream_t){.id = ids[i],
+                                                      .service = "s0",
+                                                      .zone = "a",
+                                                      .slots = 8,
+                                                      .queue = 20,
+                                                      .lose_share = 1});
+    }
+    for (uint32_t i = 0; i < CALLS; i++) {
+        snprintf(paths[i], sizeof(paths[i]), "/one/%u", i);
+        calls[i] = tier_world_call(world, START_US + i * SECOND / 25, 0,
+                                   paths[i], WORK_US, PATIENCE_US);
+    }
+    /* Eight seconds of calls, all in one window of ten. */
+    tier_world_run(world, START_US + 10 * SECOND);
+    uint32_t repeats = 0;
+    for (uint32_t i = 0; i < CALLS; i++) {
+        repeats += calls[i]->arrivals > 1 ? calls[i]->arrivals - 1 : 0;
+    }
+    ck_assert_uint_gt(repeats, 0);
+    ck_assert_msg(repeats <= CALLS * settings.engine.retry_ratio + SLACK,
+                  "%u repeats", repeats);
+    tier_world_free(world);
+}
+END_TEST
+
 /* One good part clears a request of what befell the others. */
 START_TEST(test_innocent_request)
 {
@@ -548,6 +586,7 @@
     tcase_add_loop_test(tests, test_drain_and_evacuation, 0, 2);
     tcase_add_test(tests, test_split);
     tcase_add_loop_test(tests, test_crashing_request, 0, 2);
+    tcase_add_test(tests, test_repeats_are_bounded);
     tcase_add_test(tests, test_innocent_request);
     tcase_add_test(tests, test_failure_beside_a_slow_part);
     tcase_add_test(tests, test_version_of_a_request);
