tier: tell others what has changed, and spread who is asked

Change: a question says up to which revision the asker knows upstreams and members, and is answered with rows written since and names removed since (tier/gone_log.h, bounded); the answer's digest tells whether that led to the same, and if not the whole is asked for next. Of a large zone one daemon for each 32 reads the store.

Tests: t1005 test_changes_only (fails when the digest is not compared), test_gone; t1003 counts the readers of a zone.

--- a/t/t1003-beliefs.c
+++ b/t/t1003-beliefs.c
@@ -5,6 +5,7 @@
 #include "tier/members.h"
 #include "tier/pace.h"
 #include "tier/registry.h"
+#include "tier/serving.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -272,7 +273,7 @@
     snprintf(address, sizeof(address), "10.0.0.%s:80", name);
     size_t size = member_record_write(text, sizeof(text), address, "", "a", 1);
     ck_assert_uint_gt(size, 0);
-    members_put(members, name, text, size, now_us);
+    members_put(members, name, text, size, 1, now_us);
 }
 
 START_TEST(test_members)
@@ -287,21 +288,21 @@
     put_member(&members, "1", T0);
     put_member(&members, "2", T0);
     put_member(&members, "3", T0);
-    ck_assert(!members_put(&members, "4", "{}", 2, T0));
-    ck_assert(!members_put(&members, "4", "\x01", 1, T0));
+    ck_assert(!members_put(&members, "4", "{}", 2, 1, T0));
+    ck_assert(!members_put(&members, "4", "\x01", 1, 1, T0));
     ck_assert_uint_eq(members_fleet(&members, T0 + 4 * SECOND), 3);
     ck_assert_uint_eq(members_choose(&members), 3);
     members_addresses(&members, "2", text, sizeof(text));
     ck_assert_str_eq(text, "[\"10.0.0.1:80\",\"10.0.0.3:80\"]");
     /* One that goes may still send for a while. */
-    ck_assert(members_remove(&members, "2", T0 + 5 * SECOND));
+    ck_assert(members_remove(&members, "2", 2, T0 + 5 * SECOND));
     ck_assert_uint_eq(members_fleet(&members, T0 + 6 * SECOND), 3);
     ck_assert_uint_eq(members_fleet(&members, T0 + 22 * SECOND), 3);
     ck_assert_uint_eq(members_fleet(&members, T0 + 50 * SECOND), 2);
     /* Around an outage a record has time to come back. */
     members_store_lost(&members);
     members_store_back(&members, T0 + 60 * SECOND);
-    ck_assert(!members_remove(&members, "3", T0 + 60 * SECOND));
+    ck_assert(!members_remove(&members, "3", 3, T0 + 60 * SECOND));
     ck_assert(!members_has(&members, "3"));
     members_addresses(&members, NULL, text, sizeof(text));
     ck_assert_str_eq(text, "[\"10.0.0.1:80\",\"10.0.0.3:80\"]");
@@ -340,16 +341,18 @@
             size_t size =
                 member_record_write(text, sizeof(text), "10.0.0.1:1",
                                     "10.0.0.1:2", zones[z], 100 + i % 7);
-            members_put(&members, name, text, size, T0);
+            members_put(&members, name, text, size, 1, T0);
         }
     }
     uint32_t total = members_choose(&members);
     uint32_t serving[3] = {0};
     uint32_t weakest[3] = {1000, 1000, 1000};
     uint32_t strongest[3] = {0};
+    uint32_t readers[3] = {0};
     for (uint32_t i = 0; i < members.count; i++) {
         const member_record_t *record = &members.records[i];
         uint32_t z = (uint32_t)(record->zone[0] - 'a');
+        readers[z] += record->role == MEMBER_READS ? 1 : 0;
         if (record->role != MEMBER_STANDS_BY) {
             serving[z]++;
             weakest[z] =
@@ -368,6 +371,8 @@
         ck_assert_msg(serving[z] == c->serving[z], "%s: %u in %s", c->name,
                       serving[z], zones[z]);
         ck_assert_msg(weakest[z] >= strongest[z], "%s", c->name);
+        ck_assert_msg(readers[z] * SERVING_ASKERS >= c->zones[z], "%s",
+                      c->name);
         total -= serving[z];
     }
     ck_assert_uint_eq(total, 0);
@@ -388,7 +393,7 @@
                    MEMBER_NAME_SIZE);
         }
     }
-    members_remove(&members, name, T0);
+    members_remove(&members, name, 2, T0);
     members_choose(&members);
     uint32_t lost = 0;
     for (uint32_t i = 0; i < kept_count; i++) {
--- a/t/t1005-peers.c
+++ b/t/t1005-peers.c
@@ -37,7 +37,7 @@
     instance_entry_t two = entry_of("i-2", true);
     registry_put(&asked, &one, 10, T0);
     registry_put(&asked, &two, 20, T0);
-    json_t *rows = registry_copy_rows(&asked, T0);
+    json_t *rows = registry_copy_rows(&asked, 0, T0);
     registry_release(&asked);
     return rows;
 }
@@ -173,7 +173,7 @@
     char record[MEMBER_RECORD_SIZE];
     size_t size = member_record_write(record, sizeof(record), "10.0.0.1:80",
                                       "10.0.0.1:81", "a", 250);
-    members_put(&mind->members, name, record, size, T0);
+    members_put(&mind->members, name, record, size, 10, T0);
 }
 
 /* i-1, the member front-a-1 and the closed zone b, good up to a revision. */
@@ -201,9 +201,11 @@
     };
     fleet_digest_t digest;
     fleet_digest_t have;
-    char question[256];
+    char question[384];
     size_t size;
     fleet_digest(&digest, 40, &asks->registry, &asks->members);
+    digest.known.upstreams = asks->known.upstreams;
+    digest.known.members = asks->known.members;
     ck_assert_uint_gt(
         fleet_query_write(question, sizeof(question), "/fleet/state", &digest),
         0);
@@ -253,6 +255,90 @@
 }
 END_TEST
 
+/* Who was told before is told what has changed since, and what has gone. */
+START_TEST(test_changes_only)
+{
+    mind_t tells;
+    mind_t asks;
+    unsigned taken;
+    char id[16];
+    mind_fill(&tells, 60);
+    mind_init(&asks);
+    for (uint32_t i = 10; i < 60; i++) {
+        snprintf(id, sizeof(id), "i-%u", i);
+        instance_entry_t entry = entry_of(id, false);
+        registry_put(&tells.registry, &entry, i, T0);
+        mind_add_member(&tells, id);
+    }
+    size_t whole = ask(&asks, &tells, &taken);
+    registry_close_zone(&asks.registry, "b", true);
+    ck_assert_uint_eq(registry_count(&asks.registry), 51);
+    instance_entry_t changed = entry_of("i-20", true);
+    registry_put(&tells.registry, &changed, 70, T0);
+    registry_remove(&tells.registry, "i-30", 71, T0);
+    members_remove(&tells.members, "i-40", 72, T0);
+    tells.known = (fleet_known_t){.upstreams = 72, .members = 72, .zones = 72};
+    ck_assert_uint_lt(ask(&asks, &tells, &taken), whole / 8);
+    ck_assert_uint_eq(taken, FLEET_UPSTREAMS | FLEET_MEMBERS);
+    ck_assert(find(&asks.registry, "i-20")->entry.draining);
+    ck_assert_ptr_null(find(&asks.registry, "i-30"));
+    ck_assert(!members_has(&asks.members, "i-40"));
+    ck_assert_uint_eq(asks.known.upstreams, 72);
+    ck_assert_uint_eq(asks.known.members, 72);
+    /* Something got lost here: changes do not mend that, the whole does. */
+    registry_remove(&asks.registry, "i-50", 72, T0);
+    registry_put(&tells.registry, &changed, 80, T0);
+    tells.known.upstreams = 80;
+    ask(&asks, &tells, &taken);
+    ck_assert_uint_eq(asks.known.upstreams, 0);
+    ck_assert_uint_gt(ask(&asks, &tells, &taken), whole / 4);
+    ck_assert_ptr_nonnull(find(&asks.registry, "i-50"));
+    ck_assert_uint_eq(asks.known.upstreams, 80);
+    mind_release(&tells);
+    mind_release(&asks);
+}
+END_TEST
+
+/* What was removed is known from a floor on, and no more than so many. */
+typedef struct {
+    const char *name;
+    uint32_t removed; /* at the revisions 11, 12, ... */
+    uint64_t floor;
+    uint64_t since;
+    bool covers;
+    uint32_t told;
+} gone_case_t;
+
+static const gone_case_t gone_cases[] = {
+    {"nothing", 0, 10, 10, true, 0},
+    {"before the floor", 3, 10, 9, false, 0},
+    {"from the floor", 3, 10, 10, true, 3},
+    {"in between", 3, 10, 12, true, 1},
+    {"after all", 3, 10, 20, true, 0},
+    {"who knows nothing", 3, 0, 0, false, 0},
+    {"as many as it holds", GONE_LOG_MAX, 10, 10, true, GONE_LOG_MAX},
+    {"one more than it holds", GONE_LOG_MAX + 1, 10, 10, false, 0},
+    {"the rest of them", GONE_LOG_MAX + 1, 10, 11, true, GONE_LOG_MAX},
+};
+
+START_TEST(test_gone)
+{
+    const gone_case_t *c = &gone_cases[_i];
+    gone_log_t log = {0};
+    gone_log_begin(&log, c->floor);
+    for (uint32_t i = 0; i < c->removed; i++) {
+        gone_log_add(&log, "x", 11 + i);
+    }
+    ck_assert_msg(gone_log_covers(&log, c->since) == c->covers, "%s", c->name);
+    uint32_t told = 0;
+    for (uint32_t at = 0;
+         c->covers && gone_log_next(&log, c->since, &at) != NULL;) {
+        told++;
+    }
+    ck_assert_msg(told == c->told, "%s: %u", c->name, told);
+}
+END_TEST
+
 /* One that is behind cannot bring back what another has seen go. */
 START_TEST(test_behind)
 {
@@ -263,7 +349,7 @@
     mind_fill(&behind, 50);
     mind_fill(&ahead, 50);
     registry_remove(&ahead.registry, "i-1", 60, T0);
-    members_remove(&ahead.members, "front-a-1", T0);
+    members_remove(&ahead.members, "front-a-1", 60, T0);
     registry_close_zone(&ahead.registry, "b", false);
     ahead.known = (fleet_known_t){.upstreams = 60, .members = 60, .zones = 60};
     mind_init(&asks);
@@ -310,9 +396,14 @@
 
 static const char bad_rows[] =
     "{\"age_us\":1,\"upstreams_revision\":9,\"members_revision\":9,"
-    "\"zones_revision\":9,\"upstreams\":[1,{},{\"id\":\"i\",\"port\":99999,"
-    "\"revision\":3}],\"members\":[1,{\"name\":3},{\"name\":\"m\"}],"
+    "\"zones_revision\":9,\"upstreams\":{\"rows\":[1,{},{\"id\":\"i\","
+    "\"port\":99999,\"revision\":3}],\"gone\":[1,[],[2],[\"i\"]]},"
+    "\"members\":{\"rows\":[1,{\"name\":3},{\"name\":\"m\"}],\"gone\":{}},"
     "\"zones\":[1,null]}";
+static const char bad_changes[] =
+    "{\"age_us\":1,\"upstreams_revision\":9,\"members_revision\":9,"
+    "\"upstreams\":{\"rows\":[{}],\"gone\":[1,[],[2],[\"i\",-4]],\"since\":0,"
+    "\"digest\":7},\"members\":{\"rows\":3,\"since\":0}}";
 
 static const char *const malformed[] = {
     "",
@@ -322,6 +413,7 @@
     "{\"age_us\":1,\"upstreams_revision\":9,\"upstreams\":3}",
     "{\"age_us\":1,\"members_revision\":9,\"members\":{\"name\":1}}",
     bad_rows,
+    bad_changes,
 };
 
 START_TEST(test_malformed)
@@ -352,6 +444,9 @@
                         sizeof(follow_cases) / sizeof(follow_cases[0]));
     tcase_add_test(tests, test_copy);
     tcase_add_test(tests, test_state);
+    tcase_add_test(tests, test_changes_only);
+    tcase_add_loop_test(tests, test_gone, 0,
+                        sizeof(gone_cases) / sizeof(gone_cases[0]));
     tcase_add_test(tests, test_behind);
     tcase_add_test(tests, test_begin);
     tcase_add_loop_test(tests, test_malformed, 0,
--- a/t/t1006-mutated.c
+++ b/t/t1006-mutated.c
@@ -150,10 +150,12 @@
      "bounds.grace_s=6\n"},
     {"state of a daemon", feed_state,
      "{\"age_us\":3,\"upstreams_revision\":5,\"members_revision\":5,"
-     "\"zones_revision\":5,\"upstreams\":[{\"id\":\"i\",\"service\":\"s\","
-     "\"zone\":\"a\",\"host\":\"10.0.0.1\",\"port\":80,\"slots\":4,"
-     "\"revision\":4}],\"config\":\"{}\",\"config_revision\":3,"
-     "\"members\":[{\"name\":\"m\",\"address\":\"a\",\"zone\":\"z\"}],"
+     "\"zones_revision\":5,\"upstreams\":{\"since\":0,\"digest\":\"ab\","
+     "\"gone\":"
+     "[[\"j\",5]],\"rows\":[{\"id\":\"i\",\"service\":\"s\",\"zone\":\"a\","
+     "\"host\":\"10.0.0.1\",\"port\":80,\"slots\":4,\"revision\":4}]},"
+     "\"config\":\"{}\",\"config_revision\":3,\"members\":{\"since\":0,"
+     "\"rows\":[{\"name\":\"m\",\"address\":\"a\",\"zone\":\"z\"}]},"
      "\"zones\":[\"z\"]}"},
 };
 
--- a/tier/fleet_state.c
+++ b/tier/fleet_state.c
@@ -10,9 +10,14 @@
 #include <string.h>
 #include <xxhash.h>
 
+enum { DIGEST_SIZE = 20 };
+
 static const char members_name[] = "members";
 static const char upstreams_name[] = "upstreams";
 static const char zones_name[] = "zones";
+/* Of a question: the revisions after which changes will do. */
+static const char upstreams_since[] = "upstreams_since";
+static const char members_since[] = "members_since";
 
 void
 fleet_digest(fleet_digest_t *digest, uint64_t config_revision,
@@ -35,9 +40,11 @@
 {
     int length = snprintf(
         text, size,
-        "%s?config=%" PRIx64 "&%s=%" PRIx64 "&%s=%" PRIx64 "&%s=%" PRIx64,
+        "%s?config=%" PRIx64 "&%s=%" PRIx64 "&%s=%" PRIx64 "&%s=%" PRIx64
+        "&%s=%" PRIx64 "&%s=%" PRIx64,
         path, digest->config, upstreams_name, digest->upstreams, members_name,
-        digest->members, zones_name, digest->zones);
+        digest->members, zones_name, digest->zones, upstreams_since,
+        digest->known.upstreams, members_since, digest->known.members);
     return length > 0 && (size_t)length < size ? (size_t)length : 0;
 }
 
@@ -64,20 +71,42 @@
         .upstreams = query_field(target, upstreams_name),
         .members = query_field(target, members_name),
         .zones = query_field(target, zones_name),
+        .known =
+            {
+                .upstreams = query_field(target, upstreams_since),
+                .members = query_field(target, members_since),
+            },
     };
 }
 
+/* Records written after a revision of the store. */
 static json_t *
-members_json(const members_t *members)
+members_json(const members_t *members, uint64_t since)
 {
     json_t *rows = json_array();
     for (uint32_t i = 0; i < members->count; i++) {
         const member_record_t *record = &members->records[i];
+        if (since > 0 && record->revision <= since) {
+            continue;
+        }
         json_array_append_new(
-            rows, json_pack("{s:s, s:s, s:s, s:s, s:I}", "name", record->name,
-                            "address", record->address, "zone", record->zone,
-                            "control", record->control, "weight",
-                            (json_int_t)record->weight));
+            rows, json_pack("{s:s, s:s, s:s, s:s, s:I, s:I}", "name",
+                            record->name, "address", record->address, "zone",
+                            record->zone, "control", record->control, "weight",
+                            (json_int_t)record->weight, "revision",
+                            (json_int_t)record->revision));
+    }
+    return rows;
+}
+
+static json_t *
+gone_json(const gone_log_t *log, uint64_t since)
+{
+    json_t *rows = json_array();
+    const gone_t *gone;
+    for (uint32_t at = 0; (gone = gone_log_next(log, since, &at)) != NULL;) {
+        json_array_append_new(
+            rows, json_pack("[s, I]", gone->name, (json_int_t)gone->revision));
     }
     return rows;
 }
@@ -92,6 +121,27 @@
     return rows;
 }
 
+/* Since when changes will do for one that knows up to a revision; 0: they
+   will not. */
+static uint64_t
+part_since(const gone_log_t *log, uint64_t theirs, uint64_t own)
+{
+    return gone_log_covers(log, theirs) && theirs < own ? theirs : 0;
+}
+
+/* A part is rows, and unless it is whole what has gone since. */
+static void
+part_set(json_t *root, const char *name, json_t *rows, json_t *gone,
+         uint64_t since, uint64_t digest)
+{
+    char text[DIGEST_SIZE];
+    snprintf(text, sizeof(text), "%" PRIx64, digest);
+    json_object_set_new(root, name,
+                        json_pack("{s:o, s:o, s:I, s:s}", "rows", rows, "gone",
+                                  gone, "since", (json_int_t)since, "digest",
+                                  text));
+}
+
 char *
 fleet_state_write(const fleet_state_t *state, const fleet_digest_t *have,
                   const registry_t *registry, const members_t *members,
@@ -109,11 +159,17 @@
         json_object_set_new(root, "config", json_string(state->config));
     }
     if (own.upstreams != have->upstreams) {
-        json_object_set_new(root, upstreams_name,
-                            registry_copy_rows(registry, now_us));
+        uint64_t since = part_since(&registry->gone, have->known.upstreams,
+                                    state->known.upstreams);
+        part_set(root, upstreams_name,
+                 registry_copy_rows(registry, since, now_us),
+                 gone_json(&registry->gone, since), since, own.upstreams);
     }
     if (own.members != have->members) {
-        json_object_set_new(root, members_name, members_json(members));
+        uint64_t since = part_since(&members->gone, have->known.members,
+                                    state->known.members);
+        part_set(root, members_name, members_json(members, since),
+                 gone_json(&members->gone, since), since, own.members);
     }
     if (own.zones != have->zones) {
         json_object_set_new(root, zones_name, zones_json(registry));
@@ -175,6 +231,19 @@
     return newer;
 }
 
+static const json_t *
+part_rows(const fleet_state_t *state, const char *name)
+{
+    return json_object_get(json_object_get(state->document, name), "rows");
+}
+
+static uint64_t
+part_digest(const json_t *part)
+{
+    const char *text = json_string_value(json_object_get(part, "digest"));
+    return text != NULL ? strtoull(text, NULL, 16) : 0;
+}
+
 static void
 members_take(const json_t *rows, members_t *members, int64_t now_us)
 {
@@ -183,33 +252,102 @@
         const char *name = json_string_value(json_object_get(row, "name"));
         char *text = json_dumps(row, JSON_COMPACT);
         if (name != NULL && text != NULL) {
-            members_put(members, name, text, strlen(text), now_us);
+            members_put(members, name, text, strlen(text),
+                        revision_field(row, "revision"), now_us);
         }
         free(text);
     }
 }
 
+/* Names and revisions of what has gone, one after the other. */
+static const char *
+gone_row(const json_t *gone, size_t index, uint64_t *revision)
+{
+    const json_t *row = json_array_get(gone, index);
+    json_int_t value = json_integer_value(json_array_get(row, 1));
+    *revision = value > 0 ? (uint64_t)value : 0;
+    return json_string_value(json_array_get(row, 0));
+}
+
+/* Take over a part; false: it does not lead to what the other knows. */
+static bool
+upstreams_follow(const json_t *part, uint64_t revision, registry_t *registry,
+                 int64_t now_us)
+{
+    const json_t *rows = json_object_get(part, "rows");
+    const json_t *gone = json_object_get(part, "gone");
+    if (revision_field(part, "since") == 0) {
+        return registry_copy_follow(registry, rows, revision, now_us);
+    }
+    for (size_t i = 0; i < json_array_size(gone); i++) {
+        uint64_t at;
+        const char *id = gone_row(gone, i, &at);
+        if (id != NULL) {
+            (void)registry_remove(registry, id, at, now_us);
+        }
+    }
+    registry_copy_put(registry, rows, now_us);
+    return registry_digest(registry) == part_digest(part);
+}
+
+static bool
+members_follow(const json_t *part, uint64_t revision, members_t *members,
+               int64_t now_us)
+{
+    const json_t *rows = json_object_get(part, "rows");
+    const json_t *gone = json_object_get(part, "gone");
+    if (!json_is_array(rows)) {
+        return false;
+    }
+    if (revision_field(part, "since") == 0) {
+        members_list_begin(members);
+        members_take(rows, members, now_us);
+        members_list_end(members, now_us);
+        members_list_read(members, revision);
+        return true;
+    }
+    for (size_t i = 0; i < json_array_size(gone); i++) {
+        uint64_t at;
+        const char *name = gone_row(gone, i, &at);
+        if (name != NULL) {
+            (void)members_remove(members, name, at, now_us);
+        }
+    }
+    members_take(rows, members, now_us);
+    return members_digest(members) == part_digest(part);
+}
+
+/* Whether a part's changes begin at what is known, or it is whole. */
+static bool
+part_fits(const json_t *part, uint64_t known)
+{
+    return json_is_object(part) && revision_field(part, "since") <= known;
+}
+
 unsigned
 fleet_state_follow(const fleet_state_t *state, fleet_known_t *known,
                    registry_t *registry, members_t *members, int64_t now_us)
 {
     unsigned taken = 0;
-    const json_t *rows = json_object_get(state->document, upstreams_name);
-    if (part_is_newer(state->known.upstreams, &known->upstreams) &&
-        registry_copy_follow(registry, rows, state->known.upstreams, now_us)) {
+    const json_t *part = json_object_get(state->document, upstreams_name);
+    bool fits = part_fits(part, known->upstreams);
+    if (part_is_newer(state->known.upstreams, &known->upstreams) && fits) {
         taken |= FLEET_UPSTREAMS;
+        if (!upstreams_follow(part, state->known.upstreams, registry,
+                              now_us)) {
+            known->upstreams = 0;
+        }
     }
-    rows = json_object_get(state->document, members_name);
-    if (part_is_newer(state->known.members, &known->members) &&
-        json_is_array(rows)) {
-        members_list_begin(members);
-        members_take(rows, members, now_us);
-        members_list_end(members, now_us);
+    part = json_object_get(state->document, members_name);
+    fits = part_fits(part, known->members);
+    if (part_is_newer(state->known.members, &known->members) && fits) {
         taken |= FLEET_MEMBERS;
+        if (!members_follow(part, state->known.members, members, now_us)) {
+            known->members = 0;
+        }
     }
-    rows = json_object_get(state->document, zones_name);
     if (part_is_newer(state->known.zones, &known->zones) &&
-        json_is_array(rows)) {
+        json_is_array(json_object_get(state->document, zones_name))) {
         taken |= FLEET_ZONES;
     }
     return taken;
@@ -219,10 +357,8 @@
 fleet_state_begin(const fleet_state_t *state, registry_t *registry,
                   members_t *members, int64_t now_us)
 {
-    members_take(json_object_get(state->document, members_name), members,
-                 now_us);
-    registry_copy_suggest(
-        registry, json_object_get(state->document, upstreams_name), now_us);
+    members_take(part_rows(state, members_name), members, now_us);
+    registry_copy_suggest(registry, part_rows(state, upstreams_name), now_us);
 }
 
 uint32_t
--- a/tier/fleet_state.h
+++ b/tier/fleet_state.h
@@ -3,8 +3,9 @@
  * operator wrote it, upstreams, members, closed zones.
  *
  * The one that asks says in short what it knows, and is told only what
- * differs. What it is told has the store's revision up to which it holds, so
- * that nothing older replaces what is newer, whoever is asked in which order.
+ * differs, or has changed since. What it is told has the store's revision up
+ * to which it holds, so that nothing older replaces what is newer, whoever is
+ * asked in which order.
  *
  *     fleet_query_write(path, sizeof(path), &digest);          // to ask
  *     fleet_query_read(&have, path);                           // to answer
@@ -27,20 +28,21 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Alike for two daemons that know the same; 0: nothing. */
+/* Revisions of the store up to which each is known; 0: not from the store. */
 typedef struct {
-    uint64_t config; /* its revision in the store */
     uint64_t upstreams;
     uint64_t members;
     uint64_t zones;
-} fleet_digest_t;
+} fleet_known_t;
 
-/* Revisions of the store up to which each is known; 0: not from the store. */
+/* Alike for two daemons that know the same; 0: nothing. */
 typedef struct {
+    uint64_t config; /* its revision in the store */
     uint64_t upstreams;
     uint64_t members;
     uint64_t zones;
-} fleet_known_t;
+    fleet_known_t known; /* of the one that asks: what changed since will do */
+} fleet_digest_t;
 
 /* As it is said, and as another's text had it; the string is the text's. */
 typedef struct {
@@ -78,8 +80,9 @@
 
 /*
  * Take over what is newer than what is known, which then says so; a set of
- * fleet_part_t of what has changed. Zones are left to the one who calls:
- * fleet_state_zones.
+ * fleet_part_t of what has changed. When changes do not lead to what the other
+ * knows, known is 0 after and the whole is asked for next. Zones are left to
+ * the one who calls: fleet_state_zones.
  */
 unsigned fleet_state_follow(const fleet_state_t *state, fleet_known_t *known,
                             registry_t *registry, members_t *members,
--- a/tier/members.c
+++ b/tier/members.c
@@ -147,7 +147,7 @@
 
 bool
 members_put(members_t *members, const char *name, const char *value,
-            size_t size, int64_t now_us)
+            size_t size, uint64_t revision, int64_t now_us)
 {
     member_record_t read = {0};
     if (strlen(name) >= MEMBER_NAME_SIZE || !record_read(&read, value, size)) {
@@ -168,6 +168,8 @@
     record->weight = read.weight;
     record->listing = members->listing;
     record->gone_us = 0;
+    record->removed = 0;
+    record->revision = revision > 0 ? revision : record->revision;
     members_note(members, now_us);
     return changed;
 }
@@ -194,10 +196,25 @@
 }
 
 bool
-members_remove(members_t *members, const char *name, int64_t now_us)
+members_remove(members_t *members, const char *name, uint64_t revision,
+               int64_t now_us)
 {
     member_record_t *record = members_find(members, name);
-    return record != NULL && members_vanish(members, record, now_us);
+    if (record == NULL) {
+        return false;
+    }
+    if (!members_vanish(members, record, now_us)) {
+        record->removed = revision;
+        return false;
+    }
+    gone_log_add(&members->gone, name, revision);
+    return true;
+}
+
+void
+members_list_read(members_t *members, uint64_t revision)
+{
+    gone_log_begin(&members->gone, revision);
 }
 
 void
@@ -241,6 +258,9 @@
     for (uint32_t i = members->count; i-- > 0;) {
         member_record_t *record = &members->records[i];
         if (record->gone_us != 0 && now_us >= record->gone_us) {
+            if (record->removed > 0) {
+                gone_log_add(&members->gone, record->name, record->removed);
+            }
             members_drop(members, record);
             changed = true;
         }
--- a/tier/members.h
+++ b/tier/members.h
@@ -13,6 +13,8 @@
 #ifndef TIER_MEMBERS_H
 #define TIER_MEMBERS_H
 
+#include "tier/gone_log.h"
+
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -46,6 +48,8 @@
     uint32_t weight; /* of the VM: how much it can carry beside the others */
     member_role_t role;
     uint32_t listing;
+    uint64_t revision; /* of the store, when it was written; 0: not known */
+    uint64_t removed;  /* the same of its removal, while it is kept */
     int64_t gone_us; /* when it is gone unless it comes back; 0: it is there */
 } member_record_t;
 
@@ -59,6 +63,7 @@
     bool store_lost;
     uint32_t most[2]; /* members seen, in this half of the memory and before */
     int64_t half_us;  /* when this half began */
+    gone_log_t gone;  /* for those who ask this daemon */
 } members_t;
 
 void members_init(members_t *members, int64_t now_us);
@@ -69,14 +74,19 @@
                            const char *control, const char *zone,
                            uint32_t weight);
 
-/* True: something changed. False too for a record that is no good. */
+/* A record as it was written at a revision of the store, 0: not there yet.
+   True: something changed. False too for a record that is no good. */
 bool members_put(members_t *members, const char *name, const char *value,
-                 size_t size, int64_t now_us);
-bool members_remove(members_t *members, const char *name, int64_t now_us);
+                 size_t size, uint64_t revision, int64_t now_us);
+bool members_remove(members_t *members, const char *name, uint64_t revision,
+                    int64_t now_us);
 
 void members_list_begin(members_t *members);
 bool members_list_end(members_t *members, int64_t now_us);
 
+/* A whole list was read at that revision: what went before is not known. */
+void members_list_read(members_t *members, uint64_t revision);
+
 void members_store_lost(members_t *members);
 void members_store_back(members_t *members, int64_t now_us);
 
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -47,7 +47,8 @@
     char record[MEMBER_RECORD_SIZE];
     size_t size = node_record(node, record, sizeof(record));
     if (size > 0 && !node->leaving) {
-        members_put(&node->members, node->boot.daemon, record, size, now_us);
+        members_put(&node->members, node->boot.daemon, record, size, 0,
+                    now_us);
     }
 }
 
@@ -136,12 +137,14 @@
         if (own && !node->leaving) {
             store_link_missing(node->store, now_us);
         }
-        else if (members_remove(&node->members, name, now_us)) {
+        else if (members_remove(&node->members, name, item->revision,
+                                now_us)) {
             node_members_changed(node, name, "gone", now_us);
         }
         return;
     }
-    if (members_put(&node->members, name, item->value, item->size, now_us)) {
+    if (members_put(&node->members, name, item->value, item->size,
+                    item->revision, now_us)) {
         if (node->members_listing) {
             node->members_listed = true;
         }
@@ -168,6 +171,8 @@
     node_t *node = owner;
     node->members_listing = false;
     bool changed = members_list_end(&node->members, now_us);
+    members_list_read(&node->members,
+                      store_link_revision(node->store, KEY_FLEET));
     if (!node->leaving && !members_has(&node->members, node->boot.daemon)) {
         store_link_missing(node->store, now_us);
         node_list_itself(node, now_us);
--- a/tier/node_peers.c
+++ b/tier/node_peers.c
@@ -16,7 +16,7 @@
     /* A store that is there answers a starting daemon sooner than this. */
     ASK_PEERS_US = 300000,
     ASK_AGAIN_US = 200000, /* the next of the daemons it may ask */
-    PEER_PATH_SIZE = 256
+    PEER_PATH_SIZE = 384
 };
 
 /* Up to which revisions of the store this daemon knows what. */
@@ -47,6 +47,7 @@
     const route_table_t *table = engine_table(node->engine);
     fleet_digest(digest, table != NULL ? table->revision : 0,
                  engine_registry(node->engine), &node->members);
+    digest->known = node->told;
 }
 
 /*
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -24,7 +24,7 @@
 #define KEY_REGISTRY_COPY KEY_REGISTRY "upstreams"
 
 enum {
-    METRICS_PORT = 9464, /* as deploy/system.toml says */
+    METRICS_PORT = 9464,   /* as deploy/system.toml says */
     CONNECTIONS_MAX = 2000 /* of callers, about half of the descriptors */
 };
 
--- a/tier/node_upstreams.c
+++ b/tier/node_upstreams.c
@@ -115,6 +115,8 @@
 {
     node_t *node = owner;
     registry_list_end(engine_registry(node->engine), now_us);
+    registry_list_read(engine_registry(node->engine),
+                       store_link_revision(node->store, KEY_UPSTREAMS));
     if (!node->upstreams_known) {
         static const follow_settings_t copy_settings = {
             .prefix = KEY_REGISTRY,
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -9,6 +9,7 @@
 typedef struct {
     instance_t *instance;
     uint64_t revision; /* of the store, when it was written */
+    uint64_t removed;  /* the revision of its removal, while it is kept */
     uint32_t listing;  /* the last list that named it */
     int64_t gone_us; /* when it is gone unless it comes back; 0: it is there */
 } registry_entry_t;
@@ -139,6 +140,7 @@
     found->revision = revision;
     found->listing = registry->listing;
     found->gone_us = 0;
+    found->removed = 0;
     return change;
 }
 
@@ -172,7 +174,20 @@
     if (found == NULL || revision < found->revision) {
         return REGISTRY_SAME;
     }
-    return registry_vanish(registry, found, now_us);
+    registry_change_t change = registry_vanish(registry, found, now_us);
+    if (change == REGISTRY_GONE) {
+        gone_log_add(&registry->gone, id, revision);
+    }
+    else {
+        found->removed = revision;
+    }
+    return change;
+}
+
+void
+registry_list_read(registry_t *registry, uint64_t revision)
+{
+    gone_log_begin(&registry->gone, revision);
 }
 
 void
@@ -257,6 +272,10 @@
         registry_entry_t *entry = strmap_value(at);
         next = strmap_next(at);
         if (entry->gone_us != 0 && now_us >= entry->gone_us) {
+            if (entry->removed > 0) {
+                gone_log_add(&registry->gone, entry->instance->entry.id,
+                             entry->removed);
+            }
             registry_drop(registry, entry);
         }
     }
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -16,6 +16,7 @@
 #define TIER_REGISTRY_H
 
 #include "core/strmap.h"
+#include "tier/gone_log.h"
 #include "tier/instance.h"
 #include "tier/pool.h"
 #include "tier/route.h"
@@ -42,6 +43,7 @@
     bool store_lost;
     int64_t store_back_us; /* 0: no outage seen */
     uint32_t listing;      /* number of the list being read */
+    gone_log_t gone;       /* for those who ask this daemon */
 } registry_t;
 
 void registry_init(registry_t *registry);
@@ -71,6 +73,9 @@
 void registry_list_begin(registry_t *registry);
 void registry_list_end(registry_t *registry, int64_t now_us);
 
+/* A whole list was read at that revision: what went before is not known. */
+void registry_list_read(registry_t *registry, uint64_t revision);
+
 /* As registry_list_end, for a list that is good up to that revision only. */
 void registry_list_end_at(registry_t *registry, uint64_t revision,
                           int64_t now_us);
--- a/tier/registry_copy.c
+++ b/tier/registry_copy.c
@@ -25,14 +25,16 @@
 }
 
 json_t *
-registry_copy_rows(const registry_t *registry, int64_t now_us)
+registry_copy_rows(const registry_t *registry, uint64_t since, int64_t now_us)
 {
     json_t *rows = json_array();
     uint64_t revision;
     const instance_t *instance;
     for (void *at = NULL;
          (instance = registry_each(registry, &at, &revision)) != NULL;) {
-        json_array_append_new(rows, copy_row(instance, revision, now_us));
+        if (since == 0 || revision > since) {
+            json_array_append_new(rows, copy_row(instance, revision, now_us));
+        }
     }
     return rows;
 }
@@ -40,7 +42,7 @@
 char *
 registry_copy_write(const registry_t *registry, int64_t now_us, size_t *size)
 {
-    json_t *rows = registry_copy_rows(registry, now_us);
+    json_t *rows = registry_copy_rows(registry, 0, now_us);
     char *text = json_dumps(rows, JSON_COMPACT);
     json_decref(rows);
     *size = text != NULL ? strlen(text) : 0;
@@ -98,14 +100,9 @@
     return added;
 }
 
-bool
-registry_copy_follow(registry_t *registry, const json_t *rows,
-                     uint64_t revision, int64_t now_us)
+void
+registry_copy_put(registry_t *registry, const json_t *rows, int64_t now_us)
 {
-    if (!json_is_array(rows)) {
-        return false;
-    }
-    registry_list_begin(registry);
     for (size_t i = 0; i < json_array_size(rows); i++) {
         instance_entry_t entry;
         const json_t *row = json_array_get(rows, i);
@@ -115,6 +112,18 @@
             registry_put(registry, &entry, (uint64_t)written, now_us);
         }
     }
+}
+
+bool
+registry_copy_follow(registry_t *registry, const json_t *rows,
+                     uint64_t revision, int64_t now_us)
+{
+    if (!json_is_array(rows)) {
+        return false;
+    }
+    registry_list_begin(registry);
+    registry_copy_put(registry, rows, now_us);
     registry_list_end_at(registry, revision, now_us);
+    registry_list_read(registry, revision);
     return true;
 }
--- a/tier/registry_copy.h
+++ b/tier/registry_copy.h
@@ -27,8 +27,10 @@
 uint32_t registry_copy_read(registry_t *registry, const char *text,
                             size_t size, int64_t now_us);
 
-/* The same as rows of another document. */
-json_t *registry_copy_rows(const registry_t *registry, int64_t now_us);
+/* The same as rows of another document: entries written after a revision of
+   the store. */
+json_t *registry_copy_rows(const registry_t *registry, uint64_t since,
+                           int64_t now_us);
 uint32_t registry_copy_suggest(registry_t *registry, const json_t *rows,
                                int64_t now_us);
 
@@ -39,4 +41,8 @@
 bool registry_copy_follow(registry_t *registry, const json_t *rows,
                           uint64_t revision, int64_t now_us);
 
+/* Put rows, each as it was written at its own revision. */
+void registry_copy_put(registry_t *registry, const json_t *rows,
+                       int64_t now_us);
+
 #endif
--- a/tier/serving.c
+++ b/tier/serving.c
@@ -37,9 +37,9 @@
     return size;
 }
 
-/* How many of each zone ask the store. */
+/* How many of each zone ask the store, whatever its size. */
 static uint32_t
-zone_readers(const candidate_t *candidates, uint32_t count)
+zone_readers_least(const candidate_t *candidates, uint32_t count)
 {
     uint32_t zones = 1;
     for (uint32_t i = zone_size(candidates, count); i < count;
@@ -75,9 +75,11 @@
     uint32_t wanted = count / SERVING_PARTS > SERVING_ALL
                           ? count / SERVING_PARTS
                           : SERVING_ALL;
-    uint32_t readers = zone_readers(candidates, count);
+    uint32_t least = zone_readers_least(candidates, count);
     for (uint32_t i = 0; i < count;) {
         uint32_t size = zone_size(&candidates[i], count - i);
+        uint32_t readers = (size + SERVING_ASKERS - 1) / SERVING_ASKERS;
+        readers = readers < least ? least : readers;
         uint32_t part = (wanted * size + count - 1) / count;
         part = part < SERVING_ZONE_MIN ? SERVING_ZONE_MIN : part;
         part = part < readers ? readers : part;
--- a/tier/serving.h
+++ b/tier/serving.h
@@ -24,12 +24,14 @@
     SERVING_ALL = 16,     /* daemons up to which all of them serve */
     SERVING_PARTS = 5,    /* of a larger fleet one in so many, and ... */
     SERVING_ZONE_MIN = 2, /* ... so many of each zone at least */
-    SERVING_READERS = 3   /* so many ask the store, and one of each zone */
+    SERVING_READERS = 3,  /* so many ask the store, one of each zone, ... */
+    SERVING_ASKERS = 32   /* ... and one for so many of a zone's daemons */
 };
 
 /*
  * Set the role of each member; how many serve. In a large fleet one of each
- * zone asks the store for the upstreams, and the others ask those.
+ * zone, more of a large one, asks the store for the upstreams, and the others
+ * ask those.
  */
 uint32_t serving_choose(const members_t *members, member_role_t *roles);
 
