--- a/t/soak/proxy.c
+++ b/t/soak/proxy.c
@@ -235,8 +235,9 @@
 void
 proxy_free(proxy_t *proxy)
 {
-    while (proxy->pairs != NULL) {
-        pair_free(proxy->pairs);
+    for (pair_t *pair = proxy->pairs, *next; pair != NULL; pair = next) {
+        next = pair->next;
+        pair_free(pair);
     }
     ev_io_stop(proxy->loop, &proxy->io);
     close(proxy->fd);
--- a/t/soak/world_callers.c
+++ b/t/soak/world_callers.c
@@ -19,7 +19,7 @@
 static uint32_t
 merged_parts(const char *signatures, uint32_t request, uint8_t *top)
 {
-    uint8_t records[SHARDS * PART_BYTES];
+    uint8_t records[SHARDS * PART_BYTES] = {0};
     uint32_t parts = 0;
     char expected[32];
     for (uint32_t service = 0; service < SHARDS; service++) {
