tier: ask for the whole at once when changes do not lead to the same

An upstream was removed just after the store's return; the daemon that reads kept it for the two seconds in which entries may come back, and dropped it after it had told a later revision. The one that asks noticed by the digest at its next question, 1.5 s later, and asked for the whole at the one after that, another 1.5 s.

Change: it asks for the whole at once, one time. t1012, test_asks_for_the_whole, fails without.

--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -809,6 +809,46 @@
 }
 END_TEST
 
+#define JSON_ANSWER(length, text)                                             \
+    "HTTP/1.1 200 OK\r\nContent-Length: " length "\r\n\r\n" text
+
+/* Changes that do not lead to what the other knows: the whole, at once. */
+START_TEST(test_asks_for_the_whole)
+{
+    static const tier_script_t whole = {
+        .bytes = JSON_ANSWER("95", "{\"age_us\":0,\"upstreams_revision\":1000,"
+                                   "\"upstreams\":{\"rows\":[],\"gone\":[],"
+                                   "\"since\":0,\"digest\":\"0\"}}")};
+    static const tier_script_t changes = {
+        .bytes = JSON_ANSWER("98", "{\"age_us\":0,\"upstreams_revision\":1001,"
+                                   "\"upstreams\":{\"rows\":[],\"gone\":[],"
+                                   "\"since\":1000,\"digest\":\"1\"}}")};
+    fixture_t f;
+    char control[64];
+    struct sockaddr_in address = own_address();
+    fixture_init(&f);
+    tier_upstream_server_t *told = tier_upstream_new(f.loop, &address, &whole);
+    list_others(&f);
+    list_member(&f, "front-r",
+                address_text(&address, control, sizeof(control)), 999);
+    run_ms(&f, 4000);
+    uint32_t asked = tier_upstream_requests(told);
+    ck_assert_uint_gt(asked, 0);
+    ck_assert_ptr_nonnull(
+        strstr(tier_upstream_last(told), "upstreams_since=3e8&"));
+    tier_upstream_set(told, &changes);
+    while (tier_upstream_requests(told) == asked) {
+        run_ms(&f, 10);
+    }
+    run_ms(&f, 300);
+    ck_assert_uint_eq(tier_upstream_requests(told), asked + 2);
+    ck_assert_ptr_nonnull(
+        strstr(tier_upstream_last(told), "upstreams_since=0&"));
+    tier_upstream_free(told);
+    fixture_release(&f);
+}
+END_TEST
+
 /* What lapsed before a daemon started is believed, for two seconds. */
 START_TEST(test_start_with_lapsed_entries)
 {
@@ -924,6 +964,7 @@
     tcase_add_loop_test(tests, test_reads_at_start, 0, 2);
     tcase_add_test(tests, test_stands_by);
     tcase_add_test(tests, test_stands_by_alone);
+    tcase_add_test(tests, test_asks_for_the_whole);
     tcase_add_test(tests, test_start_with_lapsed_entries);
     tcase_add_test(tests, test_leave);
     tcase_add_test(tests, test_leave_unfinished);
--- a/tier/node_peers.c
+++ b/tier/node_peers.c
@@ -107,11 +107,16 @@
 {
     char zones[REGISTRY_ZONES_MAX][INSTANCE_NAME_SIZE];
     registry_t *registry = engine_registry(node->engine);
+    fleet_known_t before = node->told;
     bool began = !node->upstreams_known;
     node->upstreams_known = true;
     node->told = node_known(node);
     unsigned taken = fleet_state_follow(state, &node->told, registry,
                                         &node->members, now_us);
+    if ((before.upstreams != 0 && node->told.upstreams == 0) ||
+        (before.members != 0 && node->told.members == 0)) {
+        node->ask_due_us = now_us; /* for the whole, once */
+    }
     if (state->config != NULL) {
         node_config_read(node, state->config, state->config_size,
                          state->config_revision, now_us);
