t: the soak builds and runs under the address sanitizer

Built, it compared an empty body by memcmp with a null pointer, which the undefined-behaviour sanitizer stops at: the soak's own fault, no daemon's.

--- a/t/soak/world.c
+++ b/t/soak/world.c
@@ -96,7 +96,9 @@
 {
     for (uint32_t i = 0; i < world->daemon_count; i++) {
         daemon_t *daemon = &world->daemons[i];
-        snprintf(daemon->name, sizeof(daemon->name), "front-%u", i);
+        char name[sizeof(daemon->name)];
+        snprintf(name, sizeof(name), "front-%u", i);
+        memcpy(daemon->name, name, sizeof(name));
         daemon->settings = (daemon_settings_t){
             .name = daemon->name,
             .zone = i % 2 == 0 ? "a" : "b",
@@ -114,9 +116,9 @@
             proxy_new(world->loop, &daemon->settings.store, store);
         snprintf(daemon->process.program, PATH_SIZE, "%s", program);
         snprintf(daemon->process.settings, PATH_SIZE, "%.200s/%s.conf",
-                 directory, daemon->name);
+                 directory, name);
         snprintf(daemon->process.log, PATH_SIZE, "%.200s/%s.log", directory,
-                 daemon->name);
+                 name);
         fleet_write_settings(daemon->process.settings, &daemon->settings);
         daemon->harmed_us = world->start_us;
         fleet_start(&daemon->process);
--- a/t/soak/world_state.h
+++ b/t/soak/world_state.h
@@ -51,7 +51,7 @@
 } upstream_t;
 
 typedef struct {
-    char name[16];
+    char name[24];
     daemon_settings_t settings;
     process_t process;
     proxy_t *store_proxy;
--- a/t/soak/world_upstreams.c
+++ b/t/soak/world_upstreams.c
@@ -77,7 +77,8 @@
     return strcmp(http_target(message), path) == 0 &&
            strcmp(message->method, posts ? "POST" : "GET") == 0 &&
            buffer_size(&message->body) == strlen(body) &&
-           memcmp(buffer_data(&message->body), body, strlen(body)) == 0;
+           (body[0] == '\0' ||
+            memcmp(buffer_data(&message->body), body, strlen(body)) == 0);
 }
 
 static void
