t: one copy of the tests' loopback addresses

t1012 and the soak each had their own way to an address of the process and to its text; t/lib/tier_address has both now, and a field that nobody read is gone.

--- a/t/soak/fleet.c
+++ b/t/soak/fleet.c
@@ -1,6 +1,7 @@
 #include "t/soak/fleet.h"
 
-#include <arpa/inet.h>
+#include "t/lib/tier_address.h"
+
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -10,15 +11,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-static const char *
-address_text(const struct sockaddr_in *address, char *text, size_t size)
-{
-    char host[INET_ADDRSTRLEN];
-    inet_ntop(AF_INET, &address->sin_addr, host, sizeof(host));
-    snprintf(text, size, "%s:%u", host, ntohs(address->sin_port));
-    return text;
-}
-
 void
 fleet_write_settings(const char *path, const daemon_settings_t *settings)
 {
--- a/t/soak/world.c
+++ b/t/soak/world.c
@@ -1,6 +1,7 @@
 #include "t/soak/world.h"
 
 #include "daemon/clock.h"
+#include "t/lib/tier_address.h"
 #include "t/soak/world_state.h"
 
 #include <stdio.h>
@@ -30,21 +31,6 @@
     return (uint32_t)((world->random >> 20) % below);
 }
 
-/* Addresses of this process alone, as loopback has many. */
-static struct sockaddr_in
-new_address(void)
-{
-    enum { FIRST_PORT = 20000, PORTS = 10000 };
-    static uint16_t used;
-    uint32_t process = (uint32_t)getpid();
-    return (struct sockaddr_in){
-        .sin_family = AF_INET,
-        .sin_port = htons((uint16_t)(FIRST_PORT + used++ % PORTS)),
-        .sin_addr.s_addr = htonl(
-            127U << 24 | (1 + process / 65536 % 200) << 16 | process % 65536),
-    };
-}
-
 void
 world_put_config(world_t *world, int64_t now_us)
 {
@@ -80,8 +66,8 @@
             .number = i,
             .service = i / UPSTREAMS_EACH,
             .zone = i % UPSTREAMS_EACH == 0 ? "a" : "b",
-            .address = new_address(),
-            .listed = new_address(),
+            .address = own_address(),
+            .listed = own_address(),
             .work_us = WORK_US,
         };
         snprintf(upstream->id, sizeof(upstream->id), "i-%u", i);
@@ -102,11 +88,11 @@
         daemon->settings = (daemon_settings_t){
             .name = daemon->name,
             .zone = i % 2 == 0 ? "a" : "b",
-            .callers = new_address(),
-            .readiness = new_address(),
-            .directory = new_address(),
-            .control = new_address(),
-            .store = new_address(),
+            .callers = own_address(),
+            .readiness = own_address(),
+            .directory = own_address(),
+            .control = own_address(),
+            .store = own_address(),
             .grace_s = GRACE_S,
             .retry_ratio = RETRY_RATIO,
             .retry_slack = RETRY_SLACK,
@@ -188,7 +174,7 @@
     world->loop = ev_loop_new(EVBACKEND_EPOLL);
     world->ledger = ledger_new(false);
     world->start_us = clock_now_us();
-    struct sockaddr_in store = new_address();
+    struct sockaddr_in store = own_address();
     world->store = tier_store_new(world->loop, &store);
     for (uint32_t i = 0; i < CALLERS_MAX; i++) {
         static const http_limits_t limits = {0};
--- a/t/soak/world_state.h
+++ b/t/soak/world_state.h
@@ -88,7 +88,6 @@
     uint32_t version;
     int64_t version_us; /* when it was confirmed */
     uint32_t one_goes_to;
-    uint32_t one_went_to;
     int64_t evacuated_us; /* zone a, 0: open */
     int64_t store_harmed_us;
 };
--- a/t/soak/world_upstreams.c
+++ b/t/soak/world_upstreams.c
@@ -1,9 +1,9 @@
 /* Upstreams that run requests, and check whether they should have come. */
 #include "daemon/clock.h"
 #include "platform/names.h"
+#include "t/lib/tier_address.h"
 #include "t/soak/world_state.h"
 
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -167,14 +167,14 @@
 {
     char key[64];
     char text[256];
-    char host[INET_ADDRSTRLEN];
-    inet_ntop(AF_INET, &upstream->listed.sin_addr, host, sizeof(host));
+    char address[64];
     snprintf(key, sizeof(key), KEY_UPSTREAMS "%s", upstream->id);
     snprintf(text, sizeof(text),
-             "{\"service\":\"s%u\",\"addr\":\"%s:%u\",\"zone\":\"%s\","
+             "{\"service\":\"s%u\",\"addr\":\"%s\",\"zone\":\"%s\","
              "\"version\":\"v1\",\"slots\":16,\"state\":\"%s\","
              "\"cold_left_ms\":0,\"seq\":1}",
-             upstream->service, host, ntohs(upstream->listed.sin_port),
+             upstream->service,
+             address_text(&upstream->listed, address, sizeof(address)),
              upstream->zone,
              upstream->draining_us != 0 ? "draining" : "ready");
     tier_store_put(upstream->world->store, key, text);
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -2,6 +2,7 @@
 #include "daemon/clock.h"
 #include "http/conn.h"
 #include "t/lib/suite.h"
+#include "t/lib/tier_address.h"
 #include "t/lib/tier_store.h"
 #include "t/lib/tier_upstream.h"
 #include "tier/members.h"
@@ -37,25 +38,6 @@
     bool ended;
 } caller_t;
 
-/*
- * An address of this process alone: loopback has many, and no connection of
- * another test takes a port of this one for its own end.
- */
-static struct sockaddr_in
-own_address(void)
-{
-    enum { FIRST_PORT = 20000, PORTS = 10000 };
-    static uint16_t used;
-    uint32_t process = (uint32_t)getpid();
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_port = htons((uint16_t)(FIRST_PORT + used++ % PORTS)),
-        .sin_addr.s_addr = htonl(
-            127U << 24 | (1 + process / 65536 % 200) << 16 | process % 65536),
-    };
-    return address;
-}
-
 static void
 stop(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -696,15 +678,6 @@
     }
 }
 
-static const char *
-address_text(const struct sockaddr_in *address, char *text, size_t size)
-{
-    char host[INET_ADDRSTRLEN];
-    inet_ntop(AF_INET, &address->sin_addr, host, sizeof(host));
-    snprintf(text, size, "%s:%u", host, ntohs(address->sin_port));
-    return text;
-}
-
 /* Whether a daemon says that it has that configuration. */
 static bool
 has_version(fixture_t *f, const struct sockaddr_in *control,
