t: the soak checks each kind's services, and leaves no process behind

Cause: the check of routes let a request that must not repeat pass at the service that another route moves to, and one of the first route at any.

Change: each kind has its services; daemons get SIGKILL when their parent dies.

--- a/t/soak/fleet.c
+++ b/t/soak/fleet.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -55,6 +56,8 @@
     if (process->pid != 0) {
         return;
     }
+    /* It does not outlive the soak, however that ends. */
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int fd = open(process->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
     if (fd < 0 || dup2(fd, STDOUT_FILENO) < 0 || dup2(fd, STDERR_FILENO) < 0 ||
         setenv("YUCCARUN_BOOT", process->settings, 1) != 0) {
--- a/t/soak/world_upstreams.c
+++ b/t/soak/world_upstreams.c
@@ -81,6 +81,20 @@
             memcmp(buffer_data(&message->body), body, strlen(body)) == 0);
 }
 
+/* Whether some configuration of the run lets that service have it. */
+static bool
+is_on_route(ledger_kind_t kind, uint32_t service)
+{
+    switch (kind) {
+    case KIND_ONE:
+        return service == 0 || service == MOVED_TO;
+    case KIND_ONCE:
+        return service == SHARDS;
+    default:
+        return service < SHARDS;
+    }
+}
+
 static void
 upstream_request(void *owner, exchange_t *exchange)
 {
@@ -106,8 +120,7 @@
         ledger_break(world->ledger, "UNASKED", "%s is %s %s", id,
                      message->method, http_target(message));
     }
-    if (entry->kind != KIND_ALL && upstream->service != entry->service &&
-        upstream->service != MOVED_TO && entry->kind != KIND_ONE) {
+    if (!is_on_route(entry->kind, upstream->service)) {
         ledger_break(world->ledger, "ROUTE", "%s at service %u", id,
                      upstream->service);
     }
