--- a/edge/event.h
+++ b/edge/event.h
@@ -55,6 +55,7 @@
     X(REGISTRY_COPY_READ, 315, "registry_copy_read", INFO)                    \
     X(STATE_FROM_PEER, 316, "state_from_peer", WARN)                          \
     X(UPSTREAMS_TOLD, 317, "upstreams_told", INFO)                            \
+    X(STORE_RESTORED, 318, "store_restored", WARN)                            \
     X(LEASE_HELD, 400, "lease_held", INFO)                                    \
     X(LEASE_LOST, 401, "lease_lost", WARN)                                    \
     X(MEMBER_JOINED, 402, "member_joined", INFO)                              \
@@ -70,6 +71,8 @@
     X(UPSTREAM_BAD_REPLY, 502, "upstream_bad_reply", WARN)                    \
     X(REQUEST_QUARANTINED, 503, "request_quarantined", ERROR)                 \
     X(REQUEST_SUSPECTED, 504, "request_suspected", WARN)                      \
+    X(UPSTREAM_LEAVING, 505, "upstream_leaving", INFO)                        \
+    X(UPSTREAM_RESTING, 506, "upstream_resting", INFO)                        \
     X(REQUEST_REFUSED, 600, "request_refused", INFO)                          \
     X(OPERATOR_DENIED, 601, "operator_denied", WARN)                          \
     X(INPUT_REFUSED, 602, "input_refused", WARN)                              \
--- a/t/lib/tier_store.c
+++ b/t/lib/tier_store.c
@@ -45,18 +45,26 @@
     uint32_t watches;
 } read_counts_t;
 
-struct tier_store {
-    struct ev_loop *loop;
-    http_server_t *server;
-    tier_store_mode_t mode;
+/* What a backup contains. */
+typedef struct {
     item_t items[KEYS_MAX];
     uint32_t item_count;
     lease_row_t leases[LEASES_MAX];
     uint32_t lease_count;
-    watch_t watches[WATCHES_MAX];
-    uint32_t watch_count;
     uint64_t revision;
     uint64_t next_lease;
+} content_t;
+
+struct tier_store {
+    struct ev_loop *loop;
+    http_server_t *server;
+    tier_store_mode_t mode;
+    content_t now;
+    content_t backup;
+    uint64_t era;
+    const char *era_text;
+    watch_t watches[WATCHES_MAX];
+    uint32_t watch_count;
     uint32_t calls;
     read_counts_t reads[PREFIXES_MAX];
     ev_timer tick;
@@ -103,12 +111,12 @@
 static item_t *
 item_get_or_add(tier_store_t *store, const char *key)
 {
-    for (uint32_t i = 0; i < store->item_count; i++) {
-        if (strcmp(store->items[i].key, key) == 0) {
-            return &store->items[i];
+    for (uint32_t i = 0; i < store->now.item_count; i++) {
+        if (strcmp(store->now.items[i].key, key) == 0) {
+            return &store->now.items[i];
         }
     }
-    item_t *item = &store->items[store->item_count++];
+    item_t *item = &store->now.items[store->now.item_count++];
     (void)text_copy(item->key, sizeof(item->key), key);
     return item;
 }
@@ -126,11 +134,24 @@
 }
 
 static void
-answer_json(exchange_t *exchange, uint32_t status, json_t *body)
+answer_json(const tier_store_t *store, exchange_t *exchange, uint32_t status,
+            json_t *body)
 {
     char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : strdup("{}");
+    char header[64];
+    if (store->era_text == NULL) {
+        snprintf(header, sizeof(header), "Store-Era: %" PRIu64 "\r\n",
+                 store->era);
+    }
+    else {
+        snprintf(header, sizeof(header), "%s%s%s",
+                 store->era_text[0] != '\0' ? "Store-Era: " : "",
+                 store->era_text, store->era_text[0] != '\0' ? "\r\n" : "");
+    }
     http_response_t out = {
         .status = status,
+        .headers = header,
+        .headers_size = strlen(header),
         .body = text,
         .body_size = strlen(text),
     };
@@ -144,8 +165,8 @@
 changes_since(const tier_store_t *store, const char *prefix, uint64_t after)
 {
     json_t *events = json_array();
-    for (uint32_t i = 0; i < store->item_count; i++) {
-        const item_t *item = &store->items[i];
+    for (uint32_t i = 0; i < store->now.item_count; i++) {
+        const item_t *item = &store->now.items[i];
         if (item->revision > after &&
             strncmp(item->key, prefix, strlen(prefix)) == 0) {
             json_array_append_new(events, item_json(item));
@@ -161,10 +182,10 @@
 static void
 answer_watch(tier_store_t *store, exchange_t *exchange, json_t *events)
 {
-    answer_json(exchange, 200,
+    answer_json(store, exchange, 200,
                 json_pack("{s:o, s:I}", "events",
                           events != NULL ? events : json_array(),
-                          "current_rev", (json_int_t)store->revision));
+                          "current_rev", (json_int_t)store->now.revision));
 }
 
 static void
@@ -193,7 +214,7 @@
     item->value = value;
     item->base64 = value != NULL ? base64_encode(value) : NULL;
     item->lease = lease;
-    item->revision = ++store->revision;
+    item->revision = ++store->now.revision;
 }
 
 void
@@ -213,9 +234,9 @@
 const char *
 tier_store_get(const tier_store_t *store, const char *key)
 {
-    for (uint32_t i = 0; i < store->item_count; i++) {
-        if (strcmp(store->items[i].key, key) == 0) {
-            return store->items[i].value;
+    for (uint32_t i = 0; i < store->now.item_count; i++) {
+        if (strcmp(store->now.items[i].key, key) == 0) {
+            return store->now.items[i].value;
         }
     }
     return NULL;
@@ -230,11 +251,12 @@
 static void
 lease_end(tier_store_t *store, uint32_t row)
 {
-    uint64_t id = store->leases[row].id;
-    store->leases[row] = store->leases[--store->lease_count];
-    for (uint32_t i = 0; i < store->item_count; i++) {
-        if (store->items[i].lease == id && store->items[i].value != NULL) {
-            item_set(store, store->items[i].key, NULL, 0);
+    uint64_t id = store->now.leases[row].id;
+    store->now.leases[row] = store->now.leases[--store->now.lease_count];
+    for (uint32_t i = 0; i < store->now.item_count; i++) {
+        if (store->now.items[i].lease == id &&
+            store->now.items[i].value != NULL) {
+            item_set(store, store->now.items[i].key, NULL, 0);
         }
     }
 }
@@ -246,8 +268,8 @@
     (void)events;
     tier_store_t *store = timer->data;
     int64_t now_us = clock_now_us();
-    for (uint32_t i = store->lease_count; i-- > 0;) {
-        if (now_us >= store->leases[i].expires_us) {
+    for (uint32_t i = store->now.lease_count; i-- > 0;) {
+        if (now_us >= store->now.leases[i].expires_us) {
             lease_end(store, i);
         }
     }
@@ -302,16 +324,16 @@
     query_parameter(target, "prefix", prefix, sizeof(prefix));
     reads_get_or_add(store, prefix)->lists++;
     json_t *items = json_array();
-    for (uint32_t i = 0; i < store->item_count; i++) {
-        const item_t *item = &store->items[i];
+    for (uint32_t i = 0; i < store->now.item_count; i++) {
+        const item_t *item = &store->now.items[i];
         if (item->base64 != NULL &&
             strncmp(item->key, prefix, strlen(prefix)) == 0) {
             json_array_append_new(items, item_json(item));
         }
     }
-    answer_json(exchange, 200,
+    answer_json(store, exchange, 200,
                 json_pack("{s:o, s:b, s:I}", "items", items, "has_more", 0,
-                          "current_rev", (json_int_t)store->revision));
+                          "current_rev", (json_int_t)store->now.revision));
 }
 
 static void
@@ -325,10 +347,14 @@
     query_parameter(target, "wait_ms", wait_ms, sizeof(wait_ms));
     reads_get_or_add(store, prefix)->watches++;
     if (store->mode == TIER_STORE_COMPACTED) {
-        answer_json(exchange, 410, NULL);
+        answer_json(store, exchange, 410, NULL);
         return;
     }
     uint64_t since = strtoull(after, NULL, 10);
+    if (since > store->now.revision) {
+        answer_json(store, exchange, 410, NULL);
+        return;
+    }
     json_t *events = changes_since(store, prefix, since);
     int64_t wait_us = strtoll(wait_ms, NULL, 10) * 1000;
     bool can_wait = wait_us > 0 && store->watch_count < WATCHES_MAX;
@@ -356,25 +382,32 @@
             base64_decode(json_string_value(json_object_get(put, "value"))),
             (uint64_t)json_integer_value(json_object_get(put, "lease")));
     }
-    answer_json(exchange, 200,
-                json_pack("{s:I}", "rev", (json_int_t)store->revision));
+    answer_json(store, exchange, 200,
+                json_pack("{s:I}", "rev", (json_int_t)store->now.revision));
     watches_serve(store);
 }
 
-static void
-handle_lease_grant(tier_store_t *store, exchange_t *exchange,
-                   const json_t *body)
+uint64_t
+tier_store_grant_lease(tier_store_t *store, int64_t ttl_ms)
 {
-    int64_t ttl_ms = json_integer_value(json_object_get(body, "ttl_ms"));
-    lease_row_t *lease = &store->leases[store->lease_count++];
+    lease_row_t *lease = &store->now.leases[store->now.lease_count++];
     *lease = (lease_row_t){
-        .id = ++store->next_lease,
+        .id = ++store->now.next_lease,
         .ttl_us = ttl_ms * 1000,
         .expires_us = clock_now_us() + ttl_ms * 1000,
     };
-    answer_json(exchange, 200,
-                json_pack("{s:I, s:I}", "lease", (json_int_t)lease->id,
-                          "ttl_ms", (json_int_t)ttl_ms));
+    return lease->id;
+}
+
+static void
+handle_lease_grant(tier_store_t *store, exchange_t *exchange,
+                   const json_t *body)
+{
+    int64_t ttl_ms = json_integer_value(json_object_get(body, "ttl_ms"));
+    uint64_t id = tier_store_grant_lease(store, ttl_ms);
+    answer_json(store, exchange, 200,
+                json_pack("{s:I, s:I}", "lease", (json_int_t)id, "ttl_ms",
+                          (json_int_t)ttl_ms));
 }
 
 static void
@@ -383,8 +416,8 @@
 {
     bool ends = strstr(target, "lease-end") != NULL;
     uint64_t id = strtoull(strrchr(target, '/') + 1, NULL, 10);
-    for (uint32_t i = 0; i < store->lease_count; i++) {
-        lease_row_t *lease = &store->leases[i];
+    for (uint32_t i = 0; i < store->now.lease_count; i++) {
+        lease_row_t *lease = &store->now.leases[i];
         if (lease->id == id) {
             if (ends) {
                 lease_end(store, i);
@@ -392,11 +425,11 @@
             else {
                 lease->expires_us = clock_now_us() + lease->ttl_us;
             }
-            answer_json(exchange, 200, NULL);
+            answer_json(store, exchange, 200, NULL);
             return;
         }
     }
-    answer_json(exchange, 404, NULL);
+    answer_json(store, exchange, 404, NULL);
 }
 
 static void
@@ -407,7 +440,7 @@
     const char *target = http_target(message);
     store->calls++;
     if (store->mode == TIER_STORE_UNAVAILABLE) {
-        answer_json(exchange, 503, NULL);
+        answer_json(store, exchange, 503, NULL);
         return;
     }
     if (store->mode == TIER_STORE_SILENT) {
@@ -455,7 +488,8 @@
     static const http_server_settings_t settings = {.connections_max = 200};
     tier_store_t *store = calloc(1, sizeof(*store));
     store->loop = loop;
-    store->revision = 10;
+    store->now.revision = 10;
+    store->era = 1;
     store->server = http_server_new(loop, &settings);
     if (!http_server_listen(store->server, address, &store_handler, store)) {
         abort();
@@ -472,8 +506,57 @@
     store->mode = mode;
     /* Open watches end with the start of the outage. */
     while (mode == TIER_STORE_UNAVAILABLE && store->watch_count > 0) {
-        answer_json(store->watches[--store->watch_count].exchange, 503, NULL);
+        answer_json(store, store->watches[--store->watch_count].exchange, 503,
+                    NULL);
+    }
+}
+
+static void
+content_release(content_t *content)
+{
+    for (uint32_t i = 0; i < content->item_count; i++) {
+        free(content->items[i].base64);
+        free(content->items[i].value);
     }
+    content->item_count = 0;
+}
+
+static void
+content_copy(content_t *to, const content_t *from)
+{
+    content_release(to);
+    *to = *from;
+    for (uint32_t i = 0; i < to->item_count; i++) {
+        item_t *item = &to->items[i];
+        item->base64 = item->base64 != NULL ? strdup(item->base64) : NULL;
+        item->value = item->value != NULL ? strdup(item->value) : NULL;
+    }
+}
+
+void
+tier_store_back_up(tier_store_t *store)
+{
+    content_copy(&store->backup, &store->now);
+}
+
+void
+tier_store_restore(tier_store_t *store)
+{
+    content_copy(&store->now, &store->backup);
+    store->era++;
+    for (uint32_t i = store->watch_count; i-- > 0;) {
+        watch_t watch = store->watches[i];
+        if (watch.after > store->now.revision) {
+            store->watches[i] = store->watches[--store->watch_count];
+            answer_json(store, watch.exchange, 410, NULL);
+        }
+    }
+}
+
+void
+tier_store_set_era_text(tier_store_t *store, const char *text)
+{
+    store->era_text = text;
 }
 
 void
@@ -481,9 +564,7 @@
 {
     ev_timer_stop(store->loop, &store->tick);
     http_server_free(store->server);
-    for (uint32_t i = 0; i < store->item_count; i++) {
-        free(store->items[i].base64);
-        free(store->items[i].value);
-    }
+    content_release(&store->now);
+    content_release(&store->backup);
     free(store);
 }
--- a/t/lib/tier_store.h
+++ b/t/lib/tier_store.h
@@ -1,6 +1,7 @@
 /*
  * A stand-in for the platform's store on the test's event loop: keys with
- * revisions, ranges, watches that stay open, leases.
+ * revisions, ranges, watches that stay open, leases, restoration from a
+ * backup.
  *
  *     tier_store_t *store = tier_store_new(loop, &address);
  *     tier_store_put(store, "op/config", text);
@@ -35,6 +36,21 @@
 void tier_store_put(tier_store_t *store, const char *key, const char *value);
 void tier_store_remove(tier_store_t *store, const char *key);
 
+/* Make the backup that tier_store_restore goes back to; it replaces an older
+   one. */
+void tier_store_back_up(tier_store_t *store);
+
+/* Go back to the backup: later writes and leases are lost, and revisions and
+   lease ids are given out again. The era rises by one. */
+void tier_store_restore(tier_store_t *store);
+
+/* Grant a lease to another client; returns its id. */
+uint64_t tier_store_grant_lease(tier_store_t *store, int64_t ttl_ms);
+
+/* The text of the era's header in all responses from now on, instead of the
+   store's era; it must stay valid. NULL: the era; "": no header. */
+void tier_store_set_era_text(tier_store_t *store, const char *text);
+
 /* The value of a key, valid until it changes; NULL: there is none. */
 const char *tier_store_get(const tier_store_t *store, const char *key);
 
--- a/t/lib/tier_upstream.c
+++ b/t/lib/tier_upstream.c
@@ -34,6 +34,7 @@
     struct ev_loop *loop;
     ev_io io;
     int fd;
+    struct sockaddr_in address;
     tier_script_t script;
     client_t *clients;
     uint32_t requests;
@@ -195,6 +196,7 @@
                   const tier_script_t *script)
 {
     tier_upstream_server_t *server = calloc(1, sizeof(*server));
+    server->address = *address;
     server->loop = loop;
     server->script = *script;
     server->fd = listener_open(address);
@@ -207,6 +209,12 @@
     return server;
 }
 
+const struct sockaddr_in *
+tier_upstream_address(const tier_upstream_server_t *server)
+{
+    return &server->address;
+}
+
 void
 tier_upstream_set(tier_upstream_server_t *server, const tier_script_t *script)
 {
--- a/t/lib/tier_upstream.h
+++ b/t/lib/tier_upstream.h
@@ -37,6 +37,10 @@
                                           const tier_script_t *script);
 void tier_upstream_free(tier_upstream_server_t *server);
 
+/* The address that the server listens on. */
+const struct sockaddr_in *
+tier_upstream_address(const tier_upstream_server_t *server);
+
 /* Replace the script, from the next request on. */
 void tier_upstream_set(tier_upstream_server_t *server,
                        const tier_script_t *script);
--- a/t/t1001-platform.c
+++ b/t/t1001-platform.c
@@ -4,6 +4,7 @@
  */
 #include "platform/boot.h"
 #include "platform/documents.h"
+#include "platform/header_values.h"
 #include "platform/kv.h"
 #include "t/lib/suite.h"
 
@@ -294,6 +295,85 @@
 }
 END_TEST
 
+typedef struct {
+    const char *text;
+    header_status_t status;
+    int64_t value;
+} header_case_t;
+
+static const header_case_t era_cases[] = {
+    {NULL, HEADER_ABSENT, 0},
+    {"1", HEADER_VALID, 1},
+    {"524287", HEADER_VALID, 524287},
+    {"524288", HEADER_INVALID, 0},
+    {"0", HEADER_INVALID, 0},
+    {"", HEADER_INVALID, 0},
+    {"-1", HEADER_INVALID, 0},
+    {"1.5", HEADER_INVALID, 0},
+    {"0x1f", HEADER_INVALID, 0},
+    {"18446744073709551617", HEADER_INVALID, 0},
+};
+
+static const header_case_t retry_after_cases[] = {
+    {NULL, HEADER_ABSENT, 0},
+    {"2", HEADER_VALID, 2000000},
+    {"0.25", HEADER_VALID, 250000},
+    {"0", HEADER_VALID, 0},
+    {"600", HEADER_VALID, 600000000},
+    {"601", HEADER_CAPPED, 600000000},
+    {"1e300", HEADER_CAPPED, 600000000},
+    {"-1", HEADER_INVALID, 0},
+    {"nan", HEADER_INVALID, 0},
+    {"inf", HEADER_INVALID, 0},
+    {"", HEADER_INVALID, 0},
+    {"2s", HEADER_INVALID, 0},
+    {"Fri, 04 Dec 2026 06:00:00 GMT", HEADER_INVALID, 0},
+};
+
+START_TEST(test_era_header)
+{
+    const header_case_t *c = &era_cases[_i];
+    uint64_t era = 7;
+    ck_assert_msg(header_parse_store_era(c->text, &era) == c->status, "%s",
+                  c->text != NULL ? c->text : "absent");
+    ck_assert_uint_eq(era, (uint64_t)c->value);
+}
+END_TEST
+
+START_TEST(test_retry_after_header)
+{
+    const header_case_t *c = &retry_after_cases[_i];
+    int64_t retry_after_us = 7;
+    ck_assert_msg(header_parse_retry_after(c->text, &retry_after_us) ==
+                      c->status,
+                  "%s", c->text != NULL ? c->text : "absent");
+    ck_assert_int_eq(retry_after_us, c->value);
+}
+END_TEST
+
+/* Revisions are ordered by era first, and a call has the store's own
+   revision. */
+START_TEST(test_revisions)
+{
+    kv_call_t call;
+    kv_response_t response;
+    static const char page[] =
+        "{\"items\":[{\"key\":\"k\",\"value\":\"\",\"rev\":4}],"
+        "\"current_rev\":9}";
+    ck_assert(kv_revision(2, 5) > kv_revision(1, KV_REVISION_MASK));
+    ck_assert_uint_eq(kv_revision_era(kv_revision(KV_ERA_MAX, 5)), KV_ERA_MAX);
+    ck_assert_int_gt((int64_t)kv_revision(KV_ERA_MAX, KV_REVISION_MASK), 0);
+    ck_assert(kv_response_parse(&response, page, strlen(page)));
+    kv_response_set_era(&response, 3);
+    ck_assert_uint_eq(response.revision, kv_revision(3, 9));
+    ck_assert_uint_eq(response.items[0].revision, kv_revision(3, 4));
+    ck_assert(kv_call_watch(&call, "op/", response.revision, 0));
+    ck_assert_ptr_nonnull(strstr(call.target, "&after=9&"));
+    kv_call_release(&call);
+    kv_response_release(&response);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -303,6 +383,12 @@
     tcase_add_loop_test(tests, test_response, 0,
                         sizeof(response_cases) / sizeof(response_cases[0]));
     tcase_add_test(tests, test_calls);
+    tcase_add_loop_test(tests, test_era_header, 0,
+                        sizeof(era_cases) / sizeof(era_cases[0]));
+    tcase_add_loop_test(tests, test_retry_after_header, 0,
+                        sizeof(retry_after_cases) /
+                            sizeof(retry_after_cases[0]));
+    tcase_add_test(tests, test_revisions);
     tcase_add_loop_test(tests, test_routes, 0,
                         sizeof(routes_cases) / sizeof(routes_cases[0]));
     tcase_add_test(tests, test_route_fields);
--- a/t/t1003-observed-state.c
+++ b/t/t1003-observed-state.c
@@ -3,6 +3,7 @@
  * watch of a prefix in the store, the lease of its own record, and the polling
  * intervals.
  */
+#include "platform/kv.h"
 #include "t/lib/suite.h"
 #include "tier/follow.h"
 #include "tier/lease.h"
@@ -125,6 +126,69 @@
 }
 END_TEST
 
+/* What a restored store lists of an upstream that was known before. */
+typedef struct {
+    const char *name;
+    bool draining;       /* known before */
+    bool removed;        /* after the backup */
+    int64_t started_ms;  /* known before */
+    int64_t restored_ms; /* start in the restored entry */
+    int64_t checked_us;  /* after the restoration */
+    bool usable;
+} restored_case_t;
+
+static const restored_case_t restored_cases[] = {
+    {"as before", false, false, 1000, 1000, 0, true},
+    {"has drained since", true, false, 1000, 1000, 0, false},
+    {"has drained since, start unknown", true, false, 0, 0, 0, false},
+    {"was restarted since", false, false, 2000, 1000, 0, true},
+    {"was restarted since, then drained", true, false, 2000, 1000, 0, false},
+    {"is restarted", true, false, 1000, 2000, 0, true},
+    {"was removed", false, true, 1000, 1000, 3 * SECOND, false},
+    {"was removed, but is renewed", false, true, 1000, 1000, 5 * SECOND, true},
+    {"was removed after a restart", false, true, 2000, 1000, 3 * SECOND,
+     false},
+    {"was removed, and is restarted", false, true, 1000, 2000, 0, true},
+};
+
+START_TEST(test_restored_entries)
+{
+    const restored_case_t *c = &restored_cases[_i];
+    registry_t registry;
+    registry_init(&registry);
+    registry.heartbeat_us = SECOND;
+    instance_entry_t entry = entry_of("i-1");
+    entry.started_ms = c->started_ms;
+    entry.draining = c->draining;
+    registry_put(&registry, &entry, kv_revision(1, 500), T0);
+    if (c->removed) {
+        registry_remove(&registry, "i-1", kv_revision(1, 501), T0);
+    }
+    registry_store_restored(&registry, T0);
+    registry_list_begin(&registry);
+    entry.started_ms = c->restored_ms;
+    entry.draining = false;
+    /* Given out again, so lower than before. */
+    registry_put(&registry, &entry, kv_revision(2, 90), T0);
+    registry_list_end(&registry, T0);
+    registry_expire(&registry, T0 + 9 * SECOND);
+    pool_t *pool = registry_pool(&registry, "s");
+    ck_assert_uint_eq(pool->count, 1);
+    ck_assert_msg(instance_is_usable(pool->instances[0], T0 + c->checked_us) ==
+                      c->usable,
+                  "%s", c->name);
+    /* A write of the era before, or of before the restoration, is late. */
+    entry.draining = true;
+    entry.started_ms = 3000;
+    ck_assert_int_eq(registry_put(&registry, &entry, kv_revision(1, 900), T0),
+                     REGISTRY_UNCHANGED);
+    ck_assert_int_eq(
+        registry_remove(&registry, "i-1", kv_revision(1, 901), T0),
+        REGISTRY_UNCHANGED);
+    registry_release(&registry);
+}
+END_TEST
+
 START_TEST(test_zones)
 {
     registry_t registry;
@@ -219,7 +283,7 @@
     kv_call_t call;
     kv_response_t granted = {.lease = 7, .ttl_us = 3 * SECOND};
     kv_response_t empty = {0};
-    lease_init(&lease, "own/a", 3 * SECOND);
+    lease_init(&lease, "own/a", 3 * SECOND, 3);
     ck_assert(lease_next_call(&lease, "x", 1, &call, T0));
     ck_assert_str_eq(call.target, "/-/kv-lease");
     kv_call_release(&call);
@@ -254,7 +318,7 @@
     kv_call_t call;
     kv_response_t granted = {.lease = 7, .ttl_us = 3 * SECOND};
     kv_response_t empty = {0};
-    lease_init(&lease, "own/a", 3 * SECOND);
+    lease_init(&lease, "own/a", 3 * SECOND, 3);
     lease_next_call(&lease, "x", 1, &call, T0);
     kv_call_release(&call);
     lease_response(&lease, 200, &granted, T0);
@@ -471,6 +535,8 @@
                         sizeof(expiry_cases) / sizeof(expiry_cases[0]));
     tcase_add_test(tests, test_stale_writes);
     tcase_add_test(tests, test_restart_under_same_id);
+    tcase_add_loop_test(tests, test_restored_entries, 0,
+                        sizeof(restored_cases) / sizeof(restored_cases[0]));
     tcase_add_test(tests, test_zones);
     tcase_add_test(tests, test_follow);
     tcase_add_loop_test(tests, test_lease, 0,
--- a/t/t1004-placement.c
+++ b/t/t1004-placement.c
@@ -102,6 +102,19 @@
     instance->misaddressed_us = T0;
 }
 
+static void
+make_leaving(instance_t *instance)
+{
+    instance->leaving = true;
+}
+
+static void
+make_resting(instance_t *instance)
+{
+    instance_rest(instance, 2 * SECOND, T0);
+    instance_rest(instance, SECOND, T0); /* the longest rest counts */
+}
+
 static void
 make_unreachable(instance_t *instance)
 {
@@ -140,6 +153,8 @@
     {"silent", make_silent, true, 0},
     {"draining", make_draining, true, 0},
     {"misaddressed", make_misaddressed, true, 6 * SECOND},
+    {"leaving", make_leaving, true, 0},
+    {"resting", make_resting, true, 2 * SECOND},
     {"unreachable", make_unreachable, true, 2 * SECOND},
     {"full", make_busy, true, 0},
 };
@@ -198,6 +213,32 @@
 }
 END_TEST
 
+/* A request waits for upstreams that all rest only if the first rest ends in
+   time for it. */
+START_TEST(test_all_rest)
+{
+    fixture_t f;
+    pick_result_t result;
+    fixture_init(&f);
+    for (int i = 0; i < 3; i++) {
+        ck_assert_int_eq(pool_rest_end_us(&f.pool, &(pool_pick_t){0}, T0), 0);
+        instance_rest(&f.instances[i], (3 - i) * SECOND, T0);
+    }
+    ck_assert_int_eq(pool_rest_end_us(&f.pool, &(pool_pick_t){0}, T0),
+                     T0 + SECOND);
+    pool_pick_t pick = {.wait_until_us = T0 + SECOND};
+    ck_assert_int_eq(pick_from(&f, &pick, T0, &result), -1);
+    ck_assert_int_eq(result, PICK_FULL);
+    ck_assert_uint_gt(pool_capacity(&f.pool, &pick, T0), 0);
+    pick.wait_until_us = T0 + SECOND - 1;
+    ck_assert_int_eq(pick_from(&f, &pick, T0, &result), -1);
+    ck_assert_int_eq(result, PICK_NONE);
+    ck_assert_uint_eq(pool_capacity(&f.pool, &pick, T0), 0);
+    ck_assert_int_eq(pick_from(&f, &pick, T0 + SECOND, &result), 2);
+    pool_release(&f.pool);
+}
+END_TEST
+
 typedef struct {
     uint32_t slots;
     uint32_t fleet;
@@ -371,6 +412,7 @@
     tcase_add_loop_test(tests, test_avoid, 0,
                         sizeof(avoid_cases) / sizeof(avoid_cases[0]));
     tcase_add_test(tests, test_results);
+    tcase_add_test(tests, test_all_rest);
     tcase_add_loop_test(tests, test_concurrency_limit, 0,
                         sizeof(limit_cases) / sizeof(limit_cases[0]));
     tcase_add_test(tests, test_cold_rate);
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -3,6 +3,7 @@
 #include "http/conn.h"
 #include "t/lib/suite.h"
 #include "t/lib/tier_address.h"
+#include "t/lib/tier_fixture.h"
 #include "t/lib/tier_store.h"
 #include "t/lib/tier_upstream.h"
 #include "tier/members.h"
@@ -15,210 +16,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { UPSTREAMS = 3, REPLY_SIZE = 16384, CALLER_DEADLINE_MS = 600 };
-
-#define SIGNED_HEADERS                                                        \
-    "X-Yuccarun-Answer-Stamp: sig\r\nX-Yuccarun-Request-Id: %I\r\n"
-#define GOOD_RESPONSE                                                         \
-    "HTTP/1.1 200 OK\r\n" SIGNED_HEADERS                                      \
-    "X-Kept: yes\r\nContent-Length: 16\r\n\r\n"                               \
-    "0123456789abcdef"
-
-typedef struct {
-    struct ev_loop *loop;
-    tier_store_t *store;
-    tier_upstream_server_t *upstreams[UPSTREAMS];
-    node_t *node;
-    boot_t boot;
-} fixture_t;
-
-/* One connection of a caller and what it received. */
-typedef struct {
-    conn_t conn;
-    char text[REPLY_SIZE];
-    size_t size;
-    bool ended;
-} caller_t;
-
-static void
-stop(struct ev_loop *loop, ev_timer *timer, int events)
-{
-    (void)timer;
-    (void)events;
-    ev_break(loop, EVBREAK_ONE);
-}
-
-static void
-run_ms(fixture_t *f, int64_t ms)
-{
-    ev_timer timer;
-    ev_timer_init(&timer, stop, (double)ms / 1000, 0);
-    ev_now_update(f->loop);
-    ev_timer_start(f->loop, &timer);
-    ev_run(f->loop, 0);
-    ev_timer_stop(f->loop, &timer);
-}
-
-static void
-put_upstream(fixture_t *f, int number, const struct sockaddr_in *address,
-             const char *service, const char *state)
-{
-    char key[64];
-    char text[256];
-    char host[INET_ADDRSTRLEN];
-    inet_ntop(AF_INET, &address->sin_addr, host, sizeof(host));
-    snprintf(key, sizeof(key), "servers/i-%d", number);
-    snprintf(text, sizeof(text),
-             "{\"service\":\"%s\",\"addr\":\"%s:%u\",\"zone\":\"a\","
-             "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
-             "\"cold_left_ms\":0,\"seq\":1}",
-             service, host, ntohs(address->sin_port), state);
-    tier_store_put(f->store, key, text);
-}
-
-static void
-put_config(fixture_t *f, int version)
-{
-    char text[1024];
-    snprintf(
-        text, sizeof(text),
-        "{\"version\":%d,\"routes\":["
-        "{\"name\":\"one\",\"host\":\"h\",\"prefix\":\"/one/\",\"type\":"
-        "\"idempotent\",\"timeout_ms\":2000,\"goal_ms\":300,\"service\":"
-        "\"s0\","
-        "\"attempts\":2},"
-        "{\"name\":\"once\",\"host\":\"h\",\"prefix\":\"/once/\",\"type\":"
-        "\"non_idempotent\",\"timeout_ms\":2000,\"goal_ms\":300,"
-        "\"service\":\"s0\",\"attempts\":2},"
-        "{\"name\":\"all\",\"host\":\"h\",\"prefix\":\"/all/\",\"type\":"
-        "\"idempotent\",\"timeout_ms\":2000,\"goal_ms\":300,\"gather\":"
-        "[\"s0\",\"s1\",\"s2\"],\"attempts\":2,\"top_k\":2,"
-        "\"min_version\":0.6}],\"services\":[],"
-        "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1000,"
-        "\"header_timeout_ms\":400,\"idle_timeout_ms\":700}}",
-        version);
-    tier_store_put(f->store, "op/config", text);
-}
-
-/* A daemon, its store and one upstream for each of the services s0, s1, s2. */
-static void
-fixture_start(fixture_t *f, bool first_start)
-{
-    static const char *const services[] = {"s0", "s1", "s2"};
-    static const tier_script_t good = {.bytes = GOOD_RESPONSE};
-    char why[128];
-    *f = (fixture_t){.loop = ev_loop_new(EVBACKEND_EPOLL)};
-    f->boot = (boot_t){
-        .daemon_name = "front-a-1",
-        .zone = "a",
-        .callers_address = unique_loopback_address(),
-        .readiness_address = unique_loopback_address(),
-        .directory_address = unique_loopback_address(),
-        .control_address = unique_loopback_address(),
-        .store_address = unique_loopback_address(),
-        .has_control = true,
-        .has_callers = true,
-        .serves_metrics = false,
-        .has_readiness = true,
-        .has_directory = true,
-        .has_store = true,
-        .callers_address_text = "127.0.0.1:1",
-        .grace_us = 2500000,
-        .drain_us = 5000000,
-        .directory_ttl_us = 5000000,
-        .min_lease_us = 100000,
-        .retry_ratio = 0.2,
-        .retry_slack = 50,
-        .bootstrap = first_start,
-    };
-    f->store = tier_store_new(f->loop, &f->boot.store_address);
-    for (int i = 0; i < UPSTREAMS; i++) {
-        struct sockaddr_in address = unique_loopback_address();
-        f->upstreams[i] = tier_upstream_new(f->loop, &address, &good);
-        put_upstream(f, i, &address, services[i], "ready");
-    }
-    put_config(f, 1);
-    f->node = node_start(f->loop, &f->boot, why, sizeof(why));
-    ck_assert_msg(f->node != NULL, "%s", why);
-    run_ms(f, 200);
-}
-
-static void
-fixture_init(fixture_t *f)
-{
-    fixture_start(f, false);
-}
-
-static void
-fixture_release(fixture_t *f)
-{
-    node_free(f->node);
-    for (int i = 0; i < UPSTREAMS; i++) {
-        tier_upstream_free(f->upstreams[i]);
-    }
-    tier_store_free(f->store);
-    ev_loop_destroy(f->loop);
-}
-
-static void
-caller_data(conn_t *conn, const char *bytes, size_t size)
-{
-    caller_t *caller = conn->owner;
-    if (caller->size + size < sizeof(caller->text)) {
-        memcpy(caller->text + caller->size, bytes, size);
-        caller->size += size;
-        caller->text[caller->size] = '\0';
-    }
-}
-
-static void
-caller_disconnected(conn_t *conn, bool clean)
-{
-    caller_t *caller = conn->owner;
-    (void)clean;
-    caller->ended = true;
-    conn_close(conn);
-}
-
-static const conn_ops_t caller_ops = {
-    .data = caller_data,
-    .disconnected = caller_disconnected,
-};
-
-static void
-caller_open(fixture_t *f, caller_t *caller, const struct sockaddr_in *address)
-{
-    memset(caller, 0, sizeof(*caller));
-    ck_assert(conn_open(&caller->conn, f->loop, address, &caller_ops, caller));
-}
-
-static void
-caller_send(caller_t *caller, const char *text)
-{
-    ck_assert(conn_write(&caller->conn, text, strlen(text)));
-}
-
-/* Send text and wait for an answer's head or the connection's end, at most ms
-   milliseconds. */
-static void
-caller_exchange(fixture_t *f, caller_t *caller,
-                const struct sockaddr_in *address, const char *text,
-                int64_t ms)
-{
-    caller_open(f, caller, address);
-    caller_send(caller, text);
-    int64_t until_us = clock_now_us() + ms * 1000;
-    while (!caller->ended && clock_now_us() < until_us &&
-           strstr(caller->text, "\r\n\r\n") == NULL) {
-        run_ms(f, 10);
-    }
-    run_ms(f, 10);
-}
-
-#define REQUEST(path, id)                                                     \
-    "GET " path " HTTP/1.1\r\nHost: h\r\nX-Yuccarun-Request-Id: " id          \
-    "\r\nX-Yuccarun-Deadline-Ms: 600\r\nX-More: kept\r\n\r\n"
-
 /* The answer that a caller gets for each behaviour of the upstream of s0. */
 typedef struct {
     const char *name;
@@ -324,13 +121,6 @@
      1},
 };
 
-static uint32_t
-status_of(const caller_t *caller)
-{
-    return caller->size > 12 ? (uint32_t)strtoul(caller->text + 9, NULL, 10)
-                             : 0;
-}
-
 START_TEST(test_answer)
 {
     const answer_case_t *c = &answer_cases[_i];
@@ -838,14 +628,18 @@
  */
 START_TEST(test_full_state_request)
 {
+    /* Revisions 1000 and 1001 of era 1, as kv_revision has them. */
     static const tier_script_t whole = {
-        .bytes = JSON_ANSWER("95", "{\"age_us\":0,\"upstreams_revision\":1000,"
-                                   "\"upstreams\":{\"rows\":[],\"gone\":[],"
-                                   "\"since\":0,\"digest\":\"0\"}}")};
+        .bytes = JSON_ANSWER("105", "{\"age_us\":0,"
+                                    "\"upstreams_revision\":17592186045416,"
+                                    "\"upstreams\":{\"rows\":[],\"gone\":[],"
+                                    "\"since\":0,\"digest\":\"0\"}}")};
     static const tier_script_t changes = {
-        .bytes = JSON_ANSWER("98", "{\"age_us\":0,\"upstreams_revision\":1001,"
-                                   "\"upstreams\":{\"rows\":[],\"gone\":[],"
-                                   "\"since\":1000,\"digest\":\"1\"}}")};
+        .bytes =
+            JSON_ANSWER("118", "{\"age_us\":0,"
+                               "\"upstreams_revision\":17592186045417,"
+                               "\"upstreams\":{\"rows\":[],\"gone\":[],"
+                               "\"since\":17592186045416,\"digest\":\"1\"}}")};
     fixture_t f;
     char control[64];
     struct sockaddr_in address = unique_loopback_address();
@@ -858,7 +652,7 @@
     uint32_t asked = tier_upstream_requests(peer);
     ck_assert_uint_gt(asked, 0);
     ck_assert_ptr_nonnull(
-        strstr(tier_upstream_last(peer), "upstreams_since=3e8&"));
+        strstr(tier_upstream_last(peer), "upstreams_since=1000000003e8&"));
     tier_upstream_set(peer, &changes);
     while (tier_upstream_requests(peer) == asked) {
         run_ms(&f, 10);
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -16,8 +16,8 @@
     DEADLINE_MARGIN_US = 10000,
     /* Timeout of a request when neither the caller nor the route sets one. */
     DEFAULT_TIMEOUT_US = 10000000,
-    /* Retry-After of 503 answers that this daemon generates; request_fail
-       adds a random part of up to the same length. */
+    /* Least Retry-After of 503 answers that this daemon generates; see
+       request_retry_after_us. */
     REFUSAL_RETRY_AFTER_US = 150000,
     /* A request is refused for CRASH_REFUSE_US as crash-inducing once
        CRASH_ATTEMPTS requests with its fingerprint, at any daemons, have lost
@@ -140,6 +140,14 @@
     engine_dispatch_queued(engine, now_us);
 }
 
+void
+engine_confirm_table(engine_t *engine, uint64_t revision)
+{
+    if (engine->table != NULL && revision > engine->table->revision) {
+        engine->table->revision = revision;
+    }
+}
+
 void
 engine_set_fleet_size(engine_t *engine, uint32_t fleet_size, int64_t now_us)
 {
@@ -425,6 +433,26 @@
     request_remove(request);
 }
 
+/*
+ * Retry-After of a refusal: when the services whose upstreams all rest accept
+ * requests again, but at least REFUSAL_RETRY_AFTER_US. The random part spreads
+ * the callers that return.
+ */
+static int64_t
+request_retry_after_us(const request_t *request, int64_t now_us)
+{
+    int64_t retry_after_us = REFUSAL_RETRY_AFTER_US;
+    for (uint32_t i = 0; i < request->subrequest_count; i++) {
+        int64_t rest_us =
+            subrequest_rest_end_us(&request->subrequests[i], now_us) - now_us;
+        if (rest_us > retry_after_us) {
+            retry_after_us = rest_us;
+        }
+    }
+    return retry_after_us +
+           (int64_t)(engine_random(request->engine) % REFUSAL_RETRY_AFTER_US);
+}
+
 /* Answer with an error. 503 promises that no upstream ran any part of the
    request; 502 and 504 (late) make no such promise. */
 static void
@@ -436,9 +464,7 @@
     }
     else {
         answer.status = 503;
-        answer.retry_after_us =
-            REFUSAL_RETRY_AFTER_US +
-            (int64_t)(engine_random(request->engine) % REFUSAL_RETRY_AFTER_US);
+        answer.retry_after_us = request_retry_after_us(request, now_us);
     }
     request_answer(request, &answer, now_us);
 }
@@ -577,7 +603,7 @@
         char cause[SUBREQUESTS_TEXT_SIZE];
         request_describe_infeasible(request, cause, sizeof(cause), now_us);
         engine_refuse(engine, call, 503, "no_room_in_time", cause,
-                      REFUSAL_RETRY_AFTER_US);
+                      request_retry_after_us(request, now_us));
         request_remove(request);
         return NULL;
     }
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -74,8 +74,9 @@
     reply_kind_t kind;
     const http_message_t *message; /* REPLY_ANSWER; valid during the call */
     const char *signature;         /* of the response; NULL: it has none */
-    int64_t retry_after_us;        /* Retry-After of the response; 0: none */
-    const char *detail;            /* cause for the log; NULL: none */
+    int64_t rest_us;    /* the upstream wants no requests for this; 0: none */
+    bool leaving;       /* the upstream is shutting down */
+    const char *detail; /* cause for the log; NULL: none */
 } reply_t;
 
 typedef enum {
@@ -134,6 +135,9 @@
     int64_t deadline_us; /* latest time at which a response is of use */
     bool hedge;
     bool idempotent;
+    /* The upstream was failing requests before this attempt ended, so that its
+       loss does not point to the request. */
+    bool upstream_failing;
     void *link; /* for the sender's own use */
     /* The request to send; valid during ports.send only. */
     const call_t *call;
@@ -158,6 +162,9 @@
 /* Put a configuration in force; the engine takes its own reference. */
 void engine_configure(engine_t *engine, route_table_t *table, int64_t now_us);
 
+/* The configuration in force was read again at a revision of the store. */
+void engine_confirm_table(engine_t *engine, uint64_t revision);
+
 /* Set the number of daemons that share the upstreams and retry budgets. */
 void engine_set_fleet_size(engine_t *engine, uint32_t fleet_size,
                            int64_t now_us);
--- a/tier/engine_attempt.c
+++ b/tier/engine_attempt.c
@@ -3,6 +3,7 @@
 #include "edge/event.h"
 #include "tier/engine_state.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -65,6 +66,18 @@
 {
     instance_t *instance = attempt->instance;
     int64_t took_us = now_us - attempt->sent_us;
+    if (reply->leaving && !instance->leaving) {
+        instance->leaving = true;
+        event_log(EVENT_UPSTREAM_LEAVING, "id=%s service=%s instance=%s",
+                  attempt->id, attempt->pool->name, instance->entry.id);
+    }
+    if (reply->rest_us > 0) {
+        instance_rest(instance, reply->rest_us, now_us);
+        event_log(EVENT_UPSTREAM_RESTING,
+                  "id=%s service=%s instance=%s rest_ms=%" PRId64, attempt->id,
+                  attempt->pool->name, instance->entry.id,
+                  reply->rest_us / 1000);
+    }
     switch (reply->kind) {
     case REPLY_ANSWER:
         instance_answered(instance, took_us, attempt->expected_us,
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -120,6 +120,10 @@
    that the subrequest may use; 0: none is usable. */
 uint32_t subrequest_capacity(const subrequest_t *subrequest, int64_t now_us);
 
+/* When the first of its upstreams ends its rest, if all of them rest; else
+   0. */
+int64_t subrequest_rest_end_us(const subrequest_t *subrequest, int64_t now_us);
+
 /* Whether the subrequest is estimated to finish by deadline_us. */
 bool subrequest_is_feasible(const subrequest_t *subrequest,
                             int64_t deadline_us, int64_t now_us);
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -85,6 +85,7 @@
         .closed_zones = engine->registry.closed_zone_names,
         .closed_count = engine->registry.closed_zone_count,
         .avoid_count = subrequest->tried_count,
+        .wait_until_us = request->goal_us - subrequest_estimate_us(subrequest),
         .random = engine_random(engine),
     };
     memcpy(pick.avoid, subrequest->tried, sizeof(pick.avoid));
@@ -98,6 +99,14 @@
     return pool_capacity(subrequest->pool, &pick, now_us);
 }
 
+int64_t
+subrequest_rest_end_us(const subrequest_t *subrequest, int64_t now_us)
+{
+    pool_pick_t pick = subrequest_pick_criteria(subrequest);
+    pick.avoid_count = 0;
+    return pool_rest_end_us(subrequest->pool, &pick, now_us);
+}
+
 bool
 subrequest_is_feasible(const subrequest_t *subrequest, int64_t deadline_us,
                        int64_t now_us)
@@ -218,7 +227,8 @@
         until_us =
             request->arrived_us + (request->goal_us - request->arrived_us) / 4;
     }
-    if (!subrequest_is_required(subrequest) || now_us >= until_us) {
+    if (!subrequest_is_required(subrequest) || now_us >= until_us ||
+        subrequest_rest_end_us(subrequest, now_us) > until_us) {
         subrequest_fail(subrequest);
         return;
     }
@@ -464,7 +474,8 @@
     const route_t *route = request->route;
     bool whole = reply->kind == REPLY_ANSWER;
     request->answered_sends += whole ? 1 : 0;
-    request->lost_sends += reply->kind == REPLY_LOST ? 1 : 0;
+    request->lost_sends +=
+        reply->kind == REPLY_LOST && !attempt->upstream_failing ? 1 : 0;
     bool good = whole && reply->signature != NULL &&
                 reply->message->status >= 200 && reply->message->status < 300;
     int64_t took_us = now_us - attempt->sent_us;
@@ -506,6 +517,7 @@
 {
     request_t *request = attempt->request;
     pool_t *pool = attempt->pool;
+    attempt->upstream_failing = instance_is_failing(attempt->instance, now_us);
     attempt_record_result(attempt, reply, now_us);
     if (reply->kind != REPLY_ANSWER || reply->message->status >= 500) {
         attempt_log(attempt, reply, now_us);
--- a/tier/fleet_state.c
+++ b/tier/fleet_state.c
@@ -18,6 +18,8 @@
 /* Query fields: revisions; the requester needs only the changes since then. */
 static const char upstreams_since[] = "upstreams_since";
 static const char members_since[] = "members_since";
+static const char suspects_since[] = "suspects_since";
+static const char suspects_name[] = "suspects";
 
 void
 fleet_digest_compute(fleet_digest_t *digest, uint64_t config_revision,
@@ -41,10 +43,11 @@
     int length = snprintf(
         text, size,
         "%s?config=%" PRIx64 "&%s=%" PRIx64 "&%s=%" PRIx64 "&%s=%" PRIx64
-        "&%s=%" PRIx64 "&%s=%" PRIx64,
+        "&%s=%" PRIx64 "&%s=%" PRIx64 "&%s=%" PRIx64,
         path, digest->config, upstreams_name, digest->upstreams, members_name,
         digest->members, zones_name, digest->zones, upstreams_since,
-        digest->revisions.upstreams, members_since, digest->revisions.members);
+        digest->revisions.upstreams, members_since, digest->revisions.members,
+        suspects_since, digest->revisions.suspects);
     return length > 0 && (size_t)length < size ? (size_t)length : 0;
 }
 
@@ -75,6 +78,7 @@
             {
                 .upstreams = query_field(target, upstreams_since),
                 .members = query_field(target, members_since),
+                .suspects = query_field(target, suspects_since),
             },
     };
 }
@@ -123,6 +127,48 @@
     return rows;
 }
 
+/* The reports after the revision `since`. */
+static json_t *
+suspects_json(const suspect_log_t *log, uint64_t since)
+{
+    json_t *rows = json_array();
+    const suspect_report_t *report;
+    for (uint32_t cursor = 0;
+         (report = suspect_log_next(log, since, &cursor)) != NULL;) {
+        char fingerprint[DIGEST_SIZE];
+        snprintf(fingerprint, sizeof(fingerprint), "%" PRIx64,
+                 report->fingerprint);
+        json_array_append_new(rows, json_pack("[s, s, I]", report->daemon,
+                                              fingerprint,
+                                              (json_int_t)report->revision));
+    }
+    return rows;
+}
+
+size_t
+fleet_state_suspect_count(const fleet_state_t *state)
+{
+    return json_array_size(json_object_get(state->document, suspects_name));
+}
+
+bool
+fleet_state_suspect(const fleet_state_t *state, size_t index,
+                    suspect_report_t *report)
+{
+    const json_t *row =
+        json_array_get(json_object_get(state->document, suspects_name), index);
+    const char *daemon = json_string_value(json_array_get(row, 0));
+    const char *fingerprint = json_string_value(json_array_get(row, 1));
+    json_int_t revision = json_integer_value(json_array_get(row, 2));
+    if (daemon == NULL || fingerprint == NULL || revision <= 0 ||
+        !text_copy(report->daemon, sizeof(report->daemon), daemon)) {
+        return false;
+    }
+    report->fingerprint = strtoull(fingerprint, NULL, 16);
+    report->revision = (uint64_t)revision;
+    return true;
+}
+
 /* The revision since which changes are enough for a requester that knows a
    part up to `theirs`; 0: it needs the complete part. */
 static uint64_t
@@ -182,6 +228,12 @@
     if (own.zones != have->zones) {
         json_object_set_new(root, zones_name, zones_json(registry));
     }
+    if (state->suspects != NULL &&
+        state->suspects->revision > have->revisions.suspects) {
+        json_object_set_new(
+            root, suspects_name,
+            suspects_json(state->suspects, have->revisions.suspects));
+    }
     char *text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
     *size = text != NULL ? strlen(text) : 0;
--- a/tier/fleet_state.h
+++ b/tier/fleet_state.h
@@ -1,7 +1,8 @@
 /*
  * The state that one daemon sends to another as a JSON document: the
  * configuration as the operator wrote it, upstreams, members and closed zones.
- * These four are the parts of the state.
+ * These four are the parts of the state. The suspects reported since the last
+ * request come with them.
  *
  * A request carries digests of the requester's parts and the store revisions
  * they are known up to. The response has only the parts that differ, if
@@ -28,6 +29,7 @@
 
 #include "tier/members.h"
 #include "tier/registry.h"
+#include "tier/suspect_log.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -39,6 +41,7 @@
     uint64_t upstreams;
     uint64_t members;
     uint64_t zones;
+    uint64_t suspects;
 } fleet_revisions_t;
 
 /* Hash of each part, equal in daemons with the same content; 0: empty. */
@@ -59,7 +62,8 @@
     uint64_t config_revision; /* 0: there is none */
     const char *config;       /* NULL: none, or the requester has it */
     size_t config_size;
-    void *document; /* parsed JSON of a received state */
+    const suspect_log_t *suspects; /* to be sent */
+    void *document;                /* parsed JSON of a received state */
 } fleet_state_t;
 
 /* Parts that fleet_state_apply has updated. */
@@ -112,6 +116,13 @@
 void fleet_state_bootstrap(const fleet_state_t *state, registry_t *registry,
                            members_t *members, int64_t now_us);
 
+/* Read the report at an index; false: there is none, or it is invalid. */
+bool fleet_state_suspect(const fleet_state_t *state, size_t index,
+                         suspect_report_t *report);
+
+/* Number of the suspects in a received state. */
+size_t fleet_state_suspect_count(const fleet_state_t *state);
+
 /* Copy the names of the closed zones, at most `max`; returns their number. */
 uint32_t fleet_state_zones(const fleet_state_t *state,
                            char (*names)[INSTANCE_NAME_SIZE], uint32_t max);
--- a/tier/follow.c
+++ b/tier/follow.c
@@ -12,8 +12,8 @@
 follow_next_call(follow_t *follow, kv_call_t *call, int64_t now_us)
 {
     if (follow->busy || now_us < follow->due_us ||
-        (follow->watching &&
-         (follow->settings.list_only || now_us < follow->paused_until_us))) {
+        now_us < follow->paused_until_us ||
+        (follow->watching && follow->settings.list_only)) {
         return false;
     }
     bool built =
--- a/tier/follow.h
+++ b/tier/follow.h
@@ -48,7 +48,7 @@
     uint64_t list_revision;           /* of the first page of the list */
     char page_after[FOLLOW_KEY_SIZE]; /* last key of the previous page */
     int64_t due_us;                   /* earliest time of the next call */
-    int64_t paused_until_us;          /* no call for changes before this */
+    int64_t paused_until_us;          /* no call before this */
     uint32_t failures;                /* consecutive */
 } follow_t;
 
@@ -84,7 +84,8 @@
  */
 void follow_advance(follow_t *follow, uint64_t from, uint64_t to);
 
-/* Make no call for changes before `until_us`: a peer provides them. */
+/* Make no call before `until_us`: a peer provides the items and their
+   changes. */
 void follow_pause_until(follow_t *follow, int64_t until_us);
 
 /* List the prefix again, at `now_us`. */
--- a/tier/instance.c
+++ b/tier/instance.c
@@ -10,6 +10,9 @@
 #define SLOWNESS_MAX 20.0
 /* Weight of the newest request in the failure rate. */
 #define FAILURE_WEIGHT 0.35
+/* Failure rate above which an upstream counts as failing: after two failures
+   in a row. */
+#define FAILING_RATE 0.5
 /* Cost of a failure rate of 1. All costs are in queued requests. */
 #define FAILURE_COST 30.0
 /* Cost of another zone: traffic between zones is slower and is billed. The
@@ -54,6 +57,9 @@
         instance->backoff_until_us = 0;
         instance->connect_failures = 0;
         instance->misaddressed = false;
+        instance->rest_until_us = 0;
+        instance->leaving = false;
+        instance->held_until_us = 0;
     }
 }
 
@@ -156,6 +162,15 @@
     instance_request_ended(instance);
 }
 
+void
+instance_rest(instance_t *instance, int64_t rest_us, int64_t now_us)
+{
+    /* Responses may arrive in any order: the longest rest counts. */
+    if (now_us + rest_us > instance->rest_until_us) {
+        instance->rest_until_us = now_us + rest_us;
+    }
+}
+
 int64_t
 instance_silent_us(const instance_t *instance, int64_t now_us)
 {
@@ -174,13 +189,21 @@
 bool
 instance_is_usable(const instance_t *instance, int64_t now_us)
 {
-    if (!instance->listed || instance->entry.draining) {
+    if (!instance->listed || instance->entry.draining || instance->leaving ||
+        now_us < instance->held_until_us) {
         return false;
     }
     return !instance->misaddressed ||
            now_us - instance->misaddressed_us > MISADDRESSED_US;
 }
 
+bool
+instance_is_failing(const instance_t *instance, int64_t now_us)
+{
+    return instance->failure_rate * instance_decay_factor(instance, now_us) >
+           FAILING_RATE;
+}
+
 double
 instance_slowness(const instance_t *instance, int64_t now_us)
 {
--- a/tier/instance.h
+++ b/tier/instance.h
@@ -58,6 +58,9 @@
     int64_t stats_us;         /* last update of slowness and failure_rate */
     int64_t answered_us;      /* last successful response */
     int64_t backoff_until_us; /* end of the backoff after failed connects */
+    int64_t rest_until_us;    /* it has asked for no requests before this */
+    bool leaving;             /* it has said that it is shutting down */
+    int64_t held_until_us;    /* see REGISTRY_REVIVAL_HEARTBEATS */
     uint32_t connect_failures;
     void *links; /* its connections; see upstream_link.h */
 } instance_t;
@@ -97,16 +100,22 @@
 /* A request was cancelled; that says nothing about the upstream. */
 void instance_dropped(instance_t *instance, int64_t now_us);
 
+/* The upstream has refused a request and asked for no more during rest_us. */
+void instance_rest(instance_t *instance, int64_t rest_us, int64_t now_us);
+
 /* How long the upstream has had requests in flight without any response. */
 int64_t instance_silent_us(const instance_t *instance, int64_t now_us);
 
 bool instance_is_silent(const instance_t *instance, int64_t expected_us,
                         int64_t now_us);
 
-/* Whether the upstream may get requests: listed, not draining and not
-   misaddressed. */
+/* Whether the upstream may get requests: listed, not draining, leaving, held
+   or misaddressed. It may be resting; see instance_t.rest_until_us. */
 bool instance_is_usable(const instance_t *instance, int64_t now_us);
 
+/* Whether the upstream has failed several of its last requests. */
+bool instance_is_failing(const instance_t *instance, int64_t now_us);
+
 /* Ratio of actual to expected response time, after decay; 1: as expected. */
 double instance_slowness(const instance_t *instance, int64_t now_us);
 
--- a/tier/lease.c
+++ b/tier/lease.c
@@ -3,14 +3,17 @@
 #include <stdio.h>
 
 enum {
-    LEASE_RENEWALS_PER_TTL = 3,
     LEASE_RETRY_US = 300000 /* after a failed call */
 };
 
 void
-lease_init(lease_t *lease, const char *key, int64_t ttl_us)
+lease_init(lease_t *lease, const char *key, int64_t ttl_us, uint32_t renewals)
 {
-    *lease = (lease_t){.ttl_us = ttl_us, .next = LEASE_GRANT};
+    *lease = (lease_t){
+        .ttl_us = ttl_us,
+        .renewals = renewals,
+        .next = LEASE_GRANT,
+    };
     snprintf(lease->key, sizeof(lease->key), "%s", key);
 }
 
@@ -41,11 +44,15 @@
     return built;
 }
 
-/* The lease has expired: start over with a new one. */
-static void
-lease_reset(lease_t *lease, int64_t now_us)
+void
+lease_restart(lease_t *lease, int64_t now_us)
 {
+    lease->busy = false;
     lease->lease_id = 0;
+    if (lease->next == LEASE_REVOKE) {
+        lease->ended = true;
+        return;
+    }
     lease->next = LEASE_GRANT;
     lease->due_us = now_us;
 }
@@ -63,7 +70,7 @@
         return;
     }
     if (status == 404) {
-        lease_reset(lease, now_us);
+        lease_restart(lease, now_us);
         return;
     }
     if (status != 200) {
@@ -81,7 +88,7 @@
         break;
     default:
         lease->next = LEASE_RENEW;
-        lease->due_us = now_us + lease->ttl_us / LEASE_RENEWALS_PER_TTL;
+        lease->due_us = now_us + lease->ttl_us / lease->renewals;
         break;
     }
 }
--- a/tier/lease.h
+++ b/tier/lease.h
@@ -1,13 +1,13 @@
 /*
  * This daemon's record in the store, and the lease that it is bound to.
  *
- * The lease is renewed three times per TTL. When it has expired, a new lease
+ * The lease is renewed several times per TTL. When it has expired, a new lease
  * is granted and the record is written again; when only the record is missing,
  * it is written again. A write whose response is lost is retried, which is
  * idempotent: no other daemon writes the key.
  *
  *     lease_t lease;
- *     lease_init(&lease, key, ttl_us);
+ *     lease_init(&lease, key, ttl_us, renewals);
  *     if (lease_next_call(&lease, record, size, &call, now_us)) {
  *         ... send the call ...
  *     }
@@ -34,6 +34,7 @@
 typedef struct {
     char key[LEASE_KEY_SIZE];
     int64_t ttl_us;
+    uint32_t renewals; /* per TTL */
     uint64_t lease_id; /* 0: none */
     lease_step_t next;
     lease_step_t pending; /* of the call in flight, while busy */
@@ -42,7 +43,9 @@
     int64_t due_us;       /* earliest time of the next call */
 } lease_t;
 
-void lease_init(lease_t *lease, const char *key, int64_t ttl_us);
+/* renewals: how often the lease is renewed per TTL, at least twice. */
+void lease_init(lease_t *lease, const char *key, int64_t ttl_us,
+                uint32_t renewals);
 
 /* Build the next call, if one is due and none is in flight. Returns true if
    `call` was built: it then counts as in flight until lease_response or
@@ -58,6 +61,11 @@
 /* The call failed, or its response could not be parsed: retry it later. */
 void lease_failed(lease_t *lease, int64_t now_us);
 
+/* The store no longer has the lease, or its id may belong to another client:
+   be granted a new one at once and write the record again, unless the lease is
+   being revoked. A call in flight must be aborted first. */
+void lease_restart(lease_t *lease, int64_t now_us);
+
 /* The record is missing in the store: write it again. Ignored while a call is
    in flight. */
 void lease_record_missing(lease_t *lease, int64_t now_us);
--- a/tier/members.c
+++ b/tier/members.c
@@ -259,6 +259,13 @@
     }
 }
 
+void
+members_store_restored(members_t *members, int64_t now_us)
+{
+    members->store_unreachable = false;
+    members->store_reachable_us = now_us;
+}
+
 bool
 members_expire(members_t *members, int64_t now_us)
 {
--- a/tier/members.h
+++ b/tier/members.h
@@ -108,6 +108,10 @@
 /* The store is reachable again: removals now get a grace period. */
 void members_store_reachable(members_t *members, int64_t now_us);
 
+/* The store was restored from a backup: members that it lacks get a grace
+   period, as after an outage. */
+void members_store_restored(members_t *members, int64_t now_us);
+
 /* Drop members whose grace period has ended. Returns true if there was one. */
 bool members_expire(members_t *members, int64_t now_us);
 
--- a/tier/metrics_text.c
+++ b/tier/metrics_text.c
@@ -29,6 +29,22 @@
     }
 }
 
+static void
+print_store_calls(FILE *out, const store_link_stats_t *store)
+{
+    static const char *const kinds[STORE_CALL_KINDS] = {
+        [STORE_CALL_LIST] = "list",
+        [STORE_CALL_WATCH] = "watch",
+        [STORE_CALL_LEASE] = "lease",
+        [STORE_CALL_WRITE] = "write",
+    };
+    fprintf(out, "# TYPE yuccarun_store_calls_total counter\n");
+    for (int i = 0; i < STORE_CALL_KINDS; i++) {
+        fprintf(out, "yuccarun_store_calls_total{call=\"%s\"} %" PRIu64 "\n",
+                kinds[i], store->calls[i]);
+    }
+}
+
 /* Upper bounds of the latency histogram's buckets in milliseconds: around the
    latency goals of the deployments' classes, and fractions of these goals. */
 static const int64_t bucket_ms[] = {5,   10,  20,  30,  40,  60,   80,  100,
@@ -79,10 +95,11 @@
             links->opened);
     fprintf(out, "yuccarun_upstream_reuses_total %" PRIu64 "\n",
             links->reused);
-    fprintf(out, "yuccarun_store_calls_total %" PRIu64 "\n", store->calls);
+    print_store_calls(out, store);
     fprintf(out, "yuccarun_store_failures_total %" PRIu64 "\n",
             store->failures);
     fprintf(out, "yuccarun_store_reachable %d\n", store->reachable);
+    fprintf(out, "yuccarun_store_era %" PRIu64 "\n", store->era);
     fprintf(out, "yuccarun_fleet %u\n", node->fleet_size);
     if (fclose(out) != 0) {
         return NULL;
--- a/tier/node.c
+++ b/tier/node.c
@@ -29,9 +29,12 @@
        all others has read their records and a peer's response, and knows
        whether it will poll that peer instead of the store. */
     OPERATOR_FIRST_DELAY_US = 3000000,
-    /* A daemon that crashes stays listed for this long. The lease is renewed
-       three times within it. */
-    MEMBER_LEASE_US = 3000000,
+    /* How long a starting daemon that knows the members waits for a peer's
+       state before it lists the other prefixes itself. */
+    FIRST_LIST_DELAY_US = 600000,
+    /* After a restoration of the store, closed zones that it does not list
+       stay closed for this long, in which the operator writes them again. */
+    ZONES_HOLD_US = 5000000,
     /* New requests are still accepted for this long after SIGTERM. */
     SHUTDOWN_SERVE_MAX_US = 3000000,
     /* Unfinished requests are given up this long before SIGKILL. */
@@ -72,6 +75,33 @@
               node->members.count);
 }
 
+void
+node_begin_restored(node_t *node, uint64_t from_era, uint64_t era,
+                    int64_t now_us)
+{
+    const route_table_t *table = engine_table(node->engine);
+    registry_store_restored(engine_registry(node->engine), now_us);
+    members_store_restored(&node->members, now_us);
+    node->zones_held_until_us = now_us + ZONES_HOLD_US;
+    node->registry_copy_stale = true;
+    event_log(EVENT_STORE_RESTORED,
+              "era=%" PRIu64 " from=%" PRIu64 " v=%" PRIu64
+              " upstreams=%u members=%u closed_zones=%u",
+              era, from_era, table != NULL ? table->version : 0,
+              registry_count(engine_registry(node->engine)),
+              node->members.count,
+              engine_registry(node->engine)->closed_zone_count);
+}
+
+static void
+store_was_restored(void *owner, uint64_t from_era, uint64_t era,
+                   int64_t now_us)
+{
+    node_t *node = owner;
+    node_begin_restored(node, from_era, era, now_us);
+    node_rewrite_suspects(node, now_us);
+}
+
 /* --- ports of the engine ---------------------------------------------- */
 
 static bool
@@ -171,6 +201,7 @@
 {
     registry_t *registry = engine_registry(node->engine);
     registry_expire(registry, now_us);
+    node_release_zones(node, now_us);
     node_copy_registry(node, now_us);
     http_server_sweep(node->caller_server, now_us);
     http_server_sweep(node->aux_server, now_us);
@@ -232,27 +263,17 @@
         .long_poll_us = wait_us,
     };
     /* Only the first prefix is still polled while the store is unreachable. */
-    return store_link_follow(node->store, &upstreams_settings,
-                             &node_upstreams_reader, node) &&
-           store_link_follow(node->store, &operator_settings,
-                             &node_operator_reader, node) &&
-           store_link_follow(node->store, &members_settings,
-                             &node_fleet_reader, node);
-}
-
-static void
-node_register(node_t *node)
-{
-    char key[LEASE_KEY_SIZE];
-    char record[MEMBER_RECORD_SIZE];
-    const boot_t *boot = &node->boot;
-    snprintf(key, sizeof(key), KEY_MEMBERS "%s", boot->daemon_name);
-    if (node_format_record(node, record, sizeof(record)) > 0) {
-        store_link_register(node->store, key, record,
-                            MEMBER_LEASE_US > boot->min_lease_us
-                                ? MEMBER_LEASE_US
-                                : boot->min_lease_us);
-    }
+    bool following = store_link_follow(node->store, &upstreams_settings,
+                                       &node_upstreams_reader, node) &&
+                     store_link_follow(node->store, &operator_settings,
+                                       &node_operator_reader, node) &&
+                     store_link_follow(node->store, &members_settings,
+                                       &node_fleet_reader, node);
+    /* Of a large fleet's members, only the store readers list the others. */
+    int64_t until_us = node->started_us + FIRST_LIST_DELAY_US;
+    store_link_pause_polling(node->store, KEY_UPSTREAMS, until_us);
+    store_link_pause_polling(node->store, KEY_OPERATOR, until_us);
+    return following;
 }
 
 static bool
@@ -313,6 +334,7 @@
     static const store_ops_t store_ops = {
         .unreachable = store_became_unreachable,
         .reachable = store_became_reachable,
+        .restored = store_was_restored,
     };
     const boot_t *boot = &node->boot;
     engine_settings_t settings = {
@@ -361,11 +383,11 @@
         return NULL;
     }
     node->front.engine = node->engine;
+    engine_registry(node->engine)->heartbeat_us = boot->heartbeat_us;
     if (!node_listen(node, error, error_size)) {
         node_free(node);
         return NULL;
     }
-    node_register(node);
     node_add_self(node, now_us);
     node->fleet_size = members_fleet_size(&node->members, now_us);
     engine_set_fleet_size(node->engine, node->fleet_size, now_us);
--- a/tier/node_config.c
+++ b/tier/node_config.c
@@ -49,7 +49,11 @@
         return;
     }
     if (old != NULL && table->version <= old->version) {
-        if (table->version < old->version) {
+        if (table->version == old->version) {
+            /* Written again, by a restored store or its operator. */
+            engine_confirm_table(node->engine, revision);
+        }
+        else {
             event_log(EVENT_CONFIG_OLDER_IGNORED,
                       "v=%" PRIu64 " rev=%" PRIu64 " in_force=%" PRIu64,
                       table->version, revision, old->version);
@@ -81,6 +85,35 @@
               applied);
 }
 
+static void
+listed_zones_add(node_t *node, const char *zone)
+{
+    for (uint32_t i = 0; i < node->listed_zone_count; i++) {
+        if (strcmp(node->listed_zones[i], zone) == 0) {
+            return;
+        }
+    }
+    if (node->listed_zone_count < REGISTRY_ZONES_MAX &&
+        text_copy(node->listed_zones[node->listed_zone_count],
+                  INSTANCE_NAME_SIZE, zone)) {
+        node->listed_zone_count++;
+    }
+}
+
+static void
+listed_zones_remove(node_t *node, const char *zone)
+{
+    for (uint32_t i = node->listed_zone_count; i-- > 0;) {
+        if (strcmp(node->listed_zones[i], zone) == 0) {
+            uint32_t last = --node->listed_zone_count;
+            if (i != last) {
+                memcpy(node->listed_zones[i], node->listed_zones[last],
+                       INSTANCE_NAME_SIZE);
+            }
+        }
+    }
+}
+
 static void
 operator_list_begin(void *owner, int64_t now_us)
 {
@@ -104,19 +137,23 @@
     else if (strncmp(item->key, evacuate, length) == 0) {
         const char *zone = item->key + length;
         zone_set_closed(node, zone, !item->removed);
-        if (!item->removed && node->listed_zone_count < REGISTRY_ZONES_MAX &&
-            text_copy(node->listed_zones[node->listed_zone_count],
-                      INSTANCE_NAME_SIZE, zone)) {
-            node->listed_zone_count++;
+        if (item->removed) {
+            listed_zones_remove(node, zone);
+        }
+        else {
+            listed_zones_add(node, zone);
         }
     }
 }
 
-/* Reopen the closed zones that are missing from the list. */
+/* Reopen the closed zones that are not listed. */
 static void
 operator_list_end(void *owner, int64_t now_us)
 {
     node_t *node = owner;
+    if (now_us < node->zones_held_until_us) {
+        return;
+    }
     registry_t *registry = engine_registry(node->engine);
     for (uint32_t i = registry->closed_zone_count; i-- > 0;) {
         char zone[INSTANCE_NAME_SIZE];
@@ -139,14 +176,21 @@
     node->listed_zone_count = 0;
     for (uint32_t i = 0; i < count; i++) {
         zone_set_closed(node, names[i], true);
-        if (text_copy(node->listed_zones[node->listed_zone_count],
-                      INSTANCE_NAME_SIZE, names[i])) {
-            node->listed_zone_count++;
-        }
+        listed_zones_add(node, names[i]);
     }
     operator_list_end(node, now_us);
 }
 
+void
+node_release_zones(node_t *node, int64_t now_us)
+{
+    if (node->zones_held_until_us != 0 &&
+        now_us >= node->zones_held_until_us) {
+        node->zones_held_until_us = 0;
+        operator_list_end(node, now_us);
+    }
+}
+
 const prefix_reader_t node_operator_reader = {
     .list_begin = operator_list_begin,
     .item = operator_item,
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -2,6 +2,7 @@
 #include "edge/event.h"
 #include "platform/names.h"
 #include "tier/node_state.h"
+#include "tier/serving.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -15,7 +16,17 @@
     /* A standby daemon takes a full share divided by this. */
     STANDBY_SHARE_DIVISOR = 4,
     LINK_FULL_WEIGHT_MBPS = 100, /* a wider link adds no weight */
-    SUSPECTS_MAX = 16 /* fingerprints that each daemon keeps in the store */
+    /* A daemon that crashes stays listed for the TTL of its lease. In a large
+       fleet a lost daemon is a small part of those that serve, and renewals
+       are most of the calls to the store. A renewal that gets no response is
+       repeated in time. */
+    MEMBER_LEASE_US = 3000000,
+    MEMBER_RENEWALS = 3, /* per TTL */
+    MEMBER_LEASE_LARGE_US = 4000000,
+    MEMBER_RENEWALS_LARGE = 2,
+    /* Older suspects are not written again after the store was restored: the
+       other daemons refuse their requests no longer than this. */
+    SUSPECT_LIFETIME_US = 60000000
 };
 
 /* The VM's capacity: its processor's, reduced in proportion to a narrow link
@@ -54,6 +65,24 @@
     }
 }
 
+/* Write this daemon's record, under a lease that suits the fleet's size. */
+static void
+node_register(node_t *node)
+{
+    char key[LEASE_KEY_SIZE];
+    char record[MEMBER_RECORD_SIZE];
+    bool large = node->members.count > SERVING_ALL_MAX;
+    int64_t ttl_us = large ? MEMBER_LEASE_LARGE_US : MEMBER_LEASE_US;
+    if (ttl_us < node->boot.min_lease_us) {
+        ttl_us = node->boot.min_lease_us;
+    }
+    snprintf(key, sizeof(key), KEY_MEMBERS "%s", node->boot.daemon_name);
+    if (node_format_record(node, record, sizeof(record)) > 0) {
+        store_link_register(node->store, key, record, ttl_us,
+                            large ? MEMBER_RENEWALS_LARGE : MEMBER_RENEWALS);
+    }
+}
+
 void
 node_apply_membership(node_t *node, int64_t now_us)
 {
@@ -67,7 +96,14 @@
                          ? serving + SERVING_SPARE
                          : fleet_size * STANDBY_SHARE_DIVISOR;
     }
+    bool polled_peers = node->polls_peers;
     node->polls_peers = large_fleet && role != MEMBER_STORE_READER;
+    if (!node->polls_peers &&
+        (polled_peers || !store_link_has_record(node->store))) {
+        store_link_pause_polling(node->store, KEY_UPSTREAMS, 0);
+        store_link_pause_polling(node->store, KEY_OPERATOR, 0);
+        store_link_pause_polling(node->store, KEY_FLEET, 0);
+    }
     poll_intervals_set(&node->poll_intervals, node->boot.drain_us,
                        node->boot.converge_us, large_fleet);
     store_link_set_poll_interval(node->store, KEY_UPSTREAMS,
@@ -116,28 +152,63 @@
 suspect_item(node_t *node, const kv_item_t *item, int64_t now_us)
 {
     const char *daemon = item->key + sizeof(KEY_SUSPECTS) - 1;
-    size_t length = strlen(node->boot.daemon_name);
-    bool own = strncmp(daemon, node->boot.daemon_name, length) == 0 &&
-               daemon[length] == '/';
-    if (!item->removed && !own) {
-        engine_suspect(node->engine, strtoull(item->value, NULL, 16), now_us);
+    size_t length = strcspn(daemon, "/");
+    suspect_report_t report = {.revision = item->revision};
+    if (item->removed || length >= sizeof(report.daemon)) {
+        return;
     }
+    memcpy(report.daemon, daemon, length);
+    report.fingerprint = strtoull(item->value, NULL, 16);
+    node_suspect_reported(node, &report, now_us);
 }
 
 void
-node_report_suspect(void *owner, uint64_t fingerprint)
+node_suspect_reported(node_t *node, const suspect_report_t *report,
+                      int64_t now_us)
+{
+    if (suspect_log_add(&node->suspect_log, report) &&
+        strcmp(report->daemon, node->boot.daemon_name) != 0) {
+        engine_suspect(node->engine, report->fingerprint, now_us);
+    }
+}
+
+static void
+suspect_write(node_t *node, uint32_t slot)
 {
-    node_t *node = owner;
     char key[LEASE_KEY_SIZE];
     char value[32];
     snprintf(key, sizeof(key), KEY_SUSPECTS "%s/%u", node->boot.daemon_name,
-             node->suspects_reported++ % SUSPECTS_MAX);
-    snprintf(value, sizeof(value), "%016" PRIx64, fingerprint);
+             slot);
+    snprintf(value, sizeof(value), "%016" PRIx64,
+             node->suspects[slot].fingerprint);
     if (!store_link_put(node->store, key, value, true)) {
         event_log(EVENT_INPUT_REFUSED, "key=%s cause=too_many_writes", key);
     }
 }
 
+void
+node_report_suspect(void *owner, uint64_t fingerprint)
+{
+    node_t *node = owner;
+    uint32_t slot = node->suspects_reported++ % SUSPECTS_MAX;
+    node->suspects[slot] = (suspect_t){
+        .fingerprint = fingerprint,
+        .reported_us = loop_now_us(),
+    };
+    suspect_write(node, slot);
+}
+
+void
+node_rewrite_suspects(node_t *node, int64_t now_us)
+{
+    for (uint32_t slot = 0;
+         slot < SUSPECTS_MAX && slot < node->suspects_reported; slot++) {
+        if (now_us - node->suspects[slot].reported_us < SUSPECT_LIFETIME_US) {
+            suspect_write(node, slot);
+        }
+    }
+}
+
 static void
 member_item(node_t *node, const kv_item_t *item, int64_t now_us)
 {
@@ -192,6 +263,12 @@
         node->members_list_changed = false;
         node_members_changed(node, "-", "list", now_us);
     }
+    else {
+        node_apply_membership(node, now_us);
+    }
+    if (!store_link_has_record(node->store) && !node->shutting_down) {
+        node_register(node);
+    }
 }
 
 const prefix_reader_t node_fleet_reader = {
--- a/tier/node_peers.c
+++ b/tier/node_peers.c
@@ -51,6 +51,7 @@
     fleet_digest_compute(digest, table != NULL ? table->revision : 0,
                          engine_registry(node->engine), &node->members);
     digest->revisions = node->peer_known;
+    digest->revisions.suspects = node->suspect_log.revision;
 }
 
 /*
@@ -71,6 +72,7 @@
         .age_us = now_us - node->upstreams_read_us,
         .config_revision = table != NULL ? table->revision : 0,
         .config = node->config_text,
+        .suspects = reads_store ? &node->suspect_log : NULL,
     };
     size_t size = 0;
     char *text = NULL;
@@ -106,6 +108,17 @@
     node_members_changed(node, "-", "told", now_us);
 }
 
+static void
+peer_suspects_apply(node_t *node, const fleet_state_t *state, int64_t now_us)
+{
+    for (size_t i = 0; i < fleet_state_suspect_count(state); i++) {
+        suspect_report_t report;
+        if (fleet_state_suspect(state, i, &report)) {
+            node_suspect_reported(node, &report, now_us);
+        }
+    }
+}
+
 /* Take over the parts of a peer's state that are newer. */
 static void
 peer_state_apply(node_t *node, const fleet_state_t *state, int64_t now_us)
@@ -114,6 +127,13 @@
     registry_t *registry = engine_registry(node->engine);
     fleet_revisions_t before = node->peer_known;
     bool first = !node->upstreams_known;
+    uint64_t known_era = kv_revision_era(node_known_revisions(node).upstreams);
+    uint64_t era = kv_revision_era(state->revisions.upstreams);
+    if (!first && era > known_era) {
+        /* The peer has noticed a restoration of the store before this
+           daemon. */
+        node_begin_restored(node, known_era, era, now_us);
+    }
     node->upstreams_known = true;
     node->peer_known = node_known_revisions(node);
     unsigned changed_parts = fleet_state_apply(
@@ -133,6 +153,10 @@
             node, zones, fleet_state_zones(state, zones, REGISTRY_ZONES_MAX),
             now_us);
     }
+    peer_suspects_apply(node, state, now_us);
+    if (first) {
+        node_read_registry_copy(node);
+    }
     if (first || (changed_parts & FLEET_MEMBERS) != 0) {
         node_add_self(node, now_us);
         node_members_changed(node, "-", "told", now_us);
@@ -154,11 +178,8 @@
         return;
     }
     store_link_pause_polling(node->store, KEY_UPSTREAMS, until_us);
-    if (members_role(&node->members, node->boot.daemon_name) ==
-        MEMBER_STANDBY) {
-        store_link_pause_polling(node->store, KEY_FLEET, until_us);
-        store_link_pause_polling(node->store, KEY_OPERATOR, until_us);
-    }
+    store_link_pause_polling(node->store, KEY_FLEET, until_us);
+    store_link_pause_polling(node->store, KEY_OPERATOR, until_us);
 }
 
 /* Returns false if the peer's state is too old or not from the store. */
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -15,6 +15,7 @@
 #include "tier/peer_link.h"
 #include "tier/poll_intervals.h"
 #include "tier/store_link.h"
+#include "tier/suspect_log.h"
 #include "tier/upstream_link.h"
 
 /* Keys in the store that the daemons of the fleet write. */
@@ -25,10 +26,17 @@
 #define KEY_REGISTRY_COPY KEY_REGISTRY "upstreams"
 
 enum {
-    METRICS_PORT = 9464,          /* the same as in deploy/system.toml */
-    CALLER_CONNECTIONS_MAX = 2000 /* uses about half of the descriptors */
+    METRICS_PORT = 9464,           /* the same as in deploy/system.toml */
+    CALLER_CONNECTIONS_MAX = 2000, /* uses about half of the descriptors */
+    SUSPECTS_MAX = 16 /* fingerprints that each daemon keeps in the store */
 };
 
+/* A request that this daemon suspects of crashing upstreams. */
+typedef struct {
+    uint64_t fingerprint;
+    int64_t reported_us;
+} suspect_t;
+
 struct node {
     struct ev_loop *loop;
     loop_clock_t clock;
@@ -47,9 +55,11 @@
     uint32_t fleet_size;       /* daemons that share the upstreams */
     poll_intervals_t poll_intervals;
     bool upstreams_known; /* read from the store or a peer at least once */
-    /* Closed (evacuated) zones in the list being read. */
+    /* Closed (evacuated) zones that the store lists. */
     char listed_zones[REGISTRY_ZONES_MAX][INSTANCE_NAME_SIZE];
     uint32_t listed_zone_count;
+    /* Until then, closed zones that are not listed stay closed; 0: no hold. */
+    int64_t zones_held_until_us;
     ev_timer tick;
     bool polls_peers;   /* instead of the store, for the upstreams */
     uint32_t next_peer; /* selects the peer; grows when a poll fails */
@@ -58,6 +68,10 @@
     int64_t upstreams_read_us; /* the store's last response about them */
     int64_t started_us;
     int64_t housekeeping_us;
+    /* The last suspects written to the store; the slot is the number of the
+       report modulo SUSPECTS_MAX. */
+    suspect_t suspects[SUSPECTS_MAX];
+    suspect_log_t suspect_log;  /* of all daemons */
     uint32_t suspects_reported; /* how many were written to the store */
     bool registry_copy_stale;   /* the registry changed since the last copy */
     int64_t registry_copied_us; /* when the last copy was written */
@@ -65,6 +79,13 @@
     int64_t shutdown_us; /* when the shutdown began */
 };
 
+/* node.c */
+
+/* The store was restored from a backup: until the operator, the upstreams and
+   the daemons have written again what it lost, keep what was last known. */
+void node_begin_restored(node_t *node, uint64_t from_era, uint64_t era,
+                         int64_t now_us);
+
 /* node_config.c */
 extern const prefix_reader_t node_operator_reader;
 
@@ -79,9 +100,16 @@
 void node_apply_closed_zones(node_t *node, char (*names)[INSTANCE_NAME_SIZE],
                              uint32_t count, int64_t now_us);
 
+/* Open the closed zones that the store does not list, if their hold after a
+   restoration of the store has ended. */
+void node_release_zones(node_t *node, int64_t now_us);
+
 /* node_upstreams.c */
 extern const prefix_reader_t node_upstreams_reader;
 
+/* List the registry's copy, once, after a start. */
+void node_read_registry_copy(node_t *node);
+
 /* Write the registry's copy if that is due and this daemon is to do it. */
 void node_copy_registry(node_t *node, int64_t now_us);
 
@@ -113,6 +141,13 @@
  */
 void node_report_suspect(void *owner, uint64_t fingerprint);
 
+/* A daemon's suspicion was read from the store or a peer. */
+void node_suspect_reported(node_t *node, const suspect_report_t *report,
+                           int64_t now_us);
+
+/* Write the recent suspects again after the store was restored. */
+void node_rewrite_suspects(node_t *node, int64_t now_us);
+
 /* node_peers.c; owners are the node. */
 
 /* Answer a peer's poll with this daemon's state. */
--- a/tier/node_upstreams.c
+++ b/tier/node_upstreams.c
@@ -42,6 +42,20 @@
     .list_end = ignore_list_event,
 };
 
+void
+node_read_registry_copy(node_t *node)
+{
+    static const follow_settings_t copy_settings = {
+        .prefix = KEY_REGISTRY,
+        .list_only = true,
+    };
+    /* At the fleet's first start there is none. */
+    if (!node->boot.bootstrap) {
+        (void)store_link_follow(node->store, &copy_settings, &copy_reader,
+                                node);
+    }
+}
+
 static void
 upstreams_list_begin(void *owner, int64_t now_us)
 {
@@ -119,15 +133,8 @@
     registry_reset_tombstones(engine_registry(node->engine),
                               store_link_revision(node->store, KEY_UPSTREAMS));
     if (!node->upstreams_known) {
-        static const follow_settings_t copy_settings = {
-            .prefix = KEY_REGISTRY,
-            .list_only = true,
-        };
         node->upstreams_known = true;
-        if (!node->boot.bootstrap) {
-            (void)store_link_follow(node->store, &copy_settings, &copy_reader,
-                                    node);
-        }
+        node_read_registry_copy(node);
         event_log(EVENT_TOPOLOGY_CHANGED, "upstreams=%u",
                   registry_count(engine_registry(node->engine)));
     }
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -116,14 +116,44 @@
     return false;
 }
 
+/* Whether the upstream may get the request, now or after a wait. */
+static bool
+pick_allows(const pool_pick_t *pick, const instance_t *instance,
+            int64_t now_us)
+{
+    return instance_is_usable(instance, now_us) &&
+           !pick_excludes(pick, instance) &&
+           (now_us >= instance->rest_until_us ||
+            instance->rest_until_us <= pick->wait_until_us);
+}
+
+int64_t
+pool_rest_end_us(const pool_t *pool, const pool_pick_t *pick, int64_t now_us)
+{
+    int64_t end_us = 0;
+    for (uint32_t i = 0; i < pool->count; i++) {
+        const instance_t *instance = pool->instances[i];
+        if (!instance_is_usable(instance, now_us) ||
+            pick_excludes(pick, instance)) {
+            continue;
+        }
+        if (now_us >= instance->rest_until_us) {
+            return 0;
+        }
+        if (end_us == 0 || instance->rest_until_us < end_us) {
+            end_us = instance->rest_until_us;
+        }
+    }
+    return end_us;
+}
+
 uint32_t
 pool_capacity(const pool_t *pool, const pool_pick_t *pick, int64_t now_us)
 {
     uint32_t capacity = 0;
     for (uint32_t i = 0; i < pool->count; i++) {
         const instance_t *instance = pool->instances[i];
-        if (instance_is_usable(instance, now_us) &&
-            !pick_excludes(pick, instance)) {
+        if (pick_allows(pick, instance, now_us)) {
             capacity += pool_concurrency_limit(pool, instance, now_us);
         }
     }
@@ -140,11 +170,11 @@
     *picked = NULL;
     for (uint32_t i = 0; i < pool->count; i++) {
         instance_t *instance = pool->instances[i];
-        if (!instance_is_usable(instance, now_us) ||
-            pick_excludes(pick, instance)) {
+        if (!pick_allows(pick, instance, now_us)) {
             continue;
         }
-        if (instance->in_flight >=
+        if (now_us < instance->rest_until_us ||
+            instance->in_flight >=
                 pool_concurrency_limit(pool, instance, now_us) ||
             !cold_rate_allows(pool, instance, now_us)) {
             result = result == PICK_NONE ? PICK_FULL : result;
--- a/tier/pool.h
+++ b/tier/pool.h
@@ -2,9 +2,9 @@
  * The upstreams of one service, and the choice among them for each request.
  *
  * The choice takes into account upstreams that are slow, silent, refusing,
- * failing or cold, zones that are being evacuated, and the number of requests
- * this daemon may have in flight at each upstream. Work beyond that waits in
- * the pool's queue, which engine_subrequest.c orders.
+ * resting, failing or cold, zones that are being evacuated, and the number of
+ * requests this daemon may have in flight at each upstream. Work beyond that
+ * waits in the pool's queue, which engine_subrequest.c orders.
  *
  *     pool_pick_t pick = {.cost_context = {.zone = ..., .expected_us = ...}};
  *     pick_result_t result = pool_pick(pool, &pick, now_us, &instance);
@@ -24,7 +24,7 @@
 typedef enum {
     PICK_OK,
     PICK_FULL, /* usable upstreams exist, but none can take a request now */
-    PICK_NONE  /* no usable upstream exists */
+    PICK_NONE  /* no usable upstream exists, or all rest for too long */
 } pick_result_t;
 
 /* Limits that apply to each upstream of the pool. */
@@ -52,7 +52,9 @@
     bool healthy_only; /* only a low-cost upstream, for a hedge */
     const char *const *closed_zones; /* zones that get no requests */
     uint32_t closed_count;
-    uint64_t random; /* breaks ties */
+    int64_t wait_until_us; /* the request waits for a resting upstream only if
+                              the rest ends by then */
+    uint64_t random;       /* breaks ties */
 } pool_pick_t;
 
 /* Add an instance, which stays the caller's; false: out of memory. */
@@ -81,6 +83,11 @@
 uint32_t pool_capacity(const pool_t *pool, const pool_pick_t *pick,
                        int64_t now_us);
 
+/* When the first of the upstreams that pick does not exclude ends its rest.
+   Returns 0 if one of them is not resting, or if there are none. */
+int64_t pool_rest_end_us(const pool_t *pool, const pool_pick_t *pick,
+                         int64_t now_us);
+
 /* Account for a send, to limit the rate of a cold upstream; see
    pool_limits_t. */
 void pool_note_sent(const pool_t *pool, instance_t *instance, int64_t now_us);
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -1,6 +1,7 @@
 #include "tier/registry.h"
 
 #include "core/text.h"
+#include "platform/kv.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -67,6 +68,14 @@
 static void
 registry_drop(registry_t *registry, registry_entry_t *entry)
 {
+    departure_t departure = {
+        .started_ms = entry->instance->entry.started_ms,
+        .era = kv_revision_era(entry->revision),
+        .leaving = entry->instance->leaving,
+    };
+    (void)text_copy(departure.id, sizeof(departure.id),
+                    entry->instance->entry.id);
+    departure_log_add(&registry->departures, &departure);
     strmap_remove(&registry->entries, entry->instance->entry.id);
     registry_retire(registry, entry->instance);
     free(entry);
@@ -112,15 +121,57 @@
                0;
 }
 
+/* Apply what is known of an upstream that was removed and is listed again. */
+static void
+registry_recall(const registry_t *registry, instance_t *instance,
+                uint64_t revision, int64_t now_us)
+{
+    const departure_t *departure =
+        departure_log_find(&registry->departures, instance->entry.id);
+    if (departure == NULL ||
+        instance->entry.started_ms > departure->started_ms) {
+        return;
+    }
+    instance->leaving = departure->leaving;
+    if (kv_revision_era(revision) > departure->era) {
+        instance->held_until_us =
+            now_us + REGISTRY_REVIVAL_HEARTBEATS * registry->heartbeat_us;
+    }
+}
+
+/* Adjust an entry that is seen for the first time in a new era of the store,
+   which may have been written before the one already known. */
+static instance_entry_t
+entry_merge_eras(const instance_entry_t *known, const instance_entry_t *entry)
+{
+    instance_entry_t merged = *entry;
+    if (entry->started_ms < known->started_ms) {
+        merged = *known;
+    }
+    else if (entry->started_ms == known->started_ms && known->draining) {
+        merged.draining = true;
+    }
+    return merged;
+}
+
 registry_change_t
 registry_put(registry_t *registry, const instance_entry_t *entry,
              uint64_t revision, int64_t now_us)
 {
+    instance_entry_t merged;
     registry_entry_t *found = strmap_find(&registry->entries, entry->id);
     if (found != NULL && revision < found->revision) {
         found->list_seq = registry->list_seq;
         return REGISTRY_UNCHANGED;
     }
+    if (found != NULL && revision > 0 && revision == found->revision) {
+        /* Known already, and possibly merged with an entry of an earlier
+           era. */
+        found->list_seq = registry->list_seq;
+        found->expires_us = 0;
+        found->removed_revision = 0;
+        return REGISTRY_UNCHANGED;
+    }
     if (found != NULL &&
         strcmp(found->instance->entry.service, entry->service) != 0) {
         registry_drop(registry, found);
@@ -132,9 +183,14 @@
         if (found == NULL) {
             return REGISTRY_UNCHANGED;
         }
+        registry_recall(registry, found->instance, revision, now_us);
         change = REGISTRY_ADDED;
     }
     else {
+        if (kv_revision_era(revision) > kv_revision_era(found->revision)) {
+            merged = entry_merge_eras(&found->instance->entry, entry);
+            entry = &merged;
+        }
         if (!entry_is_equivalent(&found->instance->entry, entry)) {
             change = REGISTRY_CHANGED;
         }
@@ -228,7 +284,10 @@
 registry_add_provisional(registry_t *registry, const instance_entry_t *entry,
                          int64_t now_us)
 {
-    if (strmap_find(&registry->entries, entry->id) != NULL) {
+    const departure_t *departure =
+        departure_log_find(&registry->departures, entry->id);
+    if (strmap_find(&registry->entries, entry->id) != NULL ||
+        (departure != NULL && entry->started_ms <= departure->started_ms)) {
         return false;
     }
     registry_entry_t *added = registry_add(registry, entry, now_us);
@@ -274,6 +333,13 @@
     }
 }
 
+void
+registry_store_restored(registry_t *registry, int64_t now_us)
+{
+    registry->store_unreachable = false;
+    registry->store_reachable_us = now_us;
+}
+
 void
 registry_expire(registry_t *registry, int64_t now_us)
 {
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -6,6 +6,12 @@
  * removed if it has not been written again by then. At any other time an entry
  * that disappears is removed at once.
  *
+ * A store that is restored from a backup lists old entries, under revisions of
+ * a new era (platform/kv.h), until their owners have written them again. An
+ * upstream that is known to have drained or to have been restarted since is
+ * not taken back to its earlier state, and one that was removed is not used
+ * until its entry has proved to be renewed.
+ *
  *     registry_put(&registry, &entry, revision, now_us);
  *     registry_store_reachable(&registry, now_us);
  *     registry_list_begin(&registry); ... registry_put ...;
@@ -16,6 +22,7 @@
 #define TIER_REGISTRY_H
 
 #include "core/strmap.h"
+#include "tier/departure_log.h"
 #include "tier/instance.h"
 #include "tier/pool.h"
 #include "tier/route.h"
@@ -28,7 +35,12 @@
     REGISTRY_ZONES_MAX = 32,
     /* Grace period once the store is reachable again, for owners to write
        their entries again: the platform guarantees about two seconds. */
-    REGISTRY_GRACE_US = 2000000
+    REGISTRY_GRACE_US = 2000000,
+    /* The platform removes an entry that its owner has not renewed for three
+       heartbeats. A removed upstream that a restored store lists again is held
+       back for this number of heartbeats: if it is still listed then, it
+       lives. */
+    REGISTRY_REVIVAL_HEARTBEATS = 4
 };
 
 typedef struct {
@@ -45,6 +57,8 @@
     int64_t store_reachable_us; /* start of the last grace period; 0: none */
     uint32_t list_seq;          /* number of the list being read */
     tombstone_log_t tombstones; /* removals, for daemons that poll this one */
+    departure_log_t departures;
+    int64_t heartbeat_us; /* interval at which upstreams renew their entries */
 } registry_t;
 
 void registry_init(registry_t *registry);
@@ -109,6 +123,10 @@
 /* The store has become unreachable. */
 void registry_store_unreachable(registry_t *registry);
 
+/* The store was restored from a backup: entries that it lacks get a grace
+   period, as after an outage. */
+void registry_store_restored(registry_t *registry, int64_t now_us);
+
 /* The store is reachable again: removals now get a grace period. */
 void registry_store_reachable(registry_t *registry, int64_t now_us);
 
--- a/tier/serving.c
+++ b/tier/serving.c
@@ -54,6 +54,24 @@
                : (SERVING_READERS_MIN + zones - 1) / zones;
 }
 
+/* How many of a zone's candidates, sorted by weight, have
+   SERVING_WEIGHT_PERCENT of the zone's weight together, at most `max`. */
+static uint32_t
+zone_strongest(const candidate_t *candidates, uint32_t size, uint32_t max)
+{
+    uint64_t total = 0;
+    for (uint32_t i = 0; i < size; i++) {
+        total += candidates[i].record->weight;
+    }
+    uint64_t sum = 0;
+    uint32_t count = 0;
+    while (count < size && count < max &&
+           (total == 0 || sum * 100 < total * SERVING_WEIGHT_PERCENT)) {
+        sum += candidates[count++].record->weight;
+    }
+    return count;
+}
+
 uint32_t
 serving_assign_roles(const members_t *members, member_role_t *roles)
 {
@@ -85,7 +103,8 @@
         uint32_t readers = (size + SERVING_DAEMONS_PER_READER - 1) /
                            SERVING_DAEMONS_PER_READER;
         readers = readers < readers_min ? readers_min : readers;
-        uint32_t zone_serving = (wanted * size + count - 1) / count;
+        uint32_t zone_serving = zone_strongest(
+            &candidates[i], size, (wanted * size + count - 1) / count);
         zone_serving =
             zone_serving < SERVING_ZONE_MIN ? SERVING_ZONE_MIN : zone_serving;
         zone_serving = zone_serving < readers ? readers : zone_serving;
--- a/tier/serving.h
+++ b/tier/serving.h
@@ -6,10 +6,14 @@
  * connection would be opened for a few requests only, a daemon's share of an
  * upstream's slots would fall below one, and each daemon would poll the store
  * as often as a busy one. So in a large fleet the directory lists only some of
- * the daemons: each zone in proportion to its daemons, and in a zone the VMs
- * with the largest weight; the rest are on standby. All daemons compute the
- * same roles from the same list of members. When a serving daemon leaves, the
- * next one of its zone replaces it.
+ * the daemons: in each zone the VMs with the largest weight, until they have
+ * SERVING_WEIGHT_PERCENT of the zone's weight, but at most its part of one
+ * daemon in SERVING_DIVISOR; the rest are on standby. A query over many shards
+ * takes a weak VM's processor and link longer than its goal, and callers
+ * choose among the listed daemons at random: a weak VM serves only where there
+ * are not enough strong ones. All daemons compute the same roles from the same
+ * list of members. When a serving daemon leaves, the next one of its zone
+ * replaces it.
  *
  *     uint32_t serving = serving_assign_roles(&members, roles);
  */
@@ -23,10 +27,12 @@
 
 enum {
     SERVING_ALL_MAX = 16, /* in a fleet up to this size all daemons serve */
-    /* In a larger fleet one daemon in SERVING_DIVISOR serves, but at least
-       SERVING_ALL_MAX daemons, and SERVING_ZONE_MIN in each zone. */
+    /* In a larger fleet at most one daemon in SERVING_DIVISOR serves, or
+       SERVING_ALL_MAX daemons if that is more, and at least SERVING_ZONE_MIN
+       in each zone. */
     SERVING_DIVISOR = 5,
     SERVING_ZONE_MIN = 2,
+    SERVING_WEIGHT_PERCENT = 40,
     /* Store readers in a large fleet: at least this many in total, at least
        one in each zone, and one per SERVING_DAEMONS_PER_READER in a large
        zone. */
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -1,9 +1,13 @@
 #include "tier/store_link.h"
 
+#include "edge/event.h"
 #include "http/conn.h"
 #include "http/loop_clock.h"
 #include "http/message.h"
+#include "platform/header_values.h"
+#include "platform/names.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,7 +26,10 @@
        notice, and a change must be known within three seconds. */
     PROBE_IDLE_S = 1,
     PROBE_INTERVAL_S = 1,
-    PROBE_COUNT = 2
+    PROBE_COUNT = 2,
+    /* Without a valid read for this time, responses of an older era count as
+       an outage: they are not just late. */
+    OLD_ERA_OUTAGE_US = 2000000
 };
 
 typedef enum { CHANNEL_FOLLOW, CHANNEL_LEASE, CHANNEL_WRITE } channel_use_t;
@@ -62,7 +69,8 @@
     uint32_t write_count;
     int64_t write_due_us;
     lease_t lease;
-    bool has_record; /* store_link_register was called */
+    bool has_record;    /* store_link_register was called */
+    bool logged_no_era; /* that the store stopped to report its era */
     char record[RECORD_SIZE];
     char host[64];
     store_link_stats_t stats;
@@ -244,16 +252,122 @@
     return true;
 }
 
+/* The store has risen to an era: drop what was read and all calls in flight,
+   list all prefixes again and get a new lease. */
+static void
+store_restored(store_link_t *store, uint64_t era, int64_t now_us)
+{
+    uint64_t from_era = store->stats.era;
+    store->stats.era = era;
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        channel_t *channel = &store->channels[i];
+        if (channel->busy) {
+            conn_close(&channel->conn);
+            channel->busy = false;
+        }
+        follow_restart(&channel->follow, now_us);
+    }
+    if (store->lease_channel.busy) {
+        conn_close(&store->lease_channel.conn);
+        store->lease_channel.busy = false;
+    }
+    if (store->has_record) {
+        lease_restart(&store->lease, now_us);
+    }
+    if (store->write_channel.busy) {
+        conn_close(&store->write_channel.conn);
+        store->write_channel.busy = false;
+    }
+    store->write_due_us = now_us;
+    store->ops.restored(store->owner, from_era, era, now_us);
+}
+
+typedef enum {
+    ERA_CURRENT,
+    ERA_RISEN, /* the response belongs to calls that were dropped */
+    ERA_OLD    /* the response is older than one received before */
+} era_status_t;
+
+/* Compare the era of a response with the latest one and act on a rise. A
+   response without a readable era counts as current. */
+static era_status_t
+store_check_era(store_link_t *store, const http_message_t *message,
+                int64_t now_us)
+{
+    const char *text = http_header_find(message, HEADER_STORE_ERA);
+    uint64_t era;
+    header_status_t status = header_parse_store_era(text, &era);
+    if (status != HEADER_VALID) {
+        if (store->stats.era > 0 && !store->logged_no_era) {
+            store->logged_no_era = true;
+            event_log(EVENT_INPUT_REFUSED,
+                      "key=%s era=%" PRIu64 " value=%.32s cause=%s",
+                      HEADER_STORE_ERA, store->stats.era,
+                      text != NULL ? text : "-",
+                      status == HEADER_ABSENT ? "missing" : "not_readable");
+        }
+        return ERA_CURRENT;
+    }
+    store->logged_no_era = false;
+    if (era == store->stats.era) {
+        return ERA_CURRENT;
+    }
+    if (era < store->stats.era) {
+        event_log(EVENT_INPUT_REFUSED,
+                  "key=%s era=%" PRIu64 " value=%" PRIu64 " cause=older",
+                  HEADER_STORE_ERA, store->stats.era, era);
+        return ERA_OLD;
+    }
+    if (store->stats.last_answer_us == 0 && store->lease.lease_id == 0) {
+        store->stats.era = era; /* nothing was read before */
+        return ERA_CURRENT;
+    }
+    store_restored(store, era, now_us);
+    return ERA_RISEN;
+}
+
+/* Repeat a call whose response is of an older era. */
+static void
+channel_drop_old(channel_t *channel, int64_t now_us)
+{
+    store_link_t *store = channel->store;
+    if (channel->use == CHANNEL_FOLLOW &&
+        now_us - store->stats.last_answer_us > OLD_ERA_OUTAGE_US) {
+        channel_failed(channel, "older_era", now_us);
+        return;
+    }
+    conn_close(&channel->conn);
+    channel->busy = false;
+    store->stats.failures++;
+    if (channel->use == CHANNEL_FOLLOW) {
+        follow_failed(&channel->follow, false, now_us);
+    }
+    else if (channel->use == CHANNEL_LEASE) {
+        lease_failed(&store->lease, now_us);
+    }
+    else {
+        store->write_due_us = now_us + WRITE_RETRY_US;
+    }
+}
+
 static void
 channel_answered(channel_t *channel, int64_t now_us)
 {
     store_link_t *store = channel->store;
     const http_message_t *message = &channel->reader.message;
     uint32_t status = message->status;
+    era_status_t era = store_check_era(store, message, now_us);
+    if (era != ERA_CURRENT) {
+        if (era == ERA_OLD) {
+            channel_drop_old(channel, now_us);
+        }
+        return;
+    }
     kv_response_t response = {0};
     bool parsed =
         kv_response_parse(&response, (const char *)buffer_data(&message->body),
                           buffer_size(&message->body));
+    kv_response_set_era(&response, store->stats.era);
     channel->busy = false;
     if (channel->use == CHANNEL_WRITE) {
         write_answered(store, status, now_us);
@@ -324,13 +438,13 @@
 };
 
 static void
-channel_send(channel_t *channel, kv_call_t *call, int64_t wait_us,
-             int64_t now_us)
+channel_send(channel_t *channel, kv_call_t *call, store_call_kind_t kind,
+             int64_t wait_us, int64_t now_us)
 {
     store_link_t *store = channel->store;
     channel->busy = true;
     channel->deadline_us = now_us + wait_us + STORE_CALL_TIMEOUT_US;
-    store->stats.calls++;
+    store->stats.calls[kind]++;
     if (!conn_is_open(&channel->conn)) {
         if (!conn_open(&channel->conn, store->loop, &store->address,
                        &channel_ops, channel)) {
@@ -387,12 +501,14 @@
     kv_call_t call = {0};
     if (channel->use == CHANNEL_WRITE) {
         if (write_build_call(store, &call, now_us)) {
-            channel_send(channel, &call, 0, now_us);
+            channel_send(channel, &call, STORE_CALL_WRITE, 0, now_us);
         }
     }
     else if (channel->use == CHANNEL_FOLLOW) {
         if (follow_next_call(&channel->follow, &call, now_us)) {
             channel_send(channel, &call,
+                         channel->follow.watching ? STORE_CALL_WATCH
+                                                  : STORE_CALL_LIST,
                          channel->follow.watching
                              ? channel->follow.settings.long_poll_us
                              : 0,
@@ -402,7 +518,10 @@
     else if (store->has_record &&
              lease_next_call(&store->lease, store->record,
                              strlen(store->record), &call, now_us)) {
-        channel_send(channel, &call, 0, now_us);
+        channel_send(channel, &call,
+                     store->lease.pending == LEASE_WRITE ? STORE_CALL_WRITE
+                                                         : STORE_CALL_LEASE,
+                     0, now_us);
     }
     kv_call_release(&call);
 }
@@ -527,13 +646,19 @@
 
 void
 store_link_register(store_link_t *store, const char *key, const char *record,
-                    int64_t ttl_us)
+                    int64_t ttl_us, uint32_t renewals)
 {
     snprintf(store->record, sizeof(store->record), "%s", record);
-    lease_init(&store->lease, key, ttl_us);
+    lease_init(&store->lease, key, ttl_us, renewals);
     store->has_record = true;
 }
 
+bool
+store_link_has_record(const store_link_t *store)
+{
+    return store->has_record;
+}
+
 void
 store_link_restore_record(store_link_t *store, int64_t now_us)
 {
--- a/tier/store_link.h
+++ b/tier/store_link.h
@@ -2,6 +2,10 @@
  * This daemon's calls to the store: one connection for each followed prefix,
  * one for the lease of its record and one for writes.
  *
+ * The store reports its era in each response; it rises when the store is
+ * restored from a backup. Responses of an older era than the latest one are
+ * dropped, and their calls repeated.
+ *
  *     store_link_t *store = store_link_new(loop, &address, &ops, owner);
  *     store_link_follow(store, &settings, &reader, owner);
  *     store_link_register(store, key, record, ttl_us);
@@ -37,11 +41,26 @@
 typedef struct {
     void (*unreachable)(void *owner, const char *why, int64_t now_us);
     void (*reachable)(void *owner, int64_t now_us);
+    /* The store was restored from a backup: what was written to it since the
+       backup is lost, keys and leases of this daemon included. All prefixes
+       are listed again after the call, and the record is written again; other
+       writes are up to the owner. */
+    void (*restored)(void *owner, uint64_t from_era, uint64_t era,
+                     int64_t now_us);
 } store_ops_t;
 
+typedef enum {
+    STORE_CALL_LIST,
+    STORE_CALL_WATCH,
+    STORE_CALL_LEASE, /* grants, renewals and revocations */
+    STORE_CALL_WRITE,
+    STORE_CALL_KINDS
+} store_call_kind_t;
+
 typedef struct {
-    uint64_t calls;
+    uint64_t calls[STORE_CALL_KINDS];
     uint64_t failures;
+    uint64_t era; /* of the store's latest response; 0: it reports none */
     bool reachable;
     int64_t last_answer_us; /* time of the last valid response to a read */
 } store_link_stats_t;
@@ -65,11 +84,15 @@
                        const prefix_reader_t *reader, void *owner);
 
 /*
- * Keep a record in the store under a lease of ttl_us, which is renewed until
- * store_link_deregister. key and record are copied.
+ * Keep a record in the store under a lease of ttl_us, which is renewed that
+ * many times per TTL until store_link_deregister. key and record are copied.
  */
 void store_link_register(store_link_t *store, const char *key,
-                         const char *record, int64_t ttl_us);
+                         const char *record, int64_t ttl_us,
+                         uint32_t renewals);
+
+/* Whether store_link_register was called. */
+bool store_link_has_record(const store_link_t *store);
 
 /* Set the interval between two calls for the changes of a prefix. */
 void store_link_set_poll_interval(store_link_t *store, const char *prefix,
@@ -81,7 +104,7 @@
 /* The store revision up to which a prefix was read; 0: not read yet. */
 uint64_t store_link_revision(const store_link_t *store, const char *prefix);
 
-/* Make no calls for the changes of a prefix before until_us. */
+/* Make no calls for a prefix before until_us; 0: go on now. */
 void store_link_pause_polling(store_link_t *store, const char *prefix,
                               int64_t until_us);
 
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -3,6 +3,7 @@
 #include "edge/event.h"
 #include "http/conn.h"
 #include "http/loop_clock.h"
+#include "platform/header_values.h"
 #include "platform/names.h"
 
 #include <inttypes.h>
@@ -175,19 +176,43 @@
                                                     : IDLE_TIMEOUT_US;
 }
 
-/* The result of an attempt that got a whole response. */
+static void
+log_header(const instance_t *instance, const char *name, const char *value,
+           header_status_t status)
+{
+    if (status == HEADER_INVALID || status == HEADER_CAPPED) {
+        event_log(EVENT_INPUT_REFUSED,
+                  "key=%s instance=%s value=%.32s cause=%s", name,
+                  instance->entry.id, value,
+                  status == HEADER_CAPPED ? "too_large" : "not_readable");
+    }
+}
+
+/* Add what the response says about the upstream itself. */
+static void
+reply_add_state(reply_t *reply, const http_message_t *message,
+                const instance_t *instance)
+{
+    const char *leaving = http_header_find(message, HEADER_LEAVING);
+    header_status_t status = header_parse_leaving(leaving);
+    log_header(instance, HEADER_LEAVING, leaving, status);
+    reply->leaving = status == HEADER_VALID;
+    if (message->status == 503) {
+        const char *rest = http_header_find(message, HEADER_RETRY_AFTER);
+        status = header_parse_retry_after(rest, &reply->rest_us);
+        log_header(instance, HEADER_RETRY_AFTER, rest, status);
+    }
+}
+
+/* The result of an attempt that got a whole response from the instance. */
 static reply_t
-reply_from_message(const http_message_t *message)
+reply_from_message(const http_message_t *message, const instance_t *instance)
 {
     reply_t reply = {
         .kind = REPLY_ANSWER,
         .message = message,
         .signature = http_header_find(message, HEADER_SIGNATURE),
     };
-    const char *retry_after = http_header_find(message, HEADER_RETRY_AFTER);
-    if (retry_after != NULL) {
-        reply.retry_after_us = (int64_t)(strtod(retry_after, NULL) * 1e6);
-    }
     if (message->status == 421) {
         reply.kind = REPLY_MISDIRECTED;
     }
@@ -202,6 +227,9 @@
         reply.kind = REPLY_LOST;
         reply.detail = "encoded";
     }
+    if (reply.kind != REPLY_MISDIRECTED) {
+        reply_add_state(&reply, message, instance);
+    }
     return reply;
 }
 
@@ -213,7 +241,7 @@
     const http_message_t *message = &link->reader.message;
     attempt_t *attempt = link->attempt;
     int64_t now_us = loop_now_us();
-    reply_t reply = reply_from_message(message);
+    reply_t reply = reply_from_message(message, link->instance);
     link->attempt = NULL;
     link->reader_finished = true;
     link->abandon_until_us = 0;
