serving: the strongest VMs of a large fleet serve, near the upstreams

Cause: on the large site a fifth of each zone's VMs served, 62 of 295, 47 of them with 0.12 cores and 20 Mbit/s. A query over 90 to 225 shards costs such a VM 70 to 90 ms of processor time and as much on its link, against goals of 80 and 200 ms, and callers choose among the addresses at random.

Daemons of a zone with hardly any upstreams do not serve, since each query gathered there crosses zones for all its parts; one of them still reads the store for its zone. At the fleet's first start the members are listed after 0.5 s, when all have written their records; the lease is 4 s for all and renewed twice per TTL in a large fleet.

--- a/t/lib/tier_world.c
+++ b/t/lib/tier_world.c
@@ -68,6 +68,7 @@
     tier_call_t **calls;
     size_t call_count;
     job_t *jobs;
+    uint32_t suspects;
 };
 
 static uint64_t
@@ -378,12 +379,21 @@
     world_schedule(daemon->world, at_us, EVENT_WAKE, call, REPLY_ANSWER);
 }
 
+static void
+port_suspect(void *owner, uint64_t fingerprint)
+{
+    daemon_t *daemon = owner;
+    (void)fingerprint;
+    daemon->world->suspects++;
+}
+
 static const engine_ports_t world_ports = {
     .send = port_send,
     .abandon = port_abandon,
     .cancel = port_cancel,
     .answer = port_answer,
     .wake_at = port_wake_at,
+    .suspect = port_suspect,
 };
 
 /* --- the world --- */
@@ -614,6 +624,12 @@
     world->now_us = until_us;
 }
 
+uint32_t
+tier_world_suspects(const tier_world_t *world)
+{
+    return world->suspects;
+}
+
 uint32_t
 tier_world_arrivals(const tier_world_t *world, uint32_t number)
 {
--- a/t/lib/tier_world.h
+++ b/t/lib/tier_world.h
@@ -112,6 +112,9 @@
 
 void tier_world_run(tier_world_t *world, int64_t until_us);
 
+/* Number of requests that the daemons suspected of crashing upstreams. */
+uint32_t tier_world_suspects(const tier_world_t *world);
+
 /* Requests that arrived at an upstream, and requests that it began to run. */
 uint32_t tier_world_arrivals(const tier_world_t *world, uint32_t number);
 uint32_t tier_world_runs(const tier_world_t *world, uint32_t number);
--- a/t/t1010-engine.c
+++ b/t/t1010-engine.c
@@ -418,6 +418,34 @@
  * is refused once that has happened twice, at this daemon or at others. Other
  * requests are not refused.
  */
+/*
+ * An upstream that loses whatever it gets is not crashed by its requests: only
+ * the first losses are reported as suspicions.
+ */
+START_TEST(test_failing_upstream_is_no_suspicion)
+{
+    enum { CALLS = 40, SUSPECTS_MAX_EXPECTED = 3 };
+    static char paths[CALLS][16];
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, 1, GOAL_US, 1));
+    tier_world_upstream(world, &(tier_world_upstream_t){.id = "i-1",
+                                                        .service = "s0",
+                                                        .zone = "a",
+                                                        .slots = 4,
+                                                        .queue_max = 20,
+                                                        .lose_share = 1});
+    for (int i = 0; i < CALLS; i++) {
+        snprintf(paths[i], sizeof(paths[i]), "/once/%d", i);
+        tier_world_call(world, START_US + i * SECOND / 5, 0, paths[i], WORK_US,
+                        CALLER_TIMEOUT_US);
+    }
+    tier_world_run(world, START_US + CALLS * SECOND);
+    ck_assert_uint_gt(tier_world_suspects(world), 0);
+    ck_assert_uint_le(tier_world_suspects(world), SUSPECTS_MAX_EXPECTED);
+    tier_world_free(world);
+}
+END_TEST
+
 START_TEST(test_crashing_request)
 {
     bool at_other_daemon = _i == 1;
@@ -598,6 +626,7 @@
     tcase_add_loop_test(tests, test_drain_and_evacuation, 0, 2);
     tcase_add_test(tests, test_split);
     tcase_add_loop_test(tests, test_crashing_request, 0, 2);
+    tcase_add_test(tests, test_failing_upstream_is_no_suspicion);
     tcase_add_test(tests, test_retries_stay_within_budget);
     tcase_add_test(tests, test_partial_success_clears_suspicion);
     tcase_add_test(tests, test_failed_hedge_beside_slow_send);
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -6,6 +6,7 @@
 #include "t/lib/tier_fixture.h"
 #include "t/lib/tier_store.h"
 #include "t/lib/tier_upstream.h"
+#include "tier/engine.h"
 #include "tier/members.h"
 #include "tier/node.h"
 
@@ -376,13 +377,13 @@
 }
 END_TEST
 
-/* Start a second daemon with the same store; its seed is the first one. */
+/* Start another daemon with the same store; its seed is the first one. */
 static node_t *
-start_second(fixture_t *f, boot_t *boot)
+start_second(fixture_t *f, boot_t *boot, const char *name)
 {
     char why[128];
     *boot = f->boot;
-    snprintf(boot->daemon_name, sizeof(boot->daemon_name), "front-b-1");
+    snprintf(boot->daemon_name, sizeof(boot->daemon_name), "%s", name);
     boot->callers_address = unique_loopback_address();
     boot->readiness_address = unique_loopback_address();
     boot->directory_address = unique_loopback_address();
@@ -435,7 +436,7 @@
     fixture_init(&f);
     tier_store_set_mode(f.store,
                         _i == 0 ? TIER_STORE_SILENT : TIER_STORE_UNAVAILABLE);
-    node_t *second = start_second(&f, &boot);
+    node_t *second = start_second(&f, &boot, "front-b-1");
     caller_exchange(&f, &caller, &boot.callers_address,
                     REQUEST("/one/", "r-1"), 200);
     ck_assert_uint_eq(status_of(&caller), 503); /* no configuration yet */
@@ -459,6 +460,8 @@
 {
     fixture_t f;
     fixture_start(&f, _i == 1);
+    /* At the fleet's first start, lists wait until all daemons are there. */
+    run_ms(&f, _i == 1 ? 600 : 0);
     ck_assert_uint_eq(tier_store_list_calls(f.store, "op/"), 1);
     ck_assert_uint_eq(tier_store_list_calls(f.store, "servers/"), 1);
     ck_assert_uint_eq(tier_store_list_calls(f.store, "yuccarun/fleet/"), 1);
@@ -571,6 +574,86 @@
 }
 END_TEST
 
+/* A daemon that starts in a large fleet lists only the members in the store,
+   and gets everything else from a store reader. */
+START_TEST(test_start_beside_reader)
+{
+    fixture_t f;
+    boot_t boot;
+    boot_t reader_boot;
+    caller_t caller;
+    char why[128];
+    fixture_init(&f);
+    node_t *reader = start_reader(&f, &reader_boot);
+    run_ms(&f, 1000);
+    uint32_t operator_lists = tier_store_list_calls(f.store, "op/");
+    uint32_t upstream_lists = tier_store_list_calls(f.store, "servers/");
+    node_t *second = start_second(&f, &boot, "front-c-1");
+    run_ms(&f, 500);
+    ck_assert_uint_eq(tier_store_list_calls(f.store, "op/"), operator_lists);
+    ck_assert_uint_eq(tier_store_list_calls(f.store, "servers/"),
+                      upstream_lists);
+    caller_exchange(&f, &caller, &boot.callers_address,
+                    REQUEST("/one/", "r-1"), 900);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    conn_close(&caller.conn);
+    node_free(second);
+    /* Without a reader it lists them itself. */
+    node_free(reader);
+    second = node_start(f.loop, &boot, why, sizeof(why));
+    ck_assert_msg(second != NULL, "%s", why);
+    run_ms(&f, 1500);
+    ck_assert_uint_gt(tier_store_list_calls(f.store, "op/"), operator_lists);
+    caller_exchange(&f, &caller, &boot.callers_address,
+                    REQUEST("/one/", "r-2"), 900);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    conn_close(&caller.conn);
+    node_free(second);
+    fixture_release(&f);
+}
+END_TEST
+
+/* A standby hears of suspected requests from the store reader, and counts each
+   report once. */
+START_TEST(test_suspects_from_reader)
+{
+    static const call_t suspected = {
+        .host = "h", .method = "GET", .target = "/one/", .body = ""};
+    fixture_t f;
+    boot_t boot;
+    caller_t caller;
+    char fingerprint[32];
+    fixture_init(&f);
+    node_t *reader = start_reader(&f, &boot);
+    snprintf(fingerprint, sizeof(fingerprint), "%llx",
+             (unsigned long long)call_fingerprint(&suspected));
+    tier_store_put(f.store, "yuccarun/fleet/suspects/front-x-1/0",
+                   fingerprint);
+    run_ms(&f, 4500);
+    /* The prefix is listed again. */
+    tier_store_set_mode(f.store, TIER_STORE_COMPACTED);
+    run_ms(&f, 3000);
+    tier_store_set_mode(f.store, TIER_STORE_NORMAL);
+    run_ms(&f, 2500);
+    caller_exchange(&f, &caller, &f.boot.callers_address,
+                    REQUEST("/one/", "r-1"), 900);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    conn_close(&caller.conn);
+    /* The success has cleared the suspicion: two more reports. */
+    tier_store_put(f.store, "yuccarun/fleet/suspects/front-x-2/0",
+                   fingerprint);
+    tier_store_put(f.store, "yuccarun/fleet/suspects/front-x-3/0",
+                   fingerprint);
+    run_ms(&f, 4500);
+    caller_exchange(&f, &caller, &f.boot.callers_address,
+                    REQUEST("/one/", "r-2"), 900);
+    ck_assert_uint_eq(status_of(&caller), 503);
+    conn_close(&caller.conn);
+    node_free(reader);
+    fixture_release(&f);
+}
+END_TEST
+
 /*
  * After an outage a standby must reach the store by itself even if the peer
  * that it polls never does: two standbys may each take the other for the
@@ -680,7 +763,7 @@
     ck_assert_ptr_nonnull(
         tier_store_get(f.store, "yuccarun/registry/upstreams"));
     tier_store_remove(f.store, "servers/i-0");
-    node_t *second = start_second(&f, &boot);
+    node_t *second = start_second(&f, &boot, "front-b-1");
     run_ms(&f, 300);
     caller_exchange(&f, &caller, &boot.callers_address,
                     REQUEST("/one/", "r-1"), 900);
@@ -787,6 +870,8 @@
     tcase_add_loop_test(tests, test_start_without_store, 0, 2);
     tcase_add_loop_test(tests, test_reads_at_start, 0, 2);
     tcase_add_test(tests, test_standby_follows_reader);
+    tcase_add_test(tests, test_start_beside_reader);
+    tcase_add_test(tests, test_suspects_from_reader);
     tcase_add_test(tests, test_standby_without_reader);
     tcase_add_test(tests, test_full_state_request);
     tcase_add_test(tests, test_lost_watch_answers);
--- a/t/t1013-restored-store.c
+++ b/t/t1013-restored-store.c
@@ -19,7 +19,7 @@
     ENTRY_GRACE_MS = 2500,  /* lost entries are dropped within this */
     REVIVAL_HOLD_MS = 2000, /* revived entries are used after this */
     ZONES_HOLD_MS = 5500,   /* closed zones are opened within this */
-    MEMBER_LEASE_MS = 3500  /* lapsed leases end within this */
+    MEMBER_LEASE_MS = 4500  /* lapsed leases end within this */
 };
 
 #define MEMBER_KEY "yuccarun/fleet/members/front-a-1"
--- a/tier/lease.c
+++ b/tier/lease.c
@@ -7,16 +7,22 @@
 };
 
 void
-lease_init(lease_t *lease, const char *key, int64_t ttl_us, uint32_t renewals)
+lease_init(lease_t *lease, const char *key, int64_t ttl_us)
 {
     *lease = (lease_t){
         .ttl_us = ttl_us,
-        .renewals = renewals,
+        .renewals = LEASE_RENEWALS,
         .next = LEASE_GRANT,
     };
     snprintf(lease->key, sizeof(lease->key), "%s", key);
 }
 
+void
+lease_set_renewals(lease_t *lease, uint32_t renewals)
+{
+    lease->renewals = renewals;
+}
+
 bool
 lease_next_call(lease_t *lease, const char *record, size_t size,
                 kv_call_t *call, int64_t now_us)
--- a/tier/lease.h
+++ b/tier/lease.h
@@ -7,7 +7,7 @@
  * idempotent: no other daemon writes the key.
  *
  *     lease_t lease;
- *     lease_init(&lease, key, ttl_us, renewals);
+ *     lease_init(&lease, key, ttl_us);
  *     if (lease_next_call(&lease, record, size, &call, now_us)) {
  *         ... send the call ...
  *     }
@@ -22,7 +22,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-enum { LEASE_KEY_SIZE = 128 };
+enum {
+    LEASE_KEY_SIZE = 128,
+    LEASE_RENEWALS = 3 /* per TTL, by default */
+};
 
 typedef enum {
     LEASE_GRANT,
@@ -43,9 +46,12 @@
     int64_t due_us;       /* earliest time of the next call */
 } lease_t;
 
-/* renewals: how often the lease is renewed per TTL, at least twice. */
-void lease_init(lease_t *lease, const char *key, int64_t ttl_us,
-                uint32_t renewals);
+/* The lease is renewed LEASE_RENEWALS times per TTL until
+   lease_set_renewals. */
+void lease_init(lease_t *lease, const char *key, int64_t ttl_us);
+
+/* Set how often the lease is renewed per TTL, at least twice. */
+void lease_set_renewals(lease_t *lease, uint32_t renewals);
 
 /* Build the next call, if one is due and none is in flight. Returns true if
    `call` was built: it then counts as in flight until lease_response or
--- a/tier/node.c
+++ b/tier/node.c
@@ -29,6 +29,9 @@
        all others has read their records and a peer's response, and knows
        whether it will poll that peer instead of the store. */
     OPERATOR_FIRST_DELAY_US = 3000000,
+    /* At the fleet's first start all daemons start within 300 ms. They list
+       the members after this delay, and so know the size of the fleet. */
+    BOOTSTRAP_LIST_DELAY_US = 500000,
     /* How long a starting daemon that knows the members waits for a peer's
        state before it lists the other prefixes itself. */
     FIRST_LIST_DELAY_US = 600000,
@@ -270,7 +273,10 @@
                      store_link_follow(node->store, &members_settings,
                                        &node_fleet_reader, node);
     /* Of a large fleet's members, only the store readers list the others. */
-    int64_t until_us = node->started_us + FIRST_LIST_DELAY_US;
+    int64_t members_us = node->started_us +
+                         (node->boot.bootstrap ? BOOTSTRAP_LIST_DELAY_US : 0);
+    int64_t until_us = members_us + FIRST_LIST_DELAY_US;
+    store_link_pause_polling(node->store, KEY_FLEET, members_us);
     store_link_pause_polling(node->store, KEY_UPSTREAMS, until_us);
     store_link_pause_polling(node->store, KEY_OPERATOR, until_us);
     return following;
@@ -388,6 +394,7 @@
         node_free(node);
         return NULL;
     }
+    node_register(node);
     node_add_self(node, now_us);
     node->fleet_size = members_fleet_size(&node->members, now_us);
     engine_set_fleet_size(node->engine, node->fleet_size, now_us);
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -2,7 +2,6 @@
 #include "edge/event.h"
 #include "platform/names.h"
 #include "tier/node_state.h"
-#include "tier/serving.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -16,13 +15,10 @@
     /* A standby daemon takes a full share divided by this. */
     STANDBY_SHARE_DIVISOR = 4,
     LINK_FULL_WEIGHT_MBPS = 100, /* a wider link adds no weight */
-    /* A daemon that crashes stays listed for the TTL of its lease. In a large
-       fleet a lost daemon is a small part of those that serve, and renewals
-       are most of the calls to the store. A renewal that gets no response is
-       repeated in time. */
-    MEMBER_LEASE_US = 3000000,
-    MEMBER_RENEWALS = 3, /* per TTL */
-    MEMBER_LEASE_LARGE_US = 4000000,
+    /* A daemon that crashes stays listed for this long. */
+    MEMBER_LEASE_US = 4000000,
+    /* Renewals are most of a large fleet's calls to the store. Twice per TTL
+       leaves time to repeat one that gets no response. */
     MEMBER_RENEWALS_LARGE = 2,
     /* Older suspects are not written again after the store was restored: the
        other daemons refuse their requests no longer than this. */
@@ -65,44 +61,67 @@
     }
 }
 
-/* Write this daemon's record, under a lease that suits the fleet's size. */
-static void
+void
 node_register(node_t *node)
 {
     char key[LEASE_KEY_SIZE];
     char record[MEMBER_RECORD_SIZE];
-    bool large = node->members.count > SERVING_ALL_MAX;
-    int64_t ttl_us = large ? MEMBER_LEASE_LARGE_US : MEMBER_LEASE_US;
-    if (ttl_us < node->boot.min_lease_us) {
-        ttl_us = node->boot.min_lease_us;
-    }
     snprintf(key, sizeof(key), KEY_MEMBERS "%s", node->boot.daemon_name);
     if (node_format_record(node, record, sizeof(record)) > 0) {
-        store_link_register(node->store, key, record, ttl_us,
-                            large ? MEMBER_RENEWALS_LARGE : MEMBER_RENEWALS);
+        store_link_register(node->store, key, record,
+                            MEMBER_LEASE_US > node->boot.min_lease_us
+                                ? MEMBER_LEASE_US
+                                : node->boot.min_lease_us);
+    }
+}
+
+/* Find the zones with hardly any upstreams, whose daemons do not serve. */
+static void
+node_update_remote_zones(node_t *node)
+{
+    const registry_t *registry = engine_registry(node->engine);
+    char zones[MEMBERS_ZONES_MAX][MEMBER_NAME_SIZE];
+    uint32_t upstreams[MEMBERS_ZONES_MAX] = {0};
+    uint32_t count = members_zones(&node->members, zones);
+    uint64_t revision;
+    const instance_t *instance;
+    for (void *cursor = NULL;
+         (instance = registry_next(registry, &cursor, &revision)) != NULL;) {
+        for (uint32_t i = 0; i < count; i++) {
+            upstreams[i] += strcmp(zones[i], instance->entry.zone) == 0;
+        }
+    }
+    if (members_set_remote_zones(&node->members, zones, upstreams, count)) {
+        event_log(EVENT_ZONES_REMOTE, "remote=%u zones=%u upstreams=%u",
+                  node->members.remote_zone_count, count,
+                  registry_count(registry));
     }
 }
 
 void
 node_apply_membership(node_t *node, int64_t now_us)
 {
+    node_update_remote_zones(node);
     uint32_t serving = members_assign_roles(&node->members);
     member_role_t role = members_role(&node->members, node->boot.daemon_name);
     uint32_t fleet_size = members_fleet_size(&node->members, now_us);
     bool large_fleet = serving < node->members.count;
     if (large_fleet) {
         /* A standby daemon sends hardly any requests. */
-        fleet_size = role != MEMBER_STANDBY
+        fleet_size = member_role_serves(role)
                          ? serving + SERVING_SPARE
                          : fleet_size * STANDBY_SHARE_DIVISOR;
     }
     bool polled_peers = node->polls_peers;
-    node->polls_peers = large_fleet && role != MEMBER_STORE_READER;
-    if (!node->polls_peers &&
-        (polled_peers || !store_link_has_record(node->store))) {
+    node->polls_peers = large_fleet && !member_role_reads_store(role);
+    store_link_set_renewals(node->store, large_fleet ? MEMBER_RENEWALS_LARGE
+                                                     : LEASE_RENEWALS);
+    if (node->members_listed && !node->polls_peers &&
+        (polled_peers || !node->lists_released)) {
         store_link_pause_polling(node->store, KEY_UPSTREAMS, 0);
         store_link_pause_polling(node->store, KEY_OPERATOR, 0);
         store_link_pause_polling(node->store, KEY_FLEET, 0);
+        node->lists_released = true;
     }
     poll_intervals_set(&node->poll_intervals, node->boot.drain_us,
                        node->boot.converge_us, large_fleet);
@@ -251,6 +270,7 @@
 {
     node_t *node = owner;
     node->members_list_reading = false;
+    node->members_listed = true;
     bool changed = members_list_end(&node->members, now_us);
     members_reset_tombstones(&node->members,
                              store_link_revision(node->store, KEY_FLEET));
@@ -266,9 +286,6 @@
     else {
         node_apply_membership(node, now_us);
     }
-    if (!store_link_has_record(node->store) && !node->shutting_down) {
-        node_register(node);
-    }
 }
 
 const prefix_reader_t node_fleet_reader = {
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -52,6 +52,8 @@
     members_t members;
     bool members_list_reading; /* between the first and the last page */
     bool members_list_changed; /* the list being read changed a member */
+    bool members_listed;       /* from the store, at least once */
+    bool lists_released;       /* the pause of the first lists was ended */
     uint32_t fleet_size;       /* daemons that share the upstreams */
     poll_intervals_t poll_intervals;
     bool upstreams_known; /* read from the store or a peer at least once */
@@ -122,6 +124,9 @@
  */
 size_t node_format_record(const node_t *node, char *text, size_t size);
 
+/* Write this daemon's record to the store and keep it there. */
+void node_register(node_t *node);
+
 /* Add this daemon to its own list of members, unless it shuts down. */
 void node_add_self(node_t *node, int64_t now_us);
 
--- a/tier/serving.c
+++ b/tier/serving.c
@@ -54,24 +54,65 @@
                : (SERVING_READERS_MIN + zones - 1) / zones;
 }
 
-/* How many of a zone's candidates, sorted by weight, have
-   SERVING_WEIGHT_PERCENT of the zone's weight together, at most `max`. */
+static int
+weight_compare(const void *left, const void *right)
+{
+    uint32_t a = *(const uint32_t *)left;
+    uint32_t b = *(const uint32_t *)right;
+    return a > b ? -1 : a < b ? 1 : 0;
+}
+
+/* The least weight of a VM that serves: half the least weight of the strongest
+   VMs that have SERVING_WEIGHT_PERCENT of the fleet's weight together. 0 when
+   out of memory. */
 static uint32_t
-zone_strongest(const candidate_t *candidates, uint32_t size, uint32_t max)
+serving_weight_min(const members_t *members)
 {
+    uint32_t *weights = malloc((members->count + 1) * sizeof(*weights));
+    if (weights == NULL) {
+        return 0;
+    }
     uint64_t total = 0;
-    for (uint32_t i = 0; i < size; i++) {
-        total += candidates[i].record->weight;
+    for (uint32_t i = 0; i < members->count; i++) {
+        weights[i] = members->records[i].weight;
+        total += weights[i];
     }
+    qsort(weights, members->count, sizeof(*weights), weight_compare);
     uint64_t sum = 0;
+    uint32_t least = 0;
+    for (uint32_t i = 0;
+         i < members->count && sum * 100 < total * SERVING_WEIGHT_PERCENT;
+         i++) {
+        least = weights[i];
+        sum += least;
+    }
+    free(weights);
+    return least / 2;
+}
+
+/* How many of a zone's candidates, sorted by weight, have at least that
+   weight. */
+static uint32_t
+zone_count_strong(const candidate_t *candidates, uint32_t size,
+                  uint32_t weight_min)
+{
     uint32_t count = 0;
-    while (count < size && count < max &&
-           (total == 0 || sum * 100 < total * SERVING_WEIGHT_PERCENT)) {
-        sum += candidates[count++].record->weight;
+    while (count < size && candidates[count].record->weight >= weight_min) {
+        count++;
     }
     return count;
 }
 
+/* The role of a zone's candidate, by its place in the order of weight. */
+static member_role_t
+role_at(uint32_t place, uint32_t serving, uint32_t readers)
+{
+    if (place < serving) {
+        return place < readers ? MEMBER_STORE_READER : MEMBER_SERVING;
+    }
+    return place < readers ? MEMBER_STANDBY_READER : MEMBER_STANDBY;
+}
+
 uint32_t
 serving_assign_roles(const members_t *members, member_role_t *roles)
 {
@@ -97,22 +138,24 @@
     uint32_t wanted = count / SERVING_DIVISOR > SERVING_ALL_MAX
                           ? count / SERVING_DIVISOR
                           : SERVING_ALL_MAX;
+    uint32_t weight_min = serving_weight_min(members);
     uint32_t readers_min = zone_readers_min(candidates, count);
     for (uint32_t i = 0; i < count;) {
         uint32_t size = zone_size(&candidates[i], count - i);
         uint32_t readers = (size + SERVING_DAEMONS_PER_READER - 1) /
                            SERVING_DAEMONS_PER_READER;
         readers = readers < readers_min ? readers_min : readers;
-        uint32_t zone_serving = zone_strongest(
-            &candidates[i], size, (wanted * size + count - 1) / count);
+        uint32_t zone_serving = (wanted * size + count - 1) / count;
+        uint32_t strong = zone_count_strong(&candidates[i], size, weight_min);
+        zone_serving = strong < zone_serving ? strong : zone_serving;
         zone_serving =
             zone_serving < SERVING_ZONE_MIN ? SERVING_ZONE_MIN : zone_serving;
         zone_serving = zone_serving < readers ? readers : zone_serving;
+        if (members_zone_is_remote(members, candidates[i].record->zone)) {
+            zone_serving = 0;
+        }
         for (uint32_t j = 0; j < size; j++) {
-            roles[candidates[i + j].index] = j < readers ? MEMBER_STORE_READER
-                                             : j < zone_serving
-                                                 ? MEMBER_SERVING
-                                                 : MEMBER_STANDBY;
+            roles[candidates[i + j].index] = role_at(j, zone_serving, readers);
         }
         total += size < zone_serving ? size : zone_serving;
         i += size;
--- a/tier/serving.h
+++ b/tier/serving.h
@@ -6,14 +6,16 @@
  * connection would be opened for a few requests only, a daemon's share of an
  * upstream's slots would fall below one, and each daemon would poll the store
  * as often as a busy one. So in a large fleet the directory lists only some of
- * the daemons: in each zone the VMs with the largest weight, until they have
- * SERVING_WEIGHT_PERCENT of the zone's weight, but at most its part of one
- * daemon in SERVING_DIVISOR; the rest are on standby. A query over many shards
- * takes a weak VM's processor and link longer than its goal, and callers
- * choose among the listed daemons at random: a weak VM serves only where there
- * are not enough strong ones. All daemons compute the same roles from the same
- * list of members. When a serving daemon leaves, the next one of its zone
- * replaces it.
+ * the daemons; the rest are on standby.
+ *
+ * Callers choose among the listed daemons at random, and a query over many
+ * shards takes a weak VM's processor and link longer than its goal. Hence the
+ * strongest VMs of the fleet serve, as many as have SERVING_WEIGHT_PERCENT of
+ * its weight, and all others of at least half their weight, but at most one
+ * daemon in SERVING_DIVISOR, each zone in proportion to its daemons, and none
+ * in a zone with hardly any upstreams (see members_set_remote_zones). All
+ * daemons compute the same roles from the same list of members. When a serving
+ * daemon leaves, the next one of its zone may replace it.
  *
  *     uint32_t serving = serving_assign_roles(&members, roles);
  */
@@ -32,7 +34,7 @@
        in each zone. */
     SERVING_DIVISOR = 5,
     SERVING_ZONE_MIN = 2,
-    SERVING_WEIGHT_PERCENT = 40,
+    SERVING_WEIGHT_PERCENT = 25,
     /* Store readers in a large fleet: at least this many in total, at least
        one in each zone, and one per SERVING_DAEMONS_PER_READER in a large
        zone. */
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -646,17 +646,17 @@
 
 void
 store_link_register(store_link_t *store, const char *key, const char *record,
-                    int64_t ttl_us, uint32_t renewals)
+                    int64_t ttl_us)
 {
     snprintf(store->record, sizeof(store->record), "%s", record);
-    lease_init(&store->lease, key, ttl_us, renewals);
+    lease_init(&store->lease, key, ttl_us);
     store->has_record = true;
 }
 
-bool
-store_link_has_record(const store_link_t *store)
+void
+store_link_set_renewals(store_link_t *store, uint32_t renewals)
 {
-    return store->has_record;
+    lease_set_renewals(&store->lease, renewals);
 }
 
 void
--- a/tier/store_link.h
+++ b/tier/store_link.h
@@ -84,15 +84,14 @@
                        const prefix_reader_t *reader, void *owner);
 
 /*
- * Keep a record in the store under a lease of ttl_us, which is renewed that
- * many times per TTL until store_link_deregister. key and record are copied.
+ * Keep a record in the store under a lease of ttl_us, which is renewed until
+ * store_link_deregister. key and record are copied.
  */
 void store_link_register(store_link_t *store, const char *key,
-                         const char *record, int64_t ttl_us,
-                         uint32_t renewals);
+                         const char *record, int64_t ttl_us);
 
-/* Whether store_link_register was called. */
-bool store_link_has_record(const store_link_t *store);
+/* Set how often the lease of the record is renewed per TTL. */
+void store_link_set_renewals(store_link_t *store, uint32_t renewals);
 
 /* Set the interval between two calls for the changes of a prefix. */
 void store_link_set_poll_interval(store_link_t *store, const char *prefix,
