serving: weak VMs do not replace strong ones; a full link refuses at once

The store turned a third of the daemons away and revoked their leases; a zone whose strong VMs were gone named two weak ones, which then had a fifteenth of all callers each, and their links (20 Mbit/s) held sends and responses back.

Change: a zone without strong VMs has no serving daemon while at least two other zones have some; its daemons poll the readers there. A daemon estimates how long its link takes for the responses to all open requests, and refuses (503, link_full, Retry-After) what it can't carry by the caller's deadline.

Tests, which fail without the change: t1003 test_serving_zone_without_strong, t1010 test_narrow_link; test_failing_upstream_is_no_suspicion has its calls 3 s apart.

--- a/t/t1003-observed-state.c
+++ b/t/t1003-observed-state.c
@@ -498,12 +498,66 @@
 static const unequal_case_t unequal_cases[] = {
     {"strong VMs are enough", 3, 51, 3, 0},
     {"one of them is lost", 2, 51, 2, 0},
-    {"two of them are lost: two serve in each zone", 1, 51, 1, 1},
+    {"two of them are lost", 1, 51, 1, 0},
     {"all of them are lost: one in five", 0, 51, 0, 10},
     {"fewer weak VMs", 2, 17, 2, 0},
     {"strong VMs only: one in five", 40, 0, 8, 0},
 };
 
+static void
+put_weighted(members_t *members, uint32_t number, const char *zone,
+             uint32_t weight)
+{
+    char name[32];
+    char text[128];
+    snprintf(name, sizeof(name), "d-%u", number);
+    size_t size = member_record_write(text, sizeof(text), "10.0.0.1:1",
+                                      "10.0.0.1:2", zone, weight);
+    members_put(members, name, text, size, 1, T0);
+}
+
+/*
+ * The store turns the strong VMs of a zone away, and their leases end: weak
+ * VMs must not take their share of the callers. If strong VMs are left in one
+ * zone only, each zone has daemons that serve.
+ */
+typedef struct {
+    const char *name;
+    uint32_t strong[3];
+    uint32_t serving[3];
+} zone_strong_case_t;
+
+static const zone_strong_case_t zone_strong_cases[] = {
+    {"all zones", {3, 3, 3}, {3, 3, 3}},
+    {"none in one zone", {3, 0, 3}, {3, 0, 3}},
+    {"in one zone only", {3, 0, 0}, {3, 2, 2}},
+};
+
+START_TEST(test_serving_zone_without_strong)
+{
+    const zone_strong_case_t *c = &zone_strong_cases[_i];
+    static const char *const zones[] = {"a", "b", "c"};
+    members_t members;
+    uint32_t serving[3] = {0};
+    members_init(&members, T0);
+    for (uint32_t i = 0; i < 60; i++) {
+        put_weighted(&members, i, zones[i % 3],
+                     i / 3 < c->strong[i % 3] ? 500 : 24);
+    }
+    members_assign_roles(&members);
+    for (uint32_t i = 0; i < members.count; i++) {
+        const member_record_t *record = &members.records[i];
+        serving[record->zone[0] - 'a'] += record->role != MEMBER_STANDBY;
+    }
+    for (uint32_t z = 0; z < 3; z++) {
+        ck_assert_msg(serving[z] == c->serving[z], "%s: %u in %s", c->name,
+                      serving[z], zones[z]);
+    }
+    ck_assert_ptr_nonnull(members_pick_reader(&members, "b", "d-59", 0));
+    members_release(&members);
+}
+END_TEST
+
 START_TEST(test_serving_unequal)
 {
     const unequal_case_t *c = &unequal_cases[_i];
@@ -511,13 +565,7 @@
     members_t members;
     members_init(&members, T0);
     for (uint32_t i = 0; i < 3 * (c->strong + c->weak); i++) {
-        char name[32];
-        char text[128];
-        snprintf(name, sizeof(name), "d-%u", i);
-        size_t size =
-            member_record_write(text, sizeof(text), "10.0.0.1:1", "10.0.0.1:2",
-                                zones[i % 3], i / 3 < c->strong ? 500 : 24);
-        members_put(&members, name, text, size, 1, T0);
+        put_weighted(&members, i, zones[i % 3], i / 3 < c->strong ? 500 : 24);
     }
     members_assign_roles(&members);
     uint32_t strong = 0;
@@ -597,6 +645,9 @@
     tcase_add_test(tests, test_members);
     tcase_add_loop_test(tests, test_serving, 0,
                         sizeof(serving_cases) / sizeof(serving_cases[0]));
+    tcase_add_loop_test(tests, test_serving_zone_without_strong, 0,
+                        sizeof(zone_strong_cases) /
+                            sizeof(zone_strong_cases[0]));
     tcase_add_loop_test(tests, test_serving_unequal, 0,
                         sizeof(unequal_cases) / sizeof(unequal_cases[0]));
     tcase_add_loop_test(tests, test_poll_intervals, 0,
--- a/t/t1010-engine.c
+++ b/t/t1010-engine.c
@@ -418,6 +418,54 @@
  * is refused once that has happened twice, at this daemon or at others. Other
  * requests are not refused.
  */
+/*
+ * A burst at a VM with a narrow link: what the link can't carry by the
+ * callers' deadline is refused at once, unrun, and the rest is served.
+ */
+START_TEST(test_narrow_link)
+{
+    enum { CALLS = 60 };
+    static const tier_settings_t narrow = {
+        .daemons = 1,
+        .engine = {.zone = "a",
+                   .retry_ratio = 0.2,
+                   .retry_slack = 50,
+                   .requests_max = 1000,
+                   .link_bytes_per_s = 10000},
+        .seed = 7,
+    };
+    tier_world_t *world = tier_world_new(&narrow);
+    tier_call_t *calls[CALLS];
+    uint32_t served = 0;
+    uint32_t refused = 0;
+    tier_world_configure(world, tier_world_table(1, 1, GOAL_US, 1));
+    tier_world_upstream(world, &(tier_world_upstream_t){.id = "i-1",
+                                                        .service = "s0",
+                                                        .zone = "a",
+                                                        .slots = 100,
+                                                        .queue_max = 100});
+    for (int i = 0; i < CALLS; i++) {
+        calls[i] = tier_world_call(world, START_US, 0, "/one/", WORK_US,
+                                   CALLER_TIMEOUT_US);
+    }
+    tier_world_run(world, START_US + 2 * CALLER_TIMEOUT_US);
+    for (int i = 0; i < CALLS; i++) {
+        served += calls[i]->status == 200;
+        if (calls[i]->status == 503) {
+            refused++;
+            ck_assert_int_eq(calls[i]->done_us, START_US);
+            ck_assert_uint_eq(calls[i]->arrivals, 0);
+            ck_assert_str_eq(calls[i]->reason, "link_full");
+            ck_assert_int_gt(calls[i]->retry_after_us, 0);
+        }
+    }
+    ck_assert_uint_gt(refused, 0);
+    ck_assert_uint_gt(served, CALLS / 3);
+    ck_assert_uint_eq(served + refused, CALLS);
+    tier_world_free(world);
+}
+END_TEST
+
 /*
  * An upstream that loses whatever it gets is not crashed by its requests: only
  * the first losses are reported as suspicions.
@@ -436,10 +484,10 @@
                                                         .lose_share = 1});
     for (int i = 0; i < CALLS; i++) {
         snprintf(paths[i], sizeof(paths[i]), "/once/%d", i);
-        tier_world_call(world, START_US + i * SECOND / 5, 0, paths[i], WORK_US,
+        tier_world_call(world, START_US + i * 3 * SECOND, 0, paths[i], WORK_US,
                         CALLER_TIMEOUT_US);
     }
-    tier_world_run(world, START_US + CALLS * SECOND);
+    tier_world_run(world, START_US + 3 * CALLS * SECOND);
     ck_assert_uint_gt(tier_world_suspects(world), 0);
     ck_assert_uint_le(tier_world_suspects(world), SUSPECTS_MAX_EXPECTED);
     tier_world_free(world);
@@ -627,6 +675,7 @@
     tcase_add_test(tests, test_split);
     tcase_add_loop_test(tests, test_crashing_request, 0, 2);
     tcase_add_test(tests, test_failing_upstream_is_no_suspicion);
+    tcase_add_test(tests, test_narrow_link);
     tcase_add_test(tests, test_retries_stay_within_budget);
     tcase_add_test(tests, test_partial_success_clears_suspicion);
     tcase_add_test(tests, test_failed_hedge_beside_slow_send);
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -24,7 +24,9 @@
        their upstream connections without any response. Upstreams restart
        within seconds. */
     CRASH_ATTEMPTS = 2,
-    CRASH_REFUSE_US = 60000000
+    CRASH_REFUSE_US = 60000000,
+    /* Bytes of a response besides its body, on the link. */
+    RESPONSE_HEADER_BYTES = 300
 };
 
 uint64_t
@@ -362,6 +364,11 @@
         .min_share = route->min_share,
         .goal_us = request->goal_us,
     };
+    request->part_bytes = RESPONSE_HEADER_BYTES +
+                          (uint32_t)request->route_state->mean_response_bytes;
+    request->expected_parts = request->subrequest_count;
+    engine->inbound_bytes +=
+        (uint64_t)request->expected_parts * request->part_bytes;
     request->next = engine->requests;
     if (request->next != NULL) {
         request->next->prev = request;
@@ -385,6 +392,8 @@
         request->next->prev = request->prev;
     }
     engine->request_count--;
+    engine->inbound_bytes -=
+        (uint64_t)request->expected_parts * request->part_bytes;
     request_free(request);
 }
 
@@ -433,6 +442,25 @@
     request_remove(request);
 }
 
+void
+request_expect_less(request_t *request)
+{
+    if (request->expected_parts > 0) {
+        request->expected_parts--;
+        request->engine->inbound_bytes -= request->part_bytes;
+    }
+}
+
+/* Time that this VM's link needs for the responses to all open requests. */
+static int64_t
+engine_link_wait_us(const engine_t *engine)
+{
+    return engine->settings.link_bytes_per_s > 0
+               ? (int64_t)((double)engine->inbound_bytes /
+                           engine->settings.link_bytes_per_s * 1e6)
+               : 0;
+}
+
 /*
  * Retry-After of a refusal: when the services whose upstreams all rest accept
  * requests again, but at least REFUSAL_RETRY_AFTER_US. The random part spreads
@@ -442,6 +470,10 @@
 request_retry_after_us(const request_t *request, int64_t now_us)
 {
     int64_t retry_after_us = REFUSAL_RETRY_AFTER_US;
+    int64_t link_wait_us = engine_link_wait_us(request->engine);
+    if (link_wait_us > retry_after_us) {
+        retry_after_us = link_wait_us;
+    }
     for (uint32_t i = 0; i < request->subrequest_count; i++) {
         int64_t rest_us =
             subrequest_rest_end_us(&request->subrequests[i], now_us) - now_us;
@@ -599,6 +631,15 @@
         budget_count_first(&request->subrequests[i].pool->retry_budget,
                            now_us);
     }
+    if (now_us + engine_link_wait_us(engine) > request->deadline_us) {
+        char cause[SUBREQUESTS_TEXT_SIZE];
+        snprintf(cause, sizeof(cause), "inbound_kb=%llu",
+                 (unsigned long long)engine->inbound_bytes / 1024);
+        engine_refuse(engine, call, 503, "link_full", cause,
+                      request_retry_after_us(request, now_us));
+        request_remove(request);
+        return NULL;
+    }
     if (!request_is_feasible(request, now_us)) {
         char cause[SUBREQUESTS_TEXT_SIZE];
         request_describe_infeasible(request, cause, sizeof(cause), now_us);
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -118,10 +118,11 @@
 
 typedef struct {
     char zone[INSTANCE_NAME_SIZE];
-    double retry_ratio;    /* retries and hedges allowed per request */
-    uint32_t retry_slack;  /* allowed on top of that, for the whole fleet */
-    uint32_t requests_max; /* open at a time */
-    uint64_t seed;         /* for random choices among equal upstreams */
+    double retry_ratio;      /* retries and hedges allowed per request */
+    uint32_t retry_slack;    /* allowed on top of that, for the whole fleet */
+    uint32_t requests_max;   /* open at a time */
+    double link_bytes_per_s; /* of this VM; 0: unknown, no limit */
+    uint64_t seed;           /* for random choices among equal upstreams */
 } engine_settings_t;
 
 /* One send to one upstream. */
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -17,8 +17,9 @@
 /* State of a route that is kept across configuration versions. */
 typedef struct {
     hedge_profile_t profile;
-    hist_t latency;       /* of successful answers, from arrival */
-    double *split_credit; /* per target, for weighted round-robin */
+    hist_t latency;             /* of successful answers, from arrival */
+    double mean_response_bytes; /* moving mean; 0: no response yet */
+    double *split_credit;       /* per target, for weighted round-robin */
     uint32_t split_target_count;
     uint64_t table_version; /* of the table that split_credit belongs to */
 } route_state_t;
@@ -68,6 +69,8 @@
     gather_t gather;
     records_t records;
     buffer_t signatures;
+    uint32_t part_bytes;     /* expected of each part, with its header */
+    uint32_t expected_parts; /* that have not arrived */
     uint64_t fingerprint;    /* hash of host, method, target and body */
     uint32_t lost_sends;     /* sends that were lost; see REPLY_LOST */
     uint32_t answered_sends; /* sends that got a whole response */
@@ -89,6 +92,8 @@
     uint32_t request_count;
     request_t *requests;
     attempt_t *attempts; /* all in flight, abandoned ones included */
+    uint64_t
+        inbound_bytes; /* expected in response to all attempts in flight */
     uint64_t random;
     quarantine_t *quarantine; /* fingerprints of crash-inducing requests */
 };
@@ -124,6 +129,9 @@
    0. */
 int64_t subrequest_rest_end_us(const subrequest_t *subrequest, int64_t now_us);
 
+/* A part of the request has arrived: expect its bytes no longer. */
+void request_expect_less(request_t *request);
+
 /* Whether the subrequest is estimated to finish by deadline_us. */
 bool subrequest_is_feasible(const subrequest_t *subrequest,
                             int64_t deadline_us, int64_t now_us);
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -10,6 +10,8 @@
 /* Above any goal_us, so that the time in a rank is positive and does not reach
    the bits above it. */
 #define RANK_TIME_MAX ((int64_t)1 << 52)
+/* Weight of the newest sample in the moving mean of response sizes. */
+#define SIZE_WEIGHT 0.05
 
 enum {
     /* How long an abandoned attempt may still finish, so that its connection
@@ -411,6 +413,7 @@
     end[separator + length] = '\0';
     buffer_commit(signatures, separator + length);
     subrequest->state = SUBREQUEST_DONE;
+    request_expect_less(request);
     request->gather.answered++;
     if (request->half_answered_us == 0 &&
         2 * request->gather.answered >= request->gather.shards) {
@@ -421,6 +424,15 @@
     }
 }
 
+static void
+route_state_add_size(route_state_t *route_state, size_t body_bytes)
+{
+    double mean = route_state->mean_response_bytes;
+    route_state->mean_response_bytes =
+        mean <= 0 ? (double)body_bytes
+                  : mean + ((double)body_bytes - mean) * SIZE_WEIGHT;
+}
+
 /*
  * Handle a whole, signed response: merge it, relay it, or treat it as a
  * failure. good: its status is 2xx. True: the request was answered and freed.
@@ -433,6 +445,8 @@
     const route_t *route = request->route;
     if (good) {
         hedge_profile_add(&request->route_state->profile, took_us);
+        route_state_add_size(request->route_state,
+                             buffer_size(&reply->message->body));
         subrequest_stop(subrequest, route->idempotent, now_us);
         if (route->kind == ROUTE_SHARDS) {
             subrequest_merge(subrequest, reply, now_us);
@@ -517,7 +531,7 @@
 {
     request_t *request = attempt->request;
     pool_t *pool = attempt->pool;
-    attempt->upstream_failing = instance_is_failing(attempt->instance, now_us);
+    attempt->upstream_failing = instance_is_failing(attempt->instance);
     attempt_record_result(attempt, reply, now_us);
     if (reply->kind != REPLY_ANSWER || reply->message->status >= 500) {
         attempt_log(attempt, reply, now_us);
--- a/tier/instance.c
+++ b/tier/instance.c
@@ -10,9 +10,6 @@
 #define SLOWNESS_MAX 20.0
 /* Weight of the newest request in the failure rate. */
 #define FAILURE_WEIGHT 0.35
-/* Failure rate above which an upstream counts as failing: after two failures
-   in a row. */
-#define FAILING_RATE 0.5
 /* Cost of a failure rate of 1. All costs are in queued requests. */
 #define FAILURE_COST 30.0
 /* Cost of another zone: traffic between zones is slower and is billed. The
@@ -25,7 +22,10 @@
 #define COLD_FACTOR 2.0
 /* How long an upstream gets no requests after its address turned out to belong
    to another upstream; a new address or restart in its entry ends this. */
-enum { MISADDRESSED_US = 5000000 };
+enum {
+    MISADDRESSED_US = 5000000,
+    FAILING_LOSSES = 2 /* in a row, of an upstream that counts as failing */
+};
 
 void
 instance_init(instance_t *instance, const instance_entry_t *entry,
@@ -53,6 +53,7 @@
     if (restarted || moved) {
         instance->slowness = 1.0;
         instance->failure_rate = 0;
+        instance->losses_in_row = 0;
         instance->stats_us = now_us;
         instance->backoff_until_us = 0;
         instance->connect_failures = 0;
@@ -114,6 +115,7 @@
     instance_request_ended(instance);
     instance_decay(instance, now_us);
     instance->silent_since_us = now_us;
+    instance->losses_in_row = 0;
     if (!good) {
         instance->failure_rate +=
             (1 - instance->failure_rate) * FAILURE_WEIGHT;
@@ -137,6 +139,7 @@
 instance_lost(instance_t *instance, int64_t now_us)
 {
     instance_request_ended(instance);
+    instance->losses_in_row++;
     instance_decay(instance, now_us);
     instance->failure_rate += (1 - instance->failure_rate) * FAILURE_WEIGHT;
 }
@@ -198,10 +201,9 @@
 }
 
 bool
-instance_is_failing(const instance_t *instance, int64_t now_us)
+instance_is_failing(const instance_t *instance)
 {
-    return instance->failure_rate * instance_decay_factor(instance, now_us) >
-           FAILING_RATE;
+    return instance->losses_in_row >= FAILING_LOSSES;
 }
 
 double
--- a/tier/instance.h
+++ b/tier/instance.h
@@ -55,6 +55,7 @@
     int64_t silent_since_us;  /* last response, or first send after idling */
     double slowness;          /* moving mean of actual to expected time */
     double failure_rate;      /* moving mean, 0 (none fails) .. 1 (all fail) */
+    uint32_t losses_in_row;   /* requests lost since the last response */
     int64_t stats_us;         /* last update of slowness and failure_rate */
     int64_t answered_us;      /* last successful response */
     int64_t backoff_until_us; /* end of the backoff after failed connects */
@@ -113,8 +114,8 @@
    or misaddressed. It may be resting; see instance_t.rest_until_us. */
 bool instance_is_usable(const instance_t *instance, int64_t now_us);
 
-/* Whether the upstream has failed several of its last requests. */
-bool instance_is_failing(const instance_t *instance, int64_t now_us);
+/* Whether the last requests were all lost, however long ago. */
+bool instance_is_failing(const instance_t *instance);
 
 /* Ratio of actual to expected response time, after decay; 1: as expected. */
 double instance_slowness(const instance_t *instance, int64_t now_us);
--- a/tier/node.c
+++ b/tier/node.c
@@ -349,6 +349,7 @@
         .retry_ratio = boot->retry_ratio,
         .retry_slack = boot->retry_slack,
         .requests_max = REQUESTS_MAX,
+        .link_bytes_per_s = boot->link_mbps * 1e6 / 8,
     };
     snprintf(settings.zone, sizeof(settings.zone), "%s", boot->zone);
     node->engine = engine_new(&settings, &node_ports, node);
--- a/tier/serving.c
+++ b/tier/serving.c
@@ -103,6 +103,19 @@
     return count;
 }
 
+/* Number of zones that have a VM of at least that weight. */
+static uint32_t
+zones_with_strong(const candidate_t *candidates, uint32_t count,
+                  uint32_t weight_min)
+{
+    uint32_t zones = 0;
+    for (uint32_t i = 0; i < count;
+         i += zone_size(&candidates[i], count - i)) {
+        zones += candidates[i].record->weight >= weight_min ? 1 : 0;
+    }
+    return zones;
+}
+
 uint32_t
 serving_assign_roles(const members_t *members, member_role_t *roles)
 {
@@ -129,6 +142,10 @@
                           ? count / SERVING_DIVISOR
                           : SERVING_ALL_MAX;
     uint32_t weight_min = serving_weight_min(members);
+    uint32_t zone_min = zones_with_strong(candidates, count, weight_min) <
+                                SERVING_STRONG_ZONES_MIN
+                            ? SERVING_ZONE_MIN
+                            : 0;
     uint32_t readers_min = zone_readers_min(candidates, count);
     for (uint32_t i = 0; i < count;) {
         uint32_t size = zone_size(&candidates[i], count - i);
@@ -136,16 +153,17 @@
                            SERVING_DAEMONS_PER_READER;
         readers = readers < readers_min ? readers_min : readers;
         uint32_t zone_serving = (wanted * size + count - 1) / count;
-        uint32_t strong = zone_count_strong(&candidates[i], size, weight_min);
-        zone_serving = strong < zone_serving ? strong : zone_serving;
         zone_serving =
             zone_serving < SERVING_ZONE_MIN ? SERVING_ZONE_MIN : zone_serving;
         zone_serving = zone_serving < readers ? readers : zone_serving;
+        uint32_t strong = zone_count_strong(&candidates[i], size, weight_min);
+        zone_serving = strong < zone_serving ? strong : zone_serving;
+        zone_serving = zone_serving < zone_min ? zone_min : zone_serving;
         for (uint32_t j = 0; j < size; j++) {
-            roles[candidates[i + j].index] = j < readers ? MEMBER_STORE_READER
-                                             : j < zone_serving
-                                                 ? MEMBER_SERVING
-                                                 : MEMBER_STANDBY;
+            roles[candidates[i + j].index] = j >= zone_serving ? MEMBER_STANDBY
+                                             : j < readers
+                                                 ? MEMBER_STORE_READER
+                                                 : MEMBER_SERVING;
         }
         total += size < zone_serving ? size : zone_serving;
         i += size;
