members: a longer lease on weak VMs of a large fleet

Change: such a daemon has a lease of 12 s, renewed every 6 s, and moves to the usual 4 s when it is to serve. A daemon registers once the members are listed and its role is known; at the fleet's first start it registers at once, with the longer lease. A daemon that is missing in a reader's list 5 s after its start writes its record again.

Test: t1012 test_lease_by_role.

--- a/t/lib/tier_store.c
+++ b/t/lib/tier_store.c
@@ -242,6 +242,21 @@
     return NULL;
 }
 
+int64_t
+tier_store_lease_ttl_ms(const tier_store_t *store, const char *key)
+{
+    for (uint32_t i = 0; i < store->now.item_count; i++) {
+        const item_t *item = &store->now.items[i];
+        for (uint32_t j = 0;
+             strcmp(item->key, key) == 0 && j < store->now.lease_count; j++) {
+            if (store->now.leases[j].id == item->lease) {
+                return store->now.leases[j].ttl_us / 1000;
+            }
+        }
+    }
+    return 0;
+}
+
 uint32_t
 tier_store_calls(const tier_store_t *store)
 {
--- a/t/lib/tier_store.h
+++ b/t/lib/tier_store.h
@@ -54,6 +54,9 @@
 /* The value of a key, valid until it changes; NULL: there is none. */
 const char *tier_store_get(const tier_store_t *store, const char *key);
 
+/* The TTL of the lease that a key hangs on, in milliseconds; 0: none. */
+int64_t tier_store_lease_ttl_ms(const tier_store_t *store, const char *key);
+
 /* How many calls of any kind the store received. */
 uint32_t tier_store_calls(const tier_store_t *store);
 
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -613,6 +613,39 @@
 }
 END_TEST
 
+/* A weak VM of a large fleet has a longer lease than one that serves, until
+   the strong ones are gone. */
+START_TEST(test_lease_by_role)
+{
+    static const char key[] = "yuccarun/fleet/members/front-c-1";
+    fixture_t f;
+    boot_t boot;
+    boot_t reader_boot;
+    fixture_init(&f);
+    node_t *reader = start_reader(&f, &reader_boot);
+    run_ms(&f, 1000);
+    ck_assert_int_eq(
+        tier_store_lease_ttl_ms(f.store, "yuccarun/fleet/members/front-b-1"),
+        4000);
+    node_t *weak = start_second(&f, &boot, "front-c-1");
+    run_ms(&f, 500);
+    ck_assert_int_eq(tier_store_lease_ttl_ms(f.store, key), 12000);
+    /* The others leave: the fleet is small, and all its daemons serve. */
+    for (int i = 0; i < 20; i++) {
+        char name[64];
+        snprintf(name, sizeof(name), "yuccarun/fleet/members/front-x-%d", i);
+        tier_store_remove(f.store, name);
+    }
+    run_ms(&f, 4000);
+    ck_assert_int_eq(tier_store_lease_ttl_ms(f.store, key), 4000);
+    run_ms(&f, 4500);
+    ck_assert_ptr_nonnull(tier_store_get(f.store, key));
+    node_free(weak);
+    node_free(reader);
+    fixture_release(&f);
+}
+END_TEST
+
 /* A standby hears of suspected requests from the store reader, and counts each
    report once. */
 START_TEST(test_suspects_from_reader)
@@ -871,6 +904,7 @@
     tcase_add_loop_test(tests, test_reads_at_start, 0, 2);
     tcase_add_test(tests, test_standby_follows_reader);
     tcase_add_test(tests, test_start_beside_reader);
+    tcase_add_test(tests, test_lease_by_role);
     tcase_add_test(tests, test_suspects_from_reader);
     tcase_add_test(tests, test_standby_without_reader);
     tcase_add_test(tests, test_full_state_request);
--- a/tier/node.c
+++ b/tier/node.c
@@ -395,7 +395,10 @@
         node_free(node);
         return NULL;
     }
-    node_register(node);
+    if (boot->bootstrap) {
+        /* The others can't be known before all have written their records. */
+        node_register(node, MEMBER_LEASE_WEAK_US);
+    }
     node_add_self(node, now_us);
     node->fleet_size = members_fleet_size(&node->members, now_us);
     engine_set_fleet_size(node->engine, node->fleet_size, now_us);
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -2,6 +2,7 @@
 #include "edge/event.h"
 #include "platform/names.h"
 #include "tier/node_state.h"
+#include "tier/serving.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -15,8 +16,9 @@
     /* A standby daemon takes a full share divided by this. */
     STANDBY_SHARE_DIVISOR = 4,
     LINK_FULL_WEIGHT_MBPS = 100, /* a wider link adds no weight */
-    /* A daemon that crashes stays listed for this long. */
-    MEMBER_LEASE_US = 4000000,
+    /* A daemon that has run for this long and is missing in a peer's list of
+       members has lost its record; before, the peer may not have read it. */
+    RECORD_SETTLED_US = 5000000,
     /* Renewals are most of a large fleet's calls to the store. Twice per TTL
        leaves time to repeat one that gets no response. */
     MEMBER_RENEWALS_LARGE = 2,
@@ -62,16 +64,48 @@
 }
 
 void
-node_register(node_t *node)
+node_register(node_t *node, int64_t ttl_us)
 {
     char key[LEASE_KEY_SIZE];
     char record[MEMBER_RECORD_SIZE];
     snprintf(key, sizeof(key), KEY_MEMBERS "%s", node->boot.daemon_name);
     if (node_format_record(node, record, sizeof(record)) > 0) {
         store_link_register(node->store, key, record,
-                            MEMBER_LEASE_US > node->boot.min_lease_us
-                                ? MEMBER_LEASE_US
+                            ttl_us > node->boot.min_lease_us
+                                ? ttl_us
                                 : node->boot.min_lease_us);
+        node->record_ttl_us = ttl_us;
+    }
+}
+
+/*
+ * Register when the role is known, with the lease that suits it. A daemon that
+ * was weak and comes to serve gets the shorter lease; the reverse can wait for
+ * its next start, since a new lease and a write are two calls.
+ */
+static void
+node_choose_lease(node_t *node, bool serves)
+{
+    if (node->shutting_down || !node->members_listed) {
+        return;
+    }
+    bool weak = !serves &&
+                boot_weight(&node->boot) < serving_weight_min(&node->members);
+    if (node->record_ttl_us == 0) {
+        node_register(node, weak ? MEMBER_LEASE_WEAK_US : MEMBER_LEASE_US);
+    }
+    else if (!weak && node->record_ttl_us == MEMBER_LEASE_WEAK_US) {
+        node_register(node, MEMBER_LEASE_US);
+    }
+}
+
+void
+node_check_own_record(node_t *node, int64_t now_us)
+{
+    if (!node->shutting_down &&
+        now_us - node->started_us > RECORD_SETTLED_US &&
+        !members_has(&node->members, node->boot.daemon_name)) {
+        store_link_restore_record(node->store, now_us);
     }
 }
 
@@ -90,6 +124,7 @@
     }
     bool polled_peers = node->polls_peers;
     node->polls_peers = large_fleet && role != MEMBER_STORE_READER;
+    node_choose_lease(node, !large_fleet || role != MEMBER_STANDBY);
     store_link_set_renewals(node->store, large_fleet ? MEMBER_RENEWALS_LARGE
                                                      : LEASE_RENEWALS);
     if (node->members_listed && !node->polls_peers &&
--- a/tier/node_peers.c
+++ b/tier/node_peers.c
@@ -158,6 +158,7 @@
         node_read_registry_copy(node);
     }
     if (first || (changed_parts & FLEET_MEMBERS) != 0) {
+        node_check_own_record(node, now_us);
         node_add_self(node, now_us);
         node_members_changed(node, "-", "told", now_us);
     }
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -26,6 +26,12 @@
 #define KEY_REGISTRY_COPY KEY_REGISTRY "upstreams"
 
 enum {
+    /* A daemon that crashes stays listed for the TTL of its lease. A weak VM
+       is not in the directory while there are enough strong ones, so nobody
+       waits for it, and its renewals would be most of the calls to the
+       store. */
+    MEMBER_LEASE_US = 4000000,
+    MEMBER_LEASE_WEAK_US = 12000000,
     METRICS_PORT = 9464,           /* the same as in deploy/system.toml */
     CALLER_CONNECTIONS_MAX = 2000, /* uses about half of the descriptors */
     SUSPECTS_MAX = 16 /* fingerprints that each daemon keeps in the store */
@@ -52,6 +58,7 @@
     members_t members;
     bool members_list_reading; /* between the first and the last page */
     bool members_list_changed; /* the list being read changed a member */
+    int64_t record_ttl_us;     /* of this daemon's lease; 0: none yet */
     bool members_listed;       /* from the store, at least once */
     bool lists_released;       /* the pause of the first lists was ended */
     uint32_t fleet_size;       /* daemons that share the upstreams */
@@ -124,8 +131,12 @@
  */
 size_t node_format_record(const node_t *node, char *text, size_t size);
 
-/* Write this daemon's record to the store and keep it there. */
-void node_register(node_t *node);
+/* Write this daemon's record to the store and keep it there, under a lease of
+   that TTL. */
+void node_register(node_t *node, int64_t ttl_us);
+
+/* Write the record again if a peer's list, just applied, lacks it. */
+void node_check_own_record(node_t *node, int64_t now_us);
 
 /* Add this daemon to its own list of members, unless it shuts down. */
 void node_add_self(node_t *node, int64_t now_us);
--- a/tier/serving.c
+++ b/tier/serving.c
@@ -62,10 +62,9 @@
     return a > b ? -1 : a < b ? 1 : 0;
 }
 
-/* The least weight of a VM that serves: half the least weight of the strongest
-   VMs that have SERVING_WEIGHT_PERCENT of the fleet's weight together. 0 when
-   out of memory. */
-static uint32_t
+/* It is half the least weight of the strongest VMs that have
+   SERVING_WEIGHT_PERCENT of the fleet's weight together. */
+uint32_t
 serving_weight_min(const members_t *members)
 {
     uint32_t *weights = malloc((members->count + 1) * sizeof(*weights));
--- a/tier/serving.h
+++ b/tier/serving.h
@@ -46,6 +46,10 @@
     SERVING_DAEMONS_PER_READER = 32
 };
 
+/* The least weight of a VM that serves while there are enough of that weight;
+   0 when out of memory. */
+uint32_t serving_weight_min(const members_t *members);
+
 /*
  * Set roles[i] for each member i; returns the number of serving members. In a
  * small fleet, or when out of memory, all members are store readers. In a
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -648,6 +648,10 @@
 store_link_register(store_link_t *store, const char *key, const char *record,
                     int64_t ttl_us)
 {
+    if (store->lease_channel.busy) {
+        conn_close(&store->lease_channel.conn);
+        store->lease_channel.busy = false;
+    }
     snprintf(store->record, sizeof(store->record), "%s", record);
     lease_init(&store->lease, key, ttl_us);
     store->has_record = true;
--- a/tier/store_link.h
+++ b/tier/store_link.h
@@ -85,7 +85,8 @@
 
 /*
  * Keep a record in the store under a lease of ttl_us, which is renewed until
- * store_link_deregister. key and record are copied.
+ * store_link_deregister. key and record are copied. Called again, the record
+ * moves to a new lease.
  */
 void store_link_register(store_link_t *store, const char *key,
                          const char *record, int64_t ttl_us);
