engine, suspects: Retry-After of the shards needed; reports count once

Cause, found in reading the diff: a refusal told the callers the longest rest of any shard, also of one that the answer can do without. A suspect that its daemon writes again after a restoration of the store counted as a second report, and two quarantine a request. A daemon whose revision of the upstreams was reset because digests differed took the next state of a peer for a restoration of the store.

Change: Retry-After is when few enough shards rest for an answer. A report of the same slot and fingerprint under a newer era is the one known. The era is kept apart from the revisions. Tests: t1010 test_resting_shards, t1003 test_suspect_log, t1012 test_full_state_request counts restorations.

--- a/t/t1003-observed-state.c
+++ b/t/t1003-observed-state.c
@@ -11,12 +11,17 @@
 #include "tier/poll_intervals.h"
 #include "tier/registry.h"
 #include "tier/serving.h"
+#include "tier/suspect_log.h"
 
 #include <stdio.h>
 #include <string.h>
 
 enum { T0 = 100000000, SECOND = 1000000 };
 
+/* As kv_revision, for tables. */
+#define KV_REVISION(era, revision)                                            \
+    (UINT64_C(era) << KV_REVISION_BITS | (revision))
+
 static instance_entry_t
 entry_of(const char *id)
 {
@@ -582,6 +587,46 @@
 }
 END_TEST
 
+/* Whether a report counts after "d/1" with fingerprint 7 at revision 50 of era
+   1 was received. */
+typedef struct {
+    const char *name;
+    suspect_report_t report;
+    bool counts;
+} suspect_case_t;
+
+static const suspect_case_t suspect_cases[] = {
+    {"listed again", {"d/1", 7, KV_REVISION(1, 50)}, false},
+    {"written again after a restoration",
+     {"d/1", 7, KV_REVISION(2, 9)},
+     false},
+    {"suspected again, all slots were used",
+     {"d/1", 7, KV_REVISION(1, 90)},
+     true},
+    {"suspected again", {"d/2", 7, KV_REVISION(1, 51)}, true},
+    {"another daemon, listed later", {"c/1", 7, KV_REVISION(1, 49)}, true},
+    {"another request after a restoration",
+     {"d/1", 8, KV_REVISION(2, 9)},
+     true},
+};
+
+START_TEST(test_suspect_log)
+{
+    const suspect_case_t *c = &suspect_cases[_i];
+    static const suspect_report_t first = {"d/1", 7, KV_REVISION(1, 50)};
+    static suspect_log_t log;
+    uint32_t cursor = 0;
+    memset(&log, 0, sizeof(log));
+    ck_assert(suspect_log_add(&log, &first));
+    ck_assert_msg(suspect_log_add(&log, &c->report) == c->counts, "%s",
+                  c->name);
+    ck_assert(!suspect_log_add(&log, &c->report));
+    ck_assert_uint_eq(log.count, c->counts ? 2 : 1);
+    ck_assert_ptr_nonnull(
+        suspect_log_next(&log, c->report.revision - 1, &cursor));
+}
+END_TEST
+
 typedef struct {
     const char *name;
     int64_t drain_us;
@@ -650,6 +695,8 @@
                             sizeof(zone_strong_cases[0]));
     tcase_add_loop_test(tests, test_serving_unequal, 0,
                         sizeof(unequal_cases) / sizeof(unequal_cases[0]));
+    tcase_add_loop_test(tests, test_suspect_log, 0,
+                        sizeof(suspect_cases) / sizeof(suspect_cases[0]));
     tcase_add_loop_test(tests, test_poll_intervals, 0,
                         sizeof(poll_cases) / sizeof(poll_cases[0]));
     return suite_run("observed-state", tests);
--- a/t/t1010-engine.c
+++ b/t/t1010-engine.c
@@ -418,6 +418,73 @@
  * is refused once that has happened twice, at this daemon or at others. Other
  * requests are not refused.
  */
+/* The upstreams of some shards rest: the request is answered without them, or
+   refused at once with the time at which enough shards take requests again. */
+typedef struct {
+    const char *name;
+    int64_t rest_us[4]; /* of each shard's upstream */
+    uint32_t status;
+    int64_t retry_after_us; /* the least; 0: not refused */
+} rest_case_t;
+
+static const rest_case_t rest_cases[] = {
+    {"none rests", {0, 0, 0, 0}, 200, 0},
+    {"one may be missing", {0, 0, 9 * SECOND, 0}, 200, 0},
+    {"two may be missing", {0, 5 * SECOND, 9 * SECOND, 0}, 200, 0},
+    {"three rest: the first that returns",
+     {SECOND, 5 * SECOND, 9 * SECOND, 0},
+     503,
+     SECOND},
+    {"all rest: the second that returns",
+     {SECOND, 5 * SECOND, 9 * SECOND, 3 * SECOND},
+     503,
+     3 * SECOND},
+    {"a rest that ends in time",
+     {SECOND / 20, 5 * SECOND, 9 * SECOND, 0},
+     200,
+     0},
+};
+
+START_TEST(test_resting_shards)
+{
+    const rest_case_t *c = &rest_cases[_i];
+    static const char *const services[] = {"s0", "s1", "s2", "s3"};
+    tier_world_t *world = tier_world_new(&one_daemon);
+    registry_t *registry = engine_registry(tier_world_engine(world, 0));
+    tier_world_configure(world, tier_world_table(1, 4, GOAL_US, 0.5));
+    for (int i = 0; i < 4; i++) {
+        tier_world_upstream(world,
+                            &(tier_world_upstream_t){.id = services[i],
+                                                     .service = services[i],
+                                                     .zone = "a",
+                                                     .slots = 4,
+                                                     .queue_max = 20});
+        if (c->rest_us[i] > 0) {
+            instance_rest(registry_pool(registry, services[i])->instances[0],
+                          c->rest_us[i], START_US);
+        }
+    }
+    tier_call_t *call = tier_world_call(world, START_US, 0, "/all/", WORK_US,
+                                        CALLER_TIMEOUT_US);
+    /* Queued work is dispatched as by a daemon's tick. */
+    for (int64_t at = START_US; at < START_US + CALLER_TIMEOUT_US;
+         at += 10000) {
+        tier_world_run(world, at);
+        engine_dispatch_queued(tier_world_engine(world, 0), at);
+    }
+    ck_assert_msg(call->status == c->status, "%s: %u", c->name, call->status);
+    if (c->retry_after_us > 0) {
+        ck_assert_int_eq(call->done_us, START_US);
+        ck_assert_uint_eq(call->arrivals, 0);
+        ck_assert_msg(call->retry_after_us >= c->retry_after_us &&
+                          call->retry_after_us <
+                              c->retry_after_us + SECOND / 2,
+                      "%s: %lld", c->name, (long long)call->retry_after_us);
+    }
+    tier_world_free(world);
+}
+END_TEST
+
 /*
  * A burst at a VM with a narrow link: what the link can't carry by the
  * callers' deadline is refused at once, unrun, and the rest is served.
@@ -675,6 +742,8 @@
     tcase_add_test(tests, test_split);
     tcase_add_loop_test(tests, test_crashing_request, 0, 2);
     tcase_add_test(tests, test_failing_upstream_is_no_suspicion);
+    tcase_add_loop_test(tests, test_resting_shards, 0,
+                        sizeof(rest_cases) / sizeof(rest_cases[0]));
     tcase_add_test(tests, test_narrow_link);
     tcase_add_test(tests, test_retries_stay_within_budget);
     tcase_add_test(tests, test_partial_success_clears_suspicion);
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -1,5 +1,6 @@
 /* A daemon on loopback sockets with stand-ins for the store and upstreams. */
 #include "daemon/clock.h"
+#include "edge/event.h"
 #include "http/conn.h"
 #include "t/lib/suite.h"
 #include "t/lib/tier_address.h"
@@ -777,6 +778,8 @@
     ck_assert_uint_eq(tier_upstream_requests(peer), asked + 2);
     ck_assert_ptr_nonnull(
         strstr(tier_upstream_last(peer), "upstreams_since=0&"));
+    /* That is no restoration of the store. */
+    ck_assert_uint_eq(event_count(EVENT_STORE_RESTORED), 0);
     tier_upstream_free(peer);
     fixture_release(&f);
 }
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -461,8 +461,42 @@
                : 0;
 }
 
+static int
+time_compare(const void *left, const void *right)
+{
+    int64_t a = *(const int64_t *)left;
+    int64_t b = *(const int64_t *)right;
+    return a < b ? -1 : a > b ? 1 : 0;
+}
+
+/* When so few services are left whose upstreams all rest that the answer can
+   do without them; 0: already, or out of memory. */
+static int64_t
+request_rest_end_us(const request_t *request, int64_t now_us)
+{
+    uint32_t optional =
+        request->route->kind == ROUTE_SHARDS
+            ? request->gather.shards - gather_min_shards(&request->gather)
+            : 0;
+    uint32_t resting = 0;
+    int64_t end_us = 0;
+    int64_t *ends_us = malloc(request->subrequest_count * sizeof(*ends_us));
+    for (uint32_t i = 0; ends_us != NULL && i < request->subrequest_count;
+         i++) {
+        ends_us[resting] =
+            subrequest_rest_end_us(&request->subrequests[i], now_us);
+        resting += ends_us[resting] > 0 ? 1 : 0;
+    }
+    if (resting > optional) {
+        qsort(ends_us, resting, sizeof(*ends_us), time_compare);
+        end_us = ends_us[resting - optional - 1];
+    }
+    free(ends_us);
+    return end_us;
+}
+
 /*
- * Retry-After of a refusal: when the services whose upstreams all rest accept
+ * Retry-After of a refusal: when the link has room and enough services accept
  * requests again, but at least REFUSAL_RETRY_AFTER_US. The random part spreads
  * the callers that return.
  */
@@ -471,15 +505,12 @@
 {
     int64_t retry_after_us = REFUSAL_RETRY_AFTER_US;
     int64_t link_wait_us = engine_link_wait_us(request->engine);
+    int64_t rest_us = request_rest_end_us(request, now_us) - now_us;
     if (link_wait_us > retry_after_us) {
         retry_after_us = link_wait_us;
     }
-    for (uint32_t i = 0; i < request->subrequest_count; i++) {
-        int64_t rest_us =
-            subrequest_rest_end_us(&request->subrequests[i], now_us) - now_us;
-        if (rest_us > retry_after_us) {
-            retry_after_us = rest_us;
-        }
+    if (rest_us > retry_after_us) {
+        retry_after_us = rest_us;
     }
     return retry_after_us +
            (int64_t)(engine_random(request->engine) % REFUSAL_RETRY_AFTER_US);
--- a/tier/fleet_state.c
+++ b/tier/fleet_state.c
@@ -138,9 +138,9 @@
         char fingerprint[DIGEST_SIZE];
         snprintf(fingerprint, sizeof(fingerprint), "%" PRIx64,
                  report->fingerprint);
-        json_array_append_new(rows, json_pack("[s, s, I]", report->daemon,
-                                              fingerprint,
-                                              (json_int_t)report->revision));
+        json_array_append_new(rows,
+                              json_pack("[s, s, I]", report->key, fingerprint,
+                                        (json_int_t)report->revision));
     }
     return rows;
 }
@@ -157,11 +157,11 @@
 {
     const json_t *row =
         json_array_get(json_object_get(state->document, suspects_name), index);
-    const char *daemon = json_string_value(json_array_get(row, 0));
+    const char *key = json_string_value(json_array_get(row, 0));
     const char *fingerprint = json_string_value(json_array_get(row, 1));
     json_int_t revision = json_integer_value(json_array_get(row, 2));
-    if (daemon == NULL || fingerprint == NULL || revision <= 0 ||
-        !text_copy(report->daemon, sizeof(report->daemon), daemon)) {
+    if (key == NULL || fingerprint == NULL || revision <= 0 ||
+        !text_copy(report->key, sizeof(report->key), key)) {
         return false;
     }
     report->fingerprint = strtoull(fingerprint, NULL, 16);
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -1,4 +1,5 @@
 /* The members of the fleet, this daemon's role and suspected requests. */
+#include "core/text.h"
 #include "edge/event.h"
 #include "platform/names.h"
 #include "tier/node_state.h"
@@ -174,30 +175,27 @@
     members_list_begin(&node->members);
 }
 
-/*
- * Count a request that another daemon suspects of crashing upstreams. The key
- * ends in DAEMON/SLOT, the value is the request's fingerprint in hexadecimal.
- */
+/* The key ends in DAEMON/SLOT, the value is the request's fingerprint in
+   hexadecimal. */
 static void
 suspect_item(node_t *node, const kv_item_t *item, int64_t now_us)
 {
-    const char *daemon = item->key + sizeof(KEY_SUSPECTS) - 1;
-    size_t length = strcspn(daemon, "/");
     suspect_report_t report = {.revision = item->revision};
-    if (item->removed || length >= sizeof(report.daemon)) {
-        return;
+    if (!item->removed && text_copy(report.key, sizeof(report.key),
+                                    item->key + sizeof(KEY_SUSPECTS) - 1)) {
+        report.fingerprint = strtoull(item->value, NULL, 16);
+        node_suspect_reported(node, &report, now_us);
     }
-    memcpy(report.daemon, daemon, length);
-    report.fingerprint = strtoull(item->value, NULL, 16);
-    node_suspect_reported(node, &report, now_us);
 }
 
 void
 node_suspect_reported(node_t *node, const suspect_report_t *report,
                       int64_t now_us)
 {
-    if (suspect_log_add(&node->suspect_log, report) &&
-        strcmp(report->daemon, node->boot.daemon_name) != 0) {
+    size_t length = strlen(node->boot.daemon_name);
+    bool own = strncmp(report->key, node->boot.daemon_name, length) == 0 &&
+               report->key[length] == '/';
+    if (suspect_log_add(&node->suspect_log, report) && !own) {
         engine_suspect(node->engine, report->fingerprint, now_us);
     }
 }
--- a/tier/node_peers.c
+++ b/tier/node_peers.c
@@ -127,13 +127,16 @@
     registry_t *registry = engine_registry(node->engine);
     fleet_revisions_t before = node->peer_known;
     bool first = !node->upstreams_known;
-    uint64_t known_era = kv_revision_era(node_known_revisions(node).upstreams);
     uint64_t era = kv_revision_era(state->revisions.upstreams);
-    if (!first && era > known_era) {
+    if (store_link_stats(node->store)->era > node->known_era) {
+        node->known_era = store_link_stats(node->store)->era;
+    }
+    if (!first && era > node->known_era) {
         /* The peer has noticed a restoration of the store before this
            daemon. */
-        node_begin_restored(node, known_era, era, now_us);
+        node_begin_restored(node, node->known_era, era, now_us);
     }
+    node->known_era = era > node->known_era ? era : node->known_era;
     node->upstreams_known = true;
     node->peer_known = node_known_revisions(node);
     unsigned changed_parts = fleet_state_apply(
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -73,6 +73,7 @@
     bool polls_peers;   /* instead of the store, for the upstreams */
     uint32_t next_peer; /* selects the peer; grows when a poll fails */
     fleet_revisions_t peer_known; /* store revisions learned from peers */
+    uint64_t known_era;           /* of the store, as seen here or by peers */
     int64_t peer_poll_due_us;
     int64_t upstreams_read_us; /* the store's last response about them */
     int64_t started_us;
--- a/tier/suspect_log.c
+++ b/tier/suspect_log.c
@@ -1,20 +1,27 @@
 #include "tier/suspect_log.h"
 
+#include "platform/kv.h"
+
 #include <stddef.h>
 #include <string.h>
 
 bool
 suspect_log_add(suspect_log_t *log, const suspect_report_t *report)
 {
+    if (report->revision > log->revision) {
+        log->revision = report->revision;
+    }
     for (uint32_t i = 0; i < log->count; i++) {
-        if (log->rows[i].revision == report->revision &&
-            strcmp(log->rows[i].daemon, report->daemon) == 0) {
+        suspect_report_t *known = &log->rows[i];
+        bool rewritten = known->fingerprint == report->fingerprint &&
+                         kv_revision_era(known->revision) <
+                             kv_revision_era(report->revision);
+        if (strcmp(known->key, report->key) == 0 &&
+            (known->revision == report->revision || rewritten)) {
+            known->revision = report->revision;
             return false;
         }
     }
-    if (report->revision > log->revision) {
-        log->revision = report->revision;
-    }
     log->rows[log->next_row] = *report;
     log->next_row = (log->next_row + 1) % SUSPECT_LOG_MAX;
     if (log->count < SUSPECT_LOG_MAX) {
--- a/tier/suspect_log.h
+++ b/tier/suspect_log.h
@@ -16,10 +16,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-enum { SUSPECT_LOG_MAX = 256 };
+enum { SUSPECT_LOG_MAX = 256, SUSPECT_KEY_SIZE = MEMBER_NAME_SIZE + 16 };
 
 typedef struct {
-    char daemon[MEMBER_NAME_SIZE]; /* that suspects the request */
+    char key[SUSPECT_KEY_SIZE]; /* DAEMON/SLOT, of the daemon that suspects */
     uint64_t fingerprint;
     uint64_t revision; /* store revision of the report */
 } suspect_report_t;
@@ -32,9 +32,12 @@
     uint64_t revision; /* of the newest report */
 } suspect_log_t;
 
-/* Add a report; when the log is full the oldest one is dropped. Returns false
-   if the log has it: reports are received again when their prefix is listed
-   again, and must count only once. */
+/*
+ * Add a report; when the log is full the oldest one is dropped. Returns false
+ * if the log has it, since each report must count only once: it is received
+ * again when its prefix is listed again, and is written again, under a
+ * revision of the new era, when the store was restored.
+ */
 bool suspect_log_add(suspect_log_t *log, const suspect_report_t *report);
 
 /* Iterate over the reports after the revision `since`: set *cursor to 0 before
