--- a/tier/engine.c
+++ b/tier/engine.c
@@ -480,7 +480,8 @@
             : 0;
     uint32_t resting = 0;
     int64_t end_us = 0;
-    int64_t *ends_us = malloc(request->subrequest_count * sizeof(*ends_us));
+    int64_t *ends_us =
+        malloc((request->subrequest_count + 1) * sizeof(*ends_us));
     for (uint32_t i = 0; ends_us != NULL && i < request->subrequest_count;
          i++) {
         ends_us[resting] =
