tier: clearer names, no change of behaviour

request_part_arrived, registry_apply_departure, channel_reject_old_era and first_lists_released say what they do; a comment on the grace period of members named the old lease.

--- a/tier/engine.c
+++ b/tier/engine.c
@@ -443,7 +443,7 @@
 }
 
 void
-request_expect_less(request_t *request)
+request_part_arrived(request_t *request)
 {
     if (request->expected_parts > 0) {
         request->expected_parts--;
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -130,7 +130,7 @@
 int64_t subrequest_rest_end_us(const subrequest_t *subrequest, int64_t now_us);
 
 /* A part of the request has arrived: expect its bytes no longer. */
-void request_expect_less(request_t *request);
+void request_part_arrived(request_t *request);
 
 /* Whether the subrequest is estimated to finish by deadline_us. */
 bool subrequest_is_feasible(const subrequest_t *subrequest,
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -413,7 +413,7 @@
     end[separator + length] = '\0';
     buffer_commit(signatures, separator + length);
     subrequest->state = SUBREQUEST_DONE;
-    request_expect_less(request);
+    request_part_arrived(request);
     request->gather.answered++;
     if (request->half_answered_us == 0 &&
         2 * request->gather.answered >= request->gather.shards) {
--- a/tier/members.c
+++ b/tier/members.c
@@ -10,9 +10,9 @@
 #include <xxhash.h>
 
 enum {
-    /* Grace period once the store is reachable again. A daemon renews its
-       lease of three seconds three times per TTL, so its record is written
-       again by then. */
+    /* Grace period once the store is reachable again. A daemon that serves
+       renews its lease every 2 s at the latest, so its record is written again
+       by then. */
     MEMBERS_GRACE_US = 2000000,
     ADDRESSES_MAX = 64 /* in a response of the directory */
 };
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -129,11 +129,11 @@
     store_link_set_renewals(node->store, large_fleet ? MEMBER_RENEWALS_LARGE
                                                      : LEASE_RENEWALS);
     if (node->members_listed && !node->polls_peers &&
-        (polled_peers || !node->lists_released)) {
+        (polled_peers || !node->first_lists_released)) {
         store_link_pause_polling(node->store, KEY_UPSTREAMS, 0);
         store_link_pause_polling(node->store, KEY_OPERATOR, 0);
         store_link_pause_polling(node->store, KEY_FLEET, 0);
-        node->lists_released = true;
+        node->first_lists_released = true;
     }
     poll_intervals_set(&node->poll_intervals, node->boot.drain_us,
                        node->boot.converge_us, large_fleet);
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -60,7 +60,7 @@
     bool members_list_changed; /* the list being read changed a member */
     int64_t record_ttl_us;     /* of this daemon's lease; 0: none yet */
     bool members_listed;       /* from the store, at least once */
-    bool lists_released;       /* the pause of the first lists was ended */
+    bool first_lists_released; /* the pause of the first lists was ended */
     uint32_t fleet_size;       /* daemons that share the upstreams */
     poll_intervals_t poll_intervals;
     bool upstreams_known; /* read from the store or a peer at least once */
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -125,8 +125,8 @@
 
 /* Apply what is known of an upstream that was removed and is listed again. */
 static void
-registry_recall(const registry_t *registry, instance_t *instance,
-                uint64_t revision, int64_t now_us)
+registry_apply_departure(const registry_t *registry, instance_t *instance,
+                         uint64_t revision, int64_t now_us)
 {
     const departure_t *departure =
         departure_log_find(&registry->departures, instance->entry.id);
@@ -191,7 +191,7 @@
         if (found == NULL) {
             return REGISTRY_UNCHANGED;
         }
-        registry_recall(registry, found->instance, revision, now_us);
+        registry_apply_departure(registry, found->instance, revision, now_us);
         change = REGISTRY_ADDED;
     }
     else {
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -328,7 +328,7 @@
 
 /* Repeat a call whose response is of an older era. */
 static void
-channel_drop_old(channel_t *channel, int64_t now_us)
+channel_reject_old_era(channel_t *channel, int64_t now_us)
 {
     store_link_t *store = channel->store;
     if (channel->use == CHANNEL_FOLLOW &&
@@ -359,7 +359,7 @@
     era_status_t era = store_check_era(store, message, now_us);
     if (era != ERA_CURRENT) {
         if (era == ERA_OLD) {
-            channel_drop_old(channel, now_us);
+            channel_reject_old_era(channel, now_us);
         }
         return;
     }
