--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -91,9 +91,8 @@
     uint32_t fleet_size;
     uint32_t request_count;
     request_t *requests;
-    attempt_t *attempts; /* all in flight, abandoned ones included */
-    uint64_t
-        inbound_bytes; /* expected in response to all attempts in flight */
+    attempt_t *attempts;    /* all in flight, abandoned ones included */
+    uint64_t inbound_bytes; /* expected in response to all open requests */
     uint64_t random;
     quarantine_t *quarantine; /* fingerprints of crash-inducing requests */
 };
