directory: name the daemons of the caller's own zone

Cause: the directory named all six daemons to every caller, and callers pick at random, so two of three requests crossed zones: 2.8 ms a round trip, 5.6 ms on a new connection, of a goal of 40 ms. Change: a caller that asks a daemon of its own zone is told of the serving daemons there if they are two or more. One that asks elsewhere found no directory in its zone, and is told of all.

--- a/t/t1001-platform.c
+++ b/t/t1001-platform.c
@@ -374,10 +374,38 @@
 }
 END_TEST
 
+typedef struct {
+    const char *target;
+    const char *zone; /* NULL: the query names none */
+} directory_query_case_t;
+
+static const directory_query_case_t directory_query_cases[] = {
+    {"/-/resolve?name=h&region=r&zone=a-1", "a-1"},
+    {"/-/resolve?zone=a-1&name=h", "a-1"},
+    {"/-/resolve?name=zone=b&timezone=c", NULL},
+    {"/-/resolve?name=h&zone=", NULL},
+    {"/-/resolve?zone=12345678", NULL}, /* does not fit */
+    {"/-/resolve?", NULL},
+    {"/-/resolve", NULL},
+};
+
+START_TEST(test_directory_query)
+{
+    const directory_query_case_t *c = &directory_query_cases[_i];
+    char zone[8] = "-";
+    bool found = document_parse_directory_query(c->target, zone, sizeof(zone));
+    ck_assert_msg(found == (c->zone != NULL), "%s", c->target);
+    ck_assert_str_eq(zone, found ? c->zone : "-");
+}
+END_TEST
+
 int
 main(void)
 {
     TCase *tests = tcase_create("platform");
+    tcase_add_loop_test(tests, test_directory_query, 0,
+                        sizeof(directory_query_cases) /
+                            sizeof(directory_query_cases[0]));
     tcase_add_loop_test(tests, test_boot, 0,
                         sizeof(boot_cases) / sizeof(boot_cases[0]));
     tcase_add_loop_test(tests, test_response, 0,
--- a/t/t1003-observed-state.c
+++ b/t/t1003-observed-state.c
@@ -343,16 +343,24 @@
 END_TEST
 
 static void
-put_member(members_t *members, const char *name, int64_t now_us)
+put_member_in(members_t *members, const char *name, const char *zone,
+              int64_t now_us)
 {
     char text[128];
     char address[32];
     snprintf(address, sizeof(address), "10.0.0.%s:80", name);
-    size_t size = member_record_write(text, sizeof(text), address, "", "a", 1);
+    size_t size =
+        member_record_write(text, sizeof(text), address, "", zone, 1);
     ck_assert_uint_gt(size, 0);
     members_put(members, name, text, size, 1, now_us);
 }
 
+static void
+put_member(members_t *members, const char *name, int64_t now_us)
+{
+    put_member_in(members, name, "a", now_us);
+}
+
 START_TEST(test_members)
 {
     members_t members;
@@ -360,8 +368,8 @@
     members_init(&members, T0);
     /* No member is known yet: a minimum fleet size is assumed. */
     ck_assert_uint_eq(members_fleet_size(&members, T0), MEMBERS_STARTUP_FLEET);
-    ck_assert_uint_eq(members_addresses(&members, NULL, text, sizeof(text)),
-                      0);
+    ck_assert_uint_eq(
+        members_addresses(&members, NULL, NULL, text, sizeof(text)), 0);
     put_member(&members, "1", T0);
     put_member(&members, "2", T0);
     put_member(&members, "3", T0);
@@ -369,7 +377,7 @@
     ck_assert(!members_put(&members, "4", "\x01", 1, 1, T0));
     ck_assert_uint_eq(members_fleet_size(&members, T0 + 4 * SECOND), 3);
     ck_assert_uint_eq(members_assign_roles(&members), 3);
-    members_addresses(&members, "2", text, sizeof(text));
+    members_addresses(&members, NULL, "2", text, sizeof(text));
     ck_assert_str_eq(text, "[\"10.0.0.1:80\",\"10.0.0.3:80\"]");
     /* A removed member still counts for a while: it may still be sending. */
     ck_assert(members_remove(&members, "2", 2, T0 + 5 * SECOND));
@@ -381,16 +389,59 @@
     members_store_reachable(&members, T0 + 60 * SECOND);
     ck_assert(!members_remove(&members, "3", 3, T0 + 60 * SECOND));
     ck_assert(!members_has(&members, "3"));
-    members_addresses(&members, NULL, text, sizeof(text));
+    members_addresses(&members, NULL, NULL, text, sizeof(text));
     ck_assert_str_eq(text, "[\"10.0.0.1:80\",\"10.0.0.3:80\"]");
     ck_assert(!members_expire(&members, T0 + 61 * SECOND));
     ck_assert(members_expire(&members, T0 + 63 * SECOND));
-    members_addresses(&members, NULL, text, sizeof(text));
+    members_addresses(&members, NULL, NULL, text, sizeof(text));
     ck_assert_str_eq(text, "[\"10.0.0.1:80\"]");
     members_release(&members);
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    const char *caller_zone; /* NULL: unknown, or of another zone's daemon */
+    const char *exclude;
+    const char *expected;
+} addresses_case_t;
+
+/* Members 1 and 2 are in zone a, 3 in zone b. */
+static const addresses_case_t addresses_cases[] = {
+    {"the zone has two daemons", "a", NULL,
+     "[\"10.0.0.1:80\",\"10.0.0.2:80\"]"},
+    {"the zone has one daemon", "b", NULL,
+     "[\"10.0.0.1:80\",\"10.0.0.2:80\",\"10.0.0.3:80\"]"},
+    {"the zone has no daemon", "c", NULL,
+     "[\"10.0.0.1:80\",\"10.0.0.2:80\",\"10.0.0.3:80\"]"},
+    {"no zone", NULL, NULL,
+     "[\"10.0.0.1:80\",\"10.0.0.2:80\",\"10.0.0.3:80\"]"},
+    {"one of the zone's two daemons shuts down", "a", "1",
+     "[\"10.0.0.2:80\",\"10.0.0.3:80\"]"},
+};
+
+/* Requests from another zone arrive later, by twice the time between zones,
+   and by four times on a new connection. So callers are sent to the daemons of
+   their own zone, unless a single failure there would reach all of them. */
+START_TEST(test_addresses_by_zone)
+{
+    const addresses_case_t *c = &addresses_cases[_i];
+    static const char *const zones[] = {"a", "a", "b"};
+    members_t members;
+    char text[256];
+    members_init(&members, T0);
+    for (uint32_t i = 0; i < 3; i++) {
+        char name[2] = {(char)('1' + i), '\0'};
+        put_member_in(&members, name, zones[i], T0);
+    }
+    ck_assert_uint_eq(members_assign_roles(&members), 3);
+    members_addresses(&members, c->caller_zone, c->exclude, text,
+                      sizeof(text));
+    ck_assert_msg(strcmp(text, c->expected) == 0, "%s: %s", c->name, text);
+    members_release(&members);
+}
+END_TEST
+
 typedef struct {
     const char *name;
     uint32_t zones[3];   /* daemons in each zone */
@@ -688,6 +739,8 @@
                         sizeof(lease_cases) / sizeof(lease_cases[0]));
     tcase_add_test(tests, test_lease_revoke);
     tcase_add_test(tests, test_members);
+    tcase_add_loop_test(tests, test_addresses_by_zone, 0,
+                        sizeof(addresses_cases) / sizeof(addresses_cases[0]));
     tcase_add_loop_test(tests, test_serving, 0,
                         sizeof(serving_cases) / sizeof(serving_cases[0]));
     tcase_add_loop_test(tests, test_serving_zone_without_strong, 0,
--- a/tier/members.c
+++ b/tier/members.c
@@ -368,20 +368,47 @@
     return record != NULL ? record->role : MEMBER_STANDBY;
 }
 
+/* Whether the directory names the member to callers. */
+static bool
+record_is_named(const member_record_t *record, const char *exclude)
+{
+    return record->role != MEMBER_STANDBY &&
+           (exclude == NULL || strcmp(record->name, exclude) != 0);
+}
+
+static uint32_t
+members_count_named(const members_t *members, const char *zone,
+                    const char *exclude)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < members->count; i++) {
+        const member_record_t *record = &members->records[i];
+        count +=
+            record_is_named(record, exclude) && strcmp(record->zone, zone) == 0
+                ? 1
+                : 0;
+    }
+    return count;
+}
+
 size_t
-members_addresses(const members_t *members, const char *exclude, char *text,
-                  size_t size)
+members_addresses(const members_t *members, const char *zone,
+                  const char *exclude, char *text, size_t size)
 {
     size_t length = 0;
     uint32_t written = 0;
     if (size < 3) {
         return 0;
     }
+    if (zone != NULL &&
+        members_count_named(members, zone, exclude) < MEMBERS_LOCAL_MIN) {
+        zone = NULL;
+    }
     text[length++] = '[';
     for (uint32_t i = 0; i < members->count && written < ADDRESSES_MAX; i++) {
         const member_record_t *record = &members->records[i];
-        if (record->role == MEMBER_STANDBY ||
-            (exclude != NULL && strcmp(record->name, exclude) == 0)) {
+        if (!record_is_named(record, exclude) ||
+            (zone != NULL && strcmp(record->zone, zone) != 0)) {
             continue;
         }
         int added = snprintf(text + length, size - length, "%s\"%s\"",
--- a/tier/members.h
+++ b/tier/members.h
@@ -9,7 +9,7 @@
  *
  *     members_put(&members, name, value, size, revision, now_us);
  *     uint32_t fleet = members_fleet_size(&members, now_us);
- *     size_t size = members_addresses(&members, NULL, text, sizeof(text));
+ *     size_t size = members_addresses(&members, zone, NULL, text, sizeof(text));
  */
 #ifndef TIER_MEMBERS_H
 #define TIER_MEMBERS_H
@@ -33,7 +33,11 @@
        has been read, and daemons started together have written their
        records. */
     MEMBERS_STARTUP_FLEET = 8,
-    MEMBERS_STARTUP_US = 3000000
+    MEMBERS_STARTUP_US = 3000000,
+    /* A caller is sent to the daemons of its own zone if they are at least
+       this many: with one, its failure would cost all of the zone's callers an
+       attempt. */
+    MEMBERS_LOCAL_MIN = 2
 };
 
 /* The role of a member; see serving.h. */
@@ -144,10 +148,11 @@
 
 /*
  * Write the caller addresses of the serving members as a JSON array, without
- * the member `exclude` (NULL: no exception). Returns the length of the text;
- * 0 if there is no address or the buffer is too small.
+ * the member `exclude` (NULL: no exception). zone: only members there, if they
+ * are at least MEMBERS_LOCAL_MIN; NULL or other zones: all. Returns the length
+ * of the text; 0 if there is no address or the buffer is too small.
  */
-size_t members_addresses(const members_t *members, const char *exclude,
-                         char *text, size_t size);
+size_t members_addresses(const members_t *members, const char *zone,
+                         const char *exclude, char *text, size_t size);
 
 #endif
--- a/tier/node_services.c
+++ b/tier/node_services.c
@@ -69,9 +69,17 @@
         node_answer_text(exchange, 404, "text/plain", "", 0);
         return;
     }
-    size_t size = members_addresses(
-        &node->members, node->shutting_down ? node->boot.daemon_name : NULL,
-        addresses, sizeof(addresses));
+    /* Callers ask the nearest directory first: one of another zone found no
+       directory in its own, and is told of all daemons. */
+    char zone[MEMBER_NAME_SIZE];
+    bool is_local =
+        document_parse_directory_query(http_target(exchange_request(exchange)),
+                                       zone, sizeof(zone)) &&
+        strcmp(zone, node->boot.zone) == 0;
+    size_t size =
+        members_addresses(&node->members, is_local ? zone : NULL,
+                          node->shutting_down ? node->boot.daemon_name : NULL,
+                          addresses, sizeof(addresses));
     if (size == 0) {
         node_answer_text(exchange, 503, "text/plain", "", 0);
         return;
