gather: do not wait for shards that have stopped responding

Change: a service without any response for 300 ms and three sends counts as unresponsive. A query does not wait for it and treats its other shards as required. Requests still go there, so its return is seen with the first response.

--- a/tier/engine.c
+++ b/tier/engine.c
@@ -581,6 +581,21 @@
                                    next_us);
 }
 
+/* Count the pending shards whose services don't respond. */
+static void
+request_count_unresponsive(request_t *request, int64_t now_us)
+{
+    request->gather.unresponsive = 0;
+    for (uint32_t i = 0; i < request->subrequest_count; i++) {
+        const subrequest_t *subrequest = &request->subrequests[i];
+        if (subrequest->state != SUBREQUEST_DONE &&
+            subrequest->state != SUBREQUEST_FAILED &&
+            pool_is_unresponsive(subrequest->pool, now_us)) {
+            request->gather.unresponsive++;
+        }
+    }
+}
+
 void
 request_progress(request_t *request, int64_t now_us)
 {
@@ -591,6 +606,7 @@
         }
     }
     else {
+        request_count_unresponsive(request, now_us);
         switch (gather_evaluate(&request->gather, now_us)) {
         case GATHER_ANSWER:
             request_merge(request, now_us);
@@ -680,6 +696,7 @@
         request_remove(request);
         return NULL;
     }
+    request_count_unresponsive(request, now_us);
     for (uint32_t i = 0; i < request->subrequest_count; i++) {
         subrequest_start(&request->subrequests[i], now_us);
     }
--- a/tier/engine_attempt.c
+++ b/tier/engine_attempt.c
@@ -78,6 +78,10 @@
                   attempt->pool->name, instance->entry.id,
                   reply->rest_us / 1000);
     }
+    if (reply->kind == REPLY_ANSWER || reply->kind == REPLY_NOT_RUN ||
+        reply->kind == REPLY_MISDIRECTED) {
+        pool_note_response(attempt->pool);
+    }
     switch (reply->kind) {
     case REPLY_ANSWER:
         instance_answered(instance, took_us, attempt->expected_us,
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -58,7 +58,7 @@
 {
     const request_t *request = subrequest->request;
     return request->route->kind != ROUTE_SHARDS ||
-           request->gather.shards - request->gather.failed <=
+           gather_expected_shards(&request->gather) <=
                gather_min_shards(&request->gather);
 }
 
@@ -550,19 +550,23 @@
  * with the longest queues at their services.
  */
 static bool
-subrequest_is_optional(const subrequest_t *subrequest)
+subrequest_is_optional(const subrequest_t *subrequest, int64_t now_us)
 {
     const request_t *request = subrequest->request;
     if (request->route->kind != ROUTE_SHARDS) {
         return false;
     }
     const gather_t *gather = &request->gather;
-    uint32_t remaining = gather->shards - gather->failed;
+    if (pool_is_unresponsive(subrequest->pool, now_us)) {
+        return true;
+    }
+    uint32_t remaining = gather_expected_shards(gather);
     uint32_t min_shards = gather_min_shards(gather);
     uint32_t queued_longer = 0;
     for (uint32_t i = 0; i < request->subrequest_count; i++) {
         const subrequest_t *other = &request->subrequests[i];
         if (other->state == SUBREQUEST_QUEUED &&
+            !pool_is_unresponsive(other->pool, now_us) &&
             (other->pool->queue.count > subrequest->pool->queue.count ||
              (other->pool->queue.count == subrequest->pool->queue.count &&
               other < subrequest))) {
@@ -588,7 +592,7 @@
     uint32_t priority =
         request->route->priority < 255 ? request->route->priority : 255;
     return (int64_t)late << 62 | (int64_t)priority << 54 |
-           (int64_t)subrequest_is_optional(subrequest) << 53 |
+           (int64_t)subrequest_is_optional(subrequest, now_us) << 53 |
            (RANK_TIME_MAX - request->goal_us);
 }
 
--- a/tier/gather.c
+++ b/tier/gather.c
@@ -12,6 +12,12 @@
     return min_shards < 1 ? 1 : (uint32_t)min_shards;
 }
 
+uint32_t
+gather_expected_shards(const gather_t *gather)
+{
+    return gather->shards - gather->failed - gather->unresponsive;
+}
+
 gather_verdict_t
 gather_evaluate(const gather_t *gather, int64_t now_us)
 {
@@ -23,7 +29,9 @@
     if (pending == 0) {
         return GATHER_ANSWER;
     }
-    return now_us >= gather->goal_us && gather->answered >= min_shards
+    bool may_answer = gather->answered >= min_shards;
+    return may_answer && (now_us >= gather->goal_us ||
+                          pending <= gather->unresponsive)
                ? GATHER_ANSWER
                : GATHER_WAIT;
 }
--- a/tier/gather.h
+++ b/tier/gather.h
@@ -6,6 +6,11 @@
  * is answered as soon as enough shards have answered. It fails at once when
  * too many shards have failed for that.
  *
+ * While all upstreams of a shard are down, each query would wait until its
+ * goal for a response that does not come, and any further delay, be it of the
+ * network or of another shard, would make it late. So a query does not wait
+ * for shards whose services have stopped responding (pool_is_unresponsive).
+ *
  *     switch (gather_evaluate(&gather, now_us)) ...
  *     records_add(&records, body, size);
  *     records_top(&records, top);
@@ -31,13 +36,17 @@
     uint32_t shards;
     uint32_t answered;
     uint32_t failed;
-    double min_share; /* of the shards that an answer needs, 0..1 */
-    int64_t goal_us;  /* when to stop waiting for all shards */
+    uint32_t unresponsive; /* pending, at services that don't respond */
+    double min_share;      /* of the shards that an answer needs, 0..1 */
+    int64_t goal_us;       /* when to stop waiting for all shards */
 } gather_t;
 
 /* Number of shards that an answer needs; at least 1. */
 uint32_t gather_min_shards(const gather_t *gather);
 
+/* Number of shards whose responses have arrived or can be expected. */
+uint32_t gather_expected_shards(const gather_t *gather);
+
 /* Decide whether to answer now, wait or fail. */
 gather_verdict_t gather_evaluate(const gather_t *gather, int64_t now_us);
 
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -8,7 +8,12 @@
        LIMIT_SLOTS_FACTOR times the upstream's slots, plus LIMIT_EXTRA. */
     LIMIT_EXTRA = 2,
     LIMIT_SLOTS_FACTOR = 2,
-    CONNECTION_PERCENT = 90 /* part used of an upstream's connection limit */
+    CONNECTION_PERCENT = 90, /* part used of an upstream's connection limit */
+    /* Requests without a response that it takes to call a service
+       unresponsive: single responses are lost in transit. */
+    UNRESPONSIVE_SENDS_MIN = 3,
+    /* After this time without a request, the last ones show nothing. */
+    UNRESPONSIVE_IDLE_US = 1000000
 };
 
 /* The concurrency limit falls linearly from its largest to its smallest value
@@ -89,8 +94,15 @@
 }
 
 void
-pool_note_sent(const pool_t *pool, instance_t *instance, int64_t now_us)
+pool_note_sent(pool_t *pool, instance_t *instance, int64_t now_us)
 {
+    if (now_us - pool->sent_us > UNRESPONSIVE_IDLE_US) {
+        pool->unanswered = 0;
+    }
+    if (pool->unanswered++ == 0) {
+        pool->unanswered_since_us = now_us;
+    }
+    pool->sent_us = now_us;
     if (pool->limits.cold_per_s <= 0 || now_us >= instance->cold_until_us) {
         return;
     }
@@ -100,6 +112,20 @@
     instance->cold_next_us = now_us + (int64_t)(1e6 / daemon_rate);
 }
 
+void
+pool_note_response(pool_t *pool)
+{
+    pool->unanswered = 0;
+}
+
+bool
+pool_is_unresponsive(const pool_t *pool, int64_t now_us)
+{
+    return pool->unanswered >= UNRESPONSIVE_SENDS_MIN &&
+           now_us - pool->sent_us <= UNRESPONSIVE_IDLE_US &&
+           now_us - pool->unanswered_since_us >= POOL_UNRESPONSIVE_US;
+}
+
 static bool
 pick_excludes(const pool_pick_t *pick, const instance_t *instance)
 {
--- a/tier/pool.h
+++ b/tier/pool.h
@@ -19,7 +19,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-enum { PICK_AVOID_MAX = 8 };
+enum {
+    PICK_AVOID_MAX = 8,
+    /* Longer than an upstream's pause (250 ms in the users' deployments): even
+       a service with a single upstream is waited for during its pauses. */
+    POOL_UNRESPONSIVE_US = 300000
+};
 
 typedef enum {
     PICK_OK,
@@ -41,8 +46,11 @@
     uint32_t count;
     uint32_t capacity;
     pool_limits_t limits;
-    budget_t retry_budget; /* for retries and hedges */
-    wait_queue_t queue;    /* subrequests that wait for capacity */
+    budget_t retry_budget;       /* for retries and hedges */
+    uint32_t unanswered;         /* requests sent since the last response */
+    int64_t unanswered_since_us; /* the first of them was sent */
+    int64_t sent_us;             /* the last request was sent */
+    wait_queue_t queue;          /* subrequests that wait for capacity */
 } pool_t;
 
 typedef struct {
@@ -88,9 +96,20 @@
 int64_t pool_rest_end_us(const pool_t *pool, const pool_pick_t *pick,
                          int64_t now_us);
 
-/* Account for a send, to limit the rate of a cold upstream; see
-   pool_limits_t. */
-void pool_note_sent(const pool_t *pool, instance_t *instance, int64_t now_us);
+/* Account for a send, to limit the rate of a cold upstream (see
+   pool_limits_t) and for pool_is_unresponsive. */
+void pool_note_sent(pool_t *pool, instance_t *instance, int64_t now_us);
+
+/* One of the upstreams has responded, if only with a refusal. */
+void pool_note_response(pool_t *pool);
+
+/*
+ * Whether the service has stopped responding: several requests were sent, the
+ * first of them POOL_UNRESPONSIVE_US ago, and no upstream has responded since.
+ * Requests are still sent, so that its return is noticed, but a query over
+ * shards does not wait for their responses.
+ */
+bool pool_is_unresponsive(const pool_t *pool, int64_t now_us);
 
 /* Free the pool's memory, but not the instances. */
 void pool_release(pool_t *pool);
