--- a/tier/engine.c
+++ b/tier/engine.c
@@ -11,9 +11,12 @@
 enum {
     /* A merged answer is sent this long before the goal, to allow for the
        network time of the caller's request and of the answer. */
-    GOAL_MARGIN_US = 10000,
+    GOAL_MARGIN_US = 7000,
     /* The final answer is sent this long before the request's timeout. */
     DEADLINE_MARGIN_US = 10000,
+    /* See route_state_spent_us. */
+    TIMEOUT_WINDOW_US = 10000000,
+    SPENT_GOAL_PERCENT = 50,
     /* Timeout of a request when neither the caller nor the route sets one. */
     DEFAULT_TIMEOUT_US = 10000000,
     /* Least Retry-After of 503 answers that this daemon generates; see
@@ -330,6 +333,38 @@
     }
 }
 
+/*
+ * Time that the caller had spent on the request when it sent this attempt: on
+ * a new connection, or on an attempt that failed. The goal counts from its
+ * first attempt, and it sends what is left of its time: the difference to the
+ * most that was left of any recent request of the route is what it spent. A
+ * difference of more than SPENT_GOAL_PERCENT of the goal rather shows that the
+ * caller allows less time than others do.
+ */
+static int64_t
+route_state_spent_us(route_state_t *route_state, const call_t *call,
+                     int64_t goal_us, int64_t now_us)
+{
+    if (call->timeout_us <= 0) {
+        return 0;
+    }
+    if (now_us - route_state->timeout_window_us > TIMEOUT_WINDOW_US) {
+        route_state->longest_timeout_us[1] =
+            route_state->longest_timeout_us[0];
+        route_state->longest_timeout_us[0] = 0;
+        route_state->timeout_window_us = now_us;
+    }
+    if (call->timeout_us > route_state->longest_timeout_us[0]) {
+        route_state->longest_timeout_us[0] = call->timeout_us;
+    }
+    int64_t longest_us =
+        route_state->longest_timeout_us[0] > route_state->longest_timeout_us[1]
+            ? route_state->longest_timeout_us[0]
+            : route_state->longest_timeout_us[1];
+    int64_t spent_us = longest_us - call->timeout_us;
+    return spent_us <= goal_us * SPENT_GOAL_PERCENT / 100 ? spent_us : 0;
+}
+
 static request_t *
 request_new(engine_t *engine, const call_t *call, const route_t *route,
             int64_t now_us)
@@ -350,15 +385,16 @@
     request->route = route;
     request->arrived_us = now_us;
     request->deadline_us = now_us + timeout_us - margin_us;
-    request->goal_us =
-        now_us + goal_us -
-        (goal_us / 4 < GOAL_MARGIN_US ? goal_us / 4 : GOAL_MARGIN_US);
     request->fingerprint = call_fingerprint(call);
     request->route_state = engine_route_state(engine, route);
     if (request->route_state == NULL || !request_add_subrequests(request)) {
         request_free(request);
         return NULL;
     }
+    request->goal_us =
+        now_us + goal_us -
+        route_state_spent_us(request->route_state, call, goal_us, now_us) -
+        (goal_us / 4 < GOAL_MARGIN_US ? goal_us / 4 : GOAL_MARGIN_US);
     request->gather = (gather_t){
         .shards = request->subrequest_count,
         .min_share = route->min_share,
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -21,7 +21,11 @@
     double mean_response_bytes; /* moving mean; 0: no response yet */
     double *split_credit;       /* per target, for weighted round-robin */
     uint32_t split_target_count;
-    uint64_t table_version; /* of the table that split_credit belongs to */
+    /* Most time that callers allowed, in the current window and the one
+       before it; 0: none. */
+    int64_t longest_timeout_us[2];
+    int64_t timeout_window_us; /* start of the current window */
+    uint64_t table_version;    /* of the table that split_credit belongs to */
 } route_state_t;
 
 typedef enum {
@@ -69,11 +73,13 @@
     gather_t gather;
     records_t records;
     buffer_t signatures;
-    uint32_t part_bytes;     /* expected of each part, with its header */
-    uint32_t expected_parts; /* that have not arrived */
-    uint64_t fingerprint;    /* hash of host, method, target and body */
-    uint32_t lost_sends;     /* sends that were lost; see REPLY_LOST */
-    uint32_t answered_sends; /* sends that got a whole response */
+    const subrequest_t *last_part; /* that arrived; NULL: none */
+    int64_t last_part_us;          /* when it arrived */
+    uint32_t part_bytes;           /* expected of each part, with its header */
+    uint32_t expected_parts;       /* that have not arrived */
+    uint64_t fingerprint;          /* hash of host, method, target and body */
+    uint32_t lost_sends;           /* sends that were lost; see REPLY_LOST */
+    uint32_t answered_sends;       /* sends that got a whole response */
     uint32_t hedges;
     uint32_t retries;
     uint32_t queued; /* subrequests that had to wait for capacity */
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -415,6 +415,8 @@
     subrequest->state = SUBREQUEST_DONE;
     request_part_arrived(request);
     request->gather.answered++;
+    request->last_part = subrequest;
+    request->last_part_us = now_us;
     if (request->half_answered_us == 0 &&
         2 * request->gather.answered >= request->gather.shards) {
         request->half_answered_us = now_us - request->arrived_us;
--- a/tier/instance.c
+++ b/tier/instance.c
@@ -15,7 +15,7 @@
 /* Cost of another zone: traffic between zones is slower and is billed. The
    first few concurrent requests stay in the daemon's zone, which has free
    slots for them; docs/ROUNDS.md compares other values. */
-#define ZONE_COST 3.0
+#define ZONE_COST 5.0
 /* Cost of a silent upstream, and of one in connect backoff. */
 #define SILENT_COST 20.0
 /* Least slowness assumed of a cold upstream. */
@@ -53,6 +53,7 @@
     if (restarted || moved) {
         instance->slowness = 1.0;
         instance->failure_rate = 0;
+        instance->refusal_rate = 0;
         instance->losses_in_row = 0;
         instance->stats_us = now_us;
         instance->backoff_until_us = 0;
@@ -78,6 +79,7 @@
     double decay = instance_decay_factor(instance, now_us);
     instance->slowness = 1.0 + (instance->slowness - 1.0) * decay;
     instance->failure_rate *= decay;
+    instance->refusal_rate *= decay;
     instance->stats_us = now_us;
 }
 
@@ -123,6 +125,7 @@
     }
     instance_add_slowness(instance, took_us, expected_us);
     instance->failure_rate *= 1 - FAILURE_WEIGHT;
+    instance->refusal_rate *= 1 - FAILURE_WEIGHT;
     instance->answered_us = now_us;
 }
 
@@ -132,7 +135,7 @@
     instance_request_ended(instance);
     instance_decay(instance, now_us);
     instance->silent_since_us = now_us;
-    instance->failure_rate += (1 - instance->failure_rate) * FAILURE_WEIGHT;
+    instance->refusal_rate += (1 - instance->refusal_rate) * FAILURE_WEIGHT;
 }
 
 void
@@ -213,6 +216,13 @@
                      instance_decay_factor(instance, now_us);
 }
 
+double
+instance_refusal_cost(const instance_t *instance, int64_t now_us)
+{
+    return FAILURE_COST * instance->refusal_rate *
+           instance_decay_factor(instance, now_us);
+}
+
 double
 instance_cost(const instance_t *instance, const cost_context_t *cost_context,
               int64_t now_us)
@@ -223,7 +233,8 @@
         slowness = COLD_FACTOR;
     }
     double cost = slowness * (instance->in_flight + 1.0) +
-                  FAILURE_COST * instance->failure_rate * decay;
+                  FAILURE_COST * instance->failure_rate * decay +
+                  instance_refusal_cost(instance, now_us);
     if (instance_is_silent(instance, cost_context->expected_us, now_us)) {
         cost += SILENT_COST;
     }
--- a/tier/instance.h
+++ b/tier/instance.h
@@ -55,6 +55,7 @@
     int64_t silent_since_us;  /* last response, or first send after idling */
     double slowness;          /* moving mean of actual to expected time */
     double failure_rate;      /* moving mean, 0 (none fails) .. 1 (all fail) */
+    double refusal_rate;      /* the same for requests refused unrun */
     uint32_t losses_in_row;   /* requests lost since the last response */
     int64_t stats_us;         /* last update of slowness and failure_rate */
     int64_t answered_us;      /* last successful response */
@@ -124,4 +125,8 @@
 double instance_cost(const instance_t *instance,
                      const cost_context_t *cost_context, int64_t now_us);
 
+/* The part of the cost that is due to refusals. A refusal takes one round trip
+   and leaves the request free to be sent elsewhere. */
+double instance_refusal_cost(const instance_t *instance, int64_t now_us);
+
 #endif
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -207,7 +207,9 @@
             continue;
         }
         double cost = instance_cost(instance, &pick->cost_context, now_us);
-        if (pick->healthy_only && cost > HEALTHY_COST_MAX) {
+        if (pick->healthy_only &&
+            cost - instance_refusal_cost(instance, now_us) >
+                HEALTHY_COST_MAX) {
             result = result == PICK_NONE ? PICK_FULL : result;
             continue;
         }
