--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -167,13 +167,24 @@
 subrequest_schedule_hedge(subrequest_t *subrequest, int64_t now_us)
 {
     const request_t *request = subrequest->request;
-    if (subrequest_may_hedge(subrequest)) {
-        int64_t due_us = subrequest->sent_us +
-                         (request->half_answered_us > 0
-                              ? hedge_straggler_us(request->half_answered_us)
-                              : hedge_fallback_us(request->route->goal_us));
-        subrequest->hedge_us = due_us > now_us ? due_us : now_us;
+    const route_t *route = request->route;
+    if (!subrequest_may_hedge(subrequest) || subrequest->attempt_count == 0) {
+        return;
     }
+    int64_t sent_us = subrequest->attempts[0]->sent_us;
+    for (uint32_t i = 1; i < subrequest->attempt_count; i++) {
+        if (subrequest->attempts[i]->sent_us > sent_us) {
+            sent_us = subrequest->attempts[i]->sent_us;
+        }
+    }
+    int64_t delay_us =
+        route->kind != ROUTE_SHARDS
+            ? hedge_delay_us(&request->route_state->profile, route->goal_us)
+        : request->half_answered_us > 0
+            ? hedge_straggler_us(request->half_answered_us)
+            : hedge_fallback_us(route->goal_us);
+    int64_t due_us = sent_us + delay_us;
+    subrequest->hedge_us = due_us > now_us ? due_us : now_us;
 }
 
 /* Send to the instance and schedule a hedge. False: out of memory, or the send
@@ -203,16 +214,7 @@
     subrequest->may_have_run++;
     subrequest->state = SUBREQUEST_RUNNING;
     subrequest->hedge_us = 0;
-    subrequest->sent_us = now_us;
-    const request_t *request = subrequest->request;
-    if (request->route->kind == ROUTE_SHARDS) {
-        subrequest_schedule_hedge(subrequest, now_us);
-    }
-    else if (subrequest_may_hedge(subrequest)) {
-        subrequest->hedge_us =
-            now_us + hedge_delay_us(&request->route_state->profile,
-                                    request->route->goal_us);
-    }
+    subrequest_schedule_hedge(subrequest, now_us);
     return true;
 }
 
@@ -285,7 +287,10 @@
     subrequest->hedge_us = 0;
     subrequest->retry_us = 0;
     if (subrequest->attempt_count > 0) {
-        return; /* another attempt is in flight */
+        /* Another attempt is in flight. If the hedge was refused, the next one
+           is due at once. */
+        subrequest_schedule_hedge(subrequest, now_us);
+        return;
     }
     if (now_us >= request->deadline_us ||
         subrequest->sends >= ENGINE_SENDS_MAX ||
@@ -312,6 +317,17 @@
     request->retries += reached_upstream ? 1 : 0;
 }
 
+/* Allow all instances again that no attempt is in flight at. */
+static void
+subrequest_forget_tried(subrequest_t *subrequest)
+{
+    subrequest->tried_count = 0;
+    for (uint32_t i = 0; i < subrequest->attempt_count; i++) {
+        subrequest->tried[subrequest->tried_count++] =
+            subrequest->attempts[i]->instance;
+    }
+}
+
 /* Run a delayed retry that is due. */
 static void
 subrequest_resume(subrequest_t *subrequest, int64_t now_us)
@@ -345,7 +361,12 @@
     pool_pick_t pick = subrequest_pick_criteria(subrequest);
     pick.healthy_only = true;
     instance_t *instance;
-    if (pool_pick(subrequest->pool, &pick, now_us, &instance) != PICK_OK) {
+    pick_result_t picked =
+        pool_pick(subrequest->pool, &pick, now_us, &instance);
+    if (picked != PICK_OK) {
+        if (picked == PICK_NONE) {
+            subrequest_forget_tried(subrequest);
+        }
         subrequest->hedge_us = now_us + HEDGE_RECHECK_US;
         return;
     }
