--- a/t/t1003-observed-state.c
+++ b/t/t1003-observed-state.c
@@ -266,6 +266,58 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    uint64_t listed;     /* revision of the list */
+    uint64_t covered_at; /* first revision of the changes delivered for it */
+    bool watches;        /* it watches by itself */
+} covered_case_t;
+
+static const covered_case_t covered_cases[] = {
+    {"the changes continue its list", 40, 40, false},
+    {"the changes begin before its list", 40, 30, false},
+    {"changes between its list and the first of them", 40, 50, true},
+};
+
+/* A covered prefix makes no call for its changes, unless some precede those
+   that are delivered for it. */
+START_TEST(test_follow_covered)
+{
+    const covered_case_t *c = &covered_cases[_i];
+    static const follow_settings_t settings = {
+        .prefix = "op/",
+        .pause_us = SECOND,
+        .covered = true,
+    };
+    kv_call_t call;
+    follow_t follow;
+    follow_init(&follow, &settings);
+    ck_assert(follow_next_call(&follow, &call, T0));
+    kv_call_release(&call);
+    kv_response_t page = answer_of(c->listed, NULL, 0, false);
+    ck_assert_int_eq(follow_response(&follow, &page, T0), FOLLOW_LIST_WHOLE);
+    follow_advance(&follow, c->covered_at, 60);
+    ck_assert_msg(follow_next_call(&follow, &call, T0 + SECOND) == c->watches,
+                  "%s", c->name);
+    if (c->watches) {
+        ck_assert_str_eq(call.target,
+                         "/-/kv-watch?prefix=op/&after=40&wait_ms=0");
+        kv_call_release(&call);
+        page = answer_of(60, NULL, 0, false);
+        ck_assert_int_eq(follow_response(&follow, &page, T0 + SECOND),
+                         FOLLOW_CHANGES);
+        follow_advance(&follow, 60, 70);
+    }
+    ck_assert_uint_eq(follow.revision, c->watches ? 70 : 60);
+    ck_assert(!follow_next_call(&follow, &call, T0 + 9 * SECOND));
+    /* A new list may miss changes again. */
+    follow_restart(&follow, T0 + 9 * SECOND);
+    ck_assert(follow_next_call(&follow, &call, T0 + 9 * SECOND));
+    ck_assert_str_eq(call.target, "/-/kv-range?prefix=op/");
+    kv_call_release(&call);
+}
+END_TEST
+
 typedef struct {
     const char *name;
     uint32_t status;     /* of the response to the renewal; 0: no response */
@@ -735,6 +787,8 @@
                         sizeof(restored_cases) / sizeof(restored_cases[0]));
     tcase_add_test(tests, test_zones);
     tcase_add_test(tests, test_follow);
+    tcase_add_loop_test(tests, test_follow_covered, 0,
+                        sizeof(covered_cases) / sizeof(covered_cases[0]));
     tcase_add_loop_test(tests, test_lease, 0,
                         sizeof(lease_cases) / sizeof(lease_cases[0]));
     tcase_add_test(tests, test_lease_revoke);
--- a/t/t1004-placement.c
+++ b/t/t1004-placement.c
@@ -239,6 +239,78 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    void (*make)(instance_t *);
+    pick_result_t result;
+} hedge_case_t;
+
+static const hedge_case_t hedge_cases[] = {
+    {"refusing", make_refusing, PICK_OK},
+    {"losing requests", make_losing, PICK_FULL},
+};
+
+/* A hedge may go to an upstream that refuses most requests, since a refusal
+   costs one round trip, but not to one that loses them. */
+START_TEST(test_hedge_target)
+{
+    const hedge_case_t *c = &hedge_cases[_i];
+    fixture_t f;
+    fixture_init(&f);
+    pick_result_t result;
+    pool_pick_t pick = {.avoid = {&f.instances[0], &f.instances[2]},
+                        .avoid_count = 2,
+                        .healthy_only = true};
+    c->make(&f.instances[1]);
+    pick_from(&f, &pick, T0, &result);
+    ck_assert_msg(result == c->result, "%s: %d", c->name, (int)result);
+    pool_release(&f.pool);
+}
+END_TEST
+
+typedef struct {
+    const char *name;
+    uint32_t sends;
+    int64_t apart_us;  /* between two sends */
+    uint32_t response; /* number of sends before a response; 0: none */
+    int64_t after_us;  /* of the question, after the last send */
+    bool unresponsive;
+} responsive_case_t;
+
+static const responsive_case_t responsive_cases[] = {
+    {"nothing was sent", 0, 0, 0, 0, false},
+    {"one response is missing", 1, 0, 0, SECOND, false},
+    {"the responses are not due", 9, MS, 0, 100 * MS, false},
+    {"no response for 400 ms", 5, 100 * MS, 0, 0, true},
+    {"a response among them", 5, 100 * MS, 4, 100 * MS, false},
+    {"sends far apart", 5, 2 * SECOND, 0, 0, false},
+    {"no send for long", 5, 100 * MS, 0, 2 * SECOND, false},
+};
+
+/* A service counts as unresponsive after several sends without a response for
+   longer than an upstream pauses, until the next response. */
+START_TEST(test_unresponsive_service)
+{
+    const responsive_case_t *c = &responsive_cases[_i];
+    fixture_t f;
+    fixture_init(&f);
+    int64_t at = T0;
+    for (uint32_t i = 0; i < c->sends; i++) {
+        at += i > 0 ? c->apart_us : 0;
+        if (c->response > 0 && i == c->response) {
+            pool_note_response(&f.pool);
+        }
+        pool_note_sent(&f.pool, &f.instances[i % 3], at);
+    }
+    at += c->after_us;
+    ck_assert_msg(pool_is_unresponsive(&f.pool, at) == c->unresponsive, "%s",
+                  c->name);
+    pool_note_response(&f.pool);
+    ck_assert(!pool_is_unresponsive(&f.pool, at));
+    pool_release(&f.pool);
+}
+END_TEST
+
 typedef struct {
     uint32_t slots;
     uint32_t fleet;
@@ -316,18 +388,36 @@
 } gather_case_t;
 
 static const gather_case_t gather_cases[] = {
-    {"all answered", {10, 10, 0, 0.89, T0}, T0 - 1, GATHER_ANSWER},
-    {"one pending before the goal", {10, 9, 0, 0.89, T0}, T0 - 1, GATHER_WAIT},
-    {"enough answered at the goal", {10, 9, 0, 0.89, T0}, T0, GATHER_ANSWER},
-    {"too few answered at the goal", {10, 8, 0, 0.89, T0}, T0, GATHER_WAIT},
+    {"all answered", {10, 10, 0, 0, 0.89, T0}, T0 - 1, GATHER_ANSWER},
+    {"one pending before the goal",
+     {10, 9, 0, 0, 0.89, T0},
+     T0 - 1,
+     GATHER_WAIT},
+    {"enough answered at the goal",
+     {10, 9, 0, 0, 0.89, T0},
+     T0,
+     GATHER_ANSWER},
+    {"too few answered at the goal", {10, 8, 0, 0, 0.89, T0}, T0, GATHER_WAIT},
     {"one failed, all others answered",
-     {10, 9, 1, 0.89, T0},
+     {10, 9, 1, 0, 0.89, T0},
      T0 - 1,
      GATHER_ANSWER},
-    {"too many failed", {10, 5, 2, 0.89, T0}, T0 - 1, GATHER_IMPOSSIBLE},
-    {"min_share met exactly", {4, 3, 1, 0.75, T0}, T0 - 1, GATHER_ANSWER},
+    {"the only one pending is unresponsive",
+     {10, 9, 0, 1, 0.89, T0},
+     T0 - 1,
+     GATHER_ANSWER},
+    {"one of two pending is unresponsive",
+     {10, 8, 0, 1, 0.75, T0},
+     T0 - 1,
+     GATHER_WAIT},
+    {"too few answered without the unresponsive",
+     {10, 8, 0, 2, 0.89, T0},
+     T0 - 1,
+     GATHER_WAIT},
+    {"too many failed", {10, 5, 2, 0, 0.89, T0}, T0 - 1, GATHER_IMPOSSIBLE},
+    {"min_share met exactly", {4, 3, 1, 0, 0.75, T0}, T0 - 1, GATHER_ANSWER},
     {"min_share 0 still needs one shard",
-     {3, 0, 3, 0, T0},
+     {3, 0, 3, 0, 0, T0},
      T0,
      GATHER_IMPOSSIBLE},
 };
@@ -413,6 +503,11 @@
                         sizeof(avoid_cases) / sizeof(avoid_cases[0]));
     tcase_add_test(tests, test_results);
     tcase_add_test(tests, test_all_rest);
+    tcase_add_loop_test(tests, test_hedge_target, 0,
+                        sizeof(hedge_cases) / sizeof(hedge_cases[0]));
+    tcase_add_loop_test(tests, test_unresponsive_service, 0,
+                        sizeof(responsive_cases) /
+                            sizeof(responsive_cases[0]));
     tcase_add_loop_test(tests, test_concurrency_limit, 0,
                         sizeof(limit_cases) / sizeof(limit_cases[0]));
     tcase_add_test(tests, test_cold_rate);
--- a/t/t1010-engine.c
+++ b/t/t1010-engine.c
@@ -728,6 +728,96 @@
 }
 END_TEST
 
+/*
+ * The nearest upstream is silent, and the two others refuse requests for the
+ * first 60 ms. A refused hedge does not end the hedging: the next upstream is
+ * tried at once, and those that refused again after it.
+ */
+START_TEST(test_refused_hedges)
+{
+    static const char *const ids[] = {"i-1", "i-2", "i-3"};
+    static const char *const zones[] = {"a", "b", "c"};
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, 1, GOAL_US, 1));
+    for (uint32_t i = 0; i < 3; i++) {
+        tier_world_upstream_t up = {.id = ids[i],
+                                    .service = "s0",
+                                    .zone = zones[i],
+                                    .slots = 4,
+                                    .queue_max = 20};
+        if (i == 0) {
+            up.silent = true;
+        }
+        else {
+            up.refuse_share = 1;
+            up.until_us = START_US + 60000;
+        }
+        tier_world_upstream(world, &up);
+    }
+    tier_call_t *call = tier_world_call(world, START_US + 1000, 0, "/one/1",
+                                        WORK_US, CALLER_TIMEOUT_US);
+    tier_world_run(world, START_US + 2 * CALLER_TIMEOUT_US);
+    ck_assert(call->done);
+    ck_assert_uint_eq(call->status, 200);
+    ck_assert_msg(call->done_us - call->at_us <= GOAL_US, "%lld",
+                  (long long)(call->done_us - call->at_us));
+    tier_world_free(world);
+}
+END_TEST
+
+typedef struct {
+    const char *name;
+    int64_t timeout_us; /* that the second caller sends */
+    int64_t after_us;   /* bounds of the time of its answer */
+    int64_t before_us;
+} spent_case_t;
+
+static const spent_case_t spent_cases[] = {
+    {"all of its time is left", CALLER_TIMEOUT_US, GOAL_US * 9 / 10, GOAL_US},
+    {"it has spent 60 ms", CALLER_TIMEOUT_US - 60000, GOAL_US / 2,
+     GOAL_US - 60000},
+    {"it allows half the time", CALLER_TIMEOUT_US / 2, GOAL_US * 9 / 10,
+     GOAL_US},
+    {"it allows more time", CALLER_TIMEOUT_US * 2, GOAL_US * 9 / 10, GOAL_US},
+};
+
+/*
+ * A caller's goal counts from its first attempt, and it sends what is left of
+ * its time: one that has lost 60 ms on a connection that failed is answered 60
+ * ms earlier, without the shard that is still silent. A caller that merely
+ * allows less time than others is not.
+ */
+START_TEST(test_time_spent_by_caller)
+{
+    const spent_case_t *c = &spent_cases[_i];
+    enum { SHARDS_TWO = 2 };
+    tier_world_t *world = tier_world_new(&one_daemon);
+    tier_world_configure(world, tier_world_table(1, SHARDS_TWO, GOAL_US, 0.5));
+    tier_world_upstream(world, &(tier_world_upstream_t){.id = "i-0",
+                                                        .service = "s0",
+                                                        .zone = "a",
+                                                        .slots = 4,
+                                                        .queue_max = 20});
+    tier_world_upstream(world, &(tier_world_upstream_t){.id = "i-1",
+                                                        .service = "s1",
+                                                        .zone = "a",
+                                                        .slots = 4,
+                                                        .queue_max = 20,
+                                                        .silent = true});
+    tier_world_call(world, START_US + 1000, 0, "/all/1", WORK_US,
+                    CALLER_TIMEOUT_US);
+    tier_call_t *call = tier_world_call(world, START_US + 2000, 0, "/all/2",
+                                        WORK_US, c->timeout_us);
+    tier_world_run(world, START_US + 3 * CALLER_TIMEOUT_US);
+    int64_t took_us = call->done_us - call->at_us;
+    ck_assert_uint_eq(call->status, 200);
+    ck_assert_uint_eq(call->missing, 1);
+    ck_assert_msg(took_us > c->after_us && took_us <= c->before_us,
+                  "%s: %lld us", c->name, (long long)took_us);
+    tier_world_free(world);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -751,5 +841,8 @@
     tcase_add_test(tests, test_request_keeps_its_configuration);
     tcase_add_test(tests, test_no_configuration);
     tcase_add_test(tests, test_no_route);
+    tcase_add_test(tests, test_refused_hedges);
+    tcase_add_loop_test(tests, test_time_spent_by_caller, 0,
+                        sizeof(spent_cases) / sizeof(spent_cases[0]));
     return suite_run("engine", tests);
 }
--- a/t/t1011-overload.c
+++ b/t/t1011-overload.c
@@ -25,6 +25,7 @@
     uint32_t failed;  /* status 502 or above 503 */
     double value;     /* mean over all calls: squared share of the shards in
                          the answer if it is in time, else 0 */
+    uint32_t slow;    /* answered, in more than half of the goal */
     uint32_t arrivals;
 } tally_t;
 
@@ -36,6 +37,7 @@
     uint32_t faulty_shards;
     uint32_t calls_per_s;
     int64_t work_us;
+    tier_world_upstream_t others; /* the other upstreams of faulty shards */
 } load_case_t;
 
 static char ids[SHARDS * 3][16];
@@ -54,6 +56,9 @@
         if (i % 3 == 0 && shard < c->faulty_shards) {
             up = c->faulty;
         }
+        else if (shard < c->faulty_shards && c->others.slots > 0) {
+            up = c->others;
+        }
         snprintf(ids[i], sizeof(ids[i]), "i-%u", i);
         snprintf(services[shard], sizeof(services[shard]), "s%u", shard);
         up.id = ids[i];
@@ -108,6 +113,10 @@
         tally.refused += call->status == 503 ? 1 : 0;
         tally.failed += call->status > 503 || call->status == 502 ? 1 : 0;
         tally.value += call->status == 200 && in_time ? share * share : 0;
+        tally.slow +=
+            call->status == 200 && call->done_us - call->at_us > GOAL_US / 2
+                ? 1
+                : 0;
         tally.arrivals += call->arrivals;
     }
     tally.value /= count;
@@ -134,9 +143,9 @@
 START_TEST(test_one_upstream_left)
 {
     static const load_case_t cases[] = {
-        {"one upstream left, load 85 %", 0, 1, {0}, 0, 170, 20000},
-        {"one upstream left, load 110 %", 0, 1, {0}, 0, 220, 20000},
-        {"one upstream left, load 150 %", 0, 1, {0}, 0, 300, 20000},
+        {"one upstream left, load 85 %", 0, 1, {0}, 0, 170, 20000, {0}},
+        {"one upstream left, load 110 %", 0, 1, {0}, 0, 220, 20000, {0}},
+        {"one upstream left, load 150 %", 0, 1, {0}, 0, 300, 20000, {0}},
     };
     static const double min_values[] = {0.95, 0.85, 0.80};
     const load_case_t *c = &cases[_i];
@@ -159,7 +168,7 @@
 START_TEST(test_two_shards_short)
 {
     static const load_case_t c = {
-        "two shards short, load 110 %", 0, 2, {0}, 0, 220, 20000};
+        "two shards short, load 110 %", 0, 2, {0}, 0, 220, 20000, {0}};
     tally_t tally = run_load(&c, 5);
     print_tally(&c, &tally);
     ck_assert_msg(tally.in_time + tally.late >= tally.calls * 85 / 100,
@@ -182,7 +191,8 @@
       {.slots = 4, .pause_every_us = 4500000, .pause_us = 200000},
       SHARDS,
       150,
-      20000},
+      20000,
+      {0}},
      0.97,
      1.25},
     {{"one upstream of each shard ten times slower",
@@ -191,7 +201,8 @@
       {.slots = 4, .slowdown = 10},
       SHARDS,
       150,
-      20000},
+      20000,
+      {0}},
      0.95,
      1.25},
     {{"one upstream of each shard silent for three seconds",
@@ -203,7 +214,8 @@
        .until_us = START_US + 6 * SECOND},
       SHARDS,
       150,
-      20000},
+      20000,
+      {0}},
      0.95,
      1.25},
     {{"one upstream of each shard refuses half of its requests",
@@ -212,7 +224,8 @@
       {.slots = 4, .refuse_share = 0.5},
       SHARDS,
       150,
-      20000},
+      20000,
+      {0}},
      0.95,
      1.25},
     {{"one upstream of each shard loses a tenth of its responses",
@@ -221,7 +234,8 @@
       {.slots = 4, .lose_share = 0.1},
       SHARDS,
       150,
-      20000},
+      20000,
+      {0}},
      0.95,
      1.25},
 };
@@ -239,6 +253,59 @@
 }
 END_TEST
 
+#define SILENT_FOR_4_S                                                        \
+    {                                                                         \
+        .slots = 4, .silent = true, .since_us = START_US + 3 * SECOND,        \
+        .until_us = START_US + 7 * SECOND                                     \
+    }
+
+/*
+ * All upstreams of a shard are silent for four of ten seconds. Queries that
+ * wait for it until their goal are all slow then, and late with any further
+ * delay. They answer as soon as the other shards have: beside the first 300 ms
+ * of silence hardly any query is slow.
+ */
+START_TEST(test_silent_shard)
+{
+    static const load_case_t c = {
+        "all upstreams of a shard silent for four seconds",
+        0,
+        0,
+        SILENT_FOR_4_S,
+        1,
+        150,
+        20000,
+        SILENT_FOR_4_S};
+    tally_t tally = run_load(&c, 13);
+    print_tally(&c, &tally);
+    ck_assert_msg(tally.slow <= tally.calls * 15 / 100, "%u of %u are slow",
+                  tally.slow, tally.calls);
+    ck_assert_msg(tally.value >= 0.90, "%.3f", tally.value);
+}
+END_TEST
+
+/*
+ * Two upstreams of each of three shards refuse 60 % of their requests, and the
+ * third one pauses. While it pauses, a hedge to those that refuse has four
+ * chances in ten to save the answer, and costs one round trip if it fails.
+ */
+START_TEST(test_hedges_to_refusing_upstreams)
+{
+    static const load_case_t c = {
+        "two upstreams of three shards refuse, the third pauses",
+        0,
+        0,
+        {.slots = 4, .pause_every_us = 2400000, .pause_us = 250000},
+        3,
+        100,
+        20000,
+        {.slots = 4, .refuse_share = 0.6}};
+    tally_t tally = run_load(&c, 17);
+    print_tally(&c, &tally);
+    ck_assert_msg(tally.value >= 0.93, "%.3f", tally.value);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -246,6 +313,8 @@
     tcase_set_timeout(tests, 120);
     tcase_add_loop_test(tests, test_one_upstream_left, 0, 3);
     tcase_add_test(tests, test_two_shards_short);
+    tcase_add_test(tests, test_silent_shard);
+    tcase_add_test(tests, test_hedges_to_refusing_upstreams);
     tcase_add_loop_test(tests, test_faulty_upstreams, 0,
                         sizeof(fault_cases) / sizeof(fault_cases[0]));
     return suite_run("overload", tests);
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -721,17 +721,46 @@
 }
 END_TEST
 
-/* A version is in force in time although the watch for it gets no response. */
+/* A version is in force in time although the watch for it gets no response. In
+   a small fleet there is no such watch. */
 START_TEST(test_lost_watch_answers)
 {
     fixture_t f;
+    boot_t boot;
+    bool large_fleet = _i == 1;
     fixture_init(&f);
-    run_ms(&f, 3500);
-    ck_assert_uint_gt(tier_store_watch_calls(f.store, "op/"), 0);
+    node_t *reader = large_fleet ? start_reader(&f, &boot) : NULL;
+    run_ms(&f, 4500);
+    ck_assert((tier_store_watch_calls(f.store, "op/") > 0) == large_fleet);
     tier_store_set_mode(f.store, TIER_STORE_WATCHES_LOST);
     put_config(&f, 2);
     run_ms(&f, 2500);
+    ck_assert(has_config_version(
+        &f, large_fleet ? &boot.control_address : &f.boot.control_address,
+        "2"));
+    if (large_fleet) {
+        node_free(reader);
+    }
+    fixture_release(&f);
+}
+END_TEST
+
+/*
+ * In a small fleet one poll reads the changes of all prefixes. If the store
+ * has lost its history, all prefixes are listed again: the changes that were
+ * missed may be the operator's or a member's.
+ */
+START_TEST(test_compacted_configuration)
+{
+    fixture_t f;
+    fixture_init(&f);
+    run_ms(&f, 3500);
+    tier_store_set_mode(f.store, TIER_STORE_COMPACTED);
+    put_config(&f, 2);
+    run_ms(&f, 1800);
+    tier_store_set_mode(f.store, TIER_STORE_NORMAL);
     ck_assert(has_config_version(&f, &f.boot.control_address, "2"));
+    ck_assert_uint_eq(tier_store_watch_calls(f.store, "op/"), 0);
     fixture_release(&f);
 }
 END_TEST
@@ -911,7 +940,8 @@
     tcase_add_test(tests, test_suspects_from_reader);
     tcase_add_test(tests, test_standby_without_reader);
     tcase_add_test(tests, test_full_state_request);
-    tcase_add_test(tests, test_lost_watch_answers);
+    tcase_add_loop_test(tests, test_lost_watch_answers, 0, 2);
+    tcase_add_test(tests, test_compacted_configuration);
     tcase_add_test(tests, test_start_with_expired_entries);
     tcase_add_test(tests, test_shutdown);
     tcase_add_test(tests, test_shutdown_unfinished);
--- a/tier/follow.c
+++ b/tier/follow.c
@@ -13,7 +13,9 @@
 {
     if (follow->busy || now_us < follow->due_us ||
         now_us < follow->paused_until_us ||
-        (follow->watching && follow->settings.list_only)) {
+        (follow->watching &&
+         (follow->settings.list_only ||
+          (follow->settings.covered && follow->caught_up)))) {
         return false;
     }
     bool built =
@@ -95,8 +97,11 @@
 void
 follow_advance(follow_t *follow, uint64_t from, uint64_t to)
 {
-    if (follow->watching && follow->revision >= from &&
-        follow->revision < to) {
+    if (!follow->watching || follow->revision < from) {
+        return;
+    }
+    follow->caught_up = true;
+    if (follow->revision < to) {
         follow->revision = to;
     }
 }
@@ -111,6 +116,7 @@
 follow_restart(follow_t *follow, int64_t now_us)
 {
     follow->watching = false;
+    follow->caught_up = false;
     follow->busy = false;
     follow->page_after[0] = '\0';
     follow->due_us = now_us;
--- a/tier/follow.h
+++ b/tier/follow.h
@@ -38,12 +38,17 @@
     int64_t retry_us;       /* pause after a failed call; 0: FOLLOW_RETRY_US */
     bool list_only;         /* do not watch changes after the list */
     bool all_prefixes; /* watch the changes of all prefixes, not only this */
+    /* Another follow_t with all_prefixes delivers the changes: watch only
+       those between the list and its first. */
+    bool covered;
 } follow_settings_t;
 
 typedef struct {
     follow_settings_t settings;
     bool watching;                    /* false: listing */
     bool busy;                        /* a call is in flight */
+    bool caught_up;                   /* no change precedes those delivered by
+                                         the follow_t that covers it */
     uint64_t revision;                /* changes up to here were received */
     uint64_t list_revision;           /* of the first page of the list */
     char page_after[FOLLOW_KEY_SIZE]; /* last key of the previous page */
@@ -80,7 +85,7 @@
 /*
  * Another follow_t with all_prefixes has received and delivered the changes
  * between two store revisions, those of this prefix included: continue after
- * them.
+ * them. If `covered` is set, no call is made any more until the next list.
  */
 void follow_advance(follow_t *follow, uint64_t from, uint64_t to);
 
--- a/tier/node.c
+++ b/tier/node.c
@@ -27,8 +27,9 @@
     OPERATOR_POLL_INTERVAL_US = 500000,
     /* Delay of the first watch. By then a daemon that starts together with
        all others has read their records and a peer's response, and knows
-       whether it will poll that peer instead of the store. */
-    OPERATOR_FIRST_DELAY_US = 3000000,
+       whether it will poll that peer instead of the store; in a small fleet
+       the first poll for all prefixes has made the watch needless. */
+    FIRST_WATCH_DELAY_US = 3000000,
     /* At the fleet's first start all daemons start within 300 ms. They list
        the members after this delay, and so know the size of the fleet. */
     BOOTSTRAP_LIST_DELAY_US = 500000,
@@ -250,8 +251,9 @@
     const follow_settings_t operator_settings = {
         .prefix = KEY_OPERATOR,
         .pause_us = OPERATOR_POLL_INTERVAL_US,
-        .first_pause_us = OPERATOR_FIRST_DELAY_US,
+        .first_pause_us = FIRST_WATCH_DELAY_US,
         .long_poll_us = wait_us,
+        .covered = true, /* node_apply_membership sets it by the fleet */
     };
     const follow_settings_t upstreams_settings = {
         .prefix = KEY_UPSTREAMS,
@@ -263,7 +265,9 @@
     const follow_settings_t members_settings = {
         .prefix = KEY_FLEET,
         .pause_us = node->poll_intervals.members_poll_us,
+        .first_pause_us = FIRST_WATCH_DELAY_US,
         .long_poll_us = wait_us,
+        .covered = true,
     };
     /* Only the first prefix is still polled while the store is unreachable. */
     bool following = store_link_follow(node->store, &upstreams_settings,
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -141,6 +141,12 @@
                                  node->poll_intervals.store_poll_us);
     store_link_set_poll_interval(node->store, KEY_FLEET,
                                  node->poll_intervals.members_poll_us);
+    /* In a large fleet a change takes two steps, so the store readers watch
+       what the operator writes. In a small one the poll for upstreams, which
+       reads all changes, is early enough, and each watch that a change ends
+       would be one more call of each daemon. */
+    store_link_set_covered(node->store, KEY_OPERATOR, !large_fleet);
+    store_link_set_covered(node->store, KEY_FLEET, !large_fleet);
     /* A daemon that polls peers learns from them that the store is reachable
        again, so it retries the store less often. */
     store_link_set_retry_delay(
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -148,19 +148,21 @@
 }
 
 /* After a response with the complete changes of all prefixes, move the other
-   channels past those changes. */
+   channels past those changes. Channels that it covers follow it in any case:
+   the next response has the rest. */
 static void
 follow_skip_delivered(const channel_t *channel, uint64_t from,
                       const kv_response_t *response)
 {
     store_link_t *store = channel->store;
-    if (!channel->follow.settings.all_prefixes ||
-        response->count >= FOLLOW_BATCH_FULL) {
+    if (!channel->follow.settings.all_prefixes) {
         return;
     }
     for (uint32_t i = 0; i < store->channel_count; i++) {
-        follow_advance(&store->channels[i].follow, from,
-                       channel->follow.revision);
+        follow_t *follow = &store->channels[i].follow;
+        if (follow->settings.covered || response->count < FOLLOW_BATCH_FULL) {
+            follow_advance(follow, from, channel->follow.revision);
+        }
     }
 }
 
@@ -350,6 +352,19 @@
     }
 }
 
+/* The changes that the channel with all prefixes has missed may concern the
+   prefixes that it covers. */
+static void
+store_relist_covered(store_link_t *store, int64_t now_us)
+{
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        channel_t *channel = &store->channels[i];
+        if (channel->follow.settings.covered && !channel->busy) {
+            follow_restart(&channel->follow, now_us);
+        }
+    }
+}
+
 static void
 channel_answered(channel_t *channel, int64_t now_us)
 {
@@ -387,6 +402,9 @@
     else if (status == 410) {
         store_mark_reachable(store, now_us);
         follow_failed(&channel->follow, true, now_us);
+        if (channel->follow.settings.all_prefixes) {
+            store_relist_covered(store, now_us);
+        }
     }
     else {
         char why[32];
@@ -603,6 +621,17 @@
     }
 }
 
+void
+store_link_set_covered(store_link_t *store, const char *prefix, bool covered)
+{
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        follow_t *follow = &store->channels[i].follow;
+        if (strcmp(follow->settings.prefix, prefix) == 0) {
+            follow->settings.covered = covered;
+        }
+    }
+}
+
 void
 store_link_set_retry_delay(store_link_t *store, int64_t retry_us)
 {
--- a/tier/store_link.h
+++ b/tier/store_link.h
@@ -98,6 +98,11 @@
 void store_link_set_poll_interval(store_link_t *store, const char *prefix,
                                   int64_t interval_us);
 
+/* Whether the calls for the changes of all prefixes replace those for the
+   changes of this prefix; see follow_settings_t. */
+void store_link_set_covered(store_link_t *store, const char *prefix,
+                            bool covered);
+
 /* Set the delay after a failed read, for all prefixes; 0: the default. */
 void store_link_set_retry_delay(store_link_t *store, int64_t retry_us);
 
