--- a/tier/engine.c
+++ b/tier/engine.c
@@ -11,7 +11,7 @@
 enum {
     /* A merged answer is sent this long before the goal, to allow for the
        network time of the caller's request and of the answer. */
-    GOAL_MARGIN_US = 7000,
+    GOAL_MARGIN_US = 10000,
     /* The final answer is sent this long before the request's timeout. */
     DEADLINE_MARGIN_US = 10000,
     /* See route_state_spent_us. */
