engine: refuse queries at once while too few shards respond

Change: such a query is refused with 503, reason shards_silent, before anything is sent, but for one every 200 ms at each daemon, which shows when the shards respond again. A service counts as silent after 300 ms or four typical response times. Test: t1011 test_two_silent_shards.

--- a/t/t1004-placement.c
+++ b/t/t1004-placement.c
@@ -271,20 +271,23 @@
 typedef struct {
     const char *name;
     uint32_t sends;
-    int64_t apart_us;  /* between two sends */
-    uint32_t response; /* number of sends before a response; 0: none */
-    int64_t after_us;  /* of the question, after the last send */
+    int64_t apart_us;    /* between two sends */
+    uint32_t response;   /* number of sends before a response; 0: none */
+    int64_t after_us;    /* of the question, after the last send */
+    int64_t expected_us; /* typical response time */
     bool unresponsive;
 } responsive_case_t;
 
 static const responsive_case_t responsive_cases[] = {
-    {"nothing was sent", 0, 0, 0, 0, false},
-    {"one response is missing", 1, 0, 0, SECOND, false},
-    {"the responses are not due", 9, MS, 0, 100 * MS, false},
-    {"no response for 400 ms", 5, 100 * MS, 0, 0, true},
-    {"a response among them", 5, 100 * MS, 4, 100 * MS, false},
-    {"sends far apart", 5, 2 * SECOND, 0, 0, false},
-    {"no send for long", 5, 100 * MS, 0, 2 * SECOND, false},
+    {"nothing was sent", 0, 0, 0, 0, EXPECTED_US, false},
+    {"one response is missing", 1, 0, 0, SECOND, EXPECTED_US, false},
+    {"the responses are not due", 9, MS, 0, 100 * MS, EXPECTED_US, false},
+    {"no response for 400 ms", 5, 100 * MS, 0, 0, EXPECTED_US, true},
+    {"no response for 400 ms to long work", 5, 100 * MS, 0, 0, 200 * MS,
+     false},
+    {"a response among them", 5, 100 * MS, 4, 100 * MS, EXPECTED_US, false},
+    {"sends far apart", 5, 2 * SECOND, 0, 0, EXPECTED_US, false},
+    {"no send for long", 5, 100 * MS, 0, 2 * SECOND, EXPECTED_US, false},
 };
 
 /* A service counts as unresponsive after several sends without a response for
@@ -303,10 +306,11 @@
         pool_note_sent(&f.pool, &f.instances[i % 3], at);
     }
     at += c->after_us;
-    ck_assert_msg(pool_is_unresponsive(&f.pool, at) == c->unresponsive, "%s",
-                  c->name);
+    ck_assert_msg(pool_is_unresponsive(&f.pool, c->expected_us, at) ==
+                      c->unresponsive,
+                  "%s", c->name);
     pool_note_response(&f.pool);
-    ck_assert(!pool_is_unresponsive(&f.pool, at));
+    ck_assert(!pool_is_unresponsive(&f.pool, c->expected_us, at));
     pool_release(&f.pool);
 }
 END_TEST
--- a/t/t1011-overload.c
+++ b/t/t1011-overload.c
@@ -284,6 +284,37 @@
 }
 END_TEST
 
+/*
+ * All upstreams of two shards are silent for four of ten seconds, and an
+ * answer may lack only one of them. Callers are refused at once, with a time
+ * to come back, instead of waiting until their deadlines; but for the first
+ * 300 ms and a query every 200 ms at each daemon, which shows when the shards
+ * are back.
+ */
+START_TEST(test_two_silent_shards)
+{
+    static const load_case_t c = {
+        "all upstreams of two shards silent for four seconds",
+        0,
+        0,
+        SILENT_FOR_4_S,
+        2,
+        300,
+        10000,
+        SILENT_FOR_4_S};
+    enum { SILENT_CALLS = 300 * 4, PROBES = DAEMONS * 4 * 5 };
+    tally_t tally = run_load(&c, 19);
+    print_tally(&c, &tally);
+    ck_assert_msg(tally.failed <= PROBES + SILENT_CALLS / 5,
+                  "%u waited and failed", tally.failed);
+    ck_assert_msg(tally.refused >= SILENT_CALLS / 2, "%u refused",
+                  tally.refused);
+    /* Before and after the silence all are served. */
+    ck_assert_msg(tally.in_time >= tally.calls * 55 / 100, "%u in time of %u",
+                  tally.in_time, tally.calls);
+}
+END_TEST
+
 /*
  * Two upstreams of each of three shards refuse 60 % of their requests, and the
  * third one pauses. While it pauses, a hedge to those that refuse has four
@@ -314,6 +345,7 @@
     tcase_add_loop_test(tests, test_one_upstream_left, 0, 3);
     tcase_add_test(tests, test_two_shards_short);
     tcase_add_test(tests, test_silent_shard);
+    tcase_add_test(tests, test_two_silent_shards);
     tcase_add_test(tests, test_hedges_to_refusing_upstreams);
     tcase_add_loop_test(tests, test_faulty_upstreams, 0,
                         sizeof(fault_cases) / sizeof(fault_cases[0]));
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -14,6 +14,8 @@
     GOAL_MARGIN_US = 10000,
     /* The final answer is sent this long before the request's timeout. */
     DEADLINE_MARGIN_US = 10000,
+    /* Between two queries that are sent although too few shards respond. */
+    UNRESPONSIVE_PROBE_US = 200000,
     /* See route_state_spent_us. */
     TIMEOUT_WINDOW_US = 10000000,
     SPENT_GOAL_PERCENT = 50,
@@ -626,7 +628,7 @@
         const subrequest_t *subrequest = &request->subrequests[i];
         if (subrequest->state != SUBREQUEST_DONE &&
             subrequest->state != SUBREQUEST_FAILED &&
-            pool_is_unresponsive(subrequest->pool, now_us)) {
+            subrequest_is_unresponsive(subrequest, now_us)) {
             request->gather.unresponsive++;
         }
     }
@@ -681,6 +683,28 @@
                : possible > 0;
 }
 
+/*
+ * Whether a query over shards is refused because too many of them have stopped
+ * responding: it would wait until its deadline, and the shards that respond
+ * would work for nothing. One query every UNRESPONSIVE_PROBE_US is sent all
+ * the same, since only requests show that the shards respond again.
+ */
+static bool
+request_is_hopeless(const request_t *request, int64_t now_us)
+{
+    const gather_t *gather = &request->gather;
+    route_state_t *route_state = request->route_state;
+    if (request->route->kind != ROUTE_SHARDS ||
+        gather_expected_shards(gather) >= gather_min_shards(gather)) {
+        return false;
+    }
+    if (now_us - route_state->probe_us >= UNRESPONSIVE_PROBE_US) {
+        route_state->probe_us = now_us;
+        return false;
+    }
+    return true;
+}
+
 request_t *
 engine_begin(engine_t *engine, const call_t *call, int64_t now_us)
 {
@@ -733,6 +757,15 @@
         return NULL;
     }
     request_count_unresponsive(request, now_us);
+    if (request_is_hopeless(request, now_us)) {
+        char cause[32];
+        snprintf(cause, sizeof(cause), "unresponsive=%u/%u",
+                 request->gather.unresponsive, request->gather.shards);
+        engine_refuse(engine, call, 503, "shards_silent", cause,
+                      request_retry_after_us(request, now_us));
+        request_remove(request);
+        return NULL;
+    }
     for (uint32_t i = 0; i < request->subrequest_count; i++) {
         subrequest_start(&request->subrequests[i], now_us);
     }
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -25,7 +25,8 @@
        before it; 0: none. */
     int64_t longest_timeout_us[2];
     int64_t timeout_window_us; /* start of the current window */
-    uint64_t table_version;    /* of the table that split_credit belongs to */
+    int64_t probe_us; /* last query sent although too few shards respond */
+    uint64_t table_version; /* of the table that split_credit belongs to */
 } route_state_t;
 
 typedef enum {
@@ -130,6 +131,10 @@
    that the subrequest may use; 0: none is usable. */
 uint32_t subrequest_capacity(const subrequest_t *subrequest, int64_t now_us);
 
+/* Whether its service has stopped responding; see pool_is_unresponsive. */
+bool subrequest_is_unresponsive(const subrequest_t *subrequest,
+                                int64_t now_us);
+
 /* When the first of its upstreams ends its rest, if all of them rest; else
    0. */
 int64_t subrequest_rest_end_us(const subrequest_t *subrequest, int64_t now_us);
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -94,6 +94,17 @@
     return pick;
 }
 
+bool
+subrequest_is_unresponsive(const subrequest_t *subrequest, int64_t now_us)
+{
+    const request_t *request = subrequest->request;
+    return pool_is_unresponsive(
+        subrequest->pool,
+        hedge_expected_us(&request->route_state->profile,
+                          request->route->goal_us),
+        now_us);
+}
+
 uint32_t
 subrequest_capacity(const subrequest_t *subrequest, int64_t now_us)
 {
@@ -580,7 +591,7 @@
         return false;
     }
     const gather_t *gather = &request->gather;
-    if (pool_is_unresponsive(subrequest->pool, now_us)) {
+    if (subrequest_is_unresponsive(subrequest, now_us)) {
         return true;
     }
     uint32_t remaining = gather_expected_shards(gather);
@@ -589,7 +600,7 @@
     for (uint32_t i = 0; i < request->subrequest_count; i++) {
         const subrequest_t *other = &request->subrequests[i];
         if (other->state == SUBREQUEST_QUEUED &&
-            !pool_is_unresponsive(other->pool, now_us) &&
+            !subrequest_is_unresponsive(other, now_us) &&
             (other->pool->queue.count > subrequest->pool->queue.count ||
              (other->pool->queue.count == subrequest->pool->queue.count &&
               other < subrequest))) {
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -119,11 +119,15 @@
 }
 
 bool
-pool_is_unresponsive(const pool_t *pool, int64_t now_us)
+pool_is_unresponsive(const pool_t *pool, int64_t expected_us, int64_t now_us)
 {
+    int64_t bound_us =
+        POOL_UNRESPONSIVE_FACTOR * expected_us > POOL_UNRESPONSIVE_US
+            ? POOL_UNRESPONSIVE_FACTOR * expected_us
+            : POOL_UNRESPONSIVE_US;
     return pool->unanswered >= UNRESPONSIVE_SENDS_MIN &&
            now_us - pool->sent_us <= UNRESPONSIVE_IDLE_US &&
-           now_us - pool->unanswered_since_us >= POOL_UNRESPONSIVE_US;
+           now_us - pool->unanswered_since_us >= bound_us;
 }
 
 static bool
--- a/tier/pool.h
+++ b/tier/pool.h
@@ -23,7 +23,9 @@
     PICK_AVOID_MAX = 8,
     /* Longer than an upstream's pause (250 ms in the users' deployments): even
        a service with a single upstream is waited for during its pauses. */
-    POOL_UNRESPONSIVE_US = 300000
+    POOL_UNRESPONSIVE_US = 300000,
+    /* The same in multiples of the typical response time, for long work. */
+    POOL_UNRESPONSIVE_FACTOR = 4
 };
 
 typedef enum {
@@ -105,11 +107,13 @@
 
 /*
  * Whether the service has stopped responding: several requests were sent, the
- * first of them POOL_UNRESPONSIVE_US ago, and no upstream has responded since.
- * Requests are still sent, so that its return is noticed, but a query over
- * shards does not wait for their responses.
+ * first of them POOL_UNRESPONSIVE_US ago, or POOL_UNRESPONSIVE_FACTOR times
+ * the typical response time if that is longer, and no upstream has responded
+ * since. Requests are still sent, so that its return is noticed, but a query
+ * over shards does not wait for their responses.
  */
-bool pool_is_unresponsive(const pool_t *pool, int64_t now_us);
+bool pool_is_unresponsive(const pool_t *pool, int64_t expected_us,
+                          int64_t now_us);
 
 /* Free the pool's memory, but not the instances. */
 void pool_release(pool_t *pool);
