engine: a required shard is retried until the deadline

Change: a shard that the answer requires is retried until the deadline, after the goal only from half of the budget (kind RETRY_LATE). Tests: t1010 test_required_shard_after_goal, t1011 test_refusals_beyond_budget.

--- a/t/t1010-engine.c
+++ b/t/t1010-engine.c
@@ -765,6 +765,45 @@
 }
 END_TEST
 
+/*
+ * In a crowd a required shard refuses a query while the retry budget is used
+ * up. Other queries replenish the budget only after the query's goal. A late
+ * answer serves the caller better than an error, for which the other shards
+ * have worked too: the shard is asked again until the deadline.
+ */
+START_TEST(test_required_shard_after_goal)
+{
+    static const char *const services[] = {"s0", "s1"};
+    enum { OTHERS = 100 };
+    tier_settings_t settings = one_daemon;
+    settings.engine.retry_slack = 0;
+    tier_world_t *world = tier_world_new(&settings);
+    tier_world_configure(world, tier_world_table(1, 2, GOAL_US, 1));
+    for (uint32_t i = 0; i < 2; i++) {
+        tier_world_upstream(world, &(tier_world_upstream_t){
+                                       .id = services[i],
+                                       .service = services[i],
+                                       .zone = "a",
+                                       .slots = 50,
+                                       .queue_max = 50,
+                                       .refuse_share = i,
+                                       .until_us = START_US + 100000,
+                                   });
+    }
+    tier_call_t *call = tier_world_call(world, START_US + 1000, 0, "/all/1",
+                                        WORK_US, CALLER_TIMEOUT_US);
+    for (int64_t i = 0; i < OTHERS; i++) {
+        tier_world_call(world, START_US + GOAL_US + i * 4000, 0, "/all/2",
+                        WORK_US / 4, CALLER_TIMEOUT_US);
+    }
+    tier_world_run(world, START_US + 3 * CALLER_TIMEOUT_US);
+    ck_assert(call->done);
+    ck_assert_uint_eq(call->status, 200);
+    ck_assert_uint_eq(call->missing, 0);
+    tier_world_free(world);
+}
+END_TEST
+
 typedef struct {
     const char *name;
     int64_t timeout_us; /* that the second caller sends */
@@ -842,6 +881,7 @@
     tcase_add_test(tests, test_no_configuration);
     tcase_add_test(tests, test_no_route);
     tcase_add_test(tests, test_refused_hedges);
+    tcase_add_test(tests, test_required_shard_after_goal);
     tcase_add_loop_test(tests, test_time_spent_by_caller, 0,
                         sizeof(spent_cases) / sizeof(spent_cases[0]));
     return suite_run("engine", tests);
--- a/t/t1011-overload.c
+++ b/t/t1011-overload.c
@@ -337,6 +337,31 @@
 }
 END_TEST
 
+/*
+ * All upstreams of three shards refuse four requests in ten, more than the
+ * retry budget makes up for. With 1.2 sends for each request, 72 % of the
+ * parts arrive and 81 % of the answers lack at most one of the three. Retries
+ * for answers that are late already must not use the budget that these need.
+ */
+START_TEST(test_refusals_beyond_budget)
+{
+    static const load_case_t c = {"all upstreams of three shards refuse 40 %",
+                                  0,
+                                  0,
+                                  {.slots = 4, .refuse_share = 0.4},
+                                  3,
+                                  200,
+                                  10000,
+                                  {.slots = 4, .refuse_share = 0.4}};
+    tally_t tally = run_load(&c, 23);
+    print_tally(&c, &tally);
+    ck_assert_msg(tally.in_time >= tally.calls * 81 / 100, "%u of %u in time",
+                  tally.in_time, tally.calls);
+    ck_assert_msg(tally.arrivals <= 1.25 * tally.calls * SHARDS, "%u sends",
+                  tally.arrivals);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -346,6 +371,7 @@
     tcase_add_test(tests, test_two_shards_short);
     tcase_add_test(tests, test_silent_shard);
     tcase_add_test(tests, test_two_silent_shards);
+    tcase_add_test(tests, test_refusals_beyond_budget);
     tcase_add_test(tests, test_hedges_to_refusing_upstreams);
     tcase_add_loop_test(tests, test_faulty_upstreams, 0,
                         sizeof(fault_cases) / sizeof(fault_cases[0]));
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -37,6 +37,7 @@
 /* Kinds of retries and hedges, by the part of the retry budget that they may
    use. */
 typedef enum {
+    RETRY_LATE,     /* the answer can no longer meet the goal */
     RETRY_HEDGE,    /* a hedge: the first send has not failed */
     RETRY_OPTIONAL, /* the request succeeds without this shard */
     RETRY_REQUIRED, /* the request fails without this shard */
@@ -47,6 +48,7 @@
    whole request take precedence over those that save one shard of an answer,
    and these over hedges, without which an answer might only be late. */
 static const uint32_t retry_budget_percents[RETRY_KINDS] = {
+    [RETRY_LATE] = 50,
     [RETRY_HEDGE] = 80,
     [RETRY_OPTIONAL] = 90,
     [RETRY_REQUIRED] = 100,
@@ -235,7 +237,8 @@
 subrequest_delay_retry(subrequest_t *subrequest, int64_t now_us)
 {
     const request_t *request = subrequest->request;
-    int64_t until_us = request->goal_us;
+    int64_t until_us =
+        request->deadline_us - subrequest_estimate_us(subrequest);
     if (request->route->kind != ROUTE_SHARDS) {
         /* No upstream works on the request, so give up early: the caller can
            retry at another daemon. */
@@ -310,7 +313,10 @@
         return;
     }
     retry_kind_t kind =
-        subrequest_is_required(subrequest) ? RETRY_REQUIRED : RETRY_OPTIONAL;
+        request->route->kind == ROUTE_SHARDS && now_us > request->goal_us
+            ? RETRY_LATE
+        : subrequest_is_required(subrequest) ? RETRY_REQUIRED
+                                             : RETRY_OPTIONAL;
     if (reached_upstream &&
         !subrequest_take_budget(subrequest, kind, now_us)) {
         subrequest_delay_retry(subrequest, now_us);
