tier: a gauge of silent services; corner cases and wording of the new decisions

A shard that failed after it was counted as unresponsive counted twice, and the number of expected shards wrapped around (t1004 test_expected_shards fails without the change); an unused member.

--- a/cli/explain_log.c
+++ b/cli/explain_log.c
@@ -58,6 +58,8 @@
      "neither the store nor another daemon."},
     {"E600", "too_many_requests", NULL,
      "The daemon had reached its maximum number of requests."},
+    {"E600", "shards_silent", NULL,
+     "More shards had stopped responding than the answer may lack."},
     {"E600", "leaving", NULL, "The daemon was shutting down."},
     {"E600", NULL, NULL, "The request was refused and sent nowhere."},
     {"E610", NULL, NULL, "It was answered."},
--- a/t/t1004-placement.c
+++ b/t/t1004-placement.c
@@ -434,6 +434,16 @@
 }
 END_TEST
 
+/* A shard that failed since it was counted as unresponsive counts once. */
+START_TEST(test_expected_shards)
+{
+    gather_t gather = {.shards = 2, .failed = 2, .unresponsive = 1};
+    ck_assert_uint_eq(gather_expected_shards(&gather), 0);
+    gather.failed = 0;
+    ck_assert_uint_eq(gather_expected_shards(&gather), 1);
+}
+END_TEST
+
 START_TEST(test_records)
 {
     records_t records = {0};
@@ -517,6 +527,7 @@
     tcase_add_test(tests, test_cold_rate);
     tcase_add_loop_test(tests, test_gather, 0,
                         sizeof(gather_cases) / sizeof(gather_cases[0]));
+    tcase_add_test(tests, test_expected_shards);
     tcase_add_test(tests, test_records);
     tcase_add_test(tests, test_hedge_delay);
     tcase_add_test(tests, test_waiting);
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -16,7 +16,8 @@
     DEADLINE_MARGIN_US = 10000,
     /* Between two queries that are sent although too few shards respond. */
     UNRESPONSIVE_PROBE_US = 200000,
-    /* See route_state_spent_us. */
+    /* Recent requests are those of this window and the one before it; see
+       route_state_spent_us. */
     TIMEOUT_WINDOW_US = 10000000,
     SPENT_GOAL_PERCENT = 50,
     /* Timeout of a request when neither the caller nor the route sets one. */
@@ -336,12 +337,12 @@
 }
 
 /*
- * Time that the caller had spent on the request when it sent this attempt: on
- * a new connection, or on an attempt that failed. The goal counts from its
- * first attempt, and it sends what is left of its time: the difference to the
- * most that was left of any recent request of the route is what it spent. A
- * difference of more than SPENT_GOAL_PERCENT of the goal rather shows that the
- * caller allows less time than others do.
+ * Time that the caller had spent on the request before it sent this attempt,
+ * for a new connection or on an attempt that failed. The goal counts from the
+ * first attempt, and callers send how much of their time is left. The most
+ * that recent requests of the route had left is taken for what all callers
+ * allow. A difference of more than SPENT_GOAL_PERCENT of the goal is not taken
+ * for time spent: this caller allows less than the others.
  */
 static int64_t
 route_state_spent_us(route_state_t *route_state, const call_t *call,
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -50,7 +50,6 @@
     /* Instances sent to before. They may be freed: compare, don't follow. */
     const instance_t *tried[PICK_AVOID_MAX];
     uint32_t tried_count;
-    int64_t sent_us;      /* time of the last send */
     int64_t hedge_us;     /* when to send a hedge; 0: no hedge is scheduled */
     int64_t retry_us;     /* when to retry; 0: no retry is scheduled */
     bool was_queued;      /* has waited for capacity at least once */
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -44,7 +44,8 @@
     RETRY_KINDS
 } retry_kind_t;
 
-/* Percent of the retry budget that each kind may use. Retries that save a
+/* Percent of the retry budget that each kind may use. Retries for answers that
+   are late already use what the others leave. Retries that save a
    whole request take precedence over those that save one shard of an answer,
    and these over hedges, without which an answer might only be late. */
 static const uint32_t retry_budget_percents[RETRY_KINDS] = {
@@ -232,7 +233,9 @@
 }
 
 /* Retry after RETRY_DELAY_US if the subrequest is required and enough time is
-   left, else fail. */
+   left, else fail. A query over shards is retried past its goal: other shards
+   have worked for it, and a late answer serves the caller better than an
+   error. */
 static void
 subrequest_delay_retry(subrequest_t *subrequest, int64_t now_us)
 {
--- a/tier/gather.c
+++ b/tier/gather.c
@@ -15,7 +15,9 @@
 uint32_t
 gather_expected_shards(const gather_t *gather)
 {
-    return gather->shards - gather->failed - gather->unresponsive;
+    /* A shard that failed may still count as unresponsive. */
+    uint32_t missing = gather->failed + gather->unresponsive;
+    return gather->shards > missing ? gather->shards - missing : 0;
 }
 
 gather_verdict_t
--- a/tier/members.h
+++ b/tier/members.h
@@ -9,8 +9,7 @@
  *
  *     members_put(&members, name, value, size, revision, now_us);
  *     uint32_t fleet = members_fleet_size(&members, now_us);
- *     size_t size = members_addresses(&members, zone, NULL, text,
- * sizeof(text));
+ *     size_t length = members_addresses(&members, zone, NULL, text, size);
  */
 #ifndef TIER_MEMBERS_H
 #define TIER_MEMBERS_H
--- a/tier/metrics_text.c
+++ b/tier/metrics_text.c
@@ -101,6 +101,9 @@
     fprintf(out, "yuccarun_store_reachable %d\n", store->reachable);
     fprintf(out, "yuccarun_store_era %" PRIu64 "\n", store->era);
     fprintf(out, "yuccarun_fleet %u\n", node->fleet_size);
+    fprintf(out, "yuccarun_unresponsive_services %u\n",
+            registry_unresponsive_count(engine_registry(node->engine),
+                                        loop_now_us()));
     if (fclose(out) != 0) {
         return NULL;
     }
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -429,6 +429,17 @@
     return (uint32_t)strmap_count(&registry->entries);
 }
 
+uint32_t
+registry_unresponsive_count(const registry_t *registry, int64_t now_us)
+{
+    uint32_t count = 0;
+    for (strmap_entry_t *at = strmap_first(&registry->pools); at != NULL;
+         at = strmap_next(at)) {
+        count += pool_is_unresponsive(strmap_value(at), 0, now_us) ? 1 : 0;
+    }
+    return count;
+}
+
 uint64_t
 registry_digest(const registry_t *registry)
 {
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -143,6 +143,11 @@
 
 uint32_t registry_count(const registry_t *registry);
 
+/* Number of services that have stopped responding; see
+   pool_is_unresponsive. */
+uint32_t registry_unresponsive_count(const registry_t *registry,
+                                     int64_t now_us);
+
 /* Hash of the ids and revisions of all entries, independent of their order;
    0 if there is none. */
 uint64_t registry_digest(const registry_t *registry);
