--- a/t/t1011-overload.c
+++ b/t/t1011-overload.c
@@ -268,14 +268,13 @@
 START_TEST(test_silent_shard)
 {
     static const load_case_t c = {
-        "all upstreams of a shard silent for four seconds",
-        0,
-        0,
-        SILENT_FOR_4_S,
-        1,
-        150,
-        20000,
-        SILENT_FOR_4_S};
+        .name = "all upstreams of a shard silent for four seconds",
+        .faulty = SILENT_FOR_4_S,
+        .faulty_shards = 1,
+        .others = SILENT_FOR_4_S,
+        .calls_per_s = 150,
+        .work_us = 20000,
+    };
     tally_t tally = run_load(&c, 13);
     print_tally(&c, &tally);
     ck_assert_msg(tally.slow <= tally.calls * 15 / 100, "%u of %u are slow",
@@ -294,14 +293,13 @@
 START_TEST(test_two_silent_shards)
 {
     static const load_case_t c = {
-        "all upstreams of two shards silent for four seconds",
-        0,
-        0,
-        SILENT_FOR_4_S,
-        2,
-        300,
-        10000,
-        SILENT_FOR_4_S};
+        .name = "all upstreams of two shards silent for four seconds",
+        .faulty = SILENT_FOR_4_S,
+        .faulty_shards = 2,
+        .others = SILENT_FOR_4_S,
+        .calls_per_s = 300,
+        .work_us = 10000,
+    };
     enum { SILENT_CALLS = 300 * 4, PROBES = DAEMONS * 4 * 5 };
     tally_t tally = run_load(&c, 19);
     print_tally(&c, &tally);
@@ -323,14 +321,13 @@
 START_TEST(test_hedges_to_refusing_upstreams)
 {
     static const load_case_t c = {
-        "two upstreams of three shards refuse, the third pauses",
-        0,
-        0,
-        {.slots = 4, .pause_every_us = 2400000, .pause_us = 250000},
-        3,
-        100,
-        20000,
-        {.slots = 4, .refuse_share = 0.6}};
+        .name = "two upstreams of three shards refuse, the third pauses",
+        .faulty = {.slots = 4, .pause_every_us = 2400000, .pause_us = 250000},
+        .faulty_shards = 3,
+        .others = {.slots = 4, .refuse_share = 0.6},
+        .calls_per_s = 100,
+        .work_us = 20000,
+    };
     tally_t tally = run_load(&c, 17);
     print_tally(&c, &tally);
     ck_assert_msg(tally.value >= 0.93, "%.3f", tally.value);
@@ -345,14 +342,14 @@
  */
 START_TEST(test_refusals_beyond_budget)
 {
-    static const load_case_t c = {"all upstreams of three shards refuse 40 %",
-                                  0,
-                                  0,
-                                  {.slots = 4, .refuse_share = 0.4},
-                                  3,
-                                  200,
-                                  10000,
-                                  {.slots = 4, .refuse_share = 0.4}};
+    static const load_case_t c = {
+        .name = "all upstreams of three shards refuse 40 %",
+        .faulty = {.slots = 4, .refuse_share = 0.4},
+        .faulty_shards = 3,
+        .others = {.slots = 4, .refuse_share = 0.4},
+        .calls_per_s = 200,
+        .work_us = 10000,
+    };
     tally_t tally = run_load(&c, 23);
     print_tally(&c, &tally);
     ck_assert_msg(tally.in_time >= tally.calls * 81 / 100, "%u of %u in time",
