--- a/Makefile
+++ b/Makefile
@@ -178,7 +178,8 @@
 # The same for the query tier on the platform: its tests, and the fault soak.
 tier-mutants: deps
 	LIST=t/soak/mutants.txt TESTS="t1003-observed-state t1004-placement \
-	    t1005-peers t1010-engine t1012-node t1013-restored-store" \
+	    t1005-peers t1010-engine t1011-overload t1012-node \
+	    t1013-restored-store" \
 	    sh t/scenario/mutants $(MUTANTS)
 
 demo: deps
