tier: log and count what upstreams say of their rate limit

Nothing distinguished the hypotheses on LIMIT: no daemon read Server-Limit. Parse the header, remember the limit of each instance, and log E507/E508 with the requests sent meanwhile and how many of them were retries or hedges; gauge and counter in the metrics. No request is sent or held back differently.

--- a/edge/event.h
+++ b/edge/event.h
@@ -73,6 +73,8 @@
     X(REQUEST_SUSPECTED, 504, "request_suspected", WARN)                      \
     X(UPSTREAM_LEAVING, 505, "upstream_leaving", INFO)                        \
     X(UPSTREAM_RESTING, 506, "upstream_resting", INFO)                        \
+    X(UPSTREAM_LIMITED, 507, "upstream_limited", INFO)                        \
+    X(UPSTREAM_UNLIMITED, 508, "upstream_unlimited", INFO)                    \
     X(REQUEST_REFUSED, 600, "request_refused", INFO)                          \
     X(OPERATOR_DENIED, 601, "operator_denied", WARN)                          \
     X(INPUT_REFUSED, 602, "input_refused", WARN)                              \
--- a/t/t1001-platform.c
+++ b/t/t1001-platform.c
@@ -330,6 +330,25 @@
     {"Fri, 04 Dec 2026 06:00:00 GMT", HEADER_INVALID, 0},
 };
 
+/* The value is in thousandths of a request a second. */
+static const header_case_t rate_limit_cases[] = {
+    {NULL, HEADER_ABSENT, 0},      {"40", HEADER_VALID, 40000},
+    {"42.5", HEADER_VALID, 42500}, {"0", HEADER_VALID, 0},
+    {"0.125", HEADER_VALID, 125},  {"-1", HEADER_INVALID, 0},
+    {"nan", HEADER_INVALID, 0},    {"inf", HEADER_INVALID, 0},
+    {"", HEADER_INVALID, 0},       {"40/s", HEADER_INVALID, 0},
+};
+
+START_TEST(test_rate_limit_header)
+{
+    const header_case_t *c = &rate_limit_cases[_i];
+    double per_s = 7;
+    ck_assert_msg(header_parse_rate_limit(c->text, &per_s) == c->status, "%s",
+                  c->text != NULL ? c->text : "absent");
+    ck_assert_int_eq((int64_t)(per_s * 1000), c->value);
+}
+END_TEST
+
 START_TEST(test_era_header)
 {
     const header_case_t *c = &era_cases[_i];
@@ -416,6 +435,9 @@
     tcase_add_loop_test(tests, test_retry_after_header, 0,
                         sizeof(retry_after_cases) /
                             sizeof(retry_after_cases[0]));
+    tcase_add_loop_test(tests, test_rate_limit_header, 0,
+                        sizeof(rate_limit_cases) /
+                            sizeof(rate_limit_cases[0]));
     tcase_add_test(tests, test_revisions);
     tcase_add_loop_test(tests, test_routes, 0,
                         sizeof(routes_cases) / sizeof(routes_cases[0]));
--- a/t/t1004-placement.c
+++ b/t/t1004-placement.c
@@ -303,7 +303,7 @@
         if (c->response > 0 && i == c->response) {
             pool_note_response(&f.pool);
         }
-        pool_note_sent(&f.pool, &f.instances[i % 3], at);
+        pool_note_sent(&f.pool, &f.instances[i % 3], false, at);
     }
     at += c->after_us;
     ck_assert_msg(pool_is_unresponsive(&f.pool, c->expected_us, at) ==
@@ -366,7 +366,7 @@
         for (int64_t at = T0; at < T0 + 5 * SECOND; at += 5 * MS) {
             pick_result_t result;
             if (pick_from(&f, &pick, at, &result) == 0) {
-                pool_note_sent(&f.pool, &f.instances[0], at);
+                pool_note_sent(&f.pool, &f.instances[0], false, at);
                 sent[count++] = at;
             }
         }
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -129,6 +129,12 @@
     return engine->request_count;
 }
 
+uint64_t
+engine_limited_sends(const engine_t *engine)
+{
+    return engine->limited_sends;
+}
+
 void
 engine_each_route(const engine_t *engine, engine_route_fn_t each, void *owner)
 {
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -70,12 +70,22 @@
     REPLY_KINDS
 } reply_kind_t;
 
+/* What a response says about the rate of requests that the upstream accepts
+   from all daemons together. */
+typedef enum {
+    RATE_UNKNOWN, /* nothing: there is no valid response */
+    RATE_UNLIMITED,
+    RATE_LIMITED
+} rate_statement_t;
+
 typedef struct {
     reply_kind_t kind;
     const http_message_t *message; /* REPLY_ANSWER; valid during the call */
     const char *signature;         /* of the response; NULL: it has none */
-    int64_t rest_us;    /* the upstream wants no requests for this; 0: none */
-    bool leaving;       /* the upstream is shutting down */
+    int64_t rest_us; /* the upstream wants no requests for this; 0: none */
+    bool leaving;    /* the upstream is shutting down */
+    rate_statement_t rate;
+    double rate_per_s;  /* RATE_LIMITED: the limit in requests a second */
     const char *detail; /* cause for the log; NULL: none */
 } reply_t;
 
@@ -207,4 +217,7 @@
 /* Number of open requests. */
 uint32_t engine_request_count(const engine_t *engine);
 
+/* Requests sent to upstreams that stated a limit on the rate of requests. */
+uint64_t engine_limited_sends(const engine_t *engine);
+
 #endif
--- a/tier/engine_attempt.c
+++ b/tier/engine_attempt.c
@@ -60,6 +60,32 @@
     free(attempt);
 }
 
+/* Record what the response says about the rate that the upstream accepts. */
+static void
+attempt_record_rate(const attempt_t *attempt, const reply_t *reply,
+                    int64_t now_us)
+{
+    instance_t *instance = attempt->instance;
+    rate_limit_t *limit = &instance->rate_limit;
+    if (reply->rate == RATE_LIMITED) {
+        if (rate_limit_state(limit, reply->rate_per_s, now_us)) {
+            event_log(EVENT_UPSTREAM_LIMITED,
+                      "id=%s service=%s instance=%s per_s=%.2f share=%.2f",
+                      attempt->id, attempt->pool->name, instance->entry.id,
+                      limit->per_s, limit->per_s);
+        }
+    }
+    else if (reply->rate == RATE_UNLIMITED && limit->stated) {
+        event_log(EVENT_UPSTREAM_UNLIMITED,
+                  "id=%s service=%s instance=%s for_ms=%" PRId64
+                  " sent=%" PRIu64 " again=%" PRIu64,
+                  attempt->id, attempt->pool->name, instance->entry.id,
+                  (now_us - limit->stated_us) / 1000, limit->sent,
+                  limit->sent_again);
+        rate_limit_clear(limit);
+    }
+}
+
 void
 attempt_record_result(const attempt_t *attempt, const reply_t *reply,
                       int64_t now_us)
@@ -78,6 +104,7 @@
                   attempt->pool->name, instance->entry.id,
                   reply->rest_us / 1000);
     }
+    attempt_record_rate(attempt, reply, now_us);
     if (reply->kind == REPLY_ANSWER || reply->kind == REPLY_NOT_RUN ||
         reply->kind == REPLY_MISDIRECTED) {
         pool_note_response(attempt->pool);
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -99,6 +99,7 @@
     request_t *requests;
     attempt_t *attempts;    /* all in flight, abandoned ones included */
     uint64_t inbound_bytes; /* expected in response to all open requests */
+    uint64_t limited_sends; /* to upstreams that stated a rate limit */
     uint64_t random;
     quarantine_t *quarantine; /* fingerprints of crash-inducing requests */
 };
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -223,7 +223,8 @@
         return false;
     }
     attempt->call = NULL;
-    pool_note_sent(subrequest->pool, instance, now_us);
+    pool_note_sent(subrequest->pool, instance, subrequest->sends > 0, now_us);
+    engine->limited_sends += instance->rate_limit.stated ? 1 : 0;
     subrequest->sends++;
     subrequest->may_have_run++;
     subrequest->state = SUBREQUEST_RUNNING;
--- a/tier/instance.c
+++ b/tier/instance.c
@@ -60,6 +60,7 @@
         instance->connect_failures = 0;
         instance->misaddressed = false;
         instance->rest_until_us = 0;
+        rate_limit_clear(&instance->rate_limit);
         instance->leaving = false;
         instance->held_until_us = 0;
     }
--- a/tier/instance.h
+++ b/tier/instance.h
@@ -16,6 +16,8 @@
 #ifndef TIER_INSTANCE_H
 #define TIER_INSTANCE_H
 
+#include "tier/rate_limit.h"
+
 #include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -63,6 +65,7 @@
     int64_t rest_until_us;    /* it has asked for no requests before this */
     bool leaving;             /* it has said that it is shutting down */
     int64_t held_until_us;    /* see REGISTRY_REVIVAL_HEARTBEATS */
+    rate_limit_t rate_limit;  /* that its responses state */
     uint32_t connect_failures;
     void *links; /* its connections; see upstream_link.h */
 } instance_t;
--- a/tier/metrics_text.c
+++ b/tier/metrics_text.c
@@ -104,6 +104,10 @@
     fprintf(out, "yuccarun_unresponsive_services %u\n",
             registry_unresponsive_count(engine_registry(node->engine),
                                         loop_now_us()));
+    fprintf(out, "yuccarun_limited_upstreams %u\n",
+            registry_limited_count(engine_registry(node->engine)));
+    fprintf(out, "yuccarun_limited_sends_total %" PRIu64 "\n",
+            engine_limited_sends(node->engine));
     if (fclose(out) != 0) {
         return NULL;
     }
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -94,8 +94,9 @@
 }
 
 void
-pool_note_sent(pool_t *pool, instance_t *instance, int64_t now_us)
+pool_note_sent(pool_t *pool, instance_t *instance, bool again, int64_t now_us)
 {
+    rate_limit_note_sent(&instance->rate_limit, again);
     if (now_us - pool->sent_us > UNRESPONSIVE_IDLE_US) {
         pool->unanswered = 0;
     }
--- a/tier/pool.h
+++ b/tier/pool.h
@@ -98,9 +98,11 @@
 int64_t pool_rest_end_us(const pool_t *pool, const pool_pick_t *pick,
                          int64_t now_us);
 
-/* Account for a send, to limit the rate of a cold upstream (see
-   pool_limits_t) and for pool_is_unresponsive. */
-void pool_note_sent(pool_t *pool, instance_t *instance, int64_t now_us);
+/* Account for a send, to limit the rate of an upstream that is cold (see
+   pool_limits_t) or has stated a limit, and for pool_is_unresponsive. again:
+   it is a retry or a hedge. */
+void pool_note_sent(pool_t *pool, instance_t *instance, bool again,
+                    int64_t now_us);
 
 /* One of the upstreams has responded, if only with a refusal. */
 void pool_note_response(pool_t *pool);
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -429,6 +429,18 @@
     return (uint32_t)strmap_count(&registry->entries);
 }
 
+uint32_t
+registry_limited_count(const registry_t *registry)
+{
+    uint32_t count = 0;
+    for (strmap_entry_t *at = strmap_first(&registry->entries); at != NULL;
+         at = strmap_next(at)) {
+        const registry_entry_t *entry = strmap_value(at);
+        count += entry->instance->rate_limit.stated ? 1 : 0;
+    }
+    return count;
+}
+
 uint32_t
 registry_unresponsive_count(const registry_t *registry, int64_t now_us)
 {
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -143,6 +143,9 @@
 
 uint32_t registry_count(const registry_t *registry);
 
+/* Number of upstreams that have stated a limit on the rate of requests. */
+uint32_t registry_limited_count(const registry_t *registry);
+
 /* Number of services that have stopped responding; see
    pool_is_unresponsive. */
 uint32_t registry_unresponsive_count(const registry_t *registry,
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -197,6 +197,15 @@
     header_status_t status = header_parse_leaving(leaving);
     log_header(instance, HEADER_LEAVING, leaving, status);
     reply->leaving = status == HEADER_VALID;
+    const char *rate = http_header_find(message, HEADER_RATE_LIMIT);
+    status = header_parse_rate_limit(rate, &reply->rate_per_s);
+    log_header(instance, HEADER_RATE_LIMIT, rate, status);
+    if (status == HEADER_VALID) {
+        reply->rate = RATE_LIMITED;
+    }
+    else if (status == HEADER_ABSENT && reply->kind != REPLY_LOST) {
+        reply->rate = RATE_UNLIMITED;
+    }
     if (message->status == 503) {
         const char *rest = http_header_find(message, HEADER_RETRY_AFTER);
         status = header_parse_retry_after(rest, &reply->rest_us);
