--- a/t/lib/tier_world.c
+++ b/t/lib/tier_world.c
@@ -20,6 +20,11 @@
     job_t *all_next;
 };
 
+typedef struct {
+    int64_t at_us;
+    uint32_t daemon;
+} arrival_t;
+
 typedef struct {
     tier_world_upstream_t behaviour;
     uint32_t running;
@@ -28,6 +33,11 @@
     job_t *last;
     uint32_t arrivals;
     uint32_t runs;
+    /* When each daemon first received a response with a rate limit; 0: never.
+     */
+    int64_t told_us[TIER_DAEMONS_MAX];
+    arrival_t *arrived; /* one row per arrival */
+    uint32_t arrived_capacity;
 } upstream_state_t;
 
 typedef enum {
@@ -37,7 +47,8 @@
     EVENT_ARRIVE,
     EVENT_DONE,
     EVENT_REPLY,
-    EVENT_ABANDON_END
+    EVENT_ABANDON_END,
+    EVENT_TICK
 } sim_event_kind_t;
 
 typedef struct {
@@ -212,6 +223,17 @@
     }
 }
 
+static void
+upstream_note_arrival(upstream_state_t *state, uint32_t daemon, int64_t now_us)
+{
+    if (state->arrivals == state->arrived_capacity) {
+        state->arrived_capacity = state->arrived_capacity * 2 + 64;
+        state->arrived = realloc(state->arrived, state->arrived_capacity *
+                                                     sizeof(*state->arrived));
+    }
+    state->arrived[state->arrivals++] = (arrival_t){now_us, daemon};
+}
+
 static void
 job_arrive(job_t *job)
 {
@@ -227,7 +249,7 @@
         world_schedule(world, back_us, EVENT_REPLY, job, REPLY_NOT_SENT);
         return;
     }
-    state->arrivals++;
+    upstream_note_arrival(state, job->daemon, world->now_us);
     job->call->arrivals++;
     job->call->last_arrival_us = world->now_us;
     if (faulty && behaviour->silent) {
@@ -293,7 +315,7 @@
         return;
     }
     job->attempt = NULL;
-    const upstream_state_t *state = &world->upstreams[job->upstream];
+    upstream_state_t *state = &world->upstreams[job->upstream];
     uint8_t record[16];
     memset(record, (int)(world_random_bits(world) & 255), sizeof(record));
     http_message_t message = {
@@ -308,6 +330,15 @@
         reply.message = &message;
         reply.signature = "signed";
     }
+    if (kind == REPLY_ANSWER || kind == REPLY_NOT_RUN) {
+        bool limited = upstream_faults_active(state, world->now_us) &&
+                       state->behaviour.limited;
+        reply.rate = limited ? RATE_LIMITED : RATE_UNLIMITED;
+        reply.rate_per_s = state->behaviour.limit_per_s;
+        if (limited && state->told_us[job->daemon] == 0) {
+            state->told_us[job->daemon] = world->now_us;
+        }
+    }
     engine_reply(world->daemons[job->daemon].engine, attempt, &reply,
                  world->now_us);
 }
@@ -414,6 +445,7 @@
         daemon->engine = engine_new(&engine, &world_ports, daemon);
         engine_set_fleet_size(daemon->engine, settings->daemons,
                               world->now_us);
+        world_schedule(world, world->now_us, EVENT_TICK, daemon, REPLY_ANSWER);
     }
     return world;
 }
@@ -438,6 +470,9 @@
         next = job->all_next;
         free(job);
     }
+    for (uint32_t i = 0; i < world->upstream_count; i++) {
+        free(world->upstreams[i].arrived);
+    }
     free(world->calls);
     free(world->events);
     free(world);
@@ -619,6 +654,12 @@
         case EVENT_ABANDON_END:
             job_end_abandoned(event.item);
             break;
+        case EVENT_TICK:
+            engine_dispatch_queued(((daemon_t *)event.item)->engine,
+                                   world->now_us);
+            world_schedule(world, world->now_us + TIER_TICK_US, EVENT_TICK,
+                           event.item, REPLY_ANSWER);
+            break;
         }
     }
     world->now_us = until_us;
@@ -642,6 +683,40 @@
     return world->upstreams[number].runs;
 }
 
+static bool
+arrival_is_told(const upstream_state_t *state, const arrival_t *arrival,
+                int64_t from_us, int64_t told_us)
+{
+    int64_t since_us = state->told_us[arrival->daemon];
+    return arrival->at_us >= from_us && since_us > 0 &&
+           arrival->at_us - since_us >= told_us;
+}
+
+uint32_t
+tier_world_told_arrivals(const tier_world_t *world, uint32_t number,
+                         int64_t from_us, int64_t window_us, int64_t told_us)
+{
+    const upstream_state_t *state = &world->upstreams[number];
+    uint32_t most = 0;
+    uint32_t count = 0;
+    uint32_t first = 0;
+    for (uint32_t i = 0; i < state->arrivals; i++) {
+        count += arrival_is_told(state, &state->arrived[i], from_us, told_us)
+                     ? 1
+                     : 0;
+        while (state->arrived[first].at_us + window_us <=
+               state->arrived[i].at_us) {
+            count -= arrival_is_told(state, &state->arrived[first], from_us,
+                                     told_us)
+                         ? 1
+                         : 0;
+            first++;
+        }
+        most = count > most ? count : most;
+    }
+    return most;
+}
+
 route_table_t *
 tier_world_table(uint64_t version, uint32_t shards, int64_t goal_us,
                  double min_share)
--- a/t/lib/tier_world.h
+++ b/t/lib/tier_world.h
@@ -24,9 +24,10 @@
 #include <stdint.h>
 
 enum {
-    TIER_DAEMONS_MAX = 8,
+    TIER_DAEMONS_MAX = 32,
     TIER_UPSTREAMS_MAX = 64,
-    TIER_HOP_US = 500 /* one way between a daemon and an upstream */
+    TIER_TICK_US = 50000, /* as node.c's: queued requests are dispatched */
+    TIER_HOP_US = 500     /* one way between a daemon and an upstream */
 };
 
 typedef struct {
@@ -48,6 +49,8 @@
     double lose_share;   /* share of requests whose response is lost */
     uint32_t fail_status; /* status of all its signed responses; 0 means 200 */
     bool misdirected;     /* another upstream has the address */
+    bool limited;         /* its responses state a rate limit: */
+    double limit_per_s;   /* requests a second from all daemons */
     int64_t pause_every_us;
     int64_t pause_us; /* pause at the end of each pause_every_us; 0: none */
     int64_t since_us; /* when the faults begin; pauses ignore it */
@@ -119,6 +122,15 @@
 uint32_t tier_world_arrivals(const tier_world_t *world, uint32_t number);
 uint32_t tier_world_runs(const tier_world_t *world, uint32_t number);
 
+/*
+ * The most requests that arrived at an upstream within any span of window_us
+ * that begins at from_us or later, from daemons that had received a response
+ * with a rate limit at least told_us before.
+ */
+uint32_t tier_world_told_arrivals(const tier_world_t *world, uint32_t number,
+                                  int64_t from_us, int64_t window_us,
+                                  int64_t told_us);
+
 /* The fingerprint that the engine computes for the call. */
 uint64_t tier_world_fingerprint(const tier_call_t *call);
 
--- /dev/null
+++ b/t/t1014-limit-exceeded.c
@@ -0,0 +1,221 @@
+/*
+ * Upstreams state in their responses how many requests a second they accept
+ * from all daemons together. What arrives at each of them, and what callers
+ * get, at several sizes of the fleet and of the limit. Virtual time.
+ */
+#include "t/lib/suite.h"
+#include "t/lib/tier_world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum {
+    START_US = 1000000,
+    SECOND = 1000000,
+    LENGTH_S = 24,
+    LIMITED_FROM_US = START_US + 3 * SECOND,
+    LIMITED_UNTIL_US = START_US + 18 * SECOND,
+    STABLE_US = 4 * SECOND, /* after the first response with a limit */
+    WINDOW_US = 4 * SECOND,
+    TOLD_US = 500000, /* a daemon counts from then on after such a response */
+    CALLS_MAX = 8000
+};
+
+typedef struct {
+    const char *name;
+    uint32_t daemons;
+    uint32_t shards;    /* of /all/; 0: calls go to /one/ */
+    uint32_t upstreams; /* of each service */
+    uint32_t slots;
+    uint32_t limited; /* of the upstreams of service s0 */
+    double limit_per_s;
+    double then_per_s; /* the limit from the middle on; 0: the same */
+    uint32_t calls_per_s;
+    int64_t work_us;
+    int64_t goal_us;
+    /* Least percentage of the calls during the limit answered in time, and of
+       what all limits together allow that is used. */
+    uint32_t in_time_percent;
+    uint32_t used_percent;
+} limit_case_t;
+
+static const limit_case_t limit_cases[] = {
+    /* Two of three upstreams of a shard take half of what they got. */
+    {"half of two upstreams", 8, 10, 3, 4, 2, 42, 0, 180, 20000, 150000, 95,
+     0},
+    /* Half of the queries are answered without the shard. */
+    {"all upstreams of a shard", 8, 10, 3, 4, 3, 27, 0, 180, 20000, 150000, 95,
+     80},
+    {"the limit falls", 8, 10, 3, 4, 3, 42, 8, 180, 20000, 150000, 95, 0},
+    {"a limit of 0", 8, 10, 3, 4, 1, 0, 0, 150, 20000, 150000, 95, 0},
+    {"a limit below 1", 8, 10, 3, 4, 2, 0.4, 0, 150, 20000, 150000, 95, 0},
+    {"small limits of many upstreams", 8, 0, 35, 2, 21, 1.2, 0, 45, 160000,
+     600000, 95, 0},
+    {"a small limit in a larger fleet", 32, 10, 3, 4, 3, 9.7, 0, 72, 20000,
+     150000, 95, 60},
+    {"one upstream that all need", 8, 0, 1, 8, 1, 20, 0, 60, 20000, 600000, 0,
+     80},
+};
+
+typedef struct {
+    uint32_t calls;   /* while limits hold, from STABLE_US on */
+    uint32_t in_time; /* of these */
+    uint32_t held;    /* of these, refused after a quarter of the goal */
+    uint32_t back;    /* calls after the limits, of the last three seconds */
+    uint32_t back_in_time;
+} tally_t;
+
+static char ids[TIER_UPSTREAMS_MAX][16];
+static char services[16][16];
+
+static void
+add_upstreams(tier_world_t *world, const limit_case_t *c)
+{
+    static const char *const zones[] = {"a", "b", "c"};
+    uint32_t shards = c->shards > 0 ? c->shards : 1;
+    for (uint32_t i = 0; i < shards * c->upstreams; i++) {
+        uint32_t shard = i / c->upstreams;
+        snprintf(ids[i], sizeof(ids[i]), "i-%u", i);
+        snprintf(services[shard], sizeof(services[shard]), "s%u", shard);
+        tier_world_upstream_t up = {
+            .id = ids[i],
+            .service = services[shard],
+            .zone = zones[i % 3],
+            .slots = c->slots,
+            .queue_max = 24,
+            .limited = i < c->limited,
+            .limit_per_s = c->limit_per_s,
+            .since_us = LIMITED_FROM_US,
+            .until_us = LIMITED_UNTIL_US,
+        };
+        tier_world_upstream(world, &up);
+    }
+}
+
+static void
+set_limits(tier_world_t *world, const limit_case_t *c, double per_s)
+{
+    for (uint32_t i = 0; i < c->limited; i++) {
+        tier_world_upstream_at(world, i)->limit_per_s = per_s;
+    }
+}
+
+static tally_t
+tally_calls(const limit_case_t *c, tier_call_t *const *calls, uint32_t count)
+{
+    tally_t tally = {0};
+    for (uint32_t i = 0; i < count; i++) {
+        const tier_call_t *call = calls[i];
+        ck_assert_msg(call->done, "%s: a call got no answer", c->name);
+        int64_t took_us = call->done_us - call->at_us;
+        bool in_time = call->status == 200 && took_us <= c->goal_us;
+        if (call->at_us >= LIMITED_FROM_US + STABLE_US &&
+            call->at_us < LIMITED_UNTIL_US) {
+            tally.calls++;
+            tally.in_time += in_time ? 1 : 0;
+            tally.held +=
+                call->status == 503 && took_us > c->goal_us / 4 ? 1 : 0;
+        }
+        else if (call->at_us >= START_US + (LENGTH_S - 3) * SECOND) {
+            tally.back++;
+            tally.back_in_time += in_time ? 1 : 0;
+        }
+    }
+    return tally;
+}
+
+static void
+check_arrivals(tier_world_t *world, const limit_case_t *c)
+{
+    double window_s = (double)WINDOW_US / SECOND;
+    int64_t from_us = LIMITED_FROM_US + STABLE_US;
+    double limit_per_s = c->limit_per_s;
+    if (c->then_per_s > 0) {
+        limit_per_s = c->then_per_s;
+        from_us = LIMITED_FROM_US + 2 * STABLE_US + SECOND;
+    }
+    for (uint32_t i = 0; i < c->limited; i++) {
+        uint32_t most =
+            tier_world_told_arrivals(world, i, from_us, WINDOW_US, TOLD_US);
+        double allowed = 1.5 * limit_per_s * window_s + 5;
+        printf("%s: i-%u named %.1f a second, %u in %.0f s, %.0f allowed\n",
+               c->name, i, limit_per_s, most, window_s, allowed);
+        ck_assert_msg(most <= allowed, "%s: %u of %.0f", c->name, most,
+                      allowed);
+    }
+}
+
+START_TEST(test_limit_exceeded)
+{
+    static tier_call_t *calls[CALLS_MAX];
+    const limit_case_t *c = &limit_cases[_i];
+    tier_settings_t settings = {
+        .daemons = c->daemons,
+        .engine = {.retry_ratio = 0.2,
+                   .retry_slack = 56,
+                   .requests_max = 1500,
+                   .zone = "a"},
+        .seed = 7,
+    };
+    tier_world_t *world = tier_world_new(&settings);
+    tier_world_configure(
+        world,
+        tier_world_table(1, c->shards > 0 ? c->shards : 1, c->goal_us, 0.89));
+    add_upstreams(world, c);
+    uint32_t count = 0;
+    for (double at_s = 0; at_s < LENGTH_S && count < CALLS_MAX; count++) {
+        at_s += 2 * tier_world_random(world) / c->calls_per_s;
+        double work = 0.5 + tier_world_random(world);
+        calls[count] = tier_world_call(
+            world, START_US + (int64_t)(at_s * SECOND),
+            (uint32_t)(tier_world_random(world) * c->daemons),
+            c->shards > 0 ? "/all/1" : "/one/1",
+            (int64_t)((double)c->work_us * work), 5 * c->goal_us);
+    }
+    tier_world_run(world, LIMITED_FROM_US + STABLE_US + SECOND);
+    if (c->then_per_s > 0) {
+        set_limits(world, c, c->then_per_s);
+    }
+    uint32_t before = 0;
+    for (uint32_t i = 0; i < c->limited; i++) {
+        before += tier_world_arrivals(world, i);
+    }
+    tier_world_run(world, LIMITED_UNTIL_US);
+    uint32_t used = 0;
+    for (uint32_t i = 0; i < c->limited; i++) {
+        used += tier_world_arrivals(world, i);
+    }
+    used -= before;
+    tier_world_run(world, START_US + (LENGTH_S + 4) * SECOND);
+    tally_t tally = tally_calls(c, calls, count);
+    double span_s =
+        (double)(LIMITED_UNTIL_US - LIMITED_FROM_US - STABLE_US - SECOND) /
+        SECOND;
+    double allowed = c->limit_per_s * c->limited * span_s;
+    printf("%s: %u calls, in time %u, refused late %u, used %u of %.0f; "
+           "afterwards %u of %u in time\n",
+           c->name, tally.calls, tally.in_time, tally.held, used, allowed,
+           tally.back_in_time, tally.back);
+    check_arrivals(world, c);
+    ck_assert_msg(tally.in_time * 100 >= tally.calls * c->in_time_percent,
+                  "%s: %u of %u in time", c->name, tally.in_time, tally.calls);
+    ck_assert_msg(used * 100 >= allowed * c->used_percent,
+                  "%s: %u of %.0f used", c->name, used, allowed);
+    ck_assert_msg(tally.held * 20 <= tally.calls, "%s: %u of %u refused late",
+                  c->name, tally.held, tally.calls);
+    ck_assert_msg(tally.back_in_time * 100 >= tally.back * 95,
+                  "%s: afterwards %u of %u in time", c->name,
+                  tally.back_in_time, tally.back);
+    tier_world_free(world);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tests = tcase_create("limit exceeded");
+    tcase_set_timeout(tests, 120);
+    tcase_add_loop_test(tests, test_limit_exceeded, 0,
+                        sizeof(limit_cases) / sizeof(limit_cases[0]));
+    return suite_run("limit exceeded", tests);
+}
