tier: divide the rate limit that an upstream states among the daemons

Callers saw nothing; the upstream in need got what it got before. Slots bound what is in flight at once, and a fast upstream in need answers as fast as before.

Each instance has its limit and this daemon's share of it (tier/rate_limit). Small limits are shared by as many daemons as keep the sum of what all of them have saved small. Queued work that waits for shares is bounded by what the limits allow until its goal, and goes by earliest goal; what cannot be in time is left out or refused at once.

--- a/t/lib/tier_world.c
+++ b/t/lib/tier_world.c
@@ -445,6 +445,12 @@
         daemon->engine = engine_new(&engine, &world_ports, daemon);
         engine_set_fleet_size(daemon->engine, settings->daemons,
                               world->now_us);
+        uint64_t ids[TIER_DAEMONS_MAX];
+        for (uint32_t j = 0; j < settings->daemons; j++) {
+            ids[j] = j + 1;
+        }
+        engine_set_sharers(daemon->engine, i + 1, ids, settings->daemons,
+                           world->now_us);
         world_schedule(world, world->now_us, EVENT_TICK, daemon, REPLY_ANSWER);
     }
     return world;
@@ -657,7 +663,7 @@
         case EVENT_TICK:
             engine_dispatch_queued(((daemon_t *)event.item)->engine,
                                    world->now_us);
-            world_schedule(world, world->now_us + TIER_TICK_US, EVENT_TICK,
+            world_schedule(world, world->now_us + POOL_DISPATCH_US, EVENT_TICK,
                            event.item, REPLY_ANSWER);
             break;
         }
@@ -683,34 +689,34 @@
     return world->upstreams[number].runs;
 }
 
-static bool
-arrival_is_told(const upstream_state_t *state, const arrival_t *arrival,
-                int64_t from_us, int64_t told_us)
+/* An arrival counts if the daemon was told of the limit before it. */
+static uint32_t
+arrival_counts(const upstream_state_t *state, const arrival_t *arrival,
+               int64_t from_us, int64_t until_us, int64_t told_us)
 {
     int64_t since_us = state->told_us[arrival->daemon];
-    return arrival->at_us >= from_us && since_us > 0 &&
-           arrival->at_us - since_us >= told_us;
+    return arrival->at_us >= from_us && arrival->at_us < until_us &&
+                   since_us > 0 && arrival->at_us - since_us >= told_us
+               ? 1
+               : 0;
 }
 
 uint32_t
 tier_world_told_arrivals(const tier_world_t *world, uint32_t number,
-                         int64_t from_us, int64_t window_us, int64_t told_us)
+                         int64_t from_us, int64_t until_us, int64_t window_us,
+                         int64_t told_us)
 {
     const upstream_state_t *state = &world->upstreams[number];
+    const arrival_t *arrived = state->arrived;
     uint32_t most = 0;
     uint32_t count = 0;
     uint32_t first = 0;
     for (uint32_t i = 0; i < state->arrivals; i++) {
-        count += arrival_is_told(state, &state->arrived[i], from_us, told_us)
-                     ? 1
-                     : 0;
-        while (state->arrived[first].at_us + window_us <=
-               state->arrived[i].at_us) {
-            count -= arrival_is_told(state, &state->arrived[first], from_us,
-                                     told_us)
-                         ? 1
-                         : 0;
-            first++;
+        count +=
+            arrival_counts(state, &arrived[i], from_us, until_us, told_us);
+        while (arrived[first].at_us + window_us <= arrived[i].at_us) {
+            count -= arrival_counts(state, &arrived[first++], from_us,
+                                    until_us, told_us);
         }
         most = count > most ? count : most;
     }
--- a/t/lib/tier_world.h
+++ b/t/lib/tier_world.h
@@ -26,8 +26,7 @@
 enum {
     TIER_DAEMONS_MAX = 32,
     TIER_UPSTREAMS_MAX = 64,
-    TIER_TICK_US = 50000, /* as node.c's: queued requests are dispatched */
-    TIER_HOP_US = 500     /* one way between a daemon and an upstream */
+    TIER_HOP_US = 500 /* one way between a daemon and an upstream */
 };
 
 typedef struct {
@@ -124,12 +123,12 @@
 
 /*
  * The most requests that arrived at an upstream within any span of window_us
- * that begins at from_us or later, from daemons that had received a response
- * with a rate limit at least told_us before.
+ * between from_us and until_us, from daemons that had received a response with
+ * a rate limit at least told_us before.
  */
 uint32_t tier_world_told_arrivals(const tier_world_t *world, uint32_t number,
-                                  int64_t from_us, int64_t window_us,
-                                  int64_t told_us);
+                                  int64_t from_us, int64_t until_us,
+                                  int64_t window_us, int64_t told_us);
 
 /* The fingerprint that the engine computes for the call. */
 uint64_t tier_world_fingerprint(const tier_call_t *call);
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -916,6 +916,52 @@
 }
 END_TEST
 
+#define LIMITED_RESPONSE(limit)                                               \
+    "HTTP/1.1 200 OK\r\n" SIGNED_HEADERS limit                                \
+    "Content-Length: 16\r\n\r\n0123456789abcdef"
+
+/* What the only upstream of s0 says of its limit in its first response, and
+   whether it gets a second request right after it. */
+typedef struct {
+    const char *name;
+    const char *response;
+    uint32_t status; /* of the second request */
+    uint32_t requests;
+} limit_header_case_t;
+
+static const limit_header_case_t limit_header_cases[] = {
+    {"no limit", LIMITED_RESPONSE(""), 200, 2},
+    {"none accepted", LIMITED_RESPONSE("Server-Limit: 0\r\n"), 503, 1},
+    {"one in ten seconds", LIMITED_RESPONSE("Server-Limit: 0.1\r\n"), 503, 1},
+    {"plenty", LIMITED_RESPONSE("Server-Limit: 100000.5\r\n"), 200, 2},
+    {"not a number", LIMITED_RESPONSE("Server-Limit: few\r\n"), 200, 2},
+};
+
+START_TEST(test_limit_header)
+{
+    const limit_header_case_t *c = &limit_header_cases[_i];
+    tier_script_t script = {.bytes = c->response};
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    tier_upstream_set(f.upstreams[0], &script);
+    caller_exchange(&f, &caller, &f.boot.callers_address,
+                    REQUEST("/one/", "r-1"), CALLER_DEADLINE_MS);
+    ck_assert_uint_eq(status_of(&caller), 200);
+    conn_close(&caller.conn);
+    run_ms(&f, 20);
+    caller_exchange(&f, &caller, &f.boot.callers_address,
+                    REQUEST("/one/", "r-2"), CALLER_DEADLINE_MS);
+    ck_assert_msg(status_of(&caller) == c->status, "%s: %u", c->name,
+                  status_of(&caller));
+    ck_assert_msg(tier_upstream_requests(f.upstreams[0]) == c->requests,
+                  "%s: %u requests", c->name,
+                  tier_upstream_requests(f.upstreams[0]));
+    conn_close(&caller.conn);
+    fixture_release(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -946,5 +992,8 @@
     tcase_add_test(tests, test_shutdown);
     tcase_add_test(tests, test_shutdown_unfinished);
     tcase_add_test(tests, test_slow_body);
+    tcase_add_loop_test(tests, test_limit_header, 0,
+                        sizeof(limit_header_cases) /
+                            sizeof(limit_header_cases[0]));
     return suite_run("node", tests);
 }
--- a/t/t1014-limit-exceeded.c
+++ b/t/t1014-limit-exceeded.c
@@ -135,8 +135,8 @@
         from_us = LIMITED_FROM_US + 2 * STABLE_US + SECOND;
     }
     for (uint32_t i = 0; i < c->limited; i++) {
-        uint32_t most =
-            tier_world_told_arrivals(world, i, from_us, WINDOW_US, TOLD_US);
+        uint32_t most = tier_world_told_arrivals(
+            world, i, from_us, LIMITED_UNTIL_US, WINDOW_US, TOLD_US);
         double allowed = 1.5 * limit_per_s * window_s + 5;
         printf("%s: i-%u named %.1f a second, %u in %.0f s, %.0f allowed\n",
                c->name, i, limit_per_s, most, window_s, allowed);
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -59,6 +59,7 @@
     engine->ports = *ports;
     engine->owner = owner;
     engine->fleet_size = 1;
+    engine->sharers.fleet_size = 1;
     /* xorshift64 never leaves the state 0. */
     engine->random = XXH64(&settings->seed, sizeof(settings->seed), 0) | 1;
     registry_init(&engine->registry);
@@ -108,6 +109,7 @@
     strmap_release(&engine->route_states, route_state_free);
     registry_release(&engine->registry);
     quarantine_free(engine->quarantine);
+    free(engine->sharer_ids);
     free(engine);
 }
 
@@ -162,10 +164,47 @@
     }
 }
 
+static void
+engine_divide_limits(engine_t *engine, int64_t now_us)
+{
+    const strmap_t *pools = &engine->registry.pools;
+    for (strmap_entry_t *at = strmap_first(pools); at != NULL;
+         at = strmap_next(at)) {
+        const pool_t *pool = strmap_value(at);
+        for (uint32_t i = 0; i < pool->count; i++) {
+            engine_divide_limit(engine, pool->instances[i], now_us);
+        }
+    }
+}
+
+void
+engine_set_sharers(engine_t *engine, uint64_t self, const uint64_t *ids,
+                   uint32_t count, int64_t now_us)
+{
+    if (self == engine->sharers.self && count == engine->sharers.count &&
+        (count == 0 ||
+         memcmp(ids, engine->sharer_ids, count * sizeof(*ids)) == 0)) {
+        return;
+    }
+    uint64_t *copy = malloc((count + 1) * sizeof(*copy));
+    if (copy == NULL) {
+        return; /* the shares stay those of the sharers known before */
+    }
+    memcpy(copy, ids, count * sizeof(*copy));
+    free(engine->sharer_ids);
+    engine->sharer_ids = copy;
+    engine->sharers.self = self;
+    engine->sharers.ids = copy;
+    engine->sharers.count = count;
+    engine_divide_limits(engine, now_us);
+}
+
 void
 engine_set_fleet_size(engine_t *engine, uint32_t fleet_size, int64_t now_us)
 {
     engine->fleet_size = fleet_size > 0 ? fleet_size : 1;
+    engine->sharers.fleet_size = engine->fleet_size;
+    engine_divide_limits(engine, now_us);
     registry_apply_config(&engine->registry, engine->table,
                           engine->fleet_size);
     engine_dispatch_queued(engine, now_us);
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -180,6 +180,11 @@
 void engine_set_fleet_size(engine_t *engine, uint32_t fleet_size,
                            int64_t now_us);
 
+/* Set the daemons that divide the rate limits of upstreams, among them this
+   one with the id `self`. The ids are copied. */
+void engine_set_sharers(engine_t *engine, uint64_t self, const uint64_t *ids,
+                        uint32_t count, int64_t now_us);
+
 /* Start a request; ports.answer or engine_cancel ends it. NULL: the request
    was refused, and ports.answer has been called within the call. */
 request_t *engine_begin(engine_t *engine, const call_t *call, int64_t now_us);
--- a/tier/engine_attempt.c
+++ b/tier/engine_attempt.c
@@ -6,6 +6,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum {
     /* Time reserved for passing the upstream's response on to the caller. */
@@ -60,19 +61,30 @@
     free(attempt);
 }
 
+void
+engine_divide_limit(const engine_t *engine, instance_t *instance,
+                    int64_t now_us)
+{
+    const char *id = instance->entry.id;
+    rate_limit_divide(&instance->rate_limit, XXH64(id, strlen(id), 0),
+                      &engine->sharers, now_us);
+}
+
 /* Record what the response says about the rate that the upstream accepts. */
 static void
-attempt_record_rate(const attempt_t *attempt, const reply_t *reply,
-                    int64_t now_us)
+attempt_record_rate(engine_t *engine, const attempt_t *attempt,
+                    const reply_t *reply, int64_t now_us)
 {
     instance_t *instance = attempt->instance;
     rate_limit_t *limit = &instance->rate_limit;
     if (reply->rate == RATE_LIMITED) {
-        if (rate_limit_state(limit, reply->rate_per_s, now_us)) {
+        bool due = rate_limit_state(limit, reply->rate_per_s, now_us);
+        engine_divide_limit(engine, instance, now_us);
+        if (due) {
             event_log(EVENT_UPSTREAM_LIMITED,
                       "id=%s service=%s instance=%s per_s=%.2f share=%.2f",
                       attempt->id, attempt->pool->name, instance->entry.id,
-                      limit->per_s, limit->per_s);
+                      limit->per_s, limit->share_per_s);
         }
     }
     else if (reply->rate == RATE_UNLIMITED && limit->stated) {
@@ -87,8 +99,8 @@
 }
 
 void
-attempt_record_result(const attempt_t *attempt, const reply_t *reply,
-                      int64_t now_us)
+attempt_record_result(engine_t *engine, const attempt_t *attempt,
+                      const reply_t *reply, int64_t now_us)
 {
     instance_t *instance = attempt->instance;
     int64_t took_us = now_us - attempt->sent_us;
@@ -104,7 +116,7 @@
                   attempt->pool->name, instance->entry.id,
                   reply->rest_us / 1000);
     }
-    attempt_record_rate(attempt, reply, now_us);
+    attempt_record_rate(engine, attempt, reply, now_us);
     if (reply->kind == REPLY_ANSWER || reply->kind == REPLY_NOT_RUN ||
         reply->kind == REPLY_MISDIRECTED) {
         pool_note_response(attempt->pool);
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -95,6 +95,8 @@
     route_table_t *table;
     strmap_t route_states; /* of route_state_t, by route name */
     uint32_t fleet_size;
+    rate_sharers_t sharers;
+    uint64_t *sharer_ids; /* what sharers.ids points to */
     uint32_t request_count;
     request_t *requests;
     attempt_t *attempts;    /* all in flight, abandoned ones included */
@@ -117,8 +119,12 @@
 void attempt_free(engine_t *engine, attempt_t *attempt);
 
 /* Update the instance's in-flight count and statistics. */
-void attempt_record_result(const attempt_t *attempt, const reply_t *reply,
-                           int64_t now_us);
+void attempt_record_result(engine_t *engine, const attempt_t *attempt,
+                           const reply_t *reply, int64_t now_us);
+
+/* Compute this daemon's share of the instance's rate limit, if it has one. */
+void engine_divide_limit(const engine_t *engine, instance_t *instance,
+                         int64_t now_us);
 
 /* Log an attempt that failed. */
 void attempt_log(const attempt_t *attempt, const reply_t *reply,
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -75,8 +75,74 @@
            ESTIMATE_PERCENT / 100;
 }
 
+bool
+subrequest_is_unresponsive(const subrequest_t *subrequest, int64_t now_us)
+{
+    const request_t *request = subrequest->request;
+    return pool_is_unresponsive(
+        subrequest->pool,
+        hedge_expected_us(&request->route_state->profile,
+                          request->route->goal_us),
+        now_us);
+}
+
+/*
+ * Whether the answer can do without this queued subrequest. Of a request's
+ * queued subrequests, as many are optional as the answer may leave out: those
+ * with the longest queues at their services.
+ */
+static bool
+subrequest_is_optional(const subrequest_t *subrequest, int64_t now_us)
+{
+    const request_t *request = subrequest->request;
+    if (request->route->kind != ROUTE_SHARDS) {
+        return false;
+    }
+    const gather_t *gather = &request->gather;
+    if (subrequest_is_unresponsive(subrequest, now_us)) {
+        return true;
+    }
+    uint32_t remaining = gather_expected_shards(gather);
+    uint32_t min_shards = gather_min_shards(gather);
+    uint32_t queued_longer = 0;
+    for (uint32_t i = 0; i < request->subrequest_count; i++) {
+        const subrequest_t *other = &request->subrequests[i];
+        if (other->state == SUBREQUEST_QUEUED &&
+            !subrequest_is_unresponsive(other, now_us) &&
+            (other->pool->queue.count > subrequest->pool->queue.count ||
+             (other->pool->queue.count == subrequest->pool->queue.count &&
+              other < subrequest))) {
+            queued_longer++;
+        }
+    }
+    return min_shards + queued_longer < remaining;
+}
+
+/*
+ * Order of queued subrequests; the least rank is dequeued first. First those
+ * that can still meet their goal, then by priority, then those that the answer
+ * requires, then the latest goal. Under overload, serving the oldest request
+ * first would make every answer slightly late; docs/ROUNDS.md compares other
+ * orders. Where rate limits bind, no more are queued than the limits allow in
+ * time (pool_pick), and the earliest goal goes first.
+ */
+static int64_t
+subrequest_rank(const void *item, int64_t now_us)
+{
+    const subrequest_t *subrequest = item;
+    const request_t *request = subrequest->request;
+    bool late = now_us + subrequest_estimate_us(subrequest) > request->goal_us;
+    uint32_t priority =
+        request->route->priority < 255 ? request->route->priority : 255;
+    int64_t order = subrequest->pool->rate_bound
+                        ? request->goal_us
+                        : RANK_TIME_MAX - request->goal_us;
+    return (int64_t)late << 62 | (int64_t)priority << 54 |
+           (int64_t)subrequest_is_optional(subrequest, now_us) << 53 | order;
+}
+
 static pool_pick_t
-subrequest_pick_criteria(const subrequest_t *subrequest)
+subrequest_pick_criteria(const subrequest_t *subrequest, int64_t now_us)
 {
     request_t *request = subrequest->request;
     engine_t *engine = request->engine;
@@ -94,31 +160,24 @@
         .random = engine_random(engine),
     };
     memcpy(pick.avoid, subrequest->tried, sizeof(pick.avoid));
+    if (subrequest->pool->rate_bound) {
+        pick.queued_ahead = wait_queue_count_before(
+            &subrequest->pool->queue, subrequest, subrequest_rank, now_us);
+    }
     return pick;
 }
 
-bool
-subrequest_is_unresponsive(const subrequest_t *subrequest, int64_t now_us)
-{
-    const request_t *request = subrequest->request;
-    return pool_is_unresponsive(
-        subrequest->pool,
-        hedge_expected_us(&request->route_state->profile,
-                          request->route->goal_us),
-        now_us);
-}
-
 uint32_t
 subrequest_capacity(const subrequest_t *subrequest, int64_t now_us)
 {
-    pool_pick_t pick = subrequest_pick_criteria(subrequest);
+    pool_pick_t pick = subrequest_pick_criteria(subrequest, now_us);
     return pool_capacity(subrequest->pool, &pick, now_us);
 }
 
 int64_t
 subrequest_rest_end_us(const subrequest_t *subrequest, int64_t now_us)
 {
-    pool_pick_t pick = subrequest_pick_criteria(subrequest);
+    pool_pick_t pick = subrequest_pick_criteria(subrequest, now_us);
     pick.avoid_count = 0;
     return pool_rest_end_us(subrequest->pool, &pick, now_us);
 }
@@ -264,7 +323,7 @@
 subrequest_dispatch(subrequest_t *subrequest, int64_t now_us)
 {
     for (;;) {
-        pool_pick_t pick = subrequest_pick_criteria(subrequest);
+        pool_pick_t pick = subrequest_pick_criteria(subrequest, now_us);
         instance_t *instance;
         pick_result_t result =
             pool_pick(subrequest->pool, &pick, now_us, &instance);
@@ -379,7 +438,7 @@
         subrequest->hedge_us = now_us + HEDGE_RECHECK_US;
         return;
     }
-    pool_pick_t pick = subrequest_pick_criteria(subrequest);
+    pool_pick_t pick = subrequest_pick_criteria(subrequest, now_us);
     pick.healthy_only = true;
     instance_t *instance;
     pick_result_t picked =
@@ -576,7 +635,7 @@
     request_t *request = attempt->request;
     pool_t *pool = attempt->pool;
     attempt->upstream_failing = instance_is_failing(attempt->instance);
-    attempt_record_result(attempt, reply, now_us);
+    attempt_record_result(engine, attempt, reply, now_us);
     if (reply->kind != REPLY_ANSWER || reply->message->status >= 500) {
         attempt_log(attempt, reply, now_us);
     }
@@ -588,58 +647,6 @@
     pool_dispatch_queued(pool, now_us);
 }
 
-/*
- * Whether the answer can do without this queued subrequest. Of a request's
- * queued subrequests, as many are optional as the answer may leave out: those
- * with the longest queues at their services.
- */
-static bool
-subrequest_is_optional(const subrequest_t *subrequest, int64_t now_us)
-{
-    const request_t *request = subrequest->request;
-    if (request->route->kind != ROUTE_SHARDS) {
-        return false;
-    }
-    const gather_t *gather = &request->gather;
-    if (subrequest_is_unresponsive(subrequest, now_us)) {
-        return true;
-    }
-    uint32_t remaining = gather_expected_shards(gather);
-    uint32_t min_shards = gather_min_shards(gather);
-    uint32_t queued_longer = 0;
-    for (uint32_t i = 0; i < request->subrequest_count; i++) {
-        const subrequest_t *other = &request->subrequests[i];
-        if (other->state == SUBREQUEST_QUEUED &&
-            !subrequest_is_unresponsive(other, now_us) &&
-            (other->pool->queue.count > subrequest->pool->queue.count ||
-             (other->pool->queue.count == subrequest->pool->queue.count &&
-              other < subrequest))) {
-            queued_longer++;
-        }
-    }
-    return min_shards + queued_longer < remaining;
-}
-
-/*
- * Order of queued subrequests; the least rank is dequeued first. First those
- * that can still meet their goal, then by priority, then those that the answer
- * requires, then the latest goal. Under overload, serving the oldest request
- * first would make every answer slightly late; docs/ROUNDS.md compares other
- * orders.
- */
-static int64_t
-subrequest_rank(const void *item, int64_t now_us)
-{
-    const subrequest_t *subrequest = item;
-    const request_t *request = subrequest->request;
-    bool late = now_us + subrequest_estimate_us(subrequest) > request->goal_us;
-    uint32_t priority =
-        request->route->priority < 255 ? request->route->priority : 255;
-    return (int64_t)late << 62 | (int64_t)priority << 54 |
-           (int64_t)subrequest_is_optional(subrequest, now_us) << 53 |
-           (RANK_TIME_MAX - request->goal_us);
-}
-
 void
 pool_dispatch_queued(pool_t *pool, int64_t now_us)
 {
--- a/tier/members.c
+++ b/tier/members.c
@@ -361,6 +361,24 @@
     return members_find_reader(members, zone, self, nth, NULL)->control;
 }
 
+uint64_t
+member_id(const char *name)
+{
+    return XXH64(name, strlen(name), 0);
+}
+
+uint32_t
+members_serving_ids(const members_t *members, uint64_t *ids)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < members->count; i++) {
+        if (members->records[i].role != MEMBER_STANDBY) {
+            ids[count++] = member_id(members->records[i].name);
+        }
+    }
+    return count;
+}
+
 member_role_t
 members_role(const members_t *members, const char *name)
 {
--- a/tier/members.h
+++ b/tier/members.h
@@ -143,6 +143,13 @@
 const char *members_pick_reader(const members_t *members, const char *zone,
                                 const char *self, uint32_t failures);
 
+/* Write the ids of the serving members, hashes of their names, to ids, which
+   has room for members->count; returns their number. */
+uint32_t members_serving_ids(const members_t *members, uint64_t *ids);
+
+/* The id that members_serving_ids gives a member of that name. */
+uint64_t member_id(const char *name);
+
 /* The role of a member; MEMBER_STANDBY if the name is unknown. */
 member_role_t members_role(const members_t *members, const char *name);
 
--- a/tier/node.c
+++ b/tier/node.c
@@ -14,7 +14,7 @@
 enum {
     /* Interval for calls to the store, polls of peers, abandoned attempts and
        queued requests. */
-    TICK_INTERVAL_US = 50000,
+    TICK_INTERVAL_US = POOL_DISPATCH_US,
     /* Interval for closing idle connections and dropping expired entries. */
     HOUSEKEEPING_INTERVAL_US = 250000,
     /* Configurations and members change rarely, so a watch stays open until a
--- a/tier/node_members.c
+++ b/tier/node_members.c
@@ -110,6 +110,19 @@
     }
 }
 
+/* The serving daemons divide the rate limits of upstreams. */
+static void
+node_apply_sharers(node_t *node, int64_t now_us)
+{
+    uint64_t *ids = malloc((node->members.count + 1) * sizeof(*ids));
+    if (ids != NULL) {
+        engine_set_sharers(node->engine, member_id(node->boot.daemon_name),
+                           ids, members_serving_ids(&node->members, ids),
+                           now_us);
+    }
+    free(ids);
+}
+
 void
 node_apply_membership(node_t *node, int64_t now_us)
 {
@@ -152,6 +165,7 @@
     store_link_set_retry_delay(
         node->store, node->polls_peers ? node->poll_intervals.store_poll_us
                                        : FOLLOW_RETRY_US);
+    node_apply_sharers(node, now_us);
     if (fleet_size != node->fleet_size) {
         node->fleet_size = fleet_size;
         engine_set_fleet_size(node->engine, fleet_size, now_us);
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -96,7 +96,7 @@
 void
 pool_note_sent(pool_t *pool, instance_t *instance, bool again, int64_t now_us)
 {
-    rate_limit_note_sent(&instance->rate_limit, again);
+    rate_limit_take(&instance->rate_limit, again, now_us);
     if (now_us - pool->sent_us > UNRESPONSIVE_IDLE_US) {
         pool->unanswered = 0;
     }
@@ -154,10 +154,63 @@
 {
     return instance_is_usable(instance, now_us) &&
            !pick_excludes(pick, instance) &&
+           rate_limit_is_shared(&instance->rate_limit, now_us) &&
            (now_us >= instance->rest_until_us ||
             instance->rest_until_us <= pick->wait_until_us);
 }
 
+/*
+ * What the rate limits of the upstreams allow, over those that pick allows. If
+ * one of them has no limit, the limits of the others hold nothing up.
+ */
+typedef struct {
+    bool bound;         /* all upstreams have a limit, and there is one */
+    double saved;       /* requests that may be sent now */
+    double share_per_s; /* of this daemon */
+} pool_rate_t;
+
+static pool_rate_t
+pool_rate(const pool_t *pool, const pool_pick_t *pick, int64_t now_us)
+{
+    pool_rate_t rate = {0};
+    for (uint32_t i = 0; i < pool->count; i++) {
+        const instance_t *instance = pool->instances[i];
+        const rate_limit_t *limit = &instance->rate_limit;
+        if (!pick_allows(pick, instance, now_us)) {
+            continue;
+        }
+        if (!limit->stated || now_us >= limit->trial_us) {
+            return (pool_rate_t){0};
+        }
+        rate.bound = true;
+        rate.saved += rate_limit_saved(limit, now_us);
+        rate.share_per_s += limit->share_per_s;
+    }
+    return rate;
+}
+
+/* When the limits allow one more request, after those that go first. */
+static int64_t
+pool_rate_ready_us(const pool_rate_t *rate, const pool_pick_t *pick,
+                   int64_t now_us)
+{
+    double missing = pick->queued_ahead + 1 - rate->saved;
+    return missing <= 0
+               ? now_us
+               : now_us + (int64_t)(missing / rate->share_per_s * 1e6);
+}
+
+/* Whether the limits allow one more request too late for pick. */
+static bool
+pool_rate_is_late(const pool_rate_t *rate, const pool_pick_t *pick,
+                  int64_t now_us)
+{
+    int64_t ready_us =
+        rate->bound ? pool_rate_ready_us(rate, pick, now_us) : now_us;
+    return ready_us > now_us &&
+           ready_us + POOL_DISPATCH_US > pick->wait_until_us;
+}
+
 int64_t
 pool_rest_end_us(const pool_t *pool, const pool_pick_t *pick, int64_t now_us)
 {
@@ -169,7 +222,10 @@
             continue;
         }
         if (now_us >= instance->rest_until_us) {
-            return 0;
+            pool_rate_t rate = pool_rate(pool, pick, now_us);
+            return rate.bound && rate.saved < 1
+                       ? pool_rate_ready_us(&rate, pick, now_us)
+                       : 0;
         }
         if (end_us == 0 || instance->rest_until_us < end_us) {
             end_us = instance->rest_until_us;
@@ -182,6 +238,10 @@
 pool_capacity(const pool_t *pool, const pool_pick_t *pick, int64_t now_us)
 {
     uint32_t capacity = 0;
+    pool_rate_t rate = pool_rate(pool, pick, now_us);
+    if (pool_rate_is_late(&rate, pick, now_us)) {
+        return 0;
+    }
     for (uint32_t i = 0; i < pool->count; i++) {
         const instance_t *instance = pool->instances[i];
         if (pick_allows(pick, instance, now_us)) {
@@ -207,6 +267,7 @@
         if (now_us < instance->rest_until_us ||
             instance->in_flight >=
                 pool_concurrency_limit(pool, instance, now_us) ||
+            !rate_limit_allows(&instance->rate_limit, now_us) ||
             !cold_rate_allows(pool, instance, now_us)) {
             result = result == PICK_NONE ? PICK_FULL : result;
             continue;
@@ -233,6 +294,12 @@
         }
         result = PICK_OK;
     }
+    if (result == PICK_FULL) {
+        pool_rate_t rate = pool_rate(pool, pick, now_us);
+        pool->rate_bound = rate.bound;
+        result =
+            pool_rate_is_late(&rate, pick, now_us) ? PICK_NONE : PICK_FULL;
+    }
     return result;
 }
 
--- a/tier/pool.h
+++ b/tier/pool.h
@@ -21,6 +21,9 @@
 
 enum {
     PICK_AVOID_MAX = 8,
+    /* Interval at which queued requests are dispatched, besides at each
+       response; see node.c and pool_dispatch_queued. */
+    POOL_DISPATCH_US = 50000,
     /* Longer than an upstream's pause (250 ms in the users' deployments): even
        a service with a single upstream is waited for during its pauses. */
     POOL_UNRESPONSIVE_US = 300000,
@@ -31,7 +34,8 @@
 typedef enum {
     PICK_OK,
     PICK_FULL, /* usable upstreams exist, but none can take a request now */
-    PICK_NONE  /* no usable upstream exists, or all rest for too long */
+    PICK_NONE  /* no usable upstream exists, or all rest for too long, or their
+                  rate limits allow no request in time */
 } pick_result_t;
 
 /* Limits that apply to each upstream of the pool. */
@@ -53,6 +57,8 @@
     int64_t unanswered_since_us; /* the first of them was sent */
     int64_t sent_us;             /* the last request was sent */
     wait_queue_t queue;          /* subrequests that wait for capacity */
+    bool rate_bound; /* the last request that found no capacity found a rate
+                        limit at each upstream that it could use */
 } pool_t;
 
 typedef struct {
@@ -62,8 +68,10 @@
     bool healthy_only; /* only a low-cost upstream, for a hedge */
     const char *const *closed_zones; /* zones that get no requests */
     uint32_t closed_count;
-    int64_t wait_until_us; /* the request waits for a resting upstream only if
-                              the rest ends by then */
+    int64_t wait_until_us; /* the request waits for resting upstreams, or for
+                              their rate limits, only until then */
+    uint32_t queued_ahead; /* queued subrequests that go first; used if the
+                              pool is rate_bound */
     uint64_t random;       /* breaks ties */
 } pool_pick_t;
 
@@ -93,8 +101,9 @@
 uint32_t pool_capacity(const pool_t *pool, const pool_pick_t *pick,
                        int64_t now_us);
 
-/* When the first of the upstreams that pick does not exclude ends its rest.
-   Returns 0 if one of them is not resting, or if there are none. */
+/* When the first of the upstreams that pick does not exclude ends its rest, or
+   their rate limits allow one more request. Returns 0 if one of them accepts
+   requests now, or if there are none. */
 int64_t pool_rest_end_us(const pool_t *pool, const pool_pick_t *pick,
                          int64_t now_us);
 
--- a/tier/rate_limit.c
+++ b/tier/rate_limit.c
@@ -1,5 +1,7 @@
 #include "tier/rate_limit.h"
 
+#include <xxhash.h>
+
 enum {
     /* Shortest interval between two log lines about one upstream's limit,
        which may change with each response. */
@@ -11,8 +13,12 @@
 {
     bool changed = !limit->stated || limit->per_s != per_s;
     if (!limit->stated) {
-        *limit = (rate_limit_t){.stated = true, .stated_us = now_us};
-        limit->logged_us = now_us - LOG_INTERVAL_US;
+        *limit = (rate_limit_t){
+            .stated = true,
+            .stated_us = now_us,
+            .saved_us = now_us,
+            .logged_us = now_us - LOG_INTERVAL_US,
+        };
     }
     limit->per_s = per_s;
     if (!changed || now_us - limit->logged_us < LOG_INTERVAL_US) {
@@ -28,11 +34,96 @@
     *limit = (rate_limit_t){0};
 }
 
+/* Position of a daemon in the order in which daemons get shares of a limit. */
+static uint64_t
+sharer_position(uint64_t id, uint64_t key)
+{
+    return XXH64(&id, sizeof(id), key);
+}
+
+/* This daemon's place among the sharers, from 0; count if it is not listed. */
+static uint32_t
+sharers_place(const rate_sharers_t *sharers, uint64_t key)
+{
+    uint64_t own = sharer_position(sharers->self, key);
+    uint32_t before = 0;
+    bool listed = false;
+    for (uint32_t i = 0; i < sharers->count; i++) {
+        listed = listed || sharers->ids[i] == sharers->self;
+        before += sharer_position(sharers->ids[i], key) < own ? 1 : 0;
+    }
+    return listed ? before : sharers->count;
+}
+
+void
+rate_limit_divide(rate_limit_t *limit, uint64_t key,
+                  const rate_sharers_t *sharers, int64_t now_us)
+{
+    if (!limit->stated) {
+        return;
+    }
+    limit->saved = rate_limit_saved(limit, now_us);
+    limit->saved_us = now_us;
+    uint32_t size = sharers->fleet_size > 0 ? sharers->fleet_size : 1;
+    uint32_t place = sharers_place(sharers, key);
+    double wanted = RATE_SHARERS_PER_REQUEST * limit->per_s + 1;
+    if (wanted >= size || sharers->count == 0) {
+        limit->share_per_s = limit->per_s / size;
+    }
+    else if (place < (uint32_t)wanted) {
+        limit->share_per_s = limit->per_s / (uint32_t)wanted;
+    }
+    else {
+        limit->share_per_s = 0;
+    }
+    int64_t every_us = (int64_t)RATE_TRIAL_INTERVAL_US * size;
+    if (every_us != limit->trial_every_us) {
+        /* By its place, so that the daemons take turns. */
+        limit->trial_every_us = every_us;
+        limit->trial_us =
+            now_us + (int64_t)RATE_TRIAL_INTERVAL_US * (place % size + 1);
+    }
+}
+
+double
+rate_limit_saved(const rate_limit_t *limit, int64_t at_us)
+{
+    double most = limit->share_per_s * RATE_BURST_US / 1e6;
+    if (most < 1) {
+        most = 1;
+    }
+    double saved = limit->saved + limit->share_per_s *
+                                      (double)(at_us - limit->saved_us) / 1e6;
+    return saved < most ? saved : most;
+}
+
+bool
+rate_limit_is_shared(const rate_limit_t *limit, int64_t now_us)
+{
+    return !limit->stated || limit->share_per_s > 0 ||
+           now_us >= limit->trial_us;
+}
+
+bool
+rate_limit_allows(const rate_limit_t *limit, int64_t now_us)
+{
+    return !limit->stated || now_us >= limit->trial_us ||
+           rate_limit_saved(limit, now_us) >= 1;
+}
+
 void
-rate_limit_note_sent(rate_limit_t *limit, bool again)
+rate_limit_take(rate_limit_t *limit, bool again, int64_t now_us)
 {
-    if (limit->stated) {
-        limit->sent++;
-        limit->sent_again += again ? 1 : 0;
+    if (!limit->stated) {
+        return;
+    }
+    limit->saved = rate_limit_saved(limit, now_us) - 1;
+    limit->saved_us = now_us;
+    if (limit->saved < 0) {
+        limit->saved = 0;
     }
+    /* Any request shows whether the limit still holds. */
+    limit->trial_us = now_us + limit->trial_every_us;
+    limit->sent++;
+    limit->sent_again += again ? 1 : 0;
 }
--- a/tier/rate_limit.h
+++ b/tier/rate_limit.h
@@ -1,9 +1,20 @@
 /*
  * The number of requests a second that an upstream accepts from all daemons
- * together, as it states in its responses.
+ * together, as it states in its responses, and this daemon's share of it.
+ *
+ * The daemons divide the limit without talking to each other: all of them know
+ * the serving daemons, and each computes its own share. A share may be saved
+ * up to one request, or to RATE_BURST_US if that is more, and all daemons may
+ * send what they have saved at the same moment. So that this sum stays small
+ * against the limit, only as many daemons share a small limit as
+ * RATE_SHARERS_PER_REQUEST says, others for each upstream. The rest send no
+ * requests but a rare one that shows whether the limit still holds.
  *
  *     rate_limit_state(&limit, per_s, now_us);
- *     rate_limit_note_sent(&limit, false);
+ *     rate_limit_divide(&limit, instance_key, &sharers, now_us);
+ *     if (rate_limit_allows(&limit, now_us)) {
+ *         rate_limit_take(&limit, false, now_us);
+ *     }
  *     rate_limit_clear(&limit);
  */
 #ifndef TIER_RATE_LIMIT_H
@@ -12,10 +23,35 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum {
+    /* A larger share may save this much of itself for a burst. */
+    RATE_BURST_US = 500000,
+    /* Interval between two requests, over all daemons that have no share, that
+       show whether the limit still holds. */
+    RATE_TRIAL_INTERVAL_US = 2000000
+};
+
+/* Daemons that share a limit, per request a second that it allows: the sum of
+   what they save stays below 1.5 seconds' worth of the limit. */
+#define RATE_SHARERS_PER_REQUEST 1.5
+
+/* The daemons that send requests to the upstreams. */
+typedef struct {
+    uint64_t self;       /* id of this daemon */
+    const uint64_t *ids; /* of the serving daemons, this one included */
+    uint32_t count;      /* 0: unknown */
+    uint32_t fleet_size; /* daemons that may be sending, listed or not */
+} rate_sharers_t;
+
 /* Zeroed: the upstream states no limit. */
 typedef struct {
     bool stated;
-    double per_s;        /* from all daemons together */
+    double per_s;       /* from all daemons together */
+    double share_per_s; /* of this daemon; 0: none */
+    double saved;       /* requests that may be sent, at saved_us */
+    int64_t saved_us;   /* when saved was updated */
+    int64_t trial_us;   /* without a share: when to send one request */
+    int64_t trial_every_us;
     int64_t stated_us;   /* the first response that stated a limit */
     int64_t logged_us;   /* the last log line about its value */
     uint64_t sent;       /* requests of this daemon since stated_us */
@@ -23,13 +59,28 @@
 } rate_limit_t;
 
 /* A response states a limit. Returns true if it is the first, or differs from
-   the last and is due to be logged. */
+   the last and is due to be logged. rate_limit_divide is to be called next. */
 bool rate_limit_state(rate_limit_t *limit, double per_s, int64_t now_us);
 
 /* A response states no limit any more. */
 void rate_limit_clear(rate_limit_t *limit);
 
-/* A request is sent to the upstream; again: a retry or a hedge. */
-void rate_limit_note_sent(rate_limit_t *limit, bool again);
+/* Compute this daemon's share, after the limit or the sharers have changed.
+   key: identifies the upstream, the same in all daemons. */
+void rate_limit_divide(rate_limit_t *limit, uint64_t key,
+                       const rate_sharers_t *sharers, int64_t now_us);
+
+/* Whether a request may be sent now. */
+bool rate_limit_allows(const rate_limit_t *limit, int64_t now_us);
+
+/* Whether the limit allows this daemon any request now or later. */
+bool rate_limit_is_shared(const rate_limit_t *limit, int64_t now_us);
+
+/* Requests that may be sent by at_us if none is sent before; the limit is
+   stated. */
+double rate_limit_saved(const rate_limit_t *limit, int64_t at_us);
+
+/* A request is sent; again: a retry or a hedge. */
+void rate_limit_take(rate_limit_t *limit, bool again, int64_t now_us);
 
 #endif
--- a/tier/wait_queue.c
+++ b/tier/wait_queue.c
@@ -77,6 +77,20 @@
     return item;
 }
 
+uint32_t
+wait_queue_count_before(const wait_queue_t *queue, const void *item,
+                        wait_queue_rank_fn_t rank, int64_t now_us)
+{
+    int64_t own = rank(item, now_us);
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < queue->count; i++) {
+        if (queue->items[i] != item && rank(queue->items[i], now_us) < own) {
+            count++;
+        }
+    }
+    return count;
+}
+
 bool
 wait_queue_remove(wait_queue_t *queue, const void *item)
 {
--- a/tier/wait_queue.h
+++ b/tier/wait_queue.h
@@ -41,6 +41,10 @@
 void *wait_queue_pop(wait_queue_t *queue, wait_queue_rank_fn_t rank,
                      int64_t now_us);
 
+/* Number of items with a lesser rank, and of `item` itself none. */
+uint32_t wait_queue_count_before(const wait_queue_t *queue, const void *item,
+                                 wait_queue_rank_fn_t rank, int64_t now_us);
+
 /* Remove an item; false: it is not in the queue. */
 bool wait_queue_remove(wait_queue_t *queue, const void *item);
 
