--- a/edge/event.h
+++ b/edge/event.h
@@ -75,6 +75,8 @@
     X(UPSTREAM_RESTING, 506, "upstream_resting", INFO)                        \
     X(UPSTREAM_LIMITED, 507, "upstream_limited", INFO)                        \
     X(UPSTREAM_UNLIMITED, 508, "upstream_unlimited", INFO)                    \
+    X(UPSTREAMS_UNREACHABLE, 509, "upstreams_unreachable", WARN)              \
+    X(UPSTREAMS_REACHABLE, 510, "upstreams_reachable", INFO)                  \
     X(REQUEST_REFUSED, 600, "request_refused", INFO)                          \
     X(OPERATOR_DENIED, 601, "operator_denied", WARN)                          \
     X(INPUT_REFUSED, 602, "input_refused", WARN)                              \
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -119,6 +119,12 @@
     return &engine->registry;
 }
 
+reach_t *
+engine_reach(engine_t *engine)
+{
+    return &engine->reach;
+}
+
 const route_table_t *
 engine_table(const engine_t *engine)
 {
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -26,6 +26,7 @@
 
 #include "core/hist.h"
 #include "http/message.h"
+#include "tier/reach.h"
 #include "tier/registry.h"
 #include "tier/route.h"
 
@@ -167,6 +168,9 @@
 /* The engine's own registry, valid as long as the engine. */
 registry_t *engine_registry(engine_t *engine);
 
+/* Whether this daemon reaches the upstreams; the owner runs its probes. */
+reach_t *engine_reach(engine_t *engine);
+
 /* The configuration in force, without a reference; NULL: none yet. */
 const route_table_t *engine_table(const engine_t *engine);
 
--- a/tier/engine_attempt.c
+++ b/tier/engine_attempt.c
@@ -120,6 +120,7 @@
     if (reply->kind == REPLY_ANSWER || reply->kind == REPLY_NOT_RUN ||
         reply->kind == REPLY_MISDIRECTED) {
         pool_note_response(attempt->pool);
+        reach_note_response(&engine->reach, now_us);
     }
     switch (reply->kind) {
     case REPLY_ANSWER:
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -95,6 +95,7 @@
     route_table_t *table;
     strmap_t route_states; /* of route_state_t, by route name */
     uint32_t fleet_size;
+    reach_t reach;
     rate_sharers_t sharers;
     uint64_t *sharer_ids; /* what sharers.ids points to */
     uint32_t request_count;
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -284,6 +284,9 @@
     attempt->call = NULL;
     pool_note_sent(subrequest->pool, instance, subrequest->sends > 0, now_us);
     engine->limited_sends += instance->rate_limit.stated ? 1 : 0;
+    reach_note_sent(&engine->reach,
+                    now_us + pool_silence_bound_us(attempt->expected_us),
+                    now_us);
     subrequest->sends++;
     subrequest->may_have_run++;
     subrequest->state = SUBREQUEST_RUNNING;
--- a/tier/node.c
+++ b/tier/node.c
@@ -160,6 +160,69 @@
     engine_reply(node->engine, attempt, reply, now_us);
 }
 
+static void
+connect_ended(void *owner, const instance_t *instance, bool probe,
+              bool connected, int64_t now_us)
+{
+    node_t *node = owner;
+    reach_t *reach = engine_reach(node->engine);
+    if (probe) {
+        reach_note_probe(reach, connected, now_us);
+    }
+    else {
+        const char *id = instance->entry.id;
+        reach_note_connect(reach, XXH64(id, strlen(id), 0), connected, now_us);
+    }
+}
+
+static const upstream_links_ops_t node_links_ops = {
+    .replied = attempt_replied,
+    .connect_ended = connect_ended,
+};
+
+static void
+node_log_reach(node_t *node, int64_t now_us)
+{
+    static const char *const causes[] = {
+        [REACH_CAUSE_NONE] = "-",
+        [REACH_CAUSE_SILENCE] = "silence",
+        [REACH_CAUSE_CONNECTS] = "connects",
+    };
+    const reach_t *reach = engine_reach(node->engine);
+    bool cut = reach->state == REACH_CUT;
+    if (cut && node->cut_us == 0) {
+        node->cut_us = reach->since_us;
+        event_log(EVENT_UPSTREAMS_UNREACHABLE, "cause=%s unanswered=%u",
+                  causes[reach->cause], reach->unanswered);
+    }
+    else if (!cut && node->cut_us > 0) {
+        event_log(EVENT_UPSTREAMS_REACHABLE, "after_ms=%" PRId64,
+                  (now_us - node->cut_us) / 1000);
+        node->cut_us = 0;
+    }
+}
+
+/* Connect to upstreams to learn whether this daemon reaches them. */
+static void
+node_probe_upstreams(node_t *node, int64_t now_us)
+{
+    reach_t *reach = engine_reach(node->engine);
+    for (uint32_t n = reach_probes_due(reach, now_us); n > 0; n--) {
+        node->probes++;
+        instance_t *instance = registry_random_upstream(
+            engine_registry(node->engine),
+            XXH64(&node->probes, sizeof(node->probes), (uint64_t)now_us),
+            now_us);
+        if (instance != NULL) {
+            upstream_links_probe(node->links, instance, now_us);
+        }
+        else {
+            reach_note_probe(reach, false, now_us);
+        }
+    }
+    node_log_reach(node, now_us);
+}
+
 /* --- time -------------------------------------------------------------- */
 
 static void
@@ -228,6 +291,7 @@
     store_link_tick(node->store, now_us);
     node_poll_peers(node, now_us);
     upstream_links_sweep(node->links, now_us);
+    node_probe_upstreams(node, now_us);
     engine_dispatch_queued(node->engine, now_us);
     if (now_us - node->housekeeping_us >= HOUSEKEEPING_INTERVAL_US) {
         node->housekeeping_us = now_us;
@@ -357,7 +421,7 @@
     };
     snprintf(settings.zone, sizeof(settings.zone), "%s", boot->zone);
     node->engine = engine_new(&settings, &node_ports, node);
-    node->links = upstream_links_new(node->loop, node, attempt_replied);
+    node->links = upstream_links_new(node->loop, &node_links_ops, node);
     node->caller_server = http_server_new(node->loop, &caller_settings);
     node->aux_server = http_server_new(node->loop, &aux_settings);
     node->store =
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -85,6 +85,9 @@
     uint32_t suspects_reported; /* how many were written to the store */
     bool registry_copy_stale;   /* the registry changed since the last copy */
     int64_t registry_copied_us; /* when the last copy was written */
+    int64_t
+        cut_us; /* when the upstreams became unreachable; 0: they are not */
+    uint64_t probes; /* connects that checked it, so far */
     bool shutting_down;
     int64_t shutdown_us; /* when the shutdown began */
 };
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -119,13 +119,18 @@
     pool->unanswered = 0;
 }
 
+int64_t
+pool_silence_bound_us(int64_t expected_us)
+{
+    return POOL_UNRESPONSIVE_FACTOR * expected_us > POOL_UNRESPONSIVE_US
+               ? POOL_UNRESPONSIVE_FACTOR * expected_us
+               : POOL_UNRESPONSIVE_US;
+}
+
 bool
 pool_is_unresponsive(const pool_t *pool, int64_t expected_us, int64_t now_us)
 {
-    int64_t bound_us =
-        POOL_UNRESPONSIVE_FACTOR * expected_us > POOL_UNRESPONSIVE_US
-            ? POOL_UNRESPONSIVE_FACTOR * expected_us
-            : POOL_UNRESPONSIVE_US;
+    int64_t bound_us = pool_silence_bound_us(expected_us);
     return pool->unanswered >= UNRESPONSIVE_SENDS_MIN &&
            now_us - pool->sent_us <= UNRESPONSIVE_IDLE_US &&
            now_us - pool->unanswered_since_us >= bound_us;
--- a/tier/pool.h
+++ b/tier/pool.h
@@ -116,6 +116,10 @@
 /* One of the upstreams has responded, if only with a refusal. */
 void pool_note_response(pool_t *pool);
 
+/* How long a service may be silent, given its typical response time, before it
+   counts as unresponsive. */
+int64_t pool_silence_bound_us(int64_t expected_us);
+
 /*
  * Whether the service has stopped responding: several requests were sent, the
  * first of them POOL_UNRESPONSIVE_US ago, or POOL_UNRESPONSIVE_FACTOR times
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -452,6 +452,32 @@
     return count;
 }
 
+instance_t *
+registry_random_upstream(const registry_t *registry, uint64_t random,
+                         int64_t now_us)
+{
+    instance_t *chosen = NULL;
+    uint64_t usable = 0;
+    /* The second round counts up to the one that the first round's number of
+       upstreams selects. */
+    for (int round = 0; round < 2; round++) {
+        uint64_t wanted = usable > 0 ? random % usable : 0;
+        usable = 0;
+        for (strmap_entry_t *at = strmap_first(&registry->entries); at != NULL;
+             at = strmap_next(at)) {
+            const registry_entry_t *entry = strmap_value(at);
+            if (!instance_is_usable(entry->instance, now_us)) {
+                continue;
+            }
+            if (round == 1 && usable == wanted) {
+                chosen = entry->instance;
+            }
+            usable++;
+        }
+    }
+    return chosen;
+}
+
 uint64_t
 registry_digest(const registry_t *registry)
 {
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -151,6 +151,11 @@
 uint32_t registry_unresponsive_count(const registry_t *registry,
                                      int64_t now_us);
 
+/* One of the upstreams that get requests, chosen by the random number; NULL:
+   there is none. */
+instance_t *registry_random_upstream(const registry_t *registry,
+                                     uint64_t random, int64_t now_us);
+
 /* Hash of the ids and revisions of all entries, independent of their order;
    0 if there is none. */
 uint64_t registry_digest(const registry_t *registry);
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -42,6 +42,7 @@
     bool tainted;         /* must not be reused */
     bool answers_head;    /* the response is to a HEAD request: no body */
     bool reused;
+    bool probe; /* opened without a request */
     int64_t opened_us;
     int64_t idle_since_us;    /* valid while idle */
     int64_t idle_timeout_us;  /* close after this idle time */
@@ -53,22 +54,22 @@
 
 struct upstream_links {
     struct ev_loop *loop;
+    const upstream_links_ops_t *ops;
     void *owner;
-    upstream_replied_fn_t replied;
     link_t *all;
     link_t *sweep_next; /* next link of a running sweep; link_free skips it */
     upstream_links_stats_t stats;
 };
 
 upstream_links_t *
-upstream_links_new(struct ev_loop *loop, void *owner,
-                   upstream_replied_fn_t replied)
+upstream_links_new(struct ev_loop *loop, const upstream_links_ops_t *ops,
+                   void *owner)
 {
     upstream_links_t *links = calloc(1, sizeof(*links));
     if (links != NULL) {
         links->loop = loop;
         links->owner = owner;
-        links->replied = replied;
+        links->ops = ops;
     }
     return links;
 }
@@ -124,12 +125,14 @@
                           ? backoff_us
                           : CONNECT_BACKOFF_MAX_US);
         links->stats.failed++;
+        links->ops->connect_ended(links->owner, instance, link->probe, false,
+                                  now_us);
     }
     link_free(link);
     if (attempt != NULL) {
         reply_t reply = {.kind = kind, .detail = detail};
         attempt->link = NULL;
-        links->replied(links->owner, attempt, &reply, now_us);
+        links->ops->replied(links->owner, attempt, &reply, now_us);
     }
 }
 
@@ -262,10 +265,10 @@
         link->tainted = true;
     }
     attempt->link = NULL;
-    /* links->replied does not reuse a tainted link, so that link is still
+    /* ops->replied does not reuse a tainted link, so that link is still
        valid afterwards. It may reuse or free any other link. */
     bool tainted = link->tainted;
-    links->replied(links->owner, attempt, &reply, now_us);
+    links->ops->replied(links->owner, attempt, &reply, now_us);
     if (tainted) {
         link_free(link);
     }
@@ -331,6 +334,9 @@
     link_t *link = conn->owner;
     link->instance->connect_failures = 0;
     link->instance->backoff_until_us = 0;
+    link->idle_since_us = loop_now_us();
+    link->links->ops->connect_ended(link->links->owner, link->instance,
+                                    link->probe, true, link->idle_since_us);
 }
 
 static const conn_ops_t link_ops = {
@@ -357,16 +363,17 @@
 }
 
 static link_t *
-link_open(upstream_links_t *links, instance_t *instance, int64_t now_us)
+link_open(upstream_links_t *links, instance_t *instance, bool probe,
+          int64_t now_us)
 {
     link_t *link = calloc(1, sizeof(*link));
-    if (link == NULL) {
-        return NULL;
-    }
-    if (!conn_open(&link->conn, links->loop, &instance->entry.address,
+    if (link == NULL ||
+        !conn_open(&link->conn, links->loop, &instance->entry.address,
                    &link_ops, link)) {
         free(link);
         links->stats.failed++;
+        links->ops->connect_ended(links->owner, instance, probe, false,
+                                  now_us);
         return NULL;
     }
     static const http_limits_t limits = {
@@ -376,6 +383,7 @@
     http_reader_init(&link->reader, HTTP_RESPONSES, &limits);
     link->links = links;
     link->instance = instance;
+    link->probe = probe;
     link->opened_us = now_us;
     link->idle_timeout_us = IDLE_TIMEOUT_US;
     link->instance_next = instance->links;
@@ -450,7 +458,7 @@
         if (!attempt->idempotent) {
             link_drop_stale(instance);
         }
-        link = link_open(links, instance, now_us);
+        link = link_open(links, instance, false, now_us);
         if (link == NULL) {
             return false;
         }
@@ -467,6 +475,13 @@
     return true;
 }
 
+void
+upstream_links_probe(upstream_links_t *links, instance_t *instance,
+                     int64_t now_us)
+{
+    (void)link_open(links, instance, true, now_us);
+}
+
 void
 upstream_links_abandon(attempt_t *attempt, int64_t until_us)
 {
--- a/tier/upstream_link.h
+++ b/tier/upstream_link.h
@@ -6,7 +6,7 @@
  * attempt is reported with a reply kind that says whether the request may have
  * run.
  *
- *     upstream_links_t *links = upstream_links_new(loop, owner, replied);
+ *     upstream_links_t *links = upstream_links_new(loop, &ops, owner);
  *     upstream_links_send(links, attempt, now_us);
  *     upstream_links_sweep(links, now_us);   // periodically
  */
@@ -21,10 +21,15 @@
 
 typedef struct upstream_links upstream_links_t;
 
-/* Called when an attempt has ended, with its result; the connections
-   don't refer to the attempt any more. reply is valid during the call. */
-typedef void (*upstream_replied_fn_t)(void *owner, attempt_t *attempt,
-                                      const reply_t *reply, int64_t now_us);
+typedef struct {
+    /* An attempt has ended, with its result; the connections don't refer to it
+       any more. reply is valid during the call. */
+    void (*replied)(void *owner, attempt_t *attempt, const reply_t *reply,
+                    int64_t now_us);
+    /* A connect has ended. probe: it was started by upstream_links_probe. */
+    void (*connect_ended)(void *owner, const instance_t *instance, bool probe,
+                          bool connected, int64_t now_us);
+} upstream_links_ops_t;
 
 typedef struct {
     uint32_t open;   /* connections, connecting ones included */
@@ -33,9 +38,10 @@
     uint64_t failed; /* connects that failed */
 } upstream_links_stats_t;
 
-/* NULL: out of memory. */
-upstream_links_t *upstream_links_new(struct ev_loop *loop, void *owner,
-                                     upstream_replied_fn_t replied);
+/* NULL: out of memory. ops must outlive the links. */
+upstream_links_t *upstream_links_new(struct ev_loop *loop,
+                                     const upstream_links_ops_t *ops,
+                                     void *owner);
 
 /* Close all connections, without reports on their attempts. */
 void upstream_links_free(upstream_links_t *links);
@@ -45,6 +51,12 @@
 bool upstream_links_send(upstream_links_t *links, attempt_t *attempt,
                          int64_t now_us);
 
+/* Connect to the instance without a request, to learn whether it can be
+   reached. connect_ended is called with the result, perhaps within the call.
+   An established connection is kept for requests. */
+void upstream_links_probe(upstream_links_t *links, instance_t *instance,
+                          int64_t now_us);
+
 /* Wait for the response until until_us at most, so that the connection can be
    reused; replied is called in either case. */
 void upstream_links_abandon(attempt_t *attempt, int64_t until_us);
