--- a/t/t1015-partitioned-daemon.c
+++ b/t/t1015-partitioned-daemon.c
@@ -2,12 +2,26 @@
  * Daemons that are cut off from all upstreams: how they notice, and what
  * their callers get.
  */
+#include "daemon/clock.h"
+#include "platform/names.h"
 #include "t/lib/suite.h"
+#include "t/lib/tier_address.h"
+#include "t/lib/tier_fixture.h"
 #include "tier/reach.h"
 
 #include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
-enum { T0 = 100000000, MS = 1000 };
+enum {
+    T0 = 100000000,
+    MS = 1000,
+    /* A daemon must serve its callers again this long after it was cut off, as
+       the shortest bound of the users' deployments says. */
+    STABLE_MS = 4000,
+    POLLED_MS = 2600 /* by then a daemon has read a change of the upstreams */
+};
 
 /* What happens at a daemon, at a time in milliseconds. */
 typedef enum {
@@ -188,6 +202,201 @@
 }
 END_TEST
 
+/* Two daemons with a store each, so that they can know the upstreams by
+   different addresses. Each store lists both daemons. */
+typedef struct {
+    fixture_t f; /* with the first daemon */
+    tier_store_t *store;
+    boot_t boot; /* of the second daemon */
+    node_t *second;
+    struct sockaddr_in hole;
+    int hole_fds[8]; /* -1: none */
+} pair_t;
+
+static void
+put_member(tier_store_t *store, const boot_t *boot)
+{
+    char key[128];
+    char record[256];
+    snprintf(key, sizeof(key), "yuccarun/fleet/members/%s", boot->daemon_name);
+    snprintf(record, sizeof(record),
+             "{\"address\":\"%s\",\"control\":\"%s\",\"zone\":\"%s\","
+             "\"weight\":1000}",
+             boot->callers_address_text, boot->control_address_text,
+             boot->zone);
+    tier_store_put(store, key, record);
+}
+
+static void
+set_address_texts(boot_t *boot)
+{
+    address_text(&boot->callers_address, boot->callers_address_text,
+                 sizeof(boot->callers_address_text));
+    address_text(&boot->control_address, boot->control_address_text,
+                 sizeof(boot->control_address_text));
+}
+
+static void
+pair_init(pair_t *p)
+{
+    char why[128];
+    memset(p, 0, sizeof(*p));
+    memset(p->hole_fds, -1, sizeof(p->hole_fds));
+    fixture_init(&p->f);
+    set_address_texts(&p->f.boot);
+    p->boot = p->f.boot;
+    snprintf(p->boot.daemon_name, sizeof(p->boot.daemon_name), "front-a-2");
+    p->boot.callers_address = unique_loopback_address();
+    p->boot.readiness_address = unique_loopback_address();
+    p->boot.directory_address = unique_loopback_address();
+    p->boot.control_address = unique_loopback_address();
+    p->boot.store_address = unique_loopback_address();
+    set_address_texts(&p->boot);
+    p->store = tier_store_new(p->f.loop, &p->boot.store_address);
+    tier_store_t *first_store = p->f.store;
+    p->f.store = p->store; /* put_config and put_upstream write to it */
+    put_config(&p->f, 1);
+    static const char *const services[] = {"s0", "s1", "s2"};
+    for (int i = 0; i < UPSTREAMS; i++) {
+        put_upstream(&p->f, i, tier_upstream_address(p->f.upstreams[i]),
+                     services[i], "ready");
+    }
+    p->f.store = first_store;
+    put_member(p->store, &p->f.boot);
+    put_member(p->f.store, &p->boot);
+    p->second = node_start(p->f.loop, &p->boot, why, sizeof(why));
+    ck_assert_msg(p->second != NULL, "%s", why);
+    run_ms(&p->f, 1500);
+}
+
+static void
+pair_release(pair_t *p)
+{
+    if (p->second != NULL) {
+        node_free(p->second);
+    }
+    for (size_t i = 0; i < sizeof(p->hole_fds) / sizeof(p->hole_fds[0]); i++) {
+        if (p->hole_fds[i] >= 0) {
+            close(p->hole_fds[i]);
+        }
+    }
+    tier_store_free(p->store);
+    fixture_release(&p->f);
+}
+
+/* Open an address at which connects hang: a listener whose queue is full. */
+static void
+open_hole(pair_t *p)
+{
+    p->hole = unique_loopback_address();
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ck_assert_int_eq(
+        bind(fd, (const struct sockaddr *)&p->hole, sizeof(p->hole)), 0);
+    ck_assert_int_eq(listen(fd, 0), 0);
+    p->hole_fds[0] = fd;
+    for (size_t i = 1; i < sizeof(p->hole_fds) / sizeof(p->hole_fds[0]); i++) {
+        p->hole_fds[i] =
+            socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        (void)connect(p->hole_fds[i], (const struct sockaddr *)&p->hole,
+                      sizeof(p->hole));
+    }
+}
+
+/* In one daemon's store, list the upstreams at addresses that hang or refuse
+   connections, or at their own. */
+static void
+list_upstreams(pair_t *p, tier_store_t *store, bool cut, bool hang)
+{
+    static const char *const services[] = {"s0", "s1", "s2"};
+    tier_store_t *first_store = p->f.store;
+    if (cut && hang) {
+        open_hole(p);
+    }
+    p->f.store = store;
+    for (int i = 0; i < UPSTREAMS; i++) {
+        struct sockaddr_in refusing = unique_loopback_address();
+        put_upstream(&p->f, i,
+                     !cut   ? tier_upstream_address(p->f.upstreams[i])
+                     : hang ? &p->hole
+                            : &refusing,
+                     services[i], "ready");
+    }
+    p->f.store = first_store;
+}
+
+/* Send a request to the first daemon; returns the status, 0 for none. */
+static uint32_t
+ask(pair_t *p, const char *path, int number, caller_t *caller)
+{
+    char request[256];
+    snprintf(request, sizeof(request),
+             "GET %sx HTTP/1.1\r\nHost: h\r\nX-Yuccarun-Request-Id: r-%d\r\n"
+             "X-Yuccarun-Deadline-Ms: %d\r\n\r\n",
+             path, number, CALLER_DEADLINE_MS);
+    caller_exchange(&p->f, caller, &p->f.boot.callers_address, request,
+                    CALLER_DEADLINE_MS + 100);
+    conn_close(&caller->conn);
+    return status_of(caller);
+}
+
+/* Requests while the first daemon is cut off, until the bound holds. */
+static void
+ask_until_stable(pair_t *p)
+{
+    caller_t caller;
+    int64_t until_us = clock_now_us() + STABLE_MS * MS;
+    for (int i = 0; clock_now_us() < until_us; i++) {
+        (void)ask(p, i % 2 == 0 ? "/all/" : "/one/", i, &caller);
+        run_ms(&p->f, 20);
+    }
+}
+
+typedef struct {
+    const char *name;
+    const char *path;
+    bool hang; /* connects to upstreams; else they are refused */
+} partition_case_t;
+
+static const partition_case_t partition_cases[] = {
+    {"refused, idempotent", "/one/", false},
+    {"refused, not idempotent", "/once/", false},
+    {"refused, shards", "/all/", false},
+    {"hanging, idempotent", "/one/", true},
+    {"hanging, not idempotent", "/once/", true},
+    {"hanging, shards", "/all/", true},
+};
+
+/* Callers of a daemon that is cut off from all upstreams are served as those
+   of a daemon that reaches them. */
+START_TEST(test_partitioned_daemon)
+{
+    enum { REQUESTS = 10 };
+    const partition_case_t *c = &partition_cases[_i];
+    pair_t p;
+    caller_t caller;
+    pair_init(&p);
+    list_upstreams(&p, p.f.store, true, c->hang);
+    run_ms(&p.f, POLLED_MS);
+    ask_until_stable(&p);
+    uint32_t before = tier_upstream_requests(p.f.upstreams[0]);
+    for (int i = 0; i < REQUESTS; i++) {
+        uint32_t status = ask(&p, c->path, 1000 + i, &caller);
+        ck_assert_msg(status == 200, "%s: request %d: %u", c->name, i, status);
+    }
+    ck_assert_uint_eq(tier_upstream_requests(p.f.upstreams[0]) - before,
+                      REQUESTS);
+    ck_assert_ptr_nonnull(strstr(tier_upstream_last(p.f.upstreams[0]),
+                                 "X-Yuccarun-Request-Id: r-1009\r\n"));
+    /* Back: the daemon serves without the other one. */
+    list_upstreams(&p, p.f.store, false, false);
+    run_ms(&p.f, POLLED_MS);
+    node_free(p.second);
+    p.second = NULL;
+    ck_assert_uint_eq(ask(&p, c->path, 2000, &caller), 200);
+    pair_release(&p);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -195,5 +404,7 @@
     tcase_set_timeout(tests, 60);
     tcase_add_loop_test(tests, test_reach, 0,
                         sizeof(reach_cases) / sizeof(reach_cases[0]));
+    tcase_add_loop_test(tests, test_partitioned_daemon, 0,
+                        sizeof(partition_cases) / sizeof(partition_cases[0]));
     return suite_run("partitioned daemon", tests);
 }
