tier: relay callers' requests while this daemon reaches no upstream

Now it relays their requests to another serving daemon over that daemon's control address, until a probe reaches an upstream again. A peer refuses if it has lost the upstreams too, drains or has an older configuration; then another one is asked. Open requests that may be repeated are relayed as soon as the daemon knows that it is cut off.

--- a/edge/event.h
+++ b/edge/event.h
@@ -82,7 +82,8 @@
     X(INPUT_REFUSED, 602, "input_refused", WARN)                              \
     X(REQUEST_ANSWERED, 610, "request_answered", INFO)                        \
     X(REQUEST_SENT_AGAIN, 611, "request_sent_again", INFO)                    \
-    X(ATTEMPT_FAILED, 612, "attempt_failed", INFO)
+    X(ATTEMPT_FAILED, 612, "attempt_failed", INFO)                            \
+    X(REQUEST_RELAYED, 613, "request_relayed", INFO)
 
 #define EVENT_SYMBOL(symbol, number, name, level) EVENT_##symbol,
 typedef enum { EVENT_CATALOGUE(EVENT_SYMBOL) EVENT_COUNT } event_t;
--- a/tier/engine.c
+++ b/tier/engine.c
@@ -319,6 +319,7 @@
         .status = status,
         .reason = reason,
         .retry_after_us = retry_after_us,
+        .is_repeatable = true,
     };
     event_log(EVENT_REQUEST_REFUSED,
               "id=%s host=%s target=%.48s status=%u reason=%s cause=%s v=%llu "
@@ -612,8 +613,13 @@
 static void
 request_fail(request_t *request, const char *reason, bool late, int64_t now_us)
 {
-    answer_t answer = {.kind = ANSWER_LOCAL, .reason = reason};
-    if (request_may_have_run(request)) {
+    answer_t answer = {
+        .kind = ANSWER_LOCAL,
+        .reason = reason,
+        .may_have_run = request_may_have_run(request),
+    };
+    answer.is_repeatable = !answer.may_have_run || request->route->idempotent;
+    if (answer.may_have_run) {
         answer.status = late ? 504 : 502;
     }
     else {
@@ -836,6 +842,45 @@
     return request;
 }
 
+int64_t
+engine_timeout_us(const engine_t *engine, const call_t *call)
+{
+    const route_t *route =
+        engine->table != NULL
+            ? route_table_match(engine->table, call->host, call->target)
+            : NULL;
+    return route != NULL          ? call_timeout_us(call, route)
+           : call->timeout_us > 0 ? call->timeout_us
+                                  : DEFAULT_TIMEOUT_US;
+}
+
+bool
+engine_is_idempotent(const engine_t *engine, const call_t *call)
+{
+    const route_t *route =
+        engine->table != NULL
+            ? route_table_match(engine->table, call->host, call->target)
+            : NULL;
+    return route != NULL && route->idempotent;
+}
+
+void
+engine_give_up_unreached(engine_t *engine, int64_t now_us)
+{
+    for (request_t *request = engine->requests, *next; request != NULL;
+         request = next) {
+        next = request->next;
+        bool repeatable =
+            request->route->idempotent || !request_may_have_run(request);
+        bool enough =
+            request->route->kind == ROUTE_SHARDS &&
+            request->gather.answered >= gather_min_shards(&request->gather);
+        if (repeatable && !enough) {
+            request_fail(request, "upstreams_unreachable", false, now_us);
+        }
+    }
+}
+
 void
 engine_fail_all(engine_t *engine, int64_t now_us)
 {
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -106,6 +106,8 @@
     size_t body_size;
     int64_t retry_after_us; /* local: Retry-After to send; 0: none */
     const char *reason;     /* local: reason code, one word */
+    bool may_have_run;      /* local: an upstream may have run it */
+    bool is_repeatable;     /* local: it may be sent once more all the same */
 } answer_t;
 
 typedef struct {
@@ -217,6 +219,16 @@
 void engine_each_route(const engine_t *engine, engine_route_fn_t each,
                        void *owner);
 
+/* How long the caller waits, by its own word and the route's. */
+int64_t engine_timeout_us(const engine_t *engine, const call_t *call);
+
+/* Whether the request may run more than once; false if no route is known. */
+bool engine_is_idempotent(const engine_t *engine, const call_t *call);
+
+/* Fail the open requests that may be repeated and have too few parts for an
+   answer: no upstream is reached, and another daemon can serve them. */
+void engine_give_up_unreached(engine_t *engine, int64_t now_us);
+
 /* Fail every open request with its final answer, as the daemon stops. */
 void engine_fail_all(engine_t *engine, int64_t now_us);
 
--- a/tier/front.c
+++ b/tier/front.c
@@ -3,6 +3,7 @@
 #include "edge/event.h"
 #include "http/loop_clock.h"
 #include "platform/names.h"
+#include "tier/front_state.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,14 +16,6 @@
     ANSWER_HEAD_SIZE = 16384
 };
 
-/* State of a request until its answer. */
-typedef struct {
-    request_t *request; /* NULL: engine_begin has not returned it */
-    buffer_t head;
-    char id[ENGINE_ID_SIZE];
-    bool is_head; /* a HEAD request, so the answer has no body */
-} pending_t;
-
 static bool
 head_add(buffer_t *head, const char *name, const char *value)
 {
@@ -39,6 +32,20 @@
     return true;
 }
 
+/* Append header lines; false: out of memory. */
+static bool
+head_append(buffer_t *head, const char *lines)
+{
+    size_t size = strlen(lines);
+    uint8_t *end = buffer_reserve(head, size + 1);
+    if (end == NULL) {
+        return false;
+    }
+    memcpy(end, lines, size);
+    buffer_commit(head, size);
+    return true;
+}
+
 /* Append the message's header lines, except hop-by-hop headers and those named
    in without, which ends with NULL; false: out of memory. */
 static bool
@@ -64,6 +71,9 @@
     pending_t *pending = exchange_data(exchange);
     if (pending != NULL) {
         exchange_set_data(exchange, NULL);
+        if (pending->relay != NULL) {
+            relay_links_cancel(pending->relay);
+        }
         buffer_release(&pending->head);
         free(pending);
     }
@@ -128,9 +138,11 @@
     static const char *const daemon_headers[] = {
         HEADER_DEADLINE_MS,
         HEADER_EXPECT_INSTANCE,
+        HEADER_RELAY_VERSION,
         NULL,
     };
     front_t *front = owner;
+    int64_t now_us = exchange_arrived_us(exchange);
     const http_message_t *message = exchange_request(exchange);
     const char *host = header_single_value(message, "Host");
     const char *id = header_single_value(message, HEADER_REQUEST_ID);
@@ -140,6 +152,9 @@
         front_refuse(front, exchange, 400, "no_host_or_id", 0);
         return;
     }
+    if (front->takes_relayed && !front_take_relayed(exchange, front)) {
+        return;
+    }
     if (front->draining) {
         front_refuse(front, exchange, 503, "leaving", DRAIN_RETRY_AFTER_US);
         return;
@@ -158,7 +173,8 @@
     pending->is_head = strcmp(message->method, "HEAD") == 0;
     exchange_set_data(exchange, pending);
     double deadline_ms = deadline != NULL ? strtod(deadline, NULL) : 0;
-    call_t call = {
+    pending->front = front;
+    pending->call = (call_t){
         .owner = exchange,
         .id = pending->id,
         .host = host,
@@ -172,9 +188,23 @@
                           ? (int64_t)(deadline_ms * 1000)
                           : 0,
     };
+    pending->deadline_us =
+        now_us + engine_timeout_us(front->engine, &pending->call);
+    if (front->relay_ops == NULL ||
+        !front->relay_ops->is_wanted(front->relay_owner) ||
+        !front_relay(exchange, pending, now_us)) {
+        front_begin(exchange, pending, now_us);
+    }
+}
+
+void
+front_begin(exchange_t *exchange, pending_t *pending, int64_t now_us)
+{
     request_t *request =
-        engine_begin(front->engine, &call, exchange_arrived_us(exchange));
+        engine_begin(pending->front->engine, &pending->call, now_us);
+    /* If the engine has refused the request, pending may be freed. */
     if (request != NULL) {
+        pending = exchange_data(exchange);
         pending->request = request;
     }
 }
@@ -212,42 +242,57 @@
     exchange_wake_at(call_owner, at_us);
 }
 
-/* Send an upstream's response unchanged, except for hop-by-hop headers. */
-static void
-answer_relay(front_t *front, exchange_t *exchange, const answer_t *answer)
+void
+front_answer_message(exchange_t *exchange, const http_message_t *message)
 {
-    static const char *const none[] = {NULL};
+    static const char *const relay_headers[] = {
+        HEADER_RELAY_IN_FORCE,
+        HEADER_RELAY_REFUSED,
+        NULL,
+    };
     const pending_t *pending = exchange_data(exchange);
-    const http_message_t *message = answer->message;
+    front_t *front = pending->front;
     buffer_t head = {0};
-    if (!head_copy(&head, message, none)) {
+    char relay[RELAY_HEADERS_SIZE];
+    front_relay_headers(front, NULL, relay, sizeof(relay));
+    if (!head_copy(&head, message, relay_headers) ||
+        !head_append(&head, relay)) {
         buffer_release(&head);
         front_refuse(front, exchange, 502, "no_memory", 0);
         return;
     }
     http_response_t out = {
-        .status = answer->status,
+        .status = message->status,
         .headers = (const char *)buffer_data(&head),
         .headers_size = buffer_size(&head),
         .body = buffer_data(&message->body),
         .body_size = buffer_size(&message->body),
-        .no_body =
-            pending->is_head || answer->status == 204 || answer->status == 304,
+        .no_body = pending->is_head || message->status == 204 ||
+                   message->status == 304,
     };
     front_send(front, exchange, &out);
     buffer_release(&head);
 }
 
 static void
-answer_merged(front_t *front, exchange_t *exchange, const answer_t *answer)
+answer_relayed(exchange_t *exchange, const answer_t *answer)
+{
+    front_answer_message(exchange, answer->message);
+}
+
+static void
+answer_merged(exchange_t *exchange, const answer_t *answer)
 {
     const pending_t *pending = exchange_data(exchange);
+    front_t *front = pending->front;
     char head[ANSWER_HEAD_SIZE];
-    int size =
-        snprintf(head, sizeof(head),
-                 HEADER_REQUEST_ID ": %s\r\n" HEADER_PART_SIGNATURES
-                                   ": %s\r\n" HEADER_PARTS_MISSING ": %u\r\n",
-                 pending->id, answer->signatures, answer->missing_shards);
+    char relay[RELAY_HEADERS_SIZE];
+    front_relay_headers(front, NULL, relay, sizeof(relay));
+    int size = snprintf(
+        head, sizeof(head),
+        HEADER_REQUEST_ID ": %s\r\n" HEADER_PART_SIGNATURES
+                          ": %s\r\n" HEADER_PARTS_MISSING ": %u\r\n%s",
+        pending->id, answer->signatures, answer->missing_shards, relay);
     if (size < 0 || (size_t)size >= sizeof(head)) {
         front_refuse(front, exchange, 502, "signatures_too_long", 0);
         return;
@@ -263,13 +308,21 @@
     front_send(front, exchange, &out);
 }
 
-static void
-answer_local(front_t *front, exchange_t *exchange, const answer_t *answer)
+void
+front_answer_error(exchange_t *exchange, const answer_t *answer)
 {
     const pending_t *pending = exchange_data(exchange);
-    char head[256];
-    int size = snprintf(head, sizeof(head), HEADER_REQUEST_ID ": %s\r\n",
-                        pending->id);
+    front_t *front = pending->front;
+    char head[256 + RELAY_HEADERS_SIZE];
+    char relay[RELAY_HEADERS_SIZE];
+    /* A peer that has relayed the request may ask another one if this daemon
+       has just lost the upstreams. */
+    bool lost = front->takes_relayed && answer->is_repeatable &&
+                reach_is_lost(engine_reach(front->engine));
+    front_relay_headers(front, lost ? "upstreams_unreachable" : NULL, relay,
+                        sizeof(relay));
+    int size = snprintf(head, sizeof(head), HEADER_REQUEST_ID ": %s\r\n%s",
+                        pending->id, relay);
     if (answer->retry_after_us > 0) {
         size += snprintf(head + size, sizeof(head) - (size_t)size,
                          HEADER_RETRY_AFTER ": %.3f\r\n",
@@ -283,14 +336,41 @@
     front_send(front, exchange, &out);
 }
 
+/* Relay a request that failed here because no upstream is reached, else answer
+   the caller with the error. */
+static void
+answer_local(exchange_t *exchange, const answer_t *answer)
+{
+    pending_t *pending = exchange_data(exchange);
+    front_t *front = pending->front;
+    answer_t failure = *answer;
+    if (pending->may_have_run && answer->status == 503) {
+        /* A peer may have run it before; 503 would say that it has not. */
+        failure.status = 502;
+        failure.retry_after_us = 0;
+    }
+    pending->may_have_run |= answer->may_have_run;
+    if (answer->status >= 500 && answer->is_repeatable &&
+        front->relay_ops != NULL &&
+        front->relay_ops->is_wanted(front->relay_owner)) {
+        pending->has_failed = true;
+        pending->failure = failure;
+        if (front_relay(exchange, pending, loop_now_us())) {
+            return;
+        }
+    }
+    front_answer_error(exchange, &failure);
+}
+
 void
-front_answer(front_t *front, void *call_owner, const answer_t *answer)
+front_answer(void *call_owner, const answer_t *answer)
 {
-    static void (*const answers[])(front_t *, exchange_t *,
-                                   const answer_t *) = {
-        [ANSWER_RELAYED] = answer_relay,
+    static void (*const answers[])(exchange_t *, const answer_t *) = {
+        [ANSWER_RELAYED] = answer_relayed,
         [ANSWER_MERGED] = answer_merged,
         [ANSWER_LOCAL] = answer_local,
     };
-    answers[answer->kind](front, call_owner, answer);
+    pending_t *pending = exchange_data(call_owner);
+    pending->request = NULL;
+    answers[answer->kind](call_owner, answer);
 }
--- /dev/null
+++ b/tier/front_state.h
@@ -0,0 +1,54 @@
+/*
+ * Declarations shared by front.c and front_relay.c; no other file includes
+ * this header.
+ */
+#ifndef TIER_FRONT_STATE_H
+#define TIER_FRONT_STATE_H
+
+#include "tier/front.h"
+#include "tier/members.h"
+#include "tier/relay_link.h"
+
+enum { RELAY_HEADERS_SIZE = 128 };
+
+/* State of a request until its answer. */
+typedef struct {
+    front_t *front;
+    request_t *request; /* NULL: the engine does not handle it */
+    call_t call;
+    buffer_t head;
+    char id[ENGINE_ID_SIZE];
+    bool is_head; /* a HEAD request, so the answer has no body */
+
+    /* Relaying; see front_relay.c. */
+    relay_call_t *relay; /* in flight; NULL: none */
+    char peer[MEMBER_NAME_SIZE];
+    uint32_t relays;   /* peers asked so far */
+    bool relays_ended; /* it is not relayed again */
+    bool may_have_run; /* here, or at a peer whose response was lost */
+    bool has_failed;   /* the engine has answered, with: */
+    answer_t failure;
+    int64_t deadline_us;
+} pending_t;
+
+/* Pass the request to the engine. */
+void front_begin(exchange_t *exchange, pending_t *pending, int64_t now_us);
+
+/* Answer the caller: with a message unchanged except for hop-by-hop headers,
+   or with an error of this daemon. */
+void front_answer_message(exchange_t *exchange, const http_message_t *message);
+void front_answer_error(exchange_t *exchange, const answer_t *answer);
+
+/* Relay the request to a peer. False: no peer can take it; the request is as
+   before, and is not relayed any more. */
+bool front_relay(exchange_t *exchange, pending_t *pending, int64_t now_us);
+
+/* Whether a relayed request can be taken here; if not, it is refused. */
+bool front_take_relayed(exchange_t *exchange, front_t *front);
+
+/* Header lines that a response to a relayed request needs besides; "" for
+   other requests. reason: why the request was not handled; NULL: it was. */
+void front_relay_headers(const front_t *front, const char *reason, char *text,
+                         size_t size);
+
+#endif
--- a/tier/members.c
+++ b/tier/members.c
@@ -361,6 +361,53 @@
     return members_find_reader(members, zone, self, nth, NULL)->control;
 }
 
+/* The nth serving member, other than self, of a zone (NULL: of any) that takes
+   relayed requests. Sets *count to their number if there are not more. */
+static const member_record_t *
+members_find_relay(const members_t *members, const char *zone,
+                   const char *self, uint64_t nth, int64_t now_us,
+                   uint64_t *count)
+{
+    *count = 0;
+    for (uint32_t i = 0; i < members->count; i++) {
+        const member_record_t *record = &members->records[i];
+        if (record->role == MEMBER_STANDBY || record->expires_us != 0 ||
+            record->control[0] == '\0' || now_us < record->avoid_until_us ||
+            strcmp(record->name, self) == 0 ||
+            (zone != NULL && strcmp(record->zone, zone) != 0)) {
+            continue;
+        }
+        if ((*count)++ == nth) {
+            return record;
+        }
+    }
+    return NULL;
+}
+
+const member_record_t *
+members_pick_relay(const members_t *members, const char *zone,
+                   const char *self, uint64_t random, int64_t now_us)
+{
+    uint64_t count;
+    members_find_relay(members, zone, self, UINT64_MAX, now_us, &count);
+    if (count == 0) {
+        zone = NULL;
+        members_find_relay(members, zone, self, UINT64_MAX, now_us, &count);
+    }
+    return count > 0 ? members_find_relay(members, zone, self, random % count,
+                                          now_us, &count)
+                     : NULL;
+}
+
+void
+members_avoid(members_t *members, const char *name, int64_t until_us)
+{
+    member_record_t *record = members_find(members, name);
+    if (record != NULL) {
+        record->avoid_until_us = until_us;
+    }
+}
+
 uint64_t
 member_id(const char *name)
 {
--- a/tier/members.h
+++ b/tier/members.h
@@ -58,6 +58,7 @@
     uint64_t revision; /* store revision of the last write; 0: unknown */
     uint64_t removed_revision; /* of a deferred removal; 0: none */
     int64_t expires_us; /* end of the grace period; 0: the record is listed */
+    int64_t avoid_until_us; /* until then it takes no relayed requests */
 } member_record_t;
 
 typedef struct {
@@ -143,6 +144,16 @@
 const char *members_pick_reader(const members_t *members, const char *zone,
                                 const char *self, uint32_t failures);
 
+/* A member other than `self` to relay requests to, from `zone` if possible,
+   chosen by the random number; valid until the members change. NULL: there is
+   none. */
+const member_record_t *members_pick_relay(const members_t *members,
+                                          const char *zone, const char *self,
+                                          uint64_t random, int64_t now_us);
+
+/* Relay nothing to the member until until_us. */
+void members_avoid(members_t *members, const char *name, int64_t until_us);
+
 /* Write the ids of the serving members, hashes of their names, to ids, which
    has room for members->count; returns their number. */
 uint32_t members_serving_ids(const members_t *members, uint64_t *ids);
--- a/tier/metrics_text.c
+++ b/tier/metrics_text.c
@@ -104,6 +104,7 @@
     fprintf(out, "yuccarun_unresponsive_services %u\n",
             registry_unresponsive_count(engine_registry(node->engine),
                                         loop_now_us()));
+    fprintf(out, "yuccarun_relayed_total %" PRIu64 "\n", node->front.relayed);
     fprintf(out, "yuccarun_reaches_upstreams %d\n", node->cut_us == 0);
     fprintf(out, "yuccarun_limited_upstreams %u\n",
             registry_limited_count(engine_registry(node->engine)));
--- a/tier/node.c
+++ b/tier/node.c
@@ -132,8 +132,8 @@
 static void
 port_answer(void *owner, void *call_owner, const answer_t *answer)
 {
-    node_t *node = owner;
-    front_answer(&node->front, call_owner, answer);
+    (void)owner;
+    front_answer(call_owner, answer);
 }
 
 static void
@@ -181,7 +181,7 @@
 };
 
 static void
-node_log_reach(node_t *node, int64_t now_us)
+node_apply_reach(node_t *node, int64_t now_us)
 {
     static const char *const causes[] = {
         [REACH_CAUSE_NONE] = "-",
@@ -194,6 +194,7 @@
         node->cut_us = reach->since_us;
         event_log(EVENT_UPSTREAMS_UNREACHABLE, "cause=%s unanswered=%u",
                   causes[reach->cause], reach->unanswered);
+        engine_give_up_unreached(node->engine, now_us);
     }
     else if (!cut && node->cut_us > 0) {
         event_log(EVENT_UPSTREAMS_REACHABLE, "after_ms=%" PRId64,
@@ -220,7 +221,7 @@
             reach_note_probe(reach, false, now_us);
         }
     }
-    node_log_reach(node, now_us);
+    node_apply_reach(node, now_us);
 }
 
 /* --- time -------------------------------------------------------------- */
@@ -247,7 +248,9 @@
     }
     if (!node->front.draining) {
         node->front.draining = true;
+        node->peer_front.draining = true;
         http_server_close_idle(node->caller_server);
+        http_server_close_idle(node->peer_server);
     }
     if (since_us >= node->boot.grace_us - SHUTDOWN_MARGIN_US) {
         /* Requests that are not done in time get an error answer, which is
@@ -272,6 +275,7 @@
     node_copy_registry(node, now_us);
     http_server_sweep(node->caller_server, now_us);
     http_server_sweep(node->aux_server, now_us);
+    http_server_sweep(node->peer_server, now_us);
     bool dropped = members_expire(&node->members, now_us);
     if (dropped) {
         node_members_changed(node, "-", "expired", now_us);
@@ -292,6 +296,7 @@
     node_poll_peers(node, now_us);
     upstream_links_sweep(node->links, now_us);
     node_probe_upstreams(node, now_us);
+    relay_links_sweep(node->relay_links, now_us);
     engine_dispatch_queued(node->engine, now_us);
     if (now_us - node->housekeeping_us >= HOUSEKEEPING_INTERVAL_US) {
         node->housekeeping_us = now_us;
@@ -371,8 +376,8 @@
          &boot->readiness_address, &node_readiness_handler, node},
         {"directory", boot->has_directory, true, node->aux_server,
          &boot->directory_address, &node_directory_handler, node},
-        {"control", boot->has_control, true, node->aux_server,
-         &boot->control_address, &node_state_handler, node},
+        {"control", boot->has_control, true, node->peer_server,
+         &boot->control_address, &node_peer_handler, node},
         {"metrics", boot->has_callers && boot->serves_metrics, false,
          node->aux_server, &metrics, &node_metrics_handler, node},
     };
@@ -424,12 +429,15 @@
     node->links = upstream_links_new(node->loop, &node_links_ops, node);
     node->caller_server = http_server_new(node->loop, &caller_settings);
     node->aux_server = http_server_new(node->loop, &aux_settings);
+    node->peer_server = http_server_new(node->loop, &aux_settings);
+    node->relay_links = relay_links_new(node->loop);
     node->store =
         store_link_new(node->loop, &boot->store_address, &store_ops, node);
     node->peers = peer_link_new(node->loop, node_peer_answered, node);
     return node->peers != NULL && node->engine != NULL &&
            node->links != NULL && node->caller_server != NULL &&
-           node->aux_server != NULL && node->store != NULL &&
+           node->aux_server != NULL && node->peer_server != NULL &&
+           node->relay_links != NULL && node->store != NULL &&
            node_follow_prefixes(node);
 }
 
@@ -457,7 +465,16 @@
         node_free(node);
         return NULL;
     }
-    node->front.engine = node->engine;
+    node->front = (front_t){
+        .engine = node->engine,
+        .relay_ops = &node_relay_ops,
+        .relay_owner = node,
+        .relay_links = node->relay_links,
+    };
+    node->peer_front = (front_t){
+        .engine = node->engine,
+        .takes_relayed = true,
+    };
     engine_registry(node->engine)->heartbeat_us = boot->heartbeat_us;
     if (!node_listen(node, error, error_size)) {
         node_free(node);
@@ -518,6 +535,8 @@
     loop_clock_stop(&node->clock);
     http_server_free(node->caller_server);
     http_server_free(node->aux_server);
+    http_server_free(node->peer_server);
+    relay_links_free(node->relay_links);
     store_link_free(node->store);
     peer_link_free(node->peers);
     free(node->config_text);
--- a/tier/node_config.c
+++ b/tier/node_config.c
@@ -33,6 +33,12 @@
         .idle_timeout_us = table != NULL ? table->idle_timeout_us : 0,
     };
     http_server_configure(node->caller_server, &settings);
+    /* Relayed requests are callers' requests with a few more headers. */
+    settings.limits.max_header_bytes +=
+        table != NULL ? RELAY_HEADERS_BYTES : 0;
+    settings.connections_max = PEER_CONNECTIONS_MAX;
+    settings.idle_timeout_us = PEER_IDLE_TIMEOUT_US;
+    http_server_configure(node->peer_server, &settings);
 }
 
 void
--- a/tier/node_services.c
+++ b/tier/node_services.c
@@ -117,10 +117,6 @@
     .request = directory_request,
     .disconnected = ignore_disconnected,
 };
-const http_handler_t node_state_handler = {
-    .request = node_state_request,
-    .disconnected = ignore_disconnected,
-};
 const http_handler_t node_metrics_handler = {
     .request = metrics_request,
     .disconnected = ignore_disconnected,
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -34,6 +34,11 @@
     MEMBER_LEASE_WEAK_US = 12000000,
     METRICS_PORT = 9464,           /* the same as in deploy/system.toml */
     CALLER_CONNECTIONS_MAX = 2000, /* uses about half of the descriptors */
+    /* At the control address, from other daemons: polls of the state, and
+       requests that they relay, each on a connection of its own. */
+    PEER_CONNECTIONS_MAX = 500,
+    PEER_IDLE_TIMEOUT_US = 30000000,
+    RELAY_HEADERS_BYTES = 1024, /* added to a relayed request's headers */
     SUSPECTS_MAX = 16 /* fingerprints that each daemon keeps in the store */
 };
 
@@ -50,11 +55,15 @@
     engine_t *engine;
     upstream_links_t *links;
     http_server_t *caller_server;
-    http_server_t *aux_server; /* readiness, directory, control, metrics */
+    http_server_t *aux_server;  /* readiness, directory, metrics */
+    http_server_t *peer_server; /* control: state and relayed requests */
     store_link_t *store;
     peer_link_t *peers; /* see node_poll_peers */
     char *config_text;  /* configuration in force, as the operator wrote it */
     front_t front;
+    front_t peer_front; /* of requests that peers relay */
+    relay_links_t *relay_links;
+    uint64_t relay_version; /* newest configuration that a peer answered by */
     members_t members;
     bool members_list_reading; /* between the first and the last page */
     bool members_list_changed; /* the list being read changed a member */
@@ -88,6 +97,7 @@
     int64_t
         cut_us; /* when the upstreams became unreachable; 0: they are not */
     uint64_t probes; /* connects that checked it, so far */
+    uint64_t relays; /* peers chosen for relayed requests, so far */
     bool shutting_down;
     int64_t shutdown_us; /* when the shutdown began */
 };
@@ -183,10 +193,15 @@
  */
 void node_poll_peers(node_t *node, int64_t now_us);
 
+/* node_relay.c; owner is the node. */
+extern const front_relay_ops_t node_relay_ops;
+
+/* The handler at the control address: state and relayed requests. */
+extern const http_handler_t node_peer_handler;
+
 /* node_services.c */
 extern const http_handler_t node_readiness_handler;
 extern const http_handler_t node_directory_handler;
-extern const http_handler_t node_state_handler;
 extern const http_handler_t node_metrics_handler;
 
 /* Answer a request with a body of that content type. */
