--- a/t/t1003-observed-state.c
+++ b/t/t1003-observed-state.c
@@ -775,6 +775,67 @@
 }
 END_TEST
 
+/* Whom a daemon of zone a relays requests to, when these members are avoided.
+ */
+typedef struct {
+    const char *name;
+    const char *avoided; /* names, each after a space */
+    const char *picked;  /* prefix of the names that may be picked; "": none */
+} relay_case_t;
+
+static const relay_case_t relay_cases[] = {
+    {"one of its own zone", "", "a-serves"},
+    {"another zone", " a-serves-2", "b-serves"},
+    {"one on standby", " a-serves-2 b-serves-1 b-serves-2", "b-standby"},
+    {"nobody", " a-serves-2 b-serves-1 b-serves-2 b-standby-1", ""},
+};
+
+START_TEST(test_relay_peer)
+{
+    static const struct {
+        const char *name;
+        const char *zone;
+        member_role_t role;
+    } rows[] = {
+        {"a-serves-1", "a", MEMBER_SERVING},
+        {"a-serves-2", "a", MEMBER_SERVING},
+        {"b-serves-1", "b", MEMBER_SERVING},
+        {"b-serves-2", "b", MEMBER_STORE_READER},
+        {"b-standby-1", "b", MEMBER_STANDBY},
+    };
+    enum { ROWS = sizeof(rows) / sizeof(rows[0]) };
+    const relay_case_t *c = &relay_cases[_i];
+    members_t members;
+    members_init(&members, T0);
+    for (int i = 0; i < ROWS; i++) {
+        char record[MEMBER_RECORD_SIZE];
+        size_t size = member_record_write(record, sizeof(record), "1.1.1.1:1",
+                                          "1.1.1.1:2", rows[i].zone, 100);
+        members_put(&members, rows[i].name, record, size, 1, T0);
+    }
+    for (int i = 0; i < ROWS; i++) {
+        char word[MEMBER_NAME_SIZE];
+        members.records[i].role = rows[i].role;
+        snprintf(word, sizeof(word), " %s", rows[i].name);
+        if (strstr(c->avoided, word) != NULL) {
+            members_avoid(&members, rows[i].name, T0 + SECOND);
+        }
+    }
+    for (uint64_t random = 0; random < 10; random++) {
+        const member_record_t *peer = members_pick_relay(
+            &members, "a", "a-serves-1", random, T0 + SECOND / 2);
+        ck_assert_msg((peer == NULL) == (c->picked[0] == '\0'), "%s", c->name);
+        ck_assert_msg(peer == NULL || strncmp(peer->name, c->picked,
+                                              strlen(c->picked)) == 0,
+                      "%s: %s", c->name, peer != NULL ? peer->name : "");
+        /* Later they are asked again. */
+        ck_assert_ptr_nonnull(members_pick_relay(&members, "a", "a-serves-1",
+                                                 random, T0 + SECOND));
+    }
+    members_release(&members);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -806,5 +867,7 @@
                         sizeof(suspect_cases) / sizeof(suspect_cases[0]));
     tcase_add_loop_test(tests, test_poll_intervals, 0,
                         sizeof(poll_cases) / sizeof(poll_cases[0]));
+    tcase_add_loop_test(tests, test_relay_peer, 0,
+                        sizeof(relay_cases) / sizeof(relay_cases[0]));
     return suite_run("observed-state", tests);
 }
--- a/tier/front.c
+++ b/tier/front.c
@@ -41,7 +41,8 @@
     if (end == NULL) {
         return false;
     }
-    memcpy(end, lines, size);
+    /* The terminating NUL is not committed. */
+    memcpy(end, lines, size + 1);
     buffer_commit(head, size);
     return true;
 }
--- a/tier/members.c
+++ b/tier/members.c
@@ -361,25 +361,34 @@
     return members_find_reader(members, zone, self, nth, NULL)->control;
 }
 
-/* The nth serving member, other than self, of a zone (NULL: of any) that takes
-   relayed requests. Sets *count to their number if there are not more. */
+/* Members that may be asked to take a relayed request. */
+typedef struct {
+    const char *self; /* not this one */
+    const char *zone; /* NULL: of any zone */
+    bool standby;     /* also those on standby */
+} relay_filter_t;
+
+/* The nth member that the filter accepts; NULL: there are fewer. Sets *count
+   to the number of those before it. */
 static const member_record_t *
-members_find_relay(const members_t *members, const char *zone,
-                   const char *self, uint64_t nth, int64_t now_us,
-                   uint64_t *count)
+members_find_relay(const members_t *members, const relay_filter_t *filter,
+                   uint64_t nth, int64_t now_us, uint64_t *count)
 {
     *count = 0;
     for (uint32_t i = 0; i < members->count; i++) {
         const member_record_t *record = &members->records[i];
-        if (record->role == MEMBER_STANDBY || record->expires_us != 0 ||
-            record->control[0] == '\0' || now_us < record->avoid_until_us ||
-            strcmp(record->name, self) == 0 ||
-            (zone != NULL && strcmp(record->zone, zone) != 0)) {
+        if ((record->role == MEMBER_STANDBY && !filter->standby) ||
+            record->expires_us != 0 || record->control[0] == '\0' ||
+            now_us < record->avoid_until_us ||
+            strcmp(record->name, filter->self) == 0 ||
+            (filter->zone != NULL &&
+             strcmp(record->zone, filter->zone) != 0)) {
             continue;
         }
-        if ((*count)++ == nth) {
+        if (*count == nth) {
             return record;
         }
+        (*count)++;
     }
     return NULL;
 }
@@ -388,15 +397,20 @@
 members_pick_relay(const members_t *members, const char *zone,
                    const char *self, uint64_t random, int64_t now_us)
 {
-    uint64_t count;
-    members_find_relay(members, zone, self, UINT64_MAX, now_us, &count);
-    if (count == 0) {
-        zone = NULL;
-        members_find_relay(members, zone, self, UINT64_MAX, now_us, &count);
+    const relay_filter_t filters[] = {
+        {.self = self, .zone = zone},
+        {.self = self},
+        {.self = self, .standby = true},
+    };
+    for (size_t i = 0; i < sizeof(filters) / sizeof(filters[0]); i++) {
+        uint64_t count;
+        members_find_relay(members, &filters[i], UINT64_MAX, now_us, &count);
+        if (count > 0) {
+            return members_find_relay(members, &filters[i], random % count,
+                                      now_us, &count);
+        }
     }
-    return count > 0 ? members_find_relay(members, zone, self, random % count,
-                                          now_us, &count)
-                     : NULL;
+    return NULL;
 }
 
 void
--- a/tier/members.h
+++ b/tier/members.h
@@ -144,9 +144,9 @@
 const char *members_pick_reader(const members_t *members, const char *zone,
                                 const char *self, uint32_t failures);
 
-/* A member other than `self` to relay requests to, from `zone` if possible,
-   chosen by the random number; valid until the members change. NULL: there is
-   none. */
+/* A member other than `self` to relay requests to, chosen by the random
+   number: a serving one, from `zone` if possible, else one on standby. Valid
+   until the members change. NULL: there is none. */
 const member_record_t *members_pick_relay(const members_t *members,
                                           const char *zone, const char *self,
                                           uint64_t random, int64_t now_us);
