upstream_link: bound the memory of unfinished responses

An upstream that sends bytes without end in a body could take 16 MB on each of its connections, with a few connections at each upstream: more than the memory of a weak VM. All unfinished responses together now take 32 MB at most; the longest one is dropped beyond that. What is skipped on a connection is bounded too.

Not covered: a connection that is idle keeps the buffer of its last whole response.

--- a/t/lib/tier_upstream.c
+++ b/t/lib/tier_upstream.c
@@ -10,7 +10,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { TEXT_SIZE = 8192, ID_SIZE = 80 };
+enum {
+    TEXT_SIZE = 8192,
+    ID_SIZE = 80,
+    ENDLESS_BLOCK = 65536,
+    ENDLESS_BLOCKS = 4 /* in one go */
+};
 
 typedef struct client client_t;
 
@@ -22,6 +27,7 @@
     tier_script_t script; /* for the current request */
     bool answering;
     bool later_due;
+    bool endless;
     ev_timer timer;
     char raw[TEXT_SIZE];
     size_t raw_size;
@@ -39,6 +45,7 @@
     client_t *clients;
     uint32_t requests;
     uint32_t disconnects;
+    uint64_t endless_bytes;
     char last[TEXT_SIZE];
 };
 
@@ -78,6 +85,28 @@
     (void)conn_write(&client->conn, text, size);
 }
 
+/* Write the endless part until the socket takes no more. */
+static void
+client_send_endless(client_t *client)
+{
+    static char block[ENDLESS_BLOCK];
+    const char *text = client->script.endless;
+    size_t length = strlen(text);
+    size_t size = ENDLESS_BLOCK / length * length;
+    for (size_t i = 0; i < size; i++) {
+        block[i] = text[i % length];
+    }
+    for (int i = 0; i < ENDLESS_BLOCKS && conn_is_flushed(&client->conn);
+         i++) {
+        if (!conn_write(&client->conn, block, size)) {
+            return; /* client_disconnected follows */
+        }
+        client->server->endless_bytes += size;
+    }
+    ev_timer_set(&client->timer, 0.001, 0);
+    ev_timer_start(client->server->loop, &client->timer);
+}
+
 static void
 client_answer(client_t *client)
 {
@@ -105,6 +134,10 @@
     }
     http_reader_next(&client->reader);
     client->raw_size = 0;
+    if (client->script.endless != NULL) {
+        client->endless = true;
+        client_send_endless(client);
+    }
 }
 
 static void
@@ -120,6 +153,9 @@
     else if (client->answering) {
         client_answer(client);
     }
+    else if (client->endless) {
+        client_send_endless(client);
+    }
 }
 
 static void
@@ -233,6 +269,23 @@
     return server->disconnects;
 }
 
+uint32_t
+tier_upstream_endless(const tier_upstream_server_t *server)
+{
+    uint32_t count = 0;
+    for (const client_t *client = server->clients; client != NULL;
+         client = client->next) {
+        count += client->endless ? 1 : 0;
+    }
+    return count;
+}
+
+uint64_t
+tier_upstream_endless_bytes(const tier_upstream_server_t *server)
+{
+    return server->endless_bytes;
+}
+
 const char *
 tier_upstream_last(const tier_upstream_server_t *server)
 {
--- a/t/lib/tier_upstream.h
+++ b/t/lib/tier_upstream.h
@@ -28,6 +28,9 @@
     script_end_t end;
     int64_t delay_us;  /* before the bytes */
     const char *later; /* sent 20 ms after the bytes; NULL: nothing */
+    /* Sent again and again after the bytes, as fast as the daemon reads, until
+       it closes the connection; NULL: nothing. */
+    const char *endless;
 } tier_script_t;
 
 typedef struct tier_upstream_server tier_upstream_server_t;
@@ -51,6 +54,12 @@
 /* Number of connections that daemons closed before the response was sent. */
 uint32_t tier_upstream_disconnects(const tier_upstream_server_t *server);
 
+/* Number of open connections with an endless response. */
+uint32_t tier_upstream_endless(const tier_upstream_server_t *server);
+
+/* Bytes that the daemons have taken of endless responses. */
+uint64_t tier_upstream_endless_bytes(const tier_upstream_server_t *server);
+
 /* The last request as received, header and body. */
 const char *tier_upstream_last(const tier_upstream_server_t *server);
 
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -26,8 +26,15 @@
     /* Backoff after a failed connect, doubled for each further failure. */
     CONNECT_BACKOFF_US = 100000,
     CONNECT_BACKOFF_MAX_US = 1600000,
-    BODY_MAX = 16 << 20,  /* bytes of a response; more makes it invalid */
-    HEADER_MAX = 64 << 10 /* bytes of a response's header */
+    BODY_MAX = 16 << 20,   /* bytes of a response; more makes it invalid */
+    HEADER_MAX = 64 << 10, /* bytes of a response's header */
+    /* Bytes on the connection for one request, with everything that is
+       skipped: framing, interim responses and responses to other requests. */
+    RECEIVED_MAX = 32 << 20,
+    /* Bytes of unfinished responses on all connections together; beyond it the
+       longest one is dropped. A fifth of the smallest VM's memory, since a
+       buffer that grows takes up to twice its contents. */
+    BUFFERED_MAX = 32 << 20
 };
 
 typedef struct link link_t;
@@ -47,6 +54,8 @@
     int64_t idle_since_us;    /* valid while idle */
     int64_t idle_timeout_us;  /* close after this idle time */
     int64_t abandon_until_us; /* end of the grace time; 0: not abandoned */
+    size_t received;          /* bytes since the request was sent */
+    size_t buffered;          /* of them, held by the reader */
     link_t *instance_next;
     link_t *next;
     link_t *prev;
@@ -57,6 +66,7 @@
     const upstream_links_ops_t *ops;
     void *owner;
     link_t *all;
+    size_t buffered;    /* sum over all links */
     link_t *sweep_next; /* next link of a running sweep; link_free skips it */
     upstream_links_stats_t stats;
 };
@@ -101,6 +111,7 @@
         link->next->prev = link->prev;
     }
     link->links->stats.open--;
+    link->links->buffered -= link->buffered;
     conn_close(&link->conn);
     http_reader_release(&link->reader);
     free(link);
@@ -245,6 +256,13 @@
     return reply;
 }
 
+static void
+link_set_buffered(link_t *link, size_t buffered)
+{
+    link->links->buffered += buffered - link->buffered;
+    link->buffered = buffered;
+}
+
 /* Report a whole response, and keep the connection if it can be reused. */
 static void
 link_deliver(link_t *link)
@@ -256,6 +274,7 @@
     reply_t reply = reply_from_message(message, link->instance);
     link->attempt = NULL;
     link->reader_finished = true;
+    link_set_buffered(link, 0);
     link->abandon_until_us = 0;
     link->idle_since_us = now_us;
     link->idle_timeout_us = idle_timeout_from_header(message);
@@ -274,6 +293,30 @@
     }
 }
 
+/* Account for the response that is being read. If all of them take too much
+   memory, drop the longest one, which may be this link's. */
+static void
+link_note_buffered(link_t *link)
+{
+    upstream_links_t *links = link->links;
+    const http_message_t *message = &link->reader.message;
+    link_set_buffered(link, buffer_size(&message->text) +
+                                buffer_size(&message->body));
+    if (links->buffered <= BUFFERED_MAX) {
+        return;
+    }
+    link_t *longest = link;
+    for (link_t *other = links->all; other != NULL; other = other->next) {
+        if (other->buffered > longest->buffered) {
+            longest = other;
+        }
+    }
+    event_log(EVENT_UPSTREAM_BAD_REPLY,
+              "instance=%s bytes=%zu all_bytes=%zu cause=responses_too_large",
+              longest->instance->entry.id, longest->buffered, links->buffered);
+    link_fail(longest, REPLY_LOST, "too_large");
+}
+
 static void
 link_data(conn_t *conn, const char *bytes, size_t size)
 {
@@ -289,6 +332,11 @@
         http_reader_next(&link->reader);
         link->reader_finished = false;
     }
+    link->received += size;
+    if (link->received > RECEIVED_MAX) {
+        link_fail(link, REPLY_LOST, "endless");
+        return;
+    }
     link->reader.is_head_response = link->answers_head;
     while (size > 0 || link->reader.done) {
         size_t used = 0;
@@ -297,10 +345,15 @@
             state = http_reader_feed(&link->reader, bytes, size, &used);
         }
         if (state == HTTP_INCOMPLETE) {
+            link_note_buffered(link);
             return;
         }
         if (state != HTTP_DONE) {
-            link_fail(link, REPLY_LOST, "garbled");
+            link_fail(link, REPLY_LOST,
+                      state == HTTP_BODY_TOO_LARGE ||
+                              state == HTTP_HEADERS_TOO_LARGE
+                          ? "too_large"
+                          : "garbled");
             return;
         }
         bytes += used;
@@ -470,6 +523,7 @@
         link_free(link);
         return false;
     }
+    link->received = 0;
     link->attempt = attempt;
     attempt->link = link;
     return true;
