t/soak: upstreams that name a limit, and all upstreams out of reach at once

The bound is the users': 1.5 times the limit and 5 in 4 s, from daemons that have been told and had no fault for 4 s.

A partition of a single daemon is not covered: all daemons connect from the same address, so that the proxies cannot tell them apart; t1015 does it with a store for each daemon.

--- a/t/soak/soak_faults.c
+++ b/t/soak/soak_faults.c
@@ -11,7 +11,9 @@
     FAULTS_MIN = 5,
     FAULTS_SPREAD = 7,       /* up to 6 more */
     FAULTS_EXTRA_SPREAD = 3, /* up to 2 of extra_kinds besides */
-    FAULTS_MAX = FAULTS_MIN + FAULTS_SPREAD + FAULTS_EXTRA_SPREAD,
+    FAULTS_LATER_SPREAD = 3, /* up to 2 of later_kinds besides */
+    FAULTS_MAX =
+        FAULTS_MIN + FAULTS_SPREAD + FAULTS_EXTRA_SPREAD + FAULTS_LATER_SPREAD,
     FIRST_FAULT_US = 2000000, /* the fleet is in service by then */
     LAST_FAULT_US = 12000000,
     FAULT_MIN_US = 300000,
@@ -252,6 +254,43 @@
     target_upstream(soak, fault)->resting = false;
 }
 
+static void
+upstream_limit(soak_t *soak, fault_t *fault, int64_t now_us)
+{
+    upstream_t *upstream = target_upstream(soak, fault);
+    for (uint32_t i = 0; i < DAEMONS_MAX; i++) {
+        upstream->notices[i].limit_us = 0;
+    }
+    upstream->limit_arrival_count = 0;
+    upstream->limited_since_us = now_us;
+}
+
+static void
+upstream_end_limit(soak_t *soak, fault_t *fault, int64_t now_us)
+{
+    (void)now_us;
+    target_upstream(soak, fault)->limited_since_us = 0;
+}
+
+static void
+all_links_disrupt(soak_t *soak, fault_t *fault, int64_t now_us)
+{
+    (void)now_us;
+    for (uint32_t i = 0; i < UPSTREAMS; i++) {
+        proxy_disrupt(soak->upstreams[i].proxy, fault);
+    }
+}
+
+static void
+all_links_restore(soak_t *soak, fault_t *fault, int64_t now_us)
+{
+    (void)fault;
+    (void)now_us;
+    for (uint32_t i = 0; i < UPSTREAMS; i++) {
+        proxy_set_mode(soak->upstreams[i].proxy, PROXY_PASS, 0);
+    }
+}
+
 static void
 upstream_slow_down(soak_t *soak, fault_t *fault, int64_t now_us)
 {
@@ -331,6 +370,13 @@
     {"upstream rests", upstream_rest, upstream_end_rest},
 };
 
+/* Added later still, and so drawn apart from those. */
+static const fault_kind_t later_kinds[] = {
+    {"upstream limited", upstream_limit, upstream_end_limit},
+    {"upstream limited", upstream_limit, upstream_end_limit},
+    {"connections to all upstreams", all_links_disrupt, all_links_restore},
+};
+
 static void
 fault_draw(soak_t *soak, fault_t *fault, const fault_kind_t *from,
            uint32_t from_count)
@@ -350,16 +396,24 @@
         /* Outlast the drain or evacuation bound, so that it is checked. */
         fault->duration_us += DRAIN_US + CONVERGE_US;
     }
+    else if (kind->begin == upstream_limit) {
+        fault->duration_us += STABLE_US + LIMIT_WINDOW_US;
+    }
 }
 
+/* Draw up to spread - 1 faults of some kinds, without effect on what is drawn
+   next. skip: random numbers to leave out, so that two calls draw others. */
 static void
-extra_faults_draw(soak_t *soak)
+extra_faults_draw(soak_t *soak, const fault_kind_t *from, uint32_t from_count,
+                  uint32_t spread, uint32_t skip)
 {
     uint64_t random_state = soak->random_state;
-    uint32_t count = soak_random(soak, FAULTS_EXTRA_SPREAD);
+    while (skip-- > 0) {
+        (void)soak_random(soak, 2);
+    }
+    uint32_t count = soak_random(soak, spread);
     for (uint32_t i = 0; i < count; i++) {
-        fault_draw(soak, &faults[fault_count++], extra_kinds,
-                   sizeof(extra_kinds) / sizeof(extra_kinds[0]));
+        fault_draw(soak, &faults[fault_count++], from, from_count);
     }
     soak->random_state = random_state;
 }
@@ -372,7 +426,12 @@
     for (uint32_t i = 0; i < fault_count; i++) {
         fault_draw(soak, &faults[i], kinds, sizeof(kinds) / sizeof(kinds[0]));
     }
-    extra_faults_draw(soak);
+    extra_faults_draw(soak, extra_kinds,
+                      sizeof(extra_kinds) / sizeof(extra_kinds[0]),
+                      FAULTS_EXTRA_SPREAD, 0);
+    extra_faults_draw(soak, later_kinds,
+                      sizeof(later_kinds) / sizeof(later_kinds[0]),
+                      FAULTS_LATER_SPREAD, 1);
     for (uint32_t i = 0; i < fault_count; i++) {
         const fault_kind_t *kind = faults[i].kind;
         printf("at %5.2f s for %4.2f s: %s, target %u, variant %u\n",
@@ -422,6 +481,11 @@
         else if (fault->kind->begin == upstream_link_disrupt) {
             target_upstream(soak, fault)->last_fault_us = now_us;
         }
+        else if (fault->kind->begin == all_links_disrupt) {
+            for (uint32_t j = 0; j < UPSTREAMS; j++) {
+                soak->upstreams[j].last_fault_us = now_us;
+            }
+        }
         else if (fault->kind->begin == store_down) {
             soak->last_store_fault_us = now_us;
         }
--- a/t/soak/soak_state.h
+++ b/t/soak/soak_state.h
@@ -32,6 +32,11 @@
     REST_US = 1500000,      /* Retry-After of a resting upstream */
     REST_SLACK_US = 500000, /* from its response to the rest */
     REST_ARRIVALS_MAX = 2,  /* within the rest, from one daemon */
+    LIMIT_PER_S = 6,        /* that a limited upstream names */
+    LIMIT_TOLD_US = 500000, /* from its response until the daemon counts */
+    LIMIT_WINDOW_US = 4000000,
+    LIMIT_ARRIVALS_MAX = 6 * LIMIT_PER_S + 5, /* within the window: 1.5 times
+                                                 the limit, and 5 */
     LOSS_SLACK_US = 200000, /* maximum age of a request lost unread by exit */
     ANSWER_SLACK_US = 500000, /* from the deadline to the response */
     DEADLINE_US = 1200000,    /* of each request */
@@ -45,6 +50,7 @@
     int64_t leaving_us;     /* first response as a leaving one; 0: none */
     int64_t rest_us;        /* last 503 with Retry-After; 0: none */
     uint32_t rest_arrivals; /* requests since then */
+    int64_t limit_us;       /* first response with a limit; 0: none */
 } upstream_notice_t;
 
 typedef struct {
@@ -62,6 +68,11 @@
     int64_t started_ms;        /* identifies its incarnation */
     bool leaving;              /* says so in its responses */
     bool resting;              /* answers 503 with Retry-After */
+    int64_t limited_since_us;  /* names a limit since then; 0: it does not */
+    /* Arrivals that count against the limit; the slot is the number modulo
+       the size. */
+    int64_t limit_arrivals[LIMIT_ARRIVALS_MAX + 1];
+    uint32_t limit_arrival_count;
     upstream_notice_t notices[DAEMONS_MAX];
     int64_t processing_us; /* from a request to its response */
 } upstream_t;
--- a/t/soak/soak_upstreams.c
+++ b/t/soak/soak_upstreams.c
@@ -48,6 +48,9 @@
     if (daemon->last_fault_us > notice->rest_us) {
         notice->rest_us = 0;
     }
+    if (daemon->last_fault_us > notice->limit_us) {
+        notice->limit_us = 0;
+    }
     if (notice->leaving_us != 0 &&
         entry->sent_us - notice->leaving_us > DRAIN_US) {
         request_log_add_violation(
@@ -66,6 +69,35 @@
     }
 }
 
+/* Check that the daemons that know the upstream's limit keep it together. */
+static void
+check_limit(upstream_t *upstream, const char *id,
+            const request_log_entry_t *entry, int64_t now_us)
+{
+    soak_t *soak = upstream->soak;
+    const upstream_notice_t *notice = &upstream->notices[entry->daemon];
+    const uint32_t size = LIMIT_ARRIVALS_MAX + 1;
+    if (upstream->limited_since_us == 0 || notice->limit_us == 0 ||
+        now_us - notice->limit_us < LIMIT_TOLD_US ||
+        now_us - upstream->limited_since_us < STABLE_US ||
+        !is_undisturbed(&soak->daemons[entry->daemon], now_us)) {
+        return;
+    }
+    uint32_t number = upstream->limit_arrival_count++;
+    upstream->limit_arrivals[number % size] = now_us;
+    int64_t span_us =
+        number < LIMIT_ARRIVALS_MAX
+            ? LIMIT_WINDOW_US
+            : now_us - upstream->limit_arrivals[(number + 1) % size];
+    if (span_us < LIMIT_WINDOW_US) {
+        request_log_add_violation(
+            soak->request_log, "LIMIT",
+            "%s at %s: %u requests in %lld ms, where %d in %d ms are allowed",
+            id, upstream->id, size, (long long)span_us / 1000,
+            LIMIT_ARRIVALS_MAX, LIMIT_WINDOW_US / 1000);
+    }
+}
+
 static void
 check_upstream_choice(upstream_t *upstream, const char *id,
                       const request_log_entry_t *entry, int64_t now_us)
@@ -193,6 +225,7 @@
     check_upstream_choice(upstream, id, entry, now_us);
     if (now_us - upstream->last_fault_us > STABLE_US) {
         check_notice(upstream, id, entry, now_us);
+        check_limit(upstream, id, entry, now_us);
     }
     if (upstream->resting) {
         respond_resting(upstream, exchange, entry->daemon, now_us);
@@ -214,15 +247,23 @@
     if (upstream->leaving && notice->leaving_us == 0) {
         notice->leaving_us = clock_now_us();
     }
+    if (upstream->limited_since_us != 0 && notice->limit_us == 0) {
+        notice->limit_us = clock_now_us();
+    }
     uint8_t part[PART_BYTES];
     char head[256];
+    char limit[64] = "";
+    if (upstream->limited_since_us != 0) {
+        snprintf(limit, sizeof(limit), HEADER_RATE_LIMIT ": %d\r\n",
+                 LIMIT_PER_S);
+    }
     upstream_fill_part(upstream->service, number, part);
-    int size =
-        snprintf(head, sizeof(head),
-                 HEADER_REQUEST_ID ": %s\r\n" HEADER_SIGNATURE
-                                   ": %u.%s\r\n" HEADER_INSTANCE ": %s\r\n%s",
-                 id, upstream->service, id, upstream->id,
-                 upstream->leaving ? HEADER_LEAVING ": 1\r\n" : "");
+    int size = snprintf(
+        head, sizeof(head),
+        HEADER_REQUEST_ID ": %s\r\n" HEADER_SIGNATURE
+                          ": %u.%s\r\n" HEADER_INSTANCE ": %s\r\n%s%s",
+        id, upstream->service, id, upstream->id,
+        upstream->leaving ? HEADER_LEAVING ": 1\r\n" : "", limit);
     exchange_respond(exchange, &(http_response_t){.status = 200,
                                                   .headers = head,
                                                   .headers_size = (size_t)size,
