rate_limit: smaller bursts, and a higher limit holds after ten seconds

Shares for 1.5 daemons per request a second, trials, and a higher limit taken at once added up. Now one daemon per request a second shares a limit, and an upstream that names a higher one gets more after ten seconds.

--- a/t/t1014-limit-exceeded.c
+++ b/t/t1014-limit-exceeded.c
@@ -47,6 +47,7 @@
     {"all upstreams of a shard", 8, 10, 3, 4, 3, 27, 0, 180, 20000, 150000, 95,
      80},
     {"the limit falls", 8, 10, 3, 4, 3, 42, 8, 180, 20000, 150000, 95, 0},
+    {"the limit rises", 8, 10, 3, 4, 3, 8, 42, 180, 20000, 150000, 95, 0},
     {"a limit of 0", 8, 10, 3, 4, 1, 0, 0, 150, 20000, 150000, 95, 0},
     {"a limit below 1", 8, 10, 3, 4, 2, 0.4, 0, 150, 20000, 150000, 95, 0},
     {"small limits of many upstreams", 8, 0, 35, 2, 21, 1.2, 0, 45, 160000,
@@ -130,7 +131,7 @@
     double window_s = (double)WINDOW_US / SECOND;
     int64_t from_us = LIMITED_FROM_US + STABLE_US;
     double limit_per_s = c->limit_per_s;
-    if (c->then_per_s > 0) {
+    if (c->then_per_s > 0 && c->then_per_s < c->limit_per_s) {
         limit_per_s = c->then_per_s;
         from_us = LIMITED_FROM_US + 2 * STABLE_US + SECOND;
     }
@@ -210,6 +211,41 @@
 }
 END_TEST
 
+/* Limits that an upstream states, and the one in force. */
+typedef struct {
+    const char *name;
+    struct {
+        int64_t at_s;
+        double per_s;
+    } stated[4];
+    uint32_t count;
+    double in_force;
+} statement_case_t;
+
+static const statement_case_t statement_cases[] = {
+    {"the first", {{0, 20}}, 1, 20},
+    {"a lower one at once", {{0, 20}, {1, 5}}, 2, 5},
+    {"a higher one not yet", {{0, 20}, {1, 40}, {10, 40}}, 3, 20},
+    {"a higher one after ten seconds", {{0, 20}, {1, 40}, {11, 40}}, 3, 40},
+    {"the least of the higher ones",
+     {{0, 20}, {1, 40}, {5, 30}, {11, 50}},
+     4,
+     30},
+    {"a lower one between", {{0, 20}, {1, 40}, {5, 20}, {11, 40}}, 4, 20},
+};
+
+START_TEST(test_limit_changes)
+{
+    const statement_case_t *c = &statement_cases[_i];
+    rate_limit_t limit = {0};
+    for (uint32_t i = 0; i < c->count; i++) {
+        rate_limit_state(&limit, c->stated[i].per_s,
+                         START_US + c->stated[i].at_s * SECOND);
+    }
+    ck_assert_msg(limit.per_s == c->in_force, "%s: %f", c->name, limit.per_s);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -217,5 +253,7 @@
     tcase_set_timeout(tests, 120);
     tcase_add_loop_test(tests, test_limit_exceeded, 0,
                         sizeof(limit_cases) / sizeof(limit_cases[0]));
+    tcase_add_loop_test(tests, test_limit_changes, 0,
+                        sizeof(statement_cases) / sizeof(statement_cases[0]));
     return suite_run("limit exceeded", tests);
 }
--- a/tier/rate_limit.c
+++ b/tier/rate_limit.c
@@ -8,9 +8,32 @@
     LOG_INTERVAL_US = 1000000
 };
 
+/* The limit that is in force after a response has stated per_s. */
+static double
+rate_in_force(rate_limit_t *limit, double per_s, int64_t now_us)
+{
+    if (!limit->stated || per_s <= limit->per_s) {
+        limit->higher_since_us = 0;
+        return per_s;
+    }
+    if (limit->higher_since_us == 0) {
+        limit->higher_since_us = now_us;
+        limit->higher_per_s = per_s;
+    }
+    else if (per_s < limit->higher_per_s) {
+        limit->higher_per_s = per_s;
+    }
+    if (now_us - limit->higher_since_us < RATE_RISE_US) {
+        return limit->per_s;
+    }
+    limit->higher_since_us = 0;
+    return limit->higher_per_s;
+}
+
 bool
 rate_limit_state(rate_limit_t *limit, double per_s, int64_t now_us)
 {
+    per_s = rate_in_force(limit, per_s, now_us);
     bool changed = !limit->stated || limit->per_s != per_s;
     if (!limit->stated) {
         *limit = (rate_limit_t){
--- a/tier/rate_limit.h
+++ b/tier/rate_limit.h
@@ -28,12 +28,15 @@
     RATE_BURST_US = 500000,
     /* Interval between two requests, over all daemons that have no share, that
        show whether the limit still holds. */
-    RATE_TRIAL_INTERVAL_US = 2000000
+    RATE_TRIAL_INTERVAL_US = 3000000,
+    /* A higher limit holds when nothing lower was stated for this long: an
+       upstream in need gets no burst because its limit goes up and down. */
+    RATE_RISE_US = 10000000
 };
 
 /* Daemons that share a limit, per request a second that it allows: the sum of
-   what they save stays below 1.5 seconds' worth of the limit. */
-#define RATE_SHARERS_PER_REQUEST 1.5
+   what they save stays below a second's worth of the limit, and one. */
+#define RATE_SHARERS_PER_REQUEST 1.0
 
 /* The daemons that send requests to the upstreams. */
 typedef struct {
@@ -46,11 +49,13 @@
 /* Zeroed: the upstream states no limit. */
 typedef struct {
     bool stated;
-    double per_s;       /* from all daemons together */
-    double share_per_s; /* of this daemon; 0: none */
-    double saved;       /* requests that may be sent, at saved_us */
-    int64_t saved_us;   /* when saved was updated */
-    int64_t trial_us;   /* without a share: when to send one request */
+    double per_s;            /* in force, from all daemons together */
+    double higher_per_s;     /* the least of the higher ones stated lately */
+    int64_t higher_since_us; /* 0: none */
+    double share_per_s;      /* of this daemon; 0: none */
+    double saved;            /* requests that may be sent, at saved_us */
+    int64_t saved_us;        /* when saved was updated */
+    int64_t trial_us;        /* without a share: when to send one request */
     int64_t trial_every_us;
     int64_t stated_us;   /* the first response that stated a limit */
     int64_t logged_us;   /* the last log line about its value */
@@ -58,8 +63,9 @@
     uint64_t sent_again; /* of these, retries and hedges */
 } rate_limit_t;
 
-/* A response states a limit. Returns true if it is the first, or differs from
-   the last and is due to be logged. rate_limit_divide is to be called next. */
+/* A response states a limit. A lower one is in force at once, a higher one
+   after RATE_RISE_US. Returns true if the limit in force has changed and is
+   due to be logged. rate_limit_divide is to be called next. */
 bool rate_limit_state(rate_limit_t *limit, double per_s, int64_t now_us);
 
 /* A response states no limit any more. */
