relay: answer relayed requests before the daemon stops

Found by reading: a daemon that is cut off and gets SIGTERM closed the connections of callers whose requests it had relayed, without an answer, 0.7 s before it would be killed; the engine's own open requests get an error then. Relayed ones get one too, and connections of peers end with their next response, as callers' do.

t1015 test_shutdown_while_relaying failed before (no status), and passes.

--- a/t/t1015-partitioned-daemon.c
+++ b/t/t1015-partitioned-daemon.c
@@ -397,6 +397,35 @@
 }
 END_TEST
 
+/* A daemon that is asked to stop answers the requests that it has relayed. */
+START_TEST(test_shutdown_while_relaying)
+{
+    static const tier_script_t hanging = {0};
+    pair_t p;
+    caller_t caller;
+    pair_init(&p);
+    list_upstreams(&p, p.f.store, true, false);
+    run_ms(&p.f, POLLED_MS);
+    ask_until_stable(&p);
+    for (int i = 0; i < UPSTREAMS; i++) {
+        tier_upstream_set(p.f.upstreams[i], &hanging);
+    }
+    uint32_t before = tier_upstream_requests(p.f.upstreams[0]);
+    caller_open(&p.f, &caller, &p.f.boot.callers_address);
+    caller_send(&caller, "GET /once/x HTTP/1.1\r\nHost: h\r\n"
+                         "X-Yuccarun-Request-Id: r-last\r\n"
+                         "X-Yuccarun-Deadline-Ms: 9000\r\n\r\n");
+    run_ms(&p.f, 100);
+    ck_assert_uint_eq(tier_upstream_requests(p.f.upstreams[0]) - before, 1);
+    node_shutdown(p.f.node);
+    run_ms(&p.f, p.f.boot.grace_us / 1000);
+    ck_assert_msg(status_of(&caller) == 504 || status_of(&caller) == 502, "%u",
+                  status_of(&caller));
+    conn_close(&caller.conn);
+    pair_release(&p);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -406,5 +435,6 @@
                         sizeof(reach_cases) / sizeof(reach_cases[0]));
     tcase_add_loop_test(tests, test_partitioned_daemon, 0,
                         sizeof(partition_cases) / sizeof(partition_cases[0]));
+    tcase_add_test(tests, test_shutdown_while_relaying);
     return suite_run("partitioned daemon", tests);
 }
--- a/tier/node.c
+++ b/tier/node.c
@@ -256,6 +256,7 @@
         /* Requests that are not done in time get an error answer, which is
            sent within SHUTDOWN_FLUSH_US. */
         engine_fail_all(node->engine, now_us);
+        relay_links_fail_all(node->relay_links, now_us);
     }
     bool done = engine_request_count(node->engine) == 0 &&
                 http_server_stats(node->caller_server)->open == 0 &&
@@ -522,6 +523,7 @@
               engine_request_count(node->engine),
               http_server_stats(node->caller_server)->open);
     http_server_close_after_responses(node->caller_server);
+    http_server_close_after_responses(node->peer_server);
     store_link_deregister(node->store, node->shutdown_us);
 }
 
--- a/tier/relay_link.c
+++ b/tier/relay_link.c
@@ -274,6 +274,18 @@
     }
 }
 
+void
+relay_links_fail_all(relay_links_t *links, int64_t now_us)
+{
+    for (relay_call_t *call = links->all; call != NULL;
+         call = links->sweep_next) {
+        links->sweep_next = call->next;
+        if (call->done != NULL) {
+            call_fail(call, RELAY_TIMED_OUT, now_us);
+        }
+    }
+}
+
 void
 relay_links_free(relay_links_t *links)
 {
--- a/tier/relay_link.h
+++ b/tier/relay_link.h
@@ -77,6 +77,9 @@
 /* Close the call's connection; `done` is not called. */
 void relay_links_cancel(relay_call_t *call);
 
+/* End all calls as timed out, since the daemon stops. */
+void relay_links_fail_all(relay_links_t *links, int64_t now_us);
+
 /* End the calls that have timed out and close idle connections. */
 void relay_links_sweep(relay_links_t *links, int64_t now_us);
 
