--- a/t/t1014-limit-exceeded.c
+++ b/t/t1014-limit-exceeded.c
@@ -246,6 +246,88 @@
 }
 END_TEST
 
+/* All daemons of a fleet send as much as they may, after a time without any
+   request. */
+typedef struct {
+    uint32_t daemons;
+    double limit_per_s;
+    int64_t idle_s;
+} greedy_case_t;
+
+static const greedy_case_t greedy_cases[] = {
+    {8, 0, 60},    {8, 0.3, 60},  {8, 1, 60},    {8, 42, 60},  {32, 0, 300},
+    {32, 1, 300},  {32, 9.7, 60}, {32, 9.7, 1},  {60, 0, 300}, {60, 1, 300},
+    {60, 9.7, 60}, {60, 27, 60},  {60, 100, 60}, {60, 100, 0},
+};
+
+START_TEST(test_greedy_daemons)
+{
+    enum { DAEMONS = 60, STEP_US = 50000 };
+    const greedy_case_t *c = &greedy_cases[_i];
+    static rate_limit_t limits[DAEMONS];
+    uint64_t daemon_ids[DAEMONS];
+    uint32_t sent = 0;
+    for (uint32_t i = 0; i < c->daemons; i++) {
+        daemon_ids[i] = i + 1;
+    }
+    for (uint32_t i = 0; i < c->daemons; i++) {
+        rate_sharers_t sharers = {
+            .self = daemon_ids[i],
+            .ids = daemon_ids,
+            .count = c->daemons,
+            .fleet_size = c->daemons,
+        };
+        limits[i] = (rate_limit_t){0};
+        rate_limit_state(&limits[i], c->limit_per_s, START_US);
+        rate_limit_divide(&limits[i], 7, &sharers, START_US);
+    }
+    for (int64_t at_us = 0; at_us <= WINDOW_US; at_us += STEP_US) {
+        int64_t now_us = START_US + c->idle_s * SECOND + at_us;
+        for (uint32_t i = 0; i < c->daemons; i++) {
+            while (rate_limit_allows(&limits[i], now_us)) {
+                rate_limit_take(&limits[i], false, now_us);
+                sent++;
+            }
+        }
+    }
+    double allowed = 1.5 * c->limit_per_s * WINDOW_US / SECOND + 5;
+    printf(
+        "%u daemons, %.1f a second, idle for %lld s: %u sent, %.0f allowed\n",
+        c->daemons, c->limit_per_s, (long long)c->idle_s, sent, allowed);
+    ck_assert_msg(sent <= allowed, "%u daemons, %.1f a second: %u sent",
+                  c->daemons, c->limit_per_s, sent);
+}
+END_TEST
+
+/* A daemon without a share sends a request in its turn, again and again, so
+   that it learns when the limit ends. */
+START_TEST(test_turns)
+{
+    enum { DAEMONS = 8 };
+    const uint64_t daemon_ids[DAEMONS] = {1, 2, 3, 4, 5, 6, 7, 8};
+    for (uint32_t i = 0; i < DAEMONS; i++) {
+        rate_limit_t limit = {0};
+        rate_sharers_t sharers = {
+            .self = daemon_ids[i],
+            .ids = daemon_ids,
+            .count = DAEMONS,
+            .fleet_size = DAEMONS,
+        };
+        uint32_t sent = 0;
+        rate_limit_state(&limit, 0, START_US);
+        rate_limit_divide(&limit, 7, &sharers, START_US);
+        for (int64_t at_us = START_US; at_us < START_US + 100 * SECOND;
+             at_us += SECOND / 10) {
+            if (rate_limit_allows(&limit, at_us)) {
+                rate_limit_take(&limit, false, at_us);
+                sent++;
+            }
+        }
+        ck_assert_msg(sent >= 3 && sent <= 5, "daemon %u: %u", i, sent);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -255,5 +337,8 @@
                         sizeof(limit_cases) / sizeof(limit_cases[0]));
     tcase_add_loop_test(tests, test_limit_changes, 0,
                         sizeof(statement_cases) / sizeof(statement_cases[0]));
+    tcase_add_loop_test(tests, test_greedy_daemons, 0,
+                        sizeof(greedy_cases) / sizeof(greedy_cases[0]));
+    tcase_add_test(tests, test_turns);
     return suite_run("limit exceeded", tests);
 }
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -184,7 +184,7 @@
         if (!pick_allows(pick, instance, now_us)) {
             continue;
         }
-        if (!limit->stated || now_us >= limit->trial_us) {
+        if (!limit->stated || rate_limit_is_turn(limit, now_us)) {
             return (pool_rate_t){0};
         }
         rate.bound = true;
--- a/tier/rate_limit.c
+++ b/tier/rate_limit.c
@@ -99,15 +99,23 @@
     else {
         limit->share_per_s = 0;
     }
-    int64_t every_us = (int64_t)RATE_TRIAL_INTERVAL_US * size;
-    if (every_us != limit->trial_every_us) {
-        /* By its place, so that the daemons take turns. */
-        limit->trial_every_us = every_us;
-        limit->trial_us =
-            now_us + (int64_t)RATE_TRIAL_INTERVAL_US * (place % size + 1);
+    int64_t every_us = (int64_t)RATE_TURN_US * size;
+    if (every_us != limit->turn_every_us) {
+        limit->turn_every_us = every_us;
+        limit->turn_us = now_us + (int64_t)RATE_TURN_US * (place % size + 1);
     }
 }
 
+bool
+rate_limit_is_turn(const rate_limit_t *limit, int64_t now_us)
+{
+    if (!limit->stated || limit->share_per_s > 0 || now_us < limit->turn_us) {
+        return false;
+    }
+    int64_t into_us = (now_us - limit->turn_us) % limit->turn_every_us;
+    return into_us < RATE_TURN_US && limit->sent_us < now_us - into_us;
+}
+
 double
 rate_limit_saved(const rate_limit_t *limit, int64_t at_us)
 {
@@ -124,14 +132,15 @@
 rate_limit_is_shared(const rate_limit_t *limit, int64_t now_us)
 {
     return !limit->stated || limit->share_per_s > 0 ||
-           now_us >= limit->trial_us;
+           rate_limit_is_turn(limit, now_us);
 }
 
 bool
 rate_limit_allows(const rate_limit_t *limit, int64_t now_us)
 {
-    return !limit->stated || now_us >= limit->trial_us ||
-           rate_limit_saved(limit, now_us) >= 1;
+    return !limit->stated ||
+           (limit->share_per_s > 0 ? rate_limit_saved(limit, now_us) >= 1
+                                   : rate_limit_is_turn(limit, now_us));
 }
 
 void
@@ -145,8 +154,7 @@
     if (limit->saved < 0) {
         limit->saved = 0;
     }
-    /* Any request shows whether the limit still holds. */
-    limit->trial_us = now_us + limit->trial_every_us;
+    limit->sent_us = now_us;
     limit->sent++;
     limit->sent_again += again ? 1 : 0;
 }
--- a/tier/rate_limit.h
+++ b/tier/rate_limit.h
@@ -8,7 +8,7 @@
  * send what they have saved at the same moment. So that this sum stays small
  * against the limit, only as many daemons share a small limit as
  * RATE_SHARERS_PER_REQUEST says, others for each upstream. The rest send no
- * requests but a rare one that shows whether the limit still holds.
+ * requests but a rare one, in turn, that shows whether the limit still holds.
  *
  *     rate_limit_state(&limit, per_s, now_us);
  *     rate_limit_divide(&limit, instance_key, &sharers, now_us);
@@ -26,9 +26,11 @@
 enum {
     /* A larger share may save this much of itself for a burst. */
     RATE_BURST_US = 500000,
-    /* Interval between two requests, over all daemons that have no share, that
-       show whether the limit still holds. */
-    RATE_TRIAL_INTERVAL_US = 3000000,
+    /* Daemons without a share take turns of this length. In each turn one of
+       them may send one request, which shows whether the limit still holds. A
+       turn that is not used is lost: the turns of idle daemons don't add up.
+     */
+    RATE_TURN_US = 3000000,
     /* A higher limit holds when nothing lower was stated for this long: an
        upstream in need gets no burst because its limit goes up and down. */
     RATE_RISE_US = 10000000
@@ -55,12 +57,13 @@
     double share_per_s;      /* of this daemon; 0: none */
     double saved;            /* requests that may be sent, at saved_us */
     int64_t saved_us;        /* when saved was updated */
-    int64_t trial_us;        /* without a share: when to send one request */
-    int64_t trial_every_us;
-    int64_t stated_us;   /* the first response that stated a limit */
-    int64_t logged_us;   /* the last log line about its value */
-    uint64_t sent;       /* requests of this daemon since stated_us */
-    uint64_t sent_again; /* of these, retries and hedges */
+    int64_t turn_us;         /* without a share: start of its first turn */
+    int64_t turn_every_us;   /* from the start of a turn to that of the next */
+    int64_t sent_us;         /* the last request */
+    int64_t stated_us;       /* the first response that stated a limit */
+    int64_t logged_us;       /* the last log line about its value */
+    uint64_t sent;           /* requests of this daemon since stated_us */
+    uint64_t sent_again;     /* of these, retries and hedges */
 } rate_limit_t;
 
 /* A response states a limit. A lower one is in force at once, a higher one
@@ -79,6 +82,9 @@
 /* Whether a request may be sent now. */
 bool rate_limit_allows(const rate_limit_t *limit, int64_t now_us);
 
+/* Whether it is this daemon's turn to send one request without a share. */
+bool rate_limit_is_turn(const rate_limit_t *limit, int64_t now_us);
+
 /* Whether the limit allows this daemon any request now or later. */
 bool rate_limit_is_shared(const rate_limit_t *limit, int64_t now_us);
 
