--- a/t/t1015-partitioned-daemon.c
+++ b/t/t1015-partitioned-daemon.c
@@ -397,6 +397,67 @@
 }
 END_TEST
 
+/* Two peers lose the connection when they get a relayed request. One that must
+   not repeat is not relayed again, since the first peer may have run it. */
+typedef struct {
+    const char *name;
+    const char *path;
+    uint32_t relays;
+} lost_case_t;
+
+static const lost_case_t lost_cases[] = {
+    {"idempotent", "/one/", 2},
+    {"not idempotent", "/once/", 1},
+};
+
+START_TEST(test_peer_lost)
+{
+    enum { PEERS = 2, AVOIDED_MS = 1200 };
+    static const tier_script_t closing = {.end = SCRIPT_CLOSE};
+    static const tier_script_t refusing = {
+        .bytes = "HTTP/1.1 503 Cut\r\n"
+                 "Yuccarun-Relay-Refused: upstreams_unreachable\r\n"
+                 "Content-Length: 0\r\n\r\n"};
+    const lost_case_t *c = &lost_cases[_i];
+    tier_upstream_server_t *peers[PEERS];
+    uint32_t before = 0;
+    uint32_t after = 0;
+    pair_t p;
+    caller_t caller;
+    pair_init(&p);
+    tier_store_remove(p.f.store, "yuccarun/fleet/members/front-a-2");
+    for (int i = 0; i < PEERS; i++) {
+        boot_t boot = p.boot;
+        boot.control_address = unique_loopback_address();
+        snprintf(boot.daemon_name, sizeof(boot.daemon_name), "front-a-%d",
+                 7 + i);
+        set_address_texts(&boot);
+        peers[i] =
+            tier_upstream_new(p.f.loop, &boot.control_address, &refusing);
+        put_member(p.f.store, &boot);
+    }
+    list_upstreams(&p, p.f.store, true, false);
+    run_ms(&p.f, POLLED_MS);
+    ask_until_stable(&p);
+    run_ms(&p.f, AVOIDED_MS);
+    for (int i = 0; i < PEERS; i++) {
+        before += tier_upstream_requests(peers[i]);
+        tier_upstream_set(peers[i], &closing);
+    }
+    uint32_t status = ask(&p, c->path, 3000, &caller);
+    for (int i = 0; i < PEERS; i++) {
+        after += tier_upstream_requests(peers[i]);
+    }
+    ck_assert_msg(status == 502, "%s: %u", c->name, status);
+    ck_assert_msg(after - before == c->relays, "%s: relayed %u times", c->name,
+                  after - before);
+    for (int i = 0; i < PEERS; i++) {
+        tier_upstream_free(peers[i]);
+    }
+    pair_release(&p);
+}
+END_TEST
+
 /* A daemon that is asked to stop answers the requests that it has relayed. */
 START_TEST(test_shutdown_while_relaying)
 {
@@ -435,6 +496,8 @@
                         sizeof(reach_cases) / sizeof(reach_cases[0]));
     tcase_add_loop_test(tests, test_partitioned_daemon, 0,
                         sizeof(partition_cases) / sizeof(partition_cases[0]));
+    tcase_add_loop_test(tests, test_peer_lost, 0,
+                        sizeof(lost_cases) / sizeof(lost_cases[0]));
     tcase_add_test(tests, test_shutdown_while_relaying);
     return suite_run("partitioned daemon", tests);
 }
