--- a/t/t1015-partitioned-daemon.c
+++ b/t/t1015-partitioned-daemon.c
@@ -397,6 +397,30 @@
 }
 END_TEST
 
+/* A daemon that is cut off refuses relayed requests at once, so that another
+   peer can be asked, and does not try its upstreams for them. */
+START_TEST(test_cut_off_peer_refuses)
+{
+    pair_t p;
+    caller_t caller;
+    pair_init(&p);
+    list_upstreams(&p, p.f.store, true, true);
+    run_ms(&p.f, POLLED_MS);
+    ask_until_stable(&p);
+    caller_exchange(&p.f, &caller, &p.f.boot.control_address,
+                    "GET /one/x HTTP/1.1\r\nHost: h\r\n"
+                    "X-Yuccarun-Request-Id: r-relayed\r\n"
+                    "X-Yuccarun-Deadline-Ms: 600\r\n"
+                    "Yuccarun-Relay-Version: 0\r\n\r\n",
+                    100);
+    ck_assert_msg(status_of(&caller) == 503, "%s", caller.text);
+    ck_assert_ptr_nonnull(strstr(
+        caller.text, "Yuccarun-Relay-Refused: upstreams_unreachable\r\n"));
+    conn_close(&caller.conn);
+    pair_release(&p);
+}
+END_TEST
+
 /* Two peers lose the connection when they get a relayed request. One that must
    not repeat is not relayed again, since the first peer may have run it. */
 typedef struct {
@@ -498,6 +522,7 @@
                         sizeof(partition_cases) / sizeof(partition_cases[0]));
     tcase_add_loop_test(tests, test_peer_lost, 0,
                         sizeof(lost_cases) / sizeof(lost_cases[0]));
+    tcase_add_test(tests, test_cut_off_peer_refuses);
     tcase_add_test(tests, test_shutdown_while_relaying);
     return suite_run("partitioned daemon", tests);
 }
