--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -933,6 +933,7 @@
     {"no limit", LIMITED_RESPONSE(""), 200, 2},
     {"none accepted", LIMITED_RESPONSE("Server-Limit: 0\r\n"), 503, 1},
     {"one in ten seconds", LIMITED_RESPONSE("Server-Limit: 0.1\r\n"), 503, 1},
+    {"one in ages", LIMITED_RESPONSE("Server-Limit: 1e-300\r\n"), 503, 1},
     {"plenty", LIMITED_RESPONSE("Server-Limit: 100000.5\r\n"), 200, 2},
     {"not a number", LIMITED_RESPONSE("Server-Limit: few\r\n"), 200, 2},
 };
@@ -950,10 +951,14 @@
     ck_assert_uint_eq(status_of(&caller), 200);
     conn_close(&caller.conn);
     run_ms(&f, 20);
+    int64_t start_us = clock_now_us();
     caller_exchange(&f, &caller, &f.boot.callers_address,
                     REQUEST("/one/", "r-2"), CALLER_DEADLINE_MS);
+    int64_t took_us = clock_now_us() - start_us;
     ck_assert_msg(status_of(&caller) == c->status, "%s: %u", c->name,
                   status_of(&caller));
+    ck_assert_msg(c->status == 200 || took_us < CALLER_DEADLINE_MS * 500,
+                  "%s: refused after %lld us", c->name, (long long)took_us);
     ck_assert_msg(tier_upstream_requests(f.upstreams[0]) == c->requests,
                   "%s: %u requests", c->name,
                   tier_upstream_requests(f.upstreams[0]));
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -13,7 +13,10 @@
        unresponsive: single responses are lost in transit. */
     UNRESPONSIVE_SENDS_MIN = 3,
     /* After this time without a request, the last ones show nothing. */
-    UNRESPONSIVE_IDLE_US = 1000000
+    UNRESPONSIVE_IDLE_US = 1000000,
+    /* Longest wait that is computed from a rate limit, which may be any
+       positive number; no request waits for that long. */
+    RATE_WAIT_MAX_US = 600000000
 };
 
 /* The concurrency limit falls linearly from its largest to its smallest value
@@ -200,9 +203,12 @@
                    int64_t now_us)
 {
     double missing = pick->queued_ahead + 1 - rate->saved;
-    return missing <= 0
-               ? now_us
-               : now_us + (int64_t)(missing / rate->share_per_s * 1e6);
+    if (missing <= 0) {
+        return now_us;
+    }
+    double wait_us = missing / rate->share_per_s * 1e6;
+    return now_us +
+           (wait_us < RATE_WAIT_MAX_US ? (int64_t)wait_us : RATE_WAIT_MAX_US);
 }
 
 /* Whether the limits allow one more request too late for pick. */
