--- a/t/t1015-partitioned-daemon.c
+++ b/t/t1015-partitioned-daemon.c
@@ -421,23 +421,30 @@
 }
 END_TEST
 
-/* Two peers lose the connection when they get a relayed request. One that must
-   not repeat is not relayed again, since the first peer may have run it. */
+/* Two peers lose the connection when they get a relayed request, or lose their
+   upstreams while they handle it. One that must not repeat is not relayed
+   again, since the first peer may have run it, and none is said not to have
+   run. */
 typedef struct {
     const char *name;
     const char *path;
+    tier_script_t script; /* of both peers */
     uint32_t relays;
 } lost_case_t;
 
+#define LOST_UPSTREAMS                                                        \
+    "HTTP/1.1 502 Lost\r\nYuccarun-Relay-Refused: upstreams_unreachable\r\n"  \
+    "Content-Length: 0\r\n\r\n"
+
 static const lost_case_t lost_cases[] = {
-    {"idempotent", "/one/", 2},
-    {"not idempotent", "/once/", 1},
+    {"idempotent", "/one/", {.end = SCRIPT_CLOSE}, 2},
+    {"not idempotent", "/once/", {.end = SCRIPT_CLOSE}, 1},
+    {"lost upstreams", "/one/", {.bytes = LOST_UPSTREAMS}, 2},
 };
 
 START_TEST(test_peer_lost)
 {
     enum { PEERS = 2, AVOIDED_MS = 1200 };
-    static const tier_script_t closing = {.end = SCRIPT_CLOSE};
     static const tier_script_t refusing = {
         .bytes = "HTTP/1.1 503 Cut\r\n"
                  "Yuccarun-Relay-Refused: upstreams_unreachable\r\n"
@@ -466,7 +473,7 @@
     run_ms(&p.f, AVOIDED_MS);
     for (int i = 0; i < PEERS; i++) {
         before += tier_upstream_requests(peers[i]);
-        tier_upstream_set(peers[i], &closing);
+        tier_upstream_set(peers[i], &c->script);
     }
     uint32_t status = ask(&p, c->path, 3000, &caller);
     for (int i = 0; i < PEERS; i++) {
--- a/tier/front_relay.c
+++ b/tier/front_relay.c
@@ -120,6 +120,9 @@
     const char *version = http_header_find(message, HEADER_RELAY_IN_FORCE);
     if (refused != NULL) {
         relay_log(pending, "refused", message->status, refused);
+        /* The peer may have lost the upstreams after it had sent the request
+           to one. */
+        pending->may_have_run |= !status_is_refusal(message->status);
         front->relay_ops->avoid(front->relay_owner, pending->peer, now_us);
         if (!front_relay(exchange, pending, now_us)) {
             relay_fall_back(exchange, pending, now_us);
