--- a/t/t1015-partitioned-daemon.c
+++ b/t/t1015-partitioned-daemon.c
@@ -45,7 +45,7 @@
     step_t steps[12];
     int64_t checked_ms;
     reach_state_t state;
-    bool lost;
+    bool cut_off;
     uint32_t probes; /* started until then */
 } reach_case_t;
 
@@ -197,7 +197,7 @@
         probes += reach_probes_due(&reach, T0 + ms * MS);
     }
     ck_assert_msg(reach.state == c->state, "%s: %d", c->name, reach.state);
-    ck_assert_msg(reach_is_lost(&reach) == c->lost, "%s", c->name);
+    ck_assert_msg(reach_is_cut_off(&reach) == c->cut_off, "%s", c->name);
     ck_assert_msg(probes == c->probes, "%s: %u probes", c->name, probes);
 }
 END_TEST
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -107,7 +107,7 @@
     int64_t retry_after_us; /* local: Retry-After to send; 0: none */
     const char *reason;     /* local: reason code, one word */
     bool may_have_run;      /* local: an upstream may have run it */
-    bool is_repeatable;     /* local: it may be sent once more all the same */
+    bool is_repeatable;     /* local: it has not run, or is idempotent */
 } answer_t;
 
 typedef struct {
@@ -219,7 +219,7 @@
 void engine_each_route(const engine_t *engine, engine_route_fn_t each,
                        void *owner);
 
-/* How long the caller waits, by its own word and the route's. */
+/* The request's timeout: the caller's or the route's, whichever is shorter. */
 int64_t engine_timeout_us(const engine_t *engine, const call_t *call);
 
 /* Whether the request may run more than once; false if no route is known. */
--- a/tier/front.c
+++ b/tier/front.c
@@ -319,7 +319,7 @@
     /* A peer that has relayed the request may ask another one if this daemon
        has just lost the upstreams. */
     bool lost = front->takes_relayed && answer->is_repeatable &&
-                reach_is_lost(engine_reach(front->engine));
+                reach_is_cut_off(engine_reach(front->engine));
     front_relay_headers(front, lost ? "upstreams_unreachable" : NULL, relay,
                         sizeof(relay));
     int size = snprintf(head, sizeof(head), HEADER_REQUEST_ID ": %s\r\n%s",
--- a/tier/front.h
+++ b/tier/front.h
@@ -38,7 +38,7 @@
     const front_relay_ops_t *relay_ops;
     void *relay_owner;
     relay_links_t *relay_links;
-    bool takes_relayed; /* its requests are relayed by peers: not again */
+    bool takes_relayed; /* its requests come from peers; not relayed again */
     uint64_t relayed;   /* requests that a peer has answered */
 } front_t;
 
--- a/tier/front_relay.c
+++ b/tier/front_relay.c
@@ -35,19 +35,32 @@
     }
 }
 
+/* Why a relayed request is refused; NULL: it is taken. version: the least one
+   of the configuration, as text; may be NULL. */
+static const char *
+relay_refusal(const front_t *front, const char *version)
+{
+    const route_table_t *table = engine_table(front->engine);
+    if (front->draining) {
+        return "leaving";
+    }
+    if (table == NULL) {
+        return "no_configuration";
+    }
+    if (reach_is_cut_off(engine_reach(front->engine))) {
+        return "upstreams_unreachable";
+    }
+    return version != NULL && strtoull(version, NULL, 10) > table->version
+               ? "older_configuration"
+               : NULL;
+}
+
 bool
 front_take_relayed(exchange_t *exchange, front_t *front)
 {
     const http_message_t *message = exchange_request(exchange);
-    const char *version = http_header_find(message, HEADER_RELAY_VERSION);
-    const route_table_t *table = engine_table(front->engine);
     const char *reason =
-        front->draining                              ? "leaving"
-        : table == NULL                              ? "no_configuration"
-        : reach_is_lost(engine_reach(front->engine)) ? "upstreams_unreachable"
-        : version != NULL && strtoull(version, NULL, 10) > table->version
-            ? "older_configuration"
-            : NULL;
+        relay_refusal(front, http_header_find(message, HEADER_RELAY_VERSION));
     if (reason == NULL) {
         return true;
     }
--- a/tier/front_state.h
+++ b/tier/front_state.h
@@ -26,8 +26,8 @@
     uint32_t relays;   /* peers asked so far */
     bool relays_ended; /* it is not relayed again */
     bool may_have_run; /* here, or at a peer whose response was lost */
-    bool has_failed;   /* the engine has answered, with: */
-    answer_t failure;
+    bool has_failed;   /* the engine has answered with an error */
+    answer_t failure;  /* that error, for the case that no peer takes it */
     int64_t deadline_us;
 } pending_t;
 
--- a/tier/node_relay.c
+++ b/tier/node_relay.c
@@ -22,7 +22,7 @@
 {
     const node_t *node = owner;
     const route_table_t *table = engine_table(node->engine);
-    return reach_is_lost(engine_reach(node->engine)) ||
+    return reach_is_cut_off(engine_reach(node->engine)) ||
            (table != NULL && table->version < node->relay_version);
 }
 
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -94,8 +94,7 @@
     uint32_t suspects_reported; /* how many were written to the store */
     bool registry_copy_stale;   /* the registry changed since the last copy */
     int64_t registry_copied_us; /* when the last copy was written */
-    int64_t
-        cut_us; /* when the upstreams became unreachable; 0: they are not */
+    int64_t cut_us;  /* when this daemon was cut off; 0: it is not */
     uint64_t probes; /* connects that checked it, so far */
     uint64_t relays; /* peers chosen for relayed requests, so far */
     bool shutting_down;
--- a/tier/pool.c
+++ b/tier/pool.c
@@ -173,7 +173,7 @@
  */
 typedef struct {
     bool bound;         /* all upstreams have a limit, and there is one */
-    double saved;       /* requests that may be sent now */
+    double tokens;      /* of this daemon, now */
     double share_per_s; /* of this daemon */
 } pool_rate_t;
 
@@ -191,7 +191,7 @@
             return (pool_rate_t){0};
         }
         rate.bound = true;
-        rate.saved += rate_limit_saved(limit, now_us);
+        rate.tokens += rate_limit_tokens(limit, now_us);
         rate.share_per_s += limit->share_per_s;
     }
     return rate;
@@ -202,7 +202,7 @@
 pool_rate_ready_us(const pool_rate_t *rate, const pool_pick_t *pick,
                    int64_t now_us)
 {
-    double missing = pick->queued_ahead + 1 - rate->saved;
+    double missing = pick->queued_ahead + 1 - rate->tokens;
     if (missing <= 0) {
         return now_us;
     }
@@ -234,7 +234,7 @@
         }
         if (now_us >= instance->rest_until_us) {
             pool_rate_t rate = pool_rate(pool, pick, now_us);
-            return rate.bound && rate.saved < 1
+            return rate.bound && rate.tokens < 1
                        ? pool_rate_ready_us(&rate, pick, now_us)
                        : 0;
         }
--- a/tier/rate_limit.c
+++ b/tier/rate_limit.c
@@ -39,7 +39,7 @@
         *limit = (rate_limit_t){
             .stated = true,
             .stated_us = now_us,
-            .saved_us = now_us,
+            .tokens_us = now_us,
             .logged_us = now_us - LOG_INTERVAL_US,
         };
     }
@@ -57,9 +57,9 @@
     *limit = (rate_limit_t){0};
 }
 
-/* Position of a daemon in the order in which daemons get shares of a limit. */
+/* The daemons with the least hashes get the shares of a limit. */
 static uint64_t
-sharer_position(uint64_t id, uint64_t key)
+sharer_hash(uint64_t id, uint64_t key)
 {
     return XXH64(&id, sizeof(id), key);
 }
@@ -68,12 +68,12 @@
 static uint32_t
 sharers_place(const rate_sharers_t *sharers, uint64_t key)
 {
-    uint64_t own = sharer_position(sharers->self, key);
+    uint64_t own = sharer_hash(sharers->self, key);
     uint32_t before = 0;
     bool listed = false;
     for (uint32_t i = 0; i < sharers->count; i++) {
         listed = listed || sharers->ids[i] == sharers->self;
-        before += sharer_position(sharers->ids[i], key) < own ? 1 : 0;
+        before += sharer_hash(sharers->ids[i], key) < own ? 1 : 0;
     }
     return listed ? before : sharers->count;
 }
@@ -85,8 +85,8 @@
     if (!limit->stated) {
         return;
     }
-    limit->saved = rate_limit_saved(limit, now_us);
-    limit->saved_us = now_us;
+    limit->tokens = rate_limit_tokens(limit, now_us);
+    limit->tokens_us = now_us;
     uint32_t size = sharers->fleet_size > 0 ? sharers->fleet_size : 1;
     uint32_t place = sharers_place(sharers, key);
     double wanted = RATE_SHARERS_PER_REQUEST * limit->per_s + 1;
@@ -117,15 +117,16 @@
 }
 
 double
-rate_limit_saved(const rate_limit_t *limit, int64_t at_us)
+rate_limit_tokens(const rate_limit_t *limit, int64_t at_us)
 {
     double most = limit->share_per_s * RATE_BURST_US / 1e6;
     if (most < 1) {
         most = 1;
     }
-    double saved = limit->saved + limit->share_per_s *
-                                      (double)(at_us - limit->saved_us) / 1e6;
-    return saved < most ? saved : most;
+    double tokens = limit->tokens + limit->share_per_s *
+                                        (double)(at_us - limit->tokens_us) /
+                                        1e6;
+    return tokens < most ? tokens : most;
 }
 
 bool
@@ -139,7 +140,7 @@
 rate_limit_allows(const rate_limit_t *limit, int64_t now_us)
 {
     return !limit->stated ||
-           (limit->share_per_s > 0 ? rate_limit_saved(limit, now_us) >= 1
+           (limit->share_per_s > 0 ? rate_limit_tokens(limit, now_us) >= 1
                                    : rate_limit_is_turn(limit, now_us));
 }
 
@@ -149,10 +150,10 @@
     if (!limit->stated) {
         return;
     }
-    limit->saved = rate_limit_saved(limit, now_us) - 1;
-    limit->saved_us = now_us;
-    if (limit->saved < 0) {
-        limit->saved = 0;
+    limit->tokens = rate_limit_tokens(limit, now_us) - 1;
+    limit->tokens_us = now_us;
+    if (limit->tokens < 0) {
+        limit->tokens = 0;
     }
     limit->sent_us = now_us;
     limit->sent++;
--- a/tier/rate_limit.h
+++ b/tier/rate_limit.h
@@ -3,12 +3,13 @@
  * together, as it states in its responses, and this daemon's share of it.
  *
  * The daemons divide the limit without talking to each other: all of them know
- * the serving daemons, and each computes its own share. A share may be saved
- * up to one request, or to RATE_BURST_US if that is more, and all daemons may
- * send what they have saved at the same moment. So that this sum stays small
- * against the limit, only as many daemons share a small limit as
- * RATE_SHARERS_PER_REQUEST says, others for each upstream. The rest send no
- * requests but a rare one, in turn, that shows whether the limit still holds.
+ * the serving daemons, and each computes its own share, which fills a token
+ * bucket. A bucket holds one token, or RATE_BURST_US of the share if that is
+ * more, and all daemons may spend their tokens at the same moment. So that
+ * this burst stays small against the limit, only as many daemons share a small
+ * limit as RATE_SHARERS_PER_REQUEST says, others for each upstream. The rest
+ * send only a rare request, in turn, which shows whether the limit still
+ * holds.
  *
  *     rate_limit_state(&limit, per_s, now_us);
  *     rate_limit_divide(&limit, instance_key, &sharers, now_us);
@@ -24,7 +25,7 @@
 #include <stdint.h>
 
 enum {
-    /* A larger share may save this much of itself for a burst. */
+    /* The bucket of a larger share holds the tokens of this time. */
     RATE_BURST_US = 500000,
     /* Daemons without a share take turns of this length. In each turn one of
        them may send one request, which shows whether the limit still holds. A
@@ -36,8 +37,8 @@
     RATE_RISE_US = 10000000
 };
 
-/* Daemons that share a limit, per request a second that it allows: the sum of
-   what they save stays below a second's worth of the limit, and one. */
+/* Daemons that share a limit, per request a second that it allows: all buckets
+   together hold at most the tokens of one second, and one more. */
 #define RATE_SHARERS_PER_REQUEST 1.0
 
 /* The daemons that send requests to the upstreams. */
@@ -55,8 +56,8 @@
     double higher_per_s;     /* the least of the higher ones stated lately */
     int64_t higher_since_us; /* 0: none */
     double share_per_s;      /* of this daemon; 0: none */
-    double saved;            /* requests that may be sent, at saved_us */
-    int64_t saved_us;        /* when saved was updated */
+    double tokens;           /* at tokens_us, one for each request */
+    int64_t tokens_us;       /* when tokens was updated */
     int64_t turn_us;         /* without a share: start of its first turn */
     int64_t turn_every_us;   /* from the start of a turn to that of the next */
     int64_t sent_us;         /* the last request */
@@ -88,9 +89,8 @@
 /* Whether the limit allows this daemon any request now or later. */
 bool rate_limit_is_shared(const rate_limit_t *limit, int64_t now_us);
 
-/* Requests that may be sent by at_us if none is sent before; the limit is
-   stated. */
-double rate_limit_saved(const rate_limit_t *limit, int64_t at_us);
+/* The tokens at at_us if no request is sent before; the limit is stated. */
+double rate_limit_tokens(const rate_limit_t *limit, int64_t at_us);
 
 /* A request is sent; again: a retry or a hedge. */
 void rate_limit_take(rate_limit_t *limit, bool again, int64_t now_us);
--- a/tier/reach.c
+++ b/tier/reach.c
@@ -118,7 +118,7 @@
 }
 
 bool
-reach_is_lost(const reach_t *reach)
+reach_is_cut_off(const reach_t *reach)
 {
     return reach->state == REACH_CUT || (reach->state == REACH_CHECKING &&
                                          reach->cause == REACH_CAUSE_SILENCE);
--- a/tier/reach.h
+++ b/tier/reach.h
@@ -10,7 +10,7 @@
  * probes show when it reaches them again.
  *
  *     reach_note_sent(&reach, overdue_us, now_us);
- *     reach_note_response(&reach);
+ *     reach_note_response(&reach, now_us);
  *     for (uint32_t n = reach_probes_due(&reach, now_us); n > 0; n--) {
  *         ... connect to a random upstream ...
  *     }
@@ -23,11 +23,10 @@
 #include <stdint.h>
 
 enum {
-    /* Requests without any response, and upstreams that no connect reaches,
-       that raise the suspicion. */
+    /* So many requests without any response raise the suspicion, or connects
+       that fail to so many upstreams for so long. */
     REACH_SENDS_MIN = 3,
     REACH_CONNECTS_MIN = 3,
-    /* Connects fail for this long. */
     REACH_CONNECT_FAILING_US = 300000,
     /* After this time without a request, the last ones show nothing. */
     REACH_IDLE_US = 1000000,
@@ -55,7 +54,7 @@
     reach_state_t state;
     reach_cause_t cause; /* of the last suspicion */
     uint32_t unanswered; /* requests sent since the last response */
-    int64_t overdue_us;  /* when the first of them should be answered */
+    int64_t overdue_us;  /* when the first of them counts as overdue */
     int64_t sent_us;     /* the last request */
     uint64_t failed[REACH_CONNECTS_MIN]; /* keys of upstreams, distinct */
     uint32_t failed_count;
@@ -66,7 +65,7 @@
     int64_t since_us;   /* of the state */
 } reach_t;
 
-/* A request was sent; its response is overdue after overdue_us. */
+/* A request was sent; without a response it is overdue at overdue_us. */
 void reach_note_sent(reach_t *reach, int64_t overdue_us, int64_t now_us);
 
 /* Any upstream has sent a response. */
@@ -83,7 +82,9 @@
 /* A probe has ended. */
 void reach_note_probe(reach_t *reach, bool connected, int64_t now_us);
 
-/* Whether requests to upstreams would be in vain, as far as is known. */
-bool reach_is_lost(const reach_t *reach);
+/* Whether the daemon is cut off, or is suspected to be because of silence.
+   While a suspicion because of failed connects is checked, open connections
+   serve. */
+bool reach_is_cut_off(const reach_t *reach);
 
 #endif
--- a/tier/relay_link.c
+++ b/tier/relay_link.c
@@ -31,6 +31,7 @@
     struct sockaddr_in address;
     relay_done_fn_t done; /* NULL: idle */
     void *owner;
+    bool delivering; /* `done` is being called */
     int64_t opened_us;
     int64_t deadline_us;
     int64_t idle_since_us;
@@ -98,14 +99,14 @@
     call->idle_since_us = now_us;
     /* `done` may send another request, but not on this connection while its
        reader holds the message. */
-    call->opened_us = 0;
+    call->delivering = true;
     done(call->owner, RELAY_ANSWERED, message, now_us);
+    call->delivering = false;
     if (!keep) {
         call_free(call);
         return;
     }
     http_reader_next(&call->reader);
-    call->opened_us = now_us;
 }
 
 static void
@@ -155,7 +156,7 @@
 {
     relay_call_t *best = NULL;
     for (relay_call_t *call = links->all; call != NULL; call = call->next) {
-        if (call->done == NULL && call->opened_us != 0 &&
+        if (call->done == NULL && !call->delivering &&
             call->idle_since_us >= not_before_us &&
             address_equals(&call->address, address) &&
             (best == NULL || call->idle_since_us > best->idle_since_us)) {
--- a/tier/relay_link.h
+++ b/tier/relay_link.h
@@ -54,8 +54,7 @@
     size_t body_size;
     uint64_t min_version;
     int64_t deadline_us;
-    bool idempotent; /* else it is sent on a connection that was in use lately
-                      */
+    bool idempotent; /* else sent only on a new or lately used connection */
 } relay_request_t;
 
 /* message: of RELAY_ANSWERED, valid during the call. */
