upstream_link: a request goes out on a connection once at most

Callers saw nothing: a POST was answered 200, and two upstreams had run it.

Cause: responses are matched by the request's id, which tells requests apart, not the sends of one request. A refused request went out again on the same connection; a late second copy of the refusal, which bears the same id, passed for the response to the second send and permitted a third one.

Change: a connection remembers the latest requests that it has carried and is not used again for one that it carried or may have carried, idempotent ones included. So an id identifies one send on a connection. A response without an id is no longer accepted where another response on the connection had one, nor as a refusal on a connection that was used before: it could be a copy too.

--- a/Makefile
+++ b/Makefile
@@ -180,7 +180,7 @@
 	LIST=t/soak/mutants.txt TESTS="t1003-observed-state t1004-placement \
 	    t1005-peers t1010-engine t1011-overload t1012-node \
 	    t1013-restored-store t1014-limit-exceeded t1015-partitioned-daemon \
-	    t1016-endless-response" \
+	    t1016-endless-response t1045-response-matching" \
 	    sh t/scenario/mutants $(MUTANTS)
 
 demo: deps
--- a/t/lib/tier_upstream.c
+++ b/t/lib/tier_upstream.c
@@ -171,6 +171,9 @@
              client->raw);
     client->script = server->script;
     client->answering = true;
+    if (client->script.early != NULL && client->previous[0] != '\0') {
+        client_send(client, client->script.early);
+    }
     if (client->script.delay_us > 0) {
         ev_timer_set(&client->timer, (double)client->script.delay_us / 1e6, 0);
         ev_timer_start(server->loop, &client->timer);
--- a/t/lib/tier_upstream.h
+++ b/t/lib/tier_upstream.h
@@ -26,7 +26,10 @@
 typedef struct {
     const char *bytes; /* NULL: send nothing; with SCRIPT_KEEP, hang */
     script_end_t end;
-    int64_t delay_us;  /* before the bytes */
+    int64_t delay_us; /* before the bytes */
+    /* Sent at once, before the delay, on a connection that has served another
+       request before: a late copy of that response. NULL: nothing. */
+    const char *early;
     const char *later; /* sent 20 ms after the bytes; NULL: nothing */
     /* Sent again and again after the bytes, as fast as the daemon reads, until
        it closes the connection; NULL: nothing. */
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -157,6 +157,8 @@
     instance_t *instance;
     int64_t sent_us;
     int64_t expected_us; /* typical time of the route's responses */
+    /* When the subrequest was first sent to an upstream; 0: not before. */
+    int64_t first_sent_us;
     int64_t deadline_us; /* latest time at which a response is of use */
     tenant_id_t tenant;  /* whose usage it counts to; TENANT_NONE: none */
     bool hedge;
--- a/tier/engine_attempt.c
+++ b/tier/engine_attempt.c
@@ -30,6 +30,7 @@
     attempt->pool = subrequest->pool;
     attempt->instance = instance;
     attempt->sent_us = now_us;
+    attempt->first_sent_us = subrequest->first_sent_us;
     attempt->expected_us = hedge_reference_us(&request->route_state->profile,
                                               request->route->goal_us);
     attempt->deadline_us = request->deadline_us - RELAY_MARGIN_US;
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -45,6 +45,7 @@
     pool_t *pool;
     subrequest_state_t state;
     uint32_t sends;        /* that reached an upstream, in total */
+    int64_t first_sent_us; /* time of the first send; 0: none */
     uint32_t may_have_run; /* sends that an upstream may have run */
     attempt_t *attempts[ENGINE_ATTEMPTS_MAX]; /* in flight */
     uint32_t attempt_count;
--- a/tier/engine_subrequest.c
+++ b/tier/engine_subrequest.c
@@ -328,6 +328,9 @@
                     now_us);
     subrequest->sends++;
     subrequest->may_have_run++;
+    if (subrequest->first_sent_us == 0) {
+        subrequest->first_sent_us = now_us;
+    }
     subrequest->state = SUBREQUEST_RUNNING;
     subrequest->hedge_us = 0;
     subrequest_schedule_hedge(subrequest, now_us);
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum {
     /* Connect timeout; a request sent after it would be too late. */
@@ -34,11 +35,19 @@
     /* Bytes of unfinished responses on all connections together; beyond it the
        longest one is dropped. A fifth of the smallest VM's memory, since a
        buffer that grows takes up to twice its contents. */
-    BUFFERED_MAX = 32 << 20
+    BUFFERED_MAX = 32 << 20,
+    /* Requests that a connection remembers having carried. */
+    CARRIED_MAX = 32
 };
 
 typedef struct link link_t;
 
+/* A request that was sent on a connection. */
+typedef struct {
+    uint64_t id_hash;
+    int64_t sent_us;
+} carried_t;
+
 struct link {
     conn_t conn;
     http_reader_t reader;
@@ -49,13 +58,16 @@
     bool tainted;         /* must not be reused */
     bool answers_head;    /* the response is to a HEAD request: no body */
     bool reused;
-    bool probe; /* opened without a request */
+    bool echoes_ids; /* a response on it had a request id */
+    bool probe;      /* opened without a request */
     int64_t opened_us;
     int64_t idle_since_us;    /* valid while idle */
     int64_t idle_timeout_us;  /* close after this idle time */
     int64_t abandon_until_us; /* end of the grace time; 0: not abandoned */
     size_t received;          /* bytes since the request was sent */
     size_t buffered;          /* of them, held by the reader */
+    uint64_t sends;           /* requests sent on it */
+    carried_t carried[CARRIED_MAX]; /* ring of the latest of them */
     link_t *instance_next;
     link_t *next;
     link_t *prev;
@@ -227,6 +239,14 @@
     }
 }
 
+/* Whether the upstream says that it did not run the request. */
+static bool
+message_is_refusal(const http_message_t *message)
+{
+    return message->status == 421 ||
+           http_header_find(message, HEADER_NOT_RUN) != NULL;
+}
+
 /* The result of an attempt that got a whole response from the instance. */
 static reply_t
 reply_from_message(const http_message_t *message, const instance_t *instance)
@@ -239,7 +259,7 @@
     if (message->status == 421) {
         reply.kind = REPLY_MISDIRECTED;
     }
-    else if (http_header_find(message, HEADER_NOT_RUN) != NULL) {
+    else if (message_is_refusal(message)) {
         reply.kind = REPLY_NOT_RUN;
     }
     else if (reply.signature == NULL) {
@@ -293,6 +313,36 @@
     }
 }
 
+/* Which request a response belongs to, by its request id. */
+typedef enum {
+    RESPONSE_OWN,         /* the request that waits on the connection */
+    RESPONSE_OTHER,       /* another one */
+    RESPONSE_UNIDENTIFIED /* without an id: perhaps an earlier one */
+} response_owner_t;
+
+/*
+ * A response without an id may be a late copy of an earlier response. It is
+ * accepted where there was none, and from upstreams that never send ids unless
+ * it is a refusal, which would permit a request to be sent again while it
+ * runs.
+ */
+static response_owner_t
+link_identify_response(link_t *link)
+{
+    const http_message_t *message = &link->reader.message;
+    const char *id = http_header_find(message, HEADER_REQUEST_ID);
+    if (id != NULL) {
+        link->echoes_ids = true;
+        return strcmp(id, link->attempt->id) == 0 ? RESPONSE_OWN
+                                                  : RESPONSE_OTHER;
+    }
+    if (!link->echoes_ids &&
+        (link->sends == 1 || !message_is_refusal(message))) {
+        return RESPONSE_OWN;
+    }
+    return RESPONSE_UNIDENTIFIED;
+}
+
 /* Account for the response that is being read. If all of them take too much
    memory, drop the longest one, which may be this link's. */
 static void
@@ -358,19 +408,25 @@
         }
         bytes += used;
         size -= used;
-        const char *id =
-            http_header_find(&link->reader.message, HEADER_REQUEST_ID);
-        if (id == NULL || strcmp(id, link->attempt->id) == 0) {
+        response_owner_t owner = link_identify_response(link);
+        if (owner == RESPONSE_OWN) {
             link->tainted = link->tainted || size > 0;
             link_deliver(link);
             return;
         }
-        /* This response carries another request's id: skip it and wait for
-           the response to this request. */
+        if (owner == RESPONSE_UNIDENTIFIED) {
+            event_log(EVENT_UPSTREAM_BAD_REPLY,
+                      "id=%s instance=%s cause=no_request_id",
+                      link->attempt->id, link->instance->entry.id);
+            link_fail(link, REPLY_LOST, "unidentified");
+            return;
+        }
+        /* Skip it and wait for the response to this request. */
         event_log(EVENT_UPSTREAM_BAD_REPLY,
                   "id=%s instance=%s other_id=%s "
                   "cause=answers_another_request",
-                  link->attempt->id, link->instance->entry.id, id);
+                  link->attempt->id, link->instance->entry.id,
+                  http_header_find(&link->reader.message, HEADER_REQUEST_ID));
         if (!link->reader.message.keep_alive || link->tainted) {
             link_fail(link, REPLY_LOST, "other_answer");
             return;
@@ -399,17 +455,59 @@
     .disconnected = link_disconnected,
 };
 
-/* The most recently used idle connection, if it was used at not_before_us or
-   later; NULL: none. The others can thus reach their idle timeout. */
+static void
+link_note_carried(link_t *link, uint64_t id_hash, int64_t now_us)
+{
+    link->carried[link->sends++ % CARRIED_MAX] =
+        (carried_t){.id_hash = id_hash, .sent_us = now_us};
+}
+
+/* Whether the connection has carried the request, or may have: of a request
+   that was sent before, it remembers only the latest CARRIED_MAX sends. */
+static bool
+link_may_have_carried(const link_t *link, const attempt_t *attempt,
+                      uint64_t id_hash)
+{
+    uint64_t known = link->sends < CARRIED_MAX ? link->sends : CARRIED_MAX;
+    for (uint64_t i = 0; i < known; i++) {
+        if (link->carried[i].id_hash == id_hash) {
+            return true;
+        }
+    }
+    const carried_t *oldest = &link->carried[link->sends % CARRIED_MAX];
+    return link->sends > CARRIED_MAX && attempt->first_sent_us != 0 &&
+           attempt->first_sent_us <= oldest->sent_us;
+}
+
+/*
+ * Whether the attempt may be sent on the connection. A request goes out on a
+ * connection once at most: a response names the request that it belongs to,
+ * but not the send, so that a late copy of the response to the first send
+ * would pass for the response to the second.
+ */
+static bool
+link_suits(const link_t *link, const attempt_t *attempt, uint64_t id_hash,
+           int64_t now_us)
+{
+    return (attempt->idempotent ||
+            now_us - link->idle_since_us <= FRESH_MAX_US) &&
+           !link_may_have_carried(link, attempt, id_hash);
+}
+
+/* The most recently used idle connection that suits the attempt, or any if
+   attempt is NULL; NULL: none. The others can thus reach their idle timeout.
+ */
 static link_t *
-link_find_idle(const instance_t *instance, int64_t not_before_us)
+link_find_idle(const instance_t *instance, const attempt_t *attempt,
+               uint64_t id_hash, int64_t now_us)
 {
     link_t *best = NULL;
     for (link_t *link = instance->links; link != NULL;
          link = link->instance_next) {
         if (link->attempt == NULL && !link->tainted &&
-            !link->conn.connecting && link->idle_since_us >= not_before_us &&
-            (best == NULL || link->idle_since_us > best->idle_since_us)) {
+            !link->conn.connecting &&
+            (best == NULL || link->idle_since_us > best->idle_since_us) &&
+            (attempt == NULL || link_suits(link, attempt, id_hash, now_us))) {
             best = link;
         }
     }
@@ -452,14 +550,13 @@
     return link;
 }
 
-/* Close one idle connection to make room for a new one; used when all idle
-   connections are too old for the request. */
+/* Close one idle connection, if there is any, to make room for a new one. */
 static void
-link_drop_stale(instance_t *instance)
+link_drop_idle(instance_t *instance, int64_t now_us)
 {
-    link_t *stale = link_find_idle(instance, 0);
-    if (stale != NULL) {
-        link_free(stale);
+    link_t *idle = link_find_idle(instance, NULL, 0, now_us);
+    if (idle != NULL) {
+        link_free(idle);
     }
 }
 
@@ -502,16 +599,14 @@
                     int64_t now_us)
 {
     instance_t *instance = attempt->instance;
-    link_t *link = link_find_idle(
-        instance, attempt->idempotent ? 0 : now_us - FRESH_MAX_US);
+    uint64_t id_hash = XXH64(attempt->id, strlen(attempt->id), 0);
+    link_t *link = link_find_idle(instance, attempt, id_hash, now_us);
     if (link != NULL) {
         link->reused = true;
         links->stats.reused++;
     }
     else {
-        if (!attempt->idempotent) {
-            link_drop_stale(instance);
-        }
+        link_drop_idle(instance, now_us);
         link = link_open(links, instance, false, now_us);
         if (link == NULL) {
             return false;
@@ -524,6 +619,7 @@
         link_free(link);
         return false;
     }
+    link_note_carried(link, id_hash, now_us);
     link->received = 0;
     link->attempt = attempt;
     attempt->link = link;
--- a/tier/upstream_link.h
+++ b/tier/upstream_link.h
@@ -2,9 +2,10 @@
  * HTTP connections to upstreams: kept open, reused, and without pipelining.
  *
  * A response is accepted only if it is complete, valid HTTP, signed, and
- * carries no request id other than the request's own. Any other end of an
- * attempt is reported with a reply kind that says whether the request may have
- * run.
+ * carries the request's own id, or none from an upstream that has sent none.
+ * Any other end of an attempt is reported with a reply kind that says whether
+ * the request may have run. A request is sent on a connection once at most, so
+ * that its id tells the responses to its sends apart.
  *
  *     upstream_links_t *links = upstream_links_new(loop, &ops, owner);
  *     upstream_links_send(links, attempt, now_us);
