http: trailer fields no longer count as headers

Callers got a 200 with the body of a spoiled response, which had no signature, and with the signature of the response before it on the same connection to the upstream, often another caller's. Nothing in it was wrong to see.

Cause: the reader ends a header when the next one begins, and stayed in "reading a header's value" after the last one. The first trailer field ended a header once more and counted one that did not exist; its offsets were those of the previous message on that reader, whose bytes the buffer still held. In the same way a header of a caller's earlier request was passed on with the next one. Further trailer fields counted as headers, a signature among them.

Change: after the last header the reader is in a phase of its own, in which trailer fields are discarded. All HTTP is read by this reader.

--- a/http/message.c
+++ b/http/message.c
@@ -83,6 +83,9 @@
 {
     http_reader_t *reader = reader_of(parser);
     http_message_t *message = &reader->message;
+    if (reader->phase == READING_BODY) {
+        return 0; /* a trailer field */
+    }
     if (reader->phase != READING_NAME) {
         if (text_finish_part(reader) != 0) {
             return -1;
@@ -102,6 +105,9 @@
 {
     http_reader_t *reader = reader_of(parser);
     http_message_t *message = &reader->message;
+    if (reader->phase == READING_BODY) {
+        return 0;
+    }
     if (reader->phase == READING_NAME) {
         if (text_terminate(reader) != 0) {
             return -1;
@@ -121,6 +127,7 @@
     if (text_finish_part(reader) != 0) {
         return -1;
     }
+    reader->phase = READING_BODY;
     reader->headers_done = true;
     /* Only HTTP/1.1 is supported, so an upgrade is ignored and the bytes that
        follow are read as a body. */
--- a/http/message.h
+++ b/http/message.h
@@ -4,7 +4,9 @@
  * The reader is fed with bytes as they arrive and buffers a message until it
  * is complete, so that an incomplete message is never passed on. After
  * HTTP_DONE, bytes that were not used belong to the next message, or are
- * surplus if no other message is expected.
+ * surplus if no other message is expected. Trailer fields are discarded, which
+ * RFC 9110, section 6.5.1, allows: they were not there when the message was
+ * routed, and must not pass for headers.
  *
  *     http_reader_t reader;
  *     http_reader_init(&reader, HTTP_REQUESTS, &limits);
@@ -65,7 +67,8 @@
 typedef enum {
     READING_TARGET,
     READING_NAME,
-    READING_VALUE
+    READING_VALUE,
+    READING_BODY /* and the trailer fields after it */
 } http_reader_phase_t;
 
 typedef struct {
--- a/t/t1002-message.c
+++ b/t/t1002-message.c
@@ -2,6 +2,7 @@
 #include "http/message.h"
 #include "t/lib/suite.h"
 
+#include <stdio.h>
 #include <string.h>
 
 typedef struct {
@@ -162,6 +163,109 @@
 }
 END_TEST
 
+/* A message with a marker in each header, then a chunked one with header and
+   trailer fields, on the same reader. */
+typedef struct {
+    const char *name;
+    http_kind_t kind;
+    const char *first_line; /* of both messages */
+    uint32_t first_headers;
+    uint32_t headers; /* beside Transfer-Encoding */
+    uint32_t trailers;
+} trailer_case_t;
+
+#define RESPONSE_LINE "HTTP/1.1 200 OK\r\n"
+#define REQUEST_LINE "POST /a HTTP/1.1\r\n"
+
+static const trailer_case_t trailer_cases[] = {
+    {"response, one trailer field", HTTP_RESPONSES, RESPONSE_LINE, 5, 2, 1},
+    {"response, no header", HTTP_RESPONSES, RESPONSE_LINE, 5, 0, 1},
+    {"response, many trailer fields", HTTP_RESPONSES, RESPONSE_LINE, 40, 3,
+     30},
+    {"response, more headers than before", HTTP_RESPONSES, RESPONSE_LINE, 2, 9,
+     2},
+    {"request, one trailer field", HTTP_REQUESTS, REQUEST_LINE, 5, 2, 1},
+    {"request, many trailer fields", HTTP_REQUESTS, REQUEST_LINE, 40, 3, 30},
+};
+
+#define MARKER "of-the-first-message"
+
+static size_t
+write_fields(char *text, size_t size, uint32_t count, const char *name,
+             const char *value)
+{
+    size_t length = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        length += (size_t)snprintf(text + length, size - length,
+                                   "%s-%u: %s\r\n", name, i, value);
+    }
+    return length;
+}
+
+/* Feed a whole message in pieces of `step` bytes. */
+static void
+feed_message(http_reader_t *reader, const char *bytes, size_t size,
+             size_t step, const char *name)
+{
+    http_state_t state = HTTP_INCOMPLETE;
+    for (size_t offset = 0; offset < size;) {
+        size_t used = 0;
+        size_t piece = size - offset < step ? size - offset : step;
+        ck_assert_msg(state == HTTP_INCOMPLETE, "%s: %d", name, state);
+        state = http_reader_feed(reader, bytes + offset, piece, &used);
+        ck_assert_msg(used == piece, "%s: %zu of %zu", name, used, piece);
+        offset += used;
+    }
+    ck_assert_msg(state == HTTP_DONE, "%s: %d", name, state);
+}
+
+/* Guards against MIXED: a trailer field made a header of the message before
+   appear in this one. */
+START_TEST(test_trailer_fields)
+{
+    static const http_limits_t large = {.max_header_bytes = 16384};
+    const trailer_case_t *c = &trailer_cases[_i];
+    char text[8192];
+    static const size_t steps[] = {8192, 1, 7};
+    for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+        http_reader_t reader;
+        http_reader_init(&reader, c->kind, &large);
+        size_t size =
+            (size_t)snprintf(text, sizeof(text), "%s", c->first_line);
+        size += write_fields(text + size, sizeof(text) - size,
+                             c->first_headers, "X-" MARKER, MARKER);
+        size += (size_t)snprintf(text + size, sizeof(text) - size,
+                                 "Content-Length: 0\r\n\r\n");
+        feed_message(&reader, text, size, steps[i], c->name);
+        http_reader_next(&reader);
+        size = (size_t)snprintf(text, sizeof(text), "%s", c->first_line);
+        size += write_fields(text + size, sizeof(text) - size, c->headers,
+                             "X-Own", "own");
+        size += (size_t)snprintf(text + size, sizeof(text) - size,
+                                 CHUNKED "3\r\nabc\r\n0\r\n");
+        size += write_fields(text + size, sizeof(text) - size, c->trailers,
+                             "X-Trailer", "trailer");
+        size += (size_t)snprintf(text + size, sizeof(text) - size, "\r\n");
+        feed_message(&reader, text, size, steps[i], c->name);
+        const http_message_t *message = &reader.message;
+        ck_assert_msg(message->header_count == c->headers + 1,
+                      "%s: %u headers", c->name, message->header_count);
+        for (uint32_t j = 0; j < message->header_count; j++) {
+            const char *field = http_header_name(message, j);
+            const char *value = http_header_value(message, j);
+            ck_assert_msg(strstr(field, MARKER) == NULL &&
+                              strstr(value, MARKER) == NULL &&
+                              strstr(field, "X-Trailer") == NULL,
+                          "%s: %s: %s", c->name, field, value);
+            ck_assert_msg(message->headers[j].value_length == strlen(value),
+                          "%s: %s", c->name, field);
+        }
+        ck_assert_uint_eq(buffer_size(&message->body), 3);
+        http_reader_release(&reader);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -169,5 +273,7 @@
     tcase_add_loop_test(tests, test_message, 0,
                         sizeof(message_cases) / sizeof(message_cases[0]));
     tcase_add_test(tests, test_headers);
+    tcase_add_loop_test(tests, test_trailer_fields, 0,
+                        sizeof(trailer_cases) / sizeof(trailer_cases[0]));
     return suite_run("message", tests);
 }
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -323,6 +323,101 @@
 }
 END_TEST
 
+/* An unsigned response with trailer fields to the second request of a
+   connection. */
+typedef struct {
+    const char *name;
+    const char *path;
+    const char *response;
+    uint32_t status;
+    uint32_t requests;
+} unsigned_case_t;
+
+/* The unsigned response has as many headers as this one before the signature.
+ */
+#define SIGNED_LAST_RESPONSE                                                  \
+    "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec 2026 06:00:00 GMT\r\n"              \
+    "Content-Type: text/plain\r\nX-Yuccarun-Request-Id: %I\r\n"               \
+    "Content-Length: 4\r\nX-Yuccarun-Answer-Stamp: sig\r\n\r\ngood"
+#define UNSIGNED_RESPONSE(trailer)                                            \
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"                         \
+    "X-Yuccarun-Request-Id: %I\r\nTransfer-Encoding: chunked\r\n"             \
+    "Connection: keep-alive\r\n\r\n3\r\nbad\r\n0\r\n" trailer "\r\n"
+
+static const unsigned_case_t unsigned_cases[] = {
+    {"a trailer field, not idempotent", "/once/",
+     UNSIGNED_RESPONSE("T: 1\r\n"), 502, 2},
+    {"a trailer field", "/one/", UNSIGNED_RESPONSE("T: 1\r\n"), 502, 3},
+    {"several trailer fields", "/once/",
+     UNSIGNED_RESPONSE("T: 1\r\nU: 2\r\nV: 3\r\nW: 4\r\n"), 502, 2},
+    {"the signature as a trailer field", "/once/",
+     UNSIGNED_RESPONSE("X-Yuccarun-Answer-Stamp: sig\r\nT: 1\r\n"), 502, 2},
+};
+
+/* Guards against MIXED: an unsigned response passed as a success with the
+   signature of the response before it. */
+START_TEST(test_unsigned_after_signed)
+{
+    const unsigned_case_t *c = &unsigned_cases[_i];
+    const tier_script_t unsigned_script = {.bytes = c->response};
+    fixture_t f;
+    caller_t caller;
+    char request[256];
+    fixture_init(&f);
+    tier_upstream_set(f.upstreams[0],
+                      &(tier_script_t){.bytes = SIGNED_LAST_RESPONSE});
+    for (int i = 1; i <= 2; i++) {
+        snprintf(request, sizeof(request),
+                 "GET %s HTTP/1.1\r\nHost: h\r\nX-Yuccarun-Request-Id: r-%d"
+                 "\r\nX-Yuccarun-Deadline-Ms: 600\r\n\r\n",
+                 c->path, i);
+        caller_exchange(&f, &caller, &f.boot.callers_address, request,
+                        CALLER_DEADLINE_MS + 200);
+        conn_close(&caller.conn);
+        ck_assert_msg(status_of(&caller) == (i == 1 ? 200 : c->status),
+                      "%s: %s", c->name, caller.text);
+        tier_upstream_set(f.upstreams[0], &unsigned_script);
+    }
+    ck_assert_msg(strstr(caller.text, "Answer-Stamp") == NULL &&
+                      strstr(caller.text, "bad") == NULL,
+                  "%s: %s", c->name, caller.text);
+    ck_assert_uint_eq(tier_upstream_requests(f.upstreams[0]), c->requests);
+    fixture_release(&f);
+}
+END_TEST
+
+/* Guards against UNASKED: a trailer field of a request made a header of the
+   caller's request before be passed on. */
+START_TEST(test_request_with_trailer_field)
+{
+    fixture_t f;
+    caller_t caller;
+    fixture_init(&f);
+    caller_open(&f, &caller, &f.boot.callers_address);
+    caller_send(&caller, "GET /one/ HTTP/1.1\r\nHost: h\r\n"
+                         "X-Yuccarun-Request-Id: r-1\r\nX-Long: "
+                         "0123456789012345678901234567890123456789\r\n"
+                         "X-Secret: first\r\n\r\n");
+    run_ms(&f, 100);
+    caller_send(&caller, "POST /one/ HTTP/1.1\r\nHost: h\r\n"
+                         "X-Yuccarun-Request-Id: r-2\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n"
+                         "2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n");
+    run_ms(&f, 100);
+    const char *seen = tier_upstream_last(f.upstreams[0]);
+    ck_assert_msg(strstr(seen, "Request-Id: r-2\r\n") != NULL &&
+                      strstr(seen, "Content-Length: 2\r\n") != NULL &&
+                      strstr(seen, "\r\n\r\nok") != NULL,
+                  "%s", seen);
+    ck_assert_msg(strstr(seen, "X-Sum") == NULL &&
+                      strstr(seen, "first") == NULL &&
+                      strstr(seen, "X-Long") == NULL,
+                  "%s", seen);
+    conn_close(&caller.conn);
+    fixture_release(&f);
+}
+END_TEST
+
 /* A daemon is ready with the store, and serves the directory and requests
    during an outage. */
 START_TEST(test_readiness_and_directory)
@@ -1088,6 +1183,9 @@
     tcase_add_test(tests, test_pipelined_requests);
     tcase_add_loop_test(tests, test_caller_disconnects, 0, 2);
     tcase_add_test(tests, test_late_extra_answer);
+    tcase_add_loop_test(tests, test_unsigned_after_signed, 0,
+                        sizeof(unsigned_cases) / sizeof(unsigned_cases[0]));
+    tcase_add_test(tests, test_request_with_trailer_field);
     tcase_add_loop_test(tests, test_readiness_and_directory, 0, 2);
     tcase_add_test(tests, test_compacted_history);
     tcase_add_test(tests, test_metrics_port_taken);
