http: a header begins only while the array has room

One request of 1,010 bytes ended the daemon, and eight callers lost requests that upstreams were working on. A caller that sends the request again elsewhere, as an idempotent one is sent, ends the next daemon.

The check compared for equality after the count had passed the bound, so that it stopped no later one either. Trailer fields counted towards no limit.

--- a/http/message.c
+++ b/http/message.c
@@ -33,6 +33,20 @@
     return 0;
 }
 
+/* Discard a piece of a trailer field; trailer fields and headers together are
+   limited. */
+static int
+trailer_skip(http_reader_t *reader, size_t size)
+{
+    size_t limit = reader->limits.max_header_bytes;
+    reader->trailer_bytes += size;
+    if (limit > 0 &&
+        buffer_size(&reader->message.text) + reader->trailer_bytes > limit) {
+        return reader_fail(reader, HTTP_HEADERS_TOO_LARGE);
+    }
+    return 0;
+}
+
 static int
 text_terminate(http_reader_t *reader)
 {
@@ -84,13 +98,13 @@
     http_reader_t *reader = reader_of(parser);
     http_message_t *message = &reader->message;
     if (reader->phase == READING_BODY) {
-        return 0; /* a trailer field */
+        return trailer_skip(reader, size);
     }
     if (reader->phase != READING_NAME) {
         if (text_finish_part(reader) != 0) {
             return -1;
         }
-        if (message->header_count == HTTP_HEADERS_MAX) {
+        if (message->header_count >= HTTP_HEADERS_MAX) {
             return reader_fail(reader, HTTP_HEADERS_TOO_LARGE);
         }
         reader->phase = READING_NAME;
@@ -106,7 +120,7 @@
     http_reader_t *reader = reader_of(parser);
     http_message_t *message = &reader->message;
     if (reader->phase == READING_BODY) {
-        return 0;
+        return trailer_skip(reader, size);
     }
     if (reader->phase == READING_NAME) {
         if (text_terminate(reader) != 0) {
@@ -202,6 +216,7 @@
     reader->parser.data = reader;
     reader->failure = HTTP_MALFORMED;
     reader->phase = READING_TARGET;
+    reader->trailer_bytes = 0;
     reader->started = false;
     reader->headers_done = false;
     reader->done = false;
--- a/http/message.h
+++ b/http/message.h
@@ -49,7 +49,8 @@
 } http_message_t;
 
 typedef struct {
-    /* Target and headers; 0: only the limit that http_parser has. */
+    /* Target, headers and trailer fields; 0: only the limit that http_parser
+       has. */
     size_t max_header_bytes;
     size_t max_body_bytes; /* 0: no limit */
 } http_limits_t;
@@ -78,7 +79,8 @@
     http_message_t message;
     http_state_t failure; /* reported when the parser stops with an error */
     http_reader_phase_t phase;
-    bool started; /* the start of this message has arrived */
+    size_t trailer_bytes; /* of the trailer fields that were discarded */
+    bool started;         /* the start of this message has arrived */
     bool headers_done;
     bool done;
     /*
--- a/t/t1002-message.c
+++ b/t/t1002-message.c
@@ -56,6 +56,11 @@
      "012345678901234567890123456789012345678901234567890123456789012345678"
      "90123456789012345678901234567890123456789012345678901234567890\r\n\r\n",
      HTTP_HEADERS_TOO_LARGE, false, "", 0},
+    {"trailer fields over the limit", HTTP_REQUESTS,
+     "POST /a HTTP/1.1\r\n" CHUNKED "0\r\nX: "
+     "012345678901234567890123456789012345678901234567890123456789012345678"
+     "90123456789012345678901234567890123456789012345678901234567890\r\n\r\n",
+     HTTP_HEADERS_TOO_LARGE, false, "", 0},
     {"an upgrade is ignored", HTTP_REQUESTS,
      "GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n"
      "Content-Length: 2\r\n\r\nab",
@@ -266,6 +271,33 @@
 }
 END_TEST
 
+/* Guards against LOST: trailer fields after the most headers that a message
+   may have were written past the array, and the process ended. */
+START_TEST(test_most_headers_and_trailer_fields)
+{
+    static const http_limits_t large = {.max_header_bytes = 65536};
+    static const uint32_t trailers[] = {0, 1, 2, 200};
+    char text[16384];
+    for (size_t i = 0; i < sizeof(trailers) / sizeof(trailers[0]); i++) {
+        http_reader_t reader;
+        http_reader_init(&reader, HTTP_REQUESTS, &large);
+        size_t size = (size_t)snprintf(text, sizeof(text), REQUEST_LINE);
+        size += write_fields(text + size, sizeof(text) - size,
+                             HTTP_HEADERS_MAX - 1, "X", "a");
+        size += (size_t)snprintf(text + size, sizeof(text) - size,
+                                 CHUNKED "3\r\nabc\r\n0\r\n");
+        size += write_fields(text + size, sizeof(text) - size, trailers[i],
+                             "T", "b");
+        size += (size_t)snprintf(text + size, sizeof(text) - size, "\r\n");
+        feed_message(&reader, text, size, sizeof(text), "most headers");
+        ck_assert_str_eq(reader.message.method, "POST");
+        ck_assert_uint_eq(reader.message.header_count, HTTP_HEADERS_MAX);
+        ck_assert_uint_eq(buffer_size(&reader.message.body), 3);
+        http_reader_release(&reader);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -273,6 +305,7 @@
     tcase_add_loop_test(tests, test_message, 0,
                         sizeof(message_cases) / sizeof(message_cases[0]));
     tcase_add_test(tests, test_headers);
+    tcase_add_test(tests, test_most_headers_and_trailer_fields);
     tcase_add_loop_test(tests, test_trailer_fields, 0,
                         sizeof(trailer_cases) / sizeof(trailer_cases[0]));
     return suite_run("message", tests);
--- a/t/t1006-mutated.c
+++ b/t/t1006-mutated.c
@@ -19,7 +19,7 @@
 static void
 feed_http(http_kind_t kind, const char *bytes, size_t size)
 {
-    static const http_limits_t limits = {.max_header_bytes = 512,
+    static const http_limits_t limits = {.max_header_bytes = 1024,
                                          .max_body_bytes = 256};
     http_reader_t reader;
     http_reader_init(&reader, kind, &limits);
@@ -120,15 +120,26 @@
     const char *seed;
 } target_t;
 
+/* Nearly as many headers as a message may have. */
+#define HEADERS_5 "A:a\r\nB:b\r\nC:c\r\nD:d\r\nE:e\r\n"
+#define HEADERS_19 HEADERS_5 HEADERS_5 HEADERS_5 "A:a\r\nB:b\r\nC:c\r\nD:d\r\n"
+#define ALL_HEADERS HEADERS_19 HEADERS_19 HEADERS_19 HEADERS_19 HEADERS_19
+
 static const target_t targets[] = {
     {"request", feed_request,
      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b "
      "HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0"
      "\r\n\r\n"},
+    {"request with trailer fields", feed_request,
+     "POST /a HTTP/1.1\r\n" ALL_HEADERS
+     "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT:b\r\nU:c\r\n\r\n"},
     {"response", feed_response,
      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nab"
      "HTTP/1.1 103 E\r\n\r\nHTTP/1.1 503 Full\r\nTransfer-Encoding: chunked"
      "\r\n\r\n1\r\na\r\n0\r\n\r\n"},
+    {"response with trailer fields", feed_response,
+     "HTTP/1.1 200 OK\r\n" ALL_HEADERS
+     "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nT:b\r\nU:c\r\n\r\n"},
     {"store response", feed_store_response,
      "{\"items\":[{\"key\":\"k\",\"value\":\"aGVsbG8=\",\"rev\":4,\"lease\":0}"
      ",{\"key\":\"l\",\"rev\":5,\"deleted\":true}],\"has_more\":false,"
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -418,6 +418,51 @@
 }
 END_TEST
 
+/* Guards against LOST: one request with the most headers and a trailer field
+   ended the daemon, with the requests of all other callers. */
+START_TEST(test_request_with_most_headers)
+{
+    enum { OTHERS = 3, HEADERS = HTTP_HEADERS_MAX - 3 };
+    fixture_t f;
+    caller_t caller;
+    caller_t others[OTHERS];
+    char request[2048];
+    fixture_init(&f);
+    tier_upstream_set(f.upstreams[0], &(tier_script_t){.bytes = GOOD_RESPONSE,
+                                                       .delay_us = 200000});
+    for (int i = 0; i < OTHERS; i++) {
+        snprintf(request, sizeof(request),
+                 "GET /once/ HTTP/1.1\r\nHost: h\r\n"
+                 "X-Yuccarun-Request-Id: r-%d\r\n\r\n",
+                 i);
+        caller_open(&f, &others[i], &f.boot.callers_address);
+        caller_send(&others[i], request);
+    }
+    run_ms(&f, 50);
+    int size = snprintf(request, sizeof(request),
+                        "POST /none/ HTTP/1.1\r\nHost: h\r\n"
+                        "X-Yuccarun-Request-Id: odd\r\n"
+                        "Transfer-Encoding: chunked\r\n");
+    for (int i = 0; i < HEADERS; i++) {
+        size += snprintf(request + size, sizeof(request) - (size_t)size,
+                         "X-%d: a\r\n", i);
+    }
+    snprintf(request + size, sizeof(request) - (size_t)size,
+             "\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n");
+    caller_exchange(&f, &caller, &f.boot.callers_address, request, 600);
+    /* It has no route: the stand-in upstream does not read so many headers. */
+    ck_assert_msg(status_of(&caller) == 404, "%s", caller.text);
+    conn_close(&caller.conn);
+    run_ms(&f, 300);
+    for (int i = 0; i < OTHERS; i++) {
+        ck_assert_msg(status_of(&others[i]) == 200, "%d: %s", i,
+                      others[i].text);
+        conn_close(&others[i].conn);
+    }
+    fixture_release(&f);
+}
+END_TEST
+
 /* A daemon is ready with the store, and serves the directory and requests
    during an outage. */
 START_TEST(test_readiness_and_directory)
@@ -1186,6 +1231,7 @@
     tcase_add_loop_test(tests, test_unsigned_after_signed, 0,
                         sizeof(unsigned_cases) / sizeof(unsigned_cases[0]));
     tcase_add_test(tests, test_request_with_trailer_field);
+    tcase_add_test(tests, test_request_with_most_headers);
     tcase_add_loop_test(tests, test_readiness_and_directory, 0, 2);
     tcase_add_test(tests, test_compacted_history);
     tcase_add_test(tests, test_metrics_port_taken);
