platform: read on beside odd entries of another writer

Reported by operators of systems like this one: one odd entry among those of the upstreams, and the machines ended or followed the list no further. Ending was not seen here. Following was: callers' requests went to upstreams that were gone, and new ones were not used, until the entry was taken away.

Cause: the next page of a list was named by the last valid key without escapes. After a key that needs one the list began again and never ended; after a page without a valid item it counted as complete, and all on later pages as gone. Changes of more than 8 MB were asked for again and again. Durations and counts were converted without a bound.

Change: kv_response_t names the next page by its last key, valid or not, with escapes; one that names none fails. Changes too large for a response are replaced by a list. Numbers are bounded before they are converted, here and in Keep-Alive; the address sanitizer's build checks conversions. t1003 builds its pages by the new field and checks the same calls.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 CHECK_LIBS = $(shell pkg-config --libs check 2>/dev/null)
 
 CFLAGS_plain := -O2
-CFLAGS_asan := -O1 -fsanitize=address,undefined -fno-sanitize-recover=undefined
+CFLAGS_asan := -O1 -fsanitize=address,undefined,float-cast-overflow \
+	-fno-sanitize-recover=all
 CFLAGS_tsan := -O1 -fsanitize=thread
 CFLAGS_fuzz := -O1 -fsanitize=fuzzer-no-link,address,undefined \
 	-fno-sanitize-recover=undefined
--- a/t/lib/tier_store.c
+++ b/t/lib/tier_store.c
@@ -14,7 +14,7 @@
     KEYS_MAX = 512,
     LEASES_MAX = 512,
     WATCHES_MAX = 64,
-    KEY_SIZE = 128,
+    KEY_SIZE = 256,
     PREFIXES_MAX = 8
 };
 
@@ -66,6 +66,7 @@
     watch_t watches[WATCHES_MAX];
     uint32_t watch_count;
     uint32_t calls;
+    uint32_t page_size;
     read_counts_t reads[PREFIXES_MAX];
     ev_timer tick;
 };
@@ -335,12 +336,75 @@
     return reads_get_or_add(store, prefix)->watches;
 }
 
+void
+tier_store_set_page_size(tier_store_t *store, uint32_t items)
+{
+    store->page_size = items;
+}
+
+/* Resolve the escapes of a URL in place. */
+static void
+unescape(char *text)
+{
+    char *out = text;
+    for (unsigned byte; *text != '\0'; text++) {
+        if (*text == '%' && sscanf(text + 1, "%2x", &byte) == 1) {
+            *out++ = (char)byte;
+            text += 2;
+        }
+        else {
+            *out++ = *text;
+        }
+    }
+    *out = '\0';
+}
+
+/* The item under the prefix with the least key after that one; NULL: none. */
+static const item_t *
+item_after(const tier_store_t *store, const char *prefix, const char *after)
+{
+    const item_t *least = NULL;
+    for (uint32_t i = 0; i < store->now.item_count; i++) {
+        const item_t *item = &store->now.items[i];
+        if (item->base64 != NULL &&
+            strncmp(item->key, prefix, strlen(prefix)) == 0 &&
+            strcmp(item->key, after) > 0 &&
+            (least == NULL || strcmp(item->key, least->key) < 0)) {
+            least = item;
+        }
+    }
+    return least;
+}
+
+static void
+answer_page(tier_store_t *store, exchange_t *exchange, const char *target,
+            const char *prefix)
+{
+    char after[3 * KEY_SIZE];
+    query_parameter(target, "after", after, sizeof(after));
+    unescape(after);
+    json_t *items = json_array();
+    const item_t *item = item_after(store, prefix, after);
+    while (item != NULL && json_array_size(items) < store->page_size) {
+        json_array_append_new(items, item_json(item));
+        item = item_after(store, prefix, item->key);
+    }
+    answer_json(store, exchange, 200,
+                json_pack("{s:o, s:b, s:I}", "items", items, "has_more",
+                          item != NULL, "current_rev",
+                          (json_int_t)store->now.revision));
+}
+
 static void
 handle_range(tier_store_t *store, exchange_t *exchange, const char *target)
 {
     char prefix[KEY_SIZE];
     query_parameter(target, "prefix", prefix, sizeof(prefix));
     reads_get_or_add(store, prefix)->lists++;
+    if (store->page_size > 0) {
+        answer_page(store, exchange, target, prefix);
+        return;
+    }
     json_t *items = json_array();
     for (uint32_t i = 0; i < store->now.item_count; i++) {
         const item_t *item = &store->now.items[i];
--- a/t/lib/tier_store.h
+++ b/t/lib/tier_store.h
@@ -36,6 +36,10 @@
 void tier_store_put(tier_store_t *store, const char *key, const char *value);
 void tier_store_remove(tier_store_t *store, const char *key);
 
+/* Answer lists with at most that many items, in the order of their keys; 0:
+   all at once, the default. */
+void tier_store_set_page_size(tier_store_t *store, uint32_t items);
+
 /* Make the backup that tier_store_restore goes back to; it replaces an older
    one. */
 void tier_store_back_up(tier_store_t *store);
--- a/t/t1001-platform.c
+++ b/t/t1001-platform.c
@@ -133,6 +133,8 @@
     ck_assert_str_eq(call.target,
                      "/-/kv-watch?prefix=op/&after=12&wait_ms=2500");
     ck_assert(!kv_call_range(&call, "servers/", "a b"));
+    ck_assert(kv_call_range(&call, "servers/", "a%20b"));
+    ck_assert_str_eq(call.target, "/-/kv-range?prefix=servers/&after=a%20b");
     ck_assert(!kv_call_watch(&call, "op/&x=1", 1, 0));
     ck_assert(kv_call_put(&call, "own/a", "hello", 5, 77));
     ck_assert_ptr_nonnull(strstr(call.body, "\"value\":\"aGVsbG8=\""));
@@ -147,6 +149,64 @@
 }
 END_TEST
 
+/* The page that follows one with these items. */
+typedef struct {
+    const char *name;
+    const char *items;
+    bool valid;
+    size_t count;
+    const char *page;
+} page_case_t;
+
+#define ROW(key, value) "{\"key\":\"" key "\",\"value\":\"" value "\"}"
+
+static const page_case_t page_cases[] = {
+    {"a plain key", ROW("a", "") "," ROW("servers/i-1", ""), true, 2,
+     "servers/i-1"},
+    {"a key that needs escapes", ROW("a b%&?#+\\r\\n\\u00e9", ""), true, 1,
+     "a%20b%25%26%3F%23%2B%0D%0A%C3%A9"},
+    {"a key with a NUL", ROW("a", "") "," ROW("b\\u0000c", ""), true, 1,
+     "b%00c"},
+    {"an invalid last item", ROW("a", "") "," ROW("b", "?"), true, 1, "b"},
+    {"no valid item", ROW("b", "?"), true, 0, "b"},
+    {"no key", ROW("a", "") ",{}", false, 0, ""},
+    {"no item", "", false, 0, ""},
+    {"a key that is too long",
+     ROW("ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff"
+         "ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff"
+         "ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff"
+         "        ffffffffffffffffffffffffffffffffffffffffffffffffffffffff"
+         "ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff"
+         "ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff"
+         "ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff"
+         "ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff"
+         "ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff"
+         "ffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff",
+         ""),
+     false, 0, ""},
+};
+
+/* Guards against a list that ends early, or never, at another writer's key. */
+START_TEST(test_next_page)
+{
+    const page_case_t *c = &page_cases[_i];
+    char body[2048];
+    kv_response_t response;
+    kv_call_t call;
+    snprintf(body, sizeof(body),
+             "{\"items\":[%s],\"has_more\":true,\"current_rev\":9}", c->items);
+    bool valid = kv_response_parse(&response, body, strlen(body));
+    ck_assert_msg(valid == c->valid, "%s", c->name);
+    if (valid) {
+        ck_assert_msg(response.count == c->count, "%s: %zu", c->name,
+                      response.count);
+        ck_assert_str_eq(response.next_page, c->page);
+        ck_assert(kv_call_range(&call, "servers/", response.next_page));
+        kv_response_release(&response);
+    }
+}
+END_TEST
+
 static int errors;
 
 static void
@@ -484,6 +544,8 @@
     tcase_add_loop_test(tests, test_response, 0,
                         sizeof(response_cases) / sizeof(response_cases[0]));
     tcase_add_test(tests, test_calls);
+    tcase_add_loop_test(tests, test_next_page, 0,
+                        sizeof(page_cases) / sizeof(page_cases[0]));
     tcase_add_loop_test(tests, test_era_header, 0,
                         sizeof(era_cases) / sizeof(era_cases[0]));
     tcase_add_loop_test(tests, test_retry_after_header, 0,
--- a/t/t1003-observed-state.c
+++ b/t/t1003-observed-state.c
@@ -214,12 +214,14 @@
 static kv_response_t
 answer_of(uint64_t revision, kv_item_t *items, size_t count, bool more)
 {
-    return (kv_response_t){
+    kv_response_t response = {
         .items = items,
         .count = count,
         .revision = revision,
-        .has_more = more,
     };
+    snprintf(response.next_page, sizeof(response.next_page), "%s",
+             more ? items[count - 1].key : "");
+    return response;
 }
 
 START_TEST(test_follow)
--- a/tier/follow.c
+++ b/tier/follow.c
@@ -1,6 +1,6 @@
 #include "tier/follow.h"
 
-#include "core/text.h"
+#include <string.h>
 
 void
 follow_init(follow_t *follow, const follow_settings_t *settings)
@@ -25,10 +25,8 @@
                   follow->settings.all_prefixes ? "" : follow->settings.prefix,
                   follow->revision, follow->settings.long_poll_us)
             : kv_call_range(call, follow->settings.prefix,
-                            follow->page_after[0] != '\0' ? follow->page_after
-                                                          : NULL);
+                            follow->page[0] != '\0' ? follow->page : NULL);
     if (!built) {
-        /* The request for this key can't be built: list again. */
         follow_restart(follow, now_us + FOLLOW_RETRY_US);
         return false;
     }
@@ -40,18 +38,15 @@
 follow_list_page(follow_t *follow, const kv_response_t *response,
                  int64_t now_us)
 {
-    bool first = follow->page_after[0] == '\0';
+    bool first = follow->page[0] == '\0';
     if (first) {
         follow->list_revision = response->revision;
     }
-    const char *last =
-        response->count > 0 ? response->items[response->count - 1].key : "";
-    if (response->has_more && last[0] != '\0' &&
-        text_copy(follow->page_after, sizeof(follow->page_after), last)) {
+    memcpy(follow->page, response->next_page, sizeof(follow->page));
+    if (follow->page[0] != '\0') {
         follow->due_us = now_us;
         return first ? FOLLOW_LIST_FIRST : FOLLOW_LIST_MORE;
     }
-    follow->page_after[0] = '\0';
     follow->watching = true;
     /* The pages are not one snapshot: watch from the revision of the first. */
     follow->revision = follow->list_revision;
@@ -118,6 +113,6 @@
     follow->watching = false;
     follow->caught_up = false;
     follow->busy = false;
-    follow->page_after[0] = '\0';
+    follow->page[0] = '\0';
     follow->due_us = now_us;
 }
--- a/tier/follow.h
+++ b/tier/follow.h
@@ -26,8 +26,7 @@
     FOLLOW_RETRY_US = 400000,
     /* A response with this many changes may be incomplete: the store's pages
        end at about 500. */
-    FOLLOW_BATCH_FULL = 400,
-    FOLLOW_KEY_SIZE = 256
+    FOLLOW_BATCH_FULL = 400
 };
 
 typedef struct {
@@ -45,16 +44,16 @@
 
 typedef struct {
     follow_settings_t settings;
-    bool watching;                    /* false: listing */
-    bool busy;                        /* a call is in flight */
-    bool caught_up;                   /* no change precedes those delivered by
-                                         the follow_t that covers it */
-    uint64_t revision;                /* changes up to here were received */
-    uint64_t list_revision;           /* of the first page of the list */
-    char page_after[FOLLOW_KEY_SIZE]; /* last key of the previous page */
-    int64_t due_us;                   /* earliest time of the next call */
-    int64_t paused_until_us;          /* no call before this */
-    uint32_t failures;                /* consecutive */
+    bool watching;           /* false: listing */
+    bool busy;               /* a call is in flight */
+    bool caught_up;          /* no change precedes those delivered by
+                                the follow_t that covers it */
+    uint64_t revision;       /* changes up to here were received */
+    uint64_t list_revision;  /* of the first page of the list */
+    char page[KV_PAGE_SIZE]; /* that is listed next; "": the first */
+    int64_t due_us;          /* earliest time of the next call */
+    int64_t paused_until_us; /* no call before this */
+    uint32_t failures;       /* consecutive */
 } follow_t;
 
 /* What the items of a response are. */
--- a/tier/registry_copy.c
+++ b/tier/registry_copy.c
@@ -67,17 +67,19 @@
     *entry = (instance_entry_t){.address.sin_family = AF_INET};
     json_int_t port = json_integer_value(json_object_get(row, "port"));
     json_int_t slots = json_integer_value(json_object_get(row, "slots"));
+    json_int_t cold_us = json_integer_value(json_object_get(row, "cold_us"));
     entry->started_ms = json_integer_value(json_object_get(row, "started_ms"));
     entry->address.sin_port = htons((uint16_t)port);
     entry->slots = (uint32_t)slots;
     entry->draining = json_is_true(json_object_get(row, "draining"));
-    entry->cold_left_us = json_integer_value(json_object_get(row, "cold_us"));
+    entry->cold_left_us = cold_us;
     (void)row_text(row, "version", entry->version, sizeof(entry->version));
     return row_text(row, "id", entry->id, sizeof(entry->id)) &&
            row_text(row, "service", entry->service, sizeof(entry->service)) &&
            row_text(row, "zone", entry->zone, sizeof(entry->zone)) &&
            row_text(row, "host", host, sizeof(host)) && port > 0 &&
            port <= UINT16_MAX && slots > 0 && slots <= UINT16_MAX &&
+           cold_us >= 0 && cold_us <= INT64_MAX / 2 &&
            inet_pton(AF_INET, host, &entry->address.sin_addr) == 1;
 }
 
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -425,6 +425,16 @@
     }
 }
 
+/* List the prefix again, since its changes cannot be had. */
+static void
+channel_relist(channel_t *channel, int64_t now_us)
+{
+    follow_failed(&channel->follow, true, now_us);
+    if (channel->follow.settings.all_prefixes) {
+        store_relist_covered(channel->store, now_us);
+    }
+}
+
 static void
 channel_answered(channel_t *channel, int64_t now_us)
 {
@@ -461,10 +471,7 @@
     }
     else if (status == 410) {
         store_mark_reachable(store, now_us);
-        follow_failed(&channel->follow, true, now_us);
-        if (channel->follow.settings.all_prefixes) {
-            store_relist_covered(store, now_us);
-        }
+        channel_relist(channel, now_us);
     }
     else {
         char why[32];
@@ -490,6 +497,14 @@
     if (state == HTTP_INCOMPLETE) {
         return;
     }
+    if (state == HTTP_BODY_TOO_LARGE && channel->follow.watching) {
+        /* The changes are in one response, however many there are; a list
+           comes in pages. */
+        conn_close(conn);
+        channel->busy = false;
+        channel_relist(channel, now_us);
+        return;
+    }
     if (state != HTTP_DONE || used < size) {
         channel_failed(channel, "garbled", now_us);
         return;
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -192,8 +192,11 @@
     if (timeout == NULL) {
         return IDLE_TIMEOUT_US;
     }
-    int64_t limit_us =
-        strtol(timeout + strlen("timeout="), NULL, 10) * INT64_C(1000000);
+    long limit_s = strtol(timeout + strlen("timeout="), NULL, 10);
+    if (limit_s < 0 || limit_s > IDLE_TIMEOUT_US / 1000000) {
+        return IDLE_TIMEOUT_US;
+    }
+    int64_t limit_us = limit_s * INT64_C(1000000);
     int64_t used_us = limit_us - IDLE_MARGIN_US;
     if (used_us < limit_us / 2) {
         used_us = limit_us / 2;
