http_client: a response whose head is cut is not whole

Reported by operators of systems like this one: a server stopped in the middle of its response's head and closed, and clients got a 200 with an empty body. The query tier's own reader does not do that; yuccarund's calls to the store did: a 404 cut within its head counted as "the key does not exist", a 4xx as proof that nothing was written.

Cause: libcurl reports success for such a response, with the status of the first line and an empty body.

Change: a response counts as broken unless the empty line after its head has arrived. t0404 "half a head" expects a GET to be unavailable now, as with half a body, no longer invalid: the empty body is not read.

--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -14,6 +14,7 @@
 
 /* Collects the body of a response. */
 typedef struct {
+    bool head_whole; /* the empty line after the headers has arrived */
     char *data;
     size_t size;
     size_t max;
@@ -48,6 +49,27 @@
     return added;
 }
 
+/*
+ * Called for each line of a head, and for each trailer field. libcurl reports
+ * success for a response whose head is cut by the close of the connection,
+ * with the status of its first line and an empty body.
+ */
+static size_t
+receiver_head_line(char *line, size_t size, size_t count, void *user)
+{
+    static const char status_line[] = "HTTP/";
+    receiver_t *receiver = user;
+    size_t length = size * count;
+    if (length > 0 && (line[0] == '\r' || line[0] == '\n')) {
+        receiver->head_whole = true;
+    }
+    else if (length >= sizeof(status_line) - 1 &&
+             memcmp(line, status_line, sizeof(status_line) - 1) == 0) {
+        receiver->head_whole = false; /* the one before was an interim one */
+    }
+    return length;
+}
+
 /* Returns a handle with the options that GET and PUT share. */
 static CURL *
 handle_new(void)
@@ -62,6 +84,7 @@
     curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(curl, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, receiver_write);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, receiver_head_line);
     return curl;
 }
 
@@ -159,10 +182,14 @@
     }
     curl_easy_setopt(curl, CURLOPT_URL, call->url);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, &receiver);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, &receiver);
     curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, curl_message);
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
     curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)call->timeout_ms);
     CURLcode result = curl_easy_perform(curl);
+    if (result == CURLE_OK && !receiver.head_whole) {
+        result = CURLE_PARTIAL_FILE;
+    }
     curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, NULL);
     reply->body = receiver.data;
     reply->body_size = receiver.size;
--- a/t/t0404-store.c
+++ b/t/t0404-store.c
@@ -240,8 +240,19 @@
 
 static const reply_case_t reply_cases[] = {
     {"closed after reading", NULL, STATUS_UNAVAILABLE, STATUS_UNKNOWN},
-    {"half a head", "HTTP/1.1 200 OK\r\nConte", STATUS_INVALID,
+    {"half a head", "HTTP/1.1 200 OK\r\nConte", STATUS_UNAVAILABLE,
      STATUS_UNKNOWN},
+    {"half a head, not found", "HTTP/1.1 404 x\r\nConte", STATUS_UNAVAILABLE,
+     STATUS_UNKNOWN},
+    {"half a head, denied", "HTTP/1.1 403 x\r\n", STATUS_UNAVAILABLE,
+     STATUS_UNKNOWN},
+    {"half a head after an interim one",
+     "HTTP/1.1 103 x\r\nA: b\r\n\r\nHTTP/1.1 404 x\r\nConte",
+     STATUS_UNAVAILABLE, STATUS_UNKNOWN},
+    {"trailer fields",
+     "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntrue\r\n"
+     "0\r\nHTTP/Sum: 1\r\nT: u\r\n\r\n",
+     STATUS_INVALID, STATUS_OK},
     {"half a body", HEAD("200", "9") "true", STATUS_UNAVAILABLE,
      STATUS_UNKNOWN},
     {"no HTTP", "hello\r\n\r\n", STATUS_UNAVAILABLE, STATUS_UNKNOWN},
--- a/t/t1002-message.c
+++ b/t/t1002-message.c
@@ -298,6 +298,57 @@
 }
 END_TEST
 
+/* A response that is cut at each byte, and the least length at which the close
+   of the connection completes it. */
+typedef struct {
+    const char *name;
+    const char *head;
+    const char *body;
+    bool close_delimited; /* the head and any part of the body are complete */
+} cut_case_t;
+
+static const cut_case_t cut_cases[] = {
+    {"with a length", RESPONSE_LINE "A: b\r\nContent-Length: 3\r\n\r\n", "abc",
+     false},
+    {"in chunks", RESPONSE_LINE "A: b\r\n" CHUNKED,
+     "3\r\nabc\r\n0\r\nT: u\r\n\r\n", false},
+    {"until the close", RESPONSE_LINE "A: b\r\n\r\n", "abc", true},
+    {"after an interim one",
+     "HTTP/1.1 103 Early\r\nC: d\r\n\r\n" RESPONSE_LINE "A: b\r\n\r\n", "abc",
+     true},
+    {"with line feeds only", "HTTP/1.1 200 OK\nA: b\nContent-Length: 3\n\n",
+     "abc", false},
+};
+
+/* Guards against MIXED: a response whose head was cut by a close passed as a
+   whole one with an empty body. */
+START_TEST(test_cut_response)
+{
+    static const char first[] =
+        RESPONSE_LINE "Content-Length: 2\r\nX: y\r\n\r\nok";
+    const cut_case_t *c = &cut_cases[_i];
+    char text[256];
+    size_t size =
+        (size_t)snprintf(text, sizeof(text), "%s%s", c->head, c->body);
+    size_t complete = c->close_delimited ? strlen(c->head) : size;
+    for (size_t cut = 0; cut <= size; cut++) {
+        http_reader_t reader;
+        size_t used;
+        http_reader_init(&reader, HTTP_RESPONSES, &limits);
+        feed_message(&reader, first, sizeof(first) - 1, sizeof(first),
+                     c->name);
+        http_reader_next(&reader);
+        http_state_t state = http_reader_feed(&reader, text, cut, &used);
+        if (state == HTTP_INCOMPLETE) {
+            state = http_reader_feed_eof(&reader);
+        }
+        ck_assert_msg((state == HTTP_DONE) == (cut >= complete),
+                      "%s, cut after %zu bytes: %d", c->name, cut, state);
+        http_reader_release(&reader);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -306,6 +357,8 @@
                         sizeof(message_cases) / sizeof(message_cases[0]));
     tcase_add_test(tests, test_headers);
     tcase_add_test(tests, test_most_headers_and_trailer_fields);
+    tcase_add_loop_test(tests, test_cut_response, 0,
+                        sizeof(cut_cases) / sizeof(cut_cases[0]));
     tcase_add_loop_test(tests, test_trailer_fields, 0,
                         sizeof(trailer_cases) / sizeof(trailer_cases[0]));
     return suite_run("message", tests);
