--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -57,7 +57,7 @@
 static size_t
 receiver_head_line(char *line, size_t size, size_t count, void *user)
 {
-    static const char status_line[] = "HTTP/";
+    static const char status_line[] = "HTTP/1.";
     receiver_t *receiver = user;
     size_t length = size * count;
     if (length > 0 && (line[0] == '\r' || line[0] == '\n')) {
--- a/t/t0404-store.c
+++ b/t/t0404-store.c
@@ -251,7 +251,7 @@
      STATUS_UNAVAILABLE, STATUS_UNKNOWN},
     {"trailer fields",
      "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntrue\r\n"
-     "0\r\nHTTP/Sum: 1\r\nT: u\r\n\r\n",
+     "0\r\nHTTP-Sum: 1\r\nT: u\r\n\r\n",
      STATUS_INVALID, STATUS_OK},
     {"half a body", HEAD("200", "9") "true", STATUS_UNAVAILABLE,
      STATUS_UNKNOWN},
