upstream_link: close a connection after a response without an id

Change: a response without an id is accepted only as the first one of its connection, and the connection is closed then. A late copy has no request to meet, and no refusal needs to be distrusted. t1045 "upstream sends no ids" expects 200 with two sends now, where it expected 502.

--- a/t/t1045-response-matching.c
+++ b/t/t1045-response-matching.c
@@ -84,16 +84,19 @@
     const char *first;
     const char *early;
     uint32_t status;
+    uint32_t sends; /* of both requests */
 } unidentified_case_t;
 
 static const unidentified_case_t unidentified_cases[] = {
-    {"refusal, not idempotent", "/once/", GOOD_RESPONSE, REFUSAL(NO_ID), 502},
-    {"refusal, idempotent", "/one/", GOOD_RESPONSE, REFUSAL(NO_ID), 200},
+    {"refusal, not idempotent", "/once/", GOOD_RESPONSE, REFUSAL(NO_ID), 502,
+     2},
+    {"refusal, idempotent", "/one/", GOOD_RESPONSE, REFUSAL(NO_ID), 200, 3},
     {"success, not idempotent", "/once/", GOOD_RESPONSE, RESPONSE_WITHOUT_ID,
-     502},
-    {"success, idempotent", "/one/", GOOD_RESPONSE, RESPONSE_WITHOUT_ID, 200},
+     502, 2},
+    {"success, idempotent", "/one/", GOOD_RESPONSE, RESPONSE_WITHOUT_ID, 200,
+     3},
     {"refusal, upstream sends no ids", "/once/", RESPONSE_WITHOUT_ID,
-     REFUSAL(NO_ID), 502},
+     REFUSAL(NO_ID), 200, 2},
 };
 
 /* Guards against TWICE and MIXED: a response without an id was taken for the
@@ -125,8 +128,7 @@
     ck_assert_msg(c->status != 200 ||
                       strstr(caller.text, "0123456789abcdef") != NULL,
                   "%s: %s", c->name, caller.text);
-    uint32_t sends = c->status == 200 ? 3 : 2;
-    ck_assert_msg(tier_upstream_requests(f.upstreams[0]) == sends,
+    ck_assert_msg(tier_upstream_requests(f.upstreams[0]) == c->sends,
                   "%s: %u sends", c->name,
                   tier_upstream_requests(f.upstreams[0]));
     fixture_release(&f);
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -242,14 +242,6 @@
     }
 }
 
-/* Whether the upstream says that it did not run the request. */
-static bool
-message_is_refusal(const http_message_t *message)
-{
-    return message->status == 421 ||
-           http_header_find(message, HEADER_NOT_RUN) != NULL;
-}
-
 /* The result of an attempt that got a whole response from the instance. */
 static reply_t
 reply_from_message(const http_message_t *message, const instance_t *instance)
@@ -262,7 +254,7 @@
     if (message->status == 421) {
         reply.kind = REPLY_MISDIRECTED;
     }
-    else if (message_is_refusal(message)) {
+    else if (http_header_find(message, HEADER_NOT_RUN) != NULL) {
         reply.kind = REPLY_NOT_RUN;
     }
     else if (reply.signature == NULL) {
@@ -325,25 +317,23 @@
 
 /*
  * A response without an id may be a late copy of an earlier response. It is
- * accepted where there was none, and from upstreams that never send ids unless
- * it is a refusal, which would permit a request to be sent again while it
- * runs.
+ * accepted only as the first one of its connection, which is not used again.
  */
 static response_owner_t
 link_identify_response(link_t *link)
 {
-    const http_message_t *message = &link->reader.message;
-    const char *id = http_header_find(message, HEADER_REQUEST_ID);
+    const char *id =
+        http_header_find(&link->reader.message, HEADER_REQUEST_ID);
     if (id != NULL) {
         link->echoes_ids = true;
         return strcmp(id, link->attempt->id) == 0 ? RESPONSE_OWN
                                                   : RESPONSE_OTHER;
     }
-    if (!link->echoes_ids &&
-        (link->sends == 1 || !message_is_refusal(message))) {
-        return RESPONSE_OWN;
+    if (link->echoes_ids) {
+        return RESPONSE_UNIDENTIFIED;
     }
-    return RESPONSE_UNIDENTIFIED;
+    link->tainted = true;
+    return RESPONSE_OWN;
 }
 
 /* Account for the response that is being read. If all of them take too much
--- a/tier/upstream_link.h
+++ b/tier/upstream_link.h
@@ -2,7 +2,7 @@
  * HTTP connections to upstreams: kept open, reused, and without pipelining.
  *
  * A response is accepted only if it is complete, valid HTTP, signed, and
- * carries the request's own id, or none from an upstream that has sent none.
+ * carries the request's own id, or none as the first one of its connection.
  * Any other end of an attempt is reported with a reply kind that says whether
  * the request may have run. A request is sent on a connection once at most, so
  * that its id tells the responses to its sends apart.
