node: a planned stop cuts neither late requests nor answers being sent

Reported by operators of systems like this one: in a planned stop, requests that came late in the grace period were passed on, and cut at its end. Here callers got 504 for a request that an upstream ran and that could have been refused, and answers that they read slowly were cut short: 5.6 of 14 MB for a caller, 12 for a peer that relays.

Cause: admission did not know that the daemon ends. The server counted a connection as idle while its last answer was being sent: when idle connections are closed at a stop, and idle_timeout_ms after the answer was given at any time. The daemon ended without waiting for answers to peers.

Change: engine_stop_at bounds deadlines by the time at which the daemon gives up, so that a request that is not expected to be done is refused at once (503, leaving, Retry-After 20 ms). A connection is idle when its answer is sent, and closed without progress for the idle timeout. A stop waits for answers to peers.

--- a/http/server.c
+++ b/http/server.c
@@ -46,7 +46,8 @@
     bool close_after_response; /* the next response is the last one */
     bool feeding;              /* unused */
     int64_t wait_start_us;     /* when the current timeout started */
-    int64_t arrived_us;        /* when the current request was complete */
+    size_t unsent;      /* bytes of responses not yet sent at the last sweep */
+    int64_t arrived_us; /* when the current request was complete */
     buffer_t pipelined; /* received while the current request is handled */
     ev_timer timer;
     void *data;
@@ -359,16 +360,46 @@
     server->close_after_responses = true;
 }
 
+bool
+http_server_is_busy(const http_server_t *server)
+{
+    for (const exchange_t *exchange = server->exchanges; exchange != NULL;
+         exchange = exchange->next) {
+        if (exchange->state == EXCHANGE_HANDLING ||
+            !conn_is_flushed(&exchange->conn)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 http_server_close_idle(http_server_t *server)
 {
     for (exchange_t *exchange = server->exchanges, *next; exchange != NULL;
          exchange = next) {
         next = exchange->next;
-        if (exchange->state == EXCHANGE_READING && !exchange->reader.started &&
-            buffer_size(&exchange->pipelined) == 0) {
+        if (exchange->state != EXCHANGE_READING || exchange->reader.started ||
+            buffer_size(&exchange->pipelined) > 0) {
+            continue;
+        }
+        if (conn_is_flushed(&exchange->conn)) {
             exchange_free(exchange);
         }
+        else {
+            exchange->state = EXCHANGE_CLOSING;
+        }
+    }
+}
+
+/* A client that reads its response, however slowly, is not idle. */
+static void
+exchange_note_progress(exchange_t *exchange, int64_t now_us)
+{
+    size_t unsent = buffer_size(&exchange->conn.out);
+    if (unsent != exchange->unsent) {
+        exchange->unsent = unsent;
+        exchange->wait_start_us = now_us;
     }
 }
 
@@ -376,10 +407,13 @@
 exchange_sweep(exchange_t *exchange, int64_t now_us)
 {
     const http_server_settings_t *settings = &exchange->server->settings;
+    exchange_note_progress(exchange, now_us);
     int64_t age_us = now_us - exchange->wait_start_us;
+    bool is_idle =
+        settings->idle_timeout_us > 0 && age_us > settings->idle_timeout_us;
     switch (exchange->state) {
     case EXCHANGE_CLOSING:
-        if (age_us > LINGER_US && conn_is_flushed(&exchange->conn)) {
+        if (conn_is_flushed(&exchange->conn) ? age_us > LINGER_US : is_idle) {
             exchange_free(exchange);
         }
         break;
@@ -390,8 +424,7 @@
                 exchange_reject(exchange, 408);
             }
         }
-        else if (settings->idle_timeout_us > 0 &&
-                 age_us > settings->idle_timeout_us) {
+        else if (is_idle) {
             exchange_free(exchange);
         }
         break;
--- a/http/server.h
+++ b/http/server.h
@@ -57,7 +57,8 @@
 typedef struct {
     http_limits_t limits;
     int64_t header_timeout_us; /* for all headers, then between body pieces */
-    int64_t idle_timeout_us;   /* until the next request begins */
+    int64_t idle_timeout_us;   /* until the next request begins, or without
+                                  progress in sending a response */
     uint32_t connections_max;  /* open at a time; further ones are refused */
 } http_server_settings_t;
 
@@ -100,7 +101,11 @@
 /* From now on, close each connection after its next response. */
 void http_server_close_after_responses(http_server_t *server);
 
-/* Close connections on which no request is being read or handled. */
+/* Whether a request is being handled, or a response is not sent whole. */
+bool http_server_is_busy(const http_server_t *server);
+
+/* Close connections on which no request is being read or handled, each when
+   its last response is sent. */
 void http_server_close_idle(http_server_t *server);
 
 /* Close the connections that have exceeded a timeout; now_us is monotonic. */
--- a/tier/engine.h
+++ b/tier/engine.h
@@ -252,8 +252,10 @@
 void engine_each_route(const engine_t *engine, engine_route_fn_t each,
                        void *owner);
 
-/* The request's timeout: the caller's or the route's, whichever is shorter. */
-int64_t engine_timeout_us(const engine_t *engine, const call_t *call);
+/* The request's timeout: the caller's, the route's, or the time until the
+   daemon stops (engine_stop_at), whichever is shortest. */
+int64_t engine_timeout_us(const engine_t *engine, const call_t *call,
+                          int64_t now_us);
 
 /* Whether the request may run more than once; false if no route is known. */
 bool engine_is_idempotent(const engine_t *engine, const call_t *call);
@@ -262,6 +264,10 @@
    answer: no upstream is reached, and another daemon can serve them. */
 void engine_give_up_unreached(engine_t *engine, int64_t now_us);
 
+/* The daemon stops at that time: a new request that is not expected to be
+   answered by then is refused, so that another daemon can serve it. */
+void engine_stop_at(engine_t *engine, int64_t at_us);
+
 /* Fail every open request with its final answer, as the daemon stops. */
 void engine_fail_all(engine_t *engine, int64_t now_us);
 
--- a/tier/engine_admission.c
+++ b/tier/engine_admission.c
@@ -2,6 +2,7 @@
 #include "edge/event.h"
 #include "tier/engine_state.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,6 +25,8 @@
     /* Least Retry-After of 503 answers that this daemon generates; see
        request_retry_after_us. */
     REFUSAL_RETRY_AFTER_US = 150000,
+    /* Retry-After of a request that another daemon can serve. */
+    LEAVING_RETRY_AFTER_US = 20000,
     /* Bytes of a response besides its body, on the link. */
     RESPONSE_HEADER_BYTES = 300
 };
@@ -223,6 +226,10 @@
     request->priority = call_priority(engine->table, route, call);
     request->arrived_us = now_us;
     request->deadline_us = now_us + timeout_us - margin_us;
+    if (engine->stop_us > 0 && request->deadline_us > engine->stop_us) {
+        request->deadline_us = engine->stop_us;
+        request->ends_with_daemon = true;
+    }
     request->fingerprint = call_fingerprint(call);
     request->route_state = engine_route_state(engine, route);
     if (request->route_state == NULL || !request_add_subrequests(request)) {
@@ -438,6 +445,13 @@
 request_is_refused(request_t *request, refusal_t *refusal, int64_t now_us)
 {
     const engine_t *engine = request->engine;
+    if (request->ends_with_daemon && !request_is_feasible(request, now_us)) {
+        refusal->reason = "leaving";
+        snprintf(refusal->cause, sizeof(refusal->cause), "left_ms=%" PRId64,
+                 (request->deadline_us - now_us) / 1000);
+        refusal->retry_after_us = LEAVING_RETRY_AFTER_US;
+        return true;
+    }
     if (!request_fits_link(request, now_us)) {
         refusal->reason = "link_full";
         snprintf(refusal->cause, sizeof(refusal->cause), "inbound_kb=%llu",
@@ -536,15 +550,24 @@
 }
 
 int64_t
-engine_timeout_us(const engine_t *engine, const call_t *call)
+engine_timeout_us(const engine_t *engine, const call_t *call, int64_t now_us)
 {
     const route_t *route =
         engine->table != NULL
             ? route_table_match(engine->table, call->host, call->target)
             : NULL;
-    return route != NULL          ? call_timeout_us(call, route)
-           : call->timeout_us > 0 ? call->timeout_us
-                                  : DEFAULT_TIMEOUT_US;
+    int64_t timeout_us = route != NULL          ? call_timeout_us(call, route)
+                         : call->timeout_us > 0 ? call->timeout_us
+                                                : DEFAULT_TIMEOUT_US;
+    return engine->stop_us > 0 && now_us + timeout_us > engine->stop_us
+               ? engine->stop_us - now_us
+               : timeout_us;
+}
+
+void
+engine_stop_at(engine_t *engine, int64_t at_us)
+{
+    engine->stop_us = at_us;
 }
 
 bool
--- a/tier/engine_state.h
+++ b/tier/engine_state.h
@@ -70,6 +70,7 @@
     int64_t goal_us;     /* latency goal, as a point in time */
     bool is_return;      /* its caller was refused before, or has lost time */
     int64_t deadline_us; /* when the final answer is sent */
+    bool ends_with_daemon;    /* deadline_us is when the daemon stops */
     int64_t half_answered_us; /* time that half the shards took; 0: not yet */
     int64_t wake_us;          /* time of the pending wake-up; 0: none */
     subrequest_t *subrequests;
@@ -109,6 +110,7 @@
     uint64_t inbound_bytes; /* expected in response to all open requests */
     uint64_t limited_sends; /* to upstreams that stated a rate limit */
     zone_traffic_t zone_traffic;
+    int64_t stop_us; /* when the daemon stops; 0: not planned */
     uint64_t random;
     quarantine_t *quarantine; /* fingerprints of crash-inducing requests */
     fair_share_t shares;      /* of tenants in the upstreams' capacity */
--- a/tier/front.c
+++ b/tier/front.c
@@ -202,7 +202,7 @@
         return;
     }
     pending->deadline_us =
-        now_us + engine_timeout_us(front->engine, &pending->call);
+        now_us + engine_timeout_us(front->engine, &pending->call, now_us);
     front_try_token(exchange, pending, now_us);
 }
 
--- a/tier/node.c
+++ b/tier/node.c
@@ -267,6 +267,7 @@
     }
     bool done = engine_request_count(node->engine) == 0 &&
                 http_server_stats(node->caller_server)->open == 0 &&
+                !http_server_is_busy(node->peer_server) &&
                 store_link_is_deregistered(node->store);
     if (done || since_us >= node->boot.grace_us - SHUTDOWN_MARGIN_US +
                                 SHUTDOWN_FLUSH_US) {
@@ -566,6 +567,8 @@
               http_server_stats(node->caller_server)->open);
     http_server_close_after_responses(node->caller_server);
     http_server_close_after_responses(node->peer_server);
+    engine_stop_at(node->engine, node->shutdown_us + node->boot.grace_us -
+                                     SHUTDOWN_MARGIN_US);
     store_link_deregister(node->store, node->shutdown_us);
 }
 
