upstream_link: keep a connection while its response is being reported

A use after free, never shipped: since a request that is sent again from the report of its response may close the idle connection that holds the response, which the engine still reads.

Change: such a connection is freed when the report ends, whoever asks for it. That holds for a failed write and a cancelled attempt, too.

--- a/t/t1045-response-matching.c
+++ b/t/t1045-response-matching.c
@@ -138,7 +138,9 @@
 /* Connections without an engine: counts the replies. */
 typedef struct {
     uint32_t replies;
-    reply_kind_t kind; /* of the latest reply */
+    upstream_links_t *links;
+    attempt_t *resent; /* sent from within the next report; NULL: none */
+    uint32_t status;   /* of the latest response, read after that */
 } link_owner_t;
 
 static void
@@ -146,10 +148,14 @@
            int64_t now_us)
 {
     link_owner_t *links_owner = owner;
+    attempt_t *resent = links_owner->resent;
     (void)attempt;
-    (void)now_us;
     links_owner->replies++;
-    links_owner->kind = reply->kind;
+    links_owner->resent = NULL;
+    if (resent != NULL) {
+        ck_assert(upstream_links_send(links_owner->links, resent, now_us));
+    }
+    links_owner->status = reply->message != NULL ? reply->message->status : 0;
 }
 
 static void
@@ -232,6 +238,44 @@
 }
 END_TEST
 
+/* Guards against a use after free: a request that was sent again from the
+   report of its response closed the connection that holds the response. */
+START_TEST(test_resend_from_report)
+{
+    static const call_t call = {
+        .method = "GET",
+        .target = "/x",
+        .head = "Host: h\r\nX-Yuccarun-Request-Id: r\r\n",
+        .head_size = sizeof("Host: h\r\nX-Yuccarun-Request-Id: r\r\n") - 1,
+    };
+    fixture_t f;
+    link_owner_t owner = {0};
+    fixture_init(&f);
+    instance_t instance = {
+        .entry = {.address = *tier_upstream_address(f.upstreams[0])}};
+    snprintf(instance.entry.id, sizeof(instance.entry.id), "i-0");
+    instance.listed = true;
+    owner.links = upstream_links_new(f.loop, &link_ops, &owner);
+    attempt_t first = {
+        .instance = &instance,
+        .call = &call,
+        .idempotent = true,
+        .deadline_us = clock_now_us() + 1000000,
+        .id = "r",
+    };
+    attempt_t second = first;
+    owner.resent = &second;
+    ck_assert(upstream_links_send(owner.links, &first, clock_now_us()));
+    run_ms(&f, 50);
+    ck_assert_uint_eq(owner.replies, 2);
+    ck_assert_uint_eq(owner.status, 200);
+    ck_assert_uint_eq(upstream_links_stats(owner.links)->opened, 2);
+    ck_assert_uint_eq(upstream_links_stats(owner.links)->open, 1);
+    upstream_links_free(owner.links);
+    fixture_release(&f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -243,5 +287,6 @@
                         sizeof(unidentified_cases) /
                             sizeof(unidentified_cases[0]));
     tcase_add_test(tests, test_connection_after_many_requests);
+    tcase_add_test(tests, test_resend_from_report);
     return suite_run("response matching", tests);
 }
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -80,6 +80,7 @@
     link_t *all;
     size_t buffered;    /* sum over all links */
     link_t *sweep_next; /* next link of a running sweep; link_free skips it */
+    link_t *delivering; /* whose response is being reported; NULL: none */
     upstream_links_stats_t stats;
 };
 
@@ -102,9 +103,16 @@
     return &links->stats;
 }
 
+/* Close the connection and free it; while its response is being reported, when
+   the report ends. */
 static void
 link_free(link_t *link)
 {
+    if (link->links->delivering == link) {
+        link->attempt = NULL;
+        link->tainted = true;
+        return;
+    }
     link_t **place = (link_t **)&link->instance->links;
     while (*place != link) {
         place = &(*place)->instance_next;
@@ -299,11 +307,11 @@
         link->tainted = true;
     }
     attempt->link = NULL;
-    /* ops->replied does not reuse a tainted link, so that link is still
-       valid afterwards. It may reuse or free any other link. */
-    bool tainted = link->tainted;
+    /* ops->replied may reuse this link, or free any other. */
+    links->delivering = link;
     links->ops->replied(links->owner, attempt, &reply, now_us);
-    if (tainted) {
+    links->delivering = NULL;
+    if (link->tainted) {
         link_free(link);
     }
 }
