--- a/http/message.h
+++ b/http/message.h
@@ -5,8 +5,7 @@
  * is complete, so that an incomplete message is never passed on. After
  * HTTP_DONE, bytes that were not used belong to the next message, or are
  * surplus if no other message is expected. Trailer fields are discarded, which
- * RFC 9110, section 6.5.1, allows: they were not there when the message was
- * routed, and must not pass for headers.
+ * RFC 9110, section 6.5.1, allows, as they must not pass for headers.
  *
  *     http_reader_t reader;
  *     http_reader_init(&reader, HTTP_REQUESTS, &limits);
--- a/t/t1046-odd-entries.c
+++ b/t/t1046-odd-entries.c
@@ -124,7 +124,7 @@
 static void
 put_odd_entries(fixture_t *f)
 {
-    /* In the order of keys among those of the sound ones, and before them. */
+    /* They sort before, between and after the keys of the sound entries. */
     static const char *const keys[] = {"servers/ %d%%&?#", "servers/i-0 %d",
                                        "servers/i-1\xc3\xa9%d+",
                                        "servers/zz%d\r\n"};
