--- a/review/stand-ins-2/lab2.c
+++ b/review/stand-ins-2/lab2.c
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/mman.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -34,6 +35,7 @@
 static pid_t children[CHILDREN_MAX];
 static int child_count;
 static uint16_t store_port;
+static volatile int *slow_factor; /* shared with the servers' processes */
 
 static int64_t
 clock_ms(void)
@@ -99,6 +101,13 @@
     record_fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0644);
     snprintf(temporary, sizeof(temporary), "%s/yuccarun-review-XXXXXX",
              base != NULL ? base : "/tmp");
+    void *shared = mmap(NULL, sizeof(*slow_factor), PROT_READ | PROT_WRITE,
+                        MAP_SHARED | MAP_ANONYMOUS, -1, 0);
+    if (shared == MAP_FAILED) {
+        return false;
+    }
+    slow_factor = shared;
+    *slow_factor = 1;
     return record_fd >= 0 && mkdtemp(temporary) != NULL;
 }
 
@@ -346,6 +355,7 @@
     char id[64];
     const char *poison; /* NULL: none */
     int factor;         /* of the time that work takes */
+    bool is_steady;     /* slow_factor does not apply */
 } server_t;
 
 static void
@@ -387,7 +397,7 @@
     lab_record("run id=%s server=%s target=%s body=%zu", id, server->id,
                target, request->body_size);
     lab_sleep_ms((work != NULL ? strtol(work + 4, NULL, 10) : 10) *
-                 server->factor);
+                 server->factor * (server->is_steady ? 1 : *slow_factor));
     int body_size = snprintf(body, sizeof(body), "%s by %s", id, server->id);
     int size = snprintf(out, sizeof(out),
                         "HTTP/1.1 200 OK\r\nX-Yuccarun-Request-Id: %s\r\n"
@@ -453,6 +463,7 @@
         server->fd = fds[i];
         server_id(servers, i, server->id, sizeof(server->id));
         server->poison = servers->poison;
+        server->is_steady = servers->is_steady;
         server->factor = servers->slow_factor > 0 && servers->slow_index == i
                              ? servers->slow_factor
                              : 1;
@@ -486,6 +497,13 @@
     }
 }
 
+void
+lab_servers_slow(int factor)
+{
+    lab_record("work takes %d times as long", factor);
+    *slow_factor = factor;
+}
+
 void
 lab_servers_beat(const lab_servers_t *servers)
 {
--- a/review/stand-ins-2/lab2.h
+++ b/review/stand-ins-2/lab2.h
@@ -51,6 +51,7 @@
     const char *poison; /* a request with this prefix crashes the process */
     int slow_index;     /* of the server that is slow, if slow_factor is set */
     int slow_factor;    /* its work takes so many times as long; 0: none */
+    bool is_steady;     /* lab_servers_slow does not apply to them */
     pid_t pid;          /* 0: not running */
 } lab_servers_t;
 
@@ -94,6 +95,10 @@
  */
 void lab_servers_start(lab_servers_t *servers);
 
+/* From now on the work of all servers but the steady ones takes so many times
+   as long. */
+void lab_servers_slow(int factor);
+
 /* Write or renew the entries of the servers. */
 void lab_servers_beat(const lab_servers_t *servers);
 
