store_health: one failed read of the store is no outage

Requests reached upstreams up to 7.9 s after the removal of their entry, where 5 s are allowed, while the store cut waiting watches and answered all other calls.

Cause: a read that failed counted as the begin of an outage, and the next answer as its end. What disappeared within two seconds of that was kept for a grace period, at the daemon that reads the store and again at those that poll it.

Change: a failed read raises a doubt, and the store is read again at once. An answer ends the doubt; a read that was sent after it arose and fails too begins an outage. The grace period follows only if an entry can have expired since the store's last sign of life. Members of the fleet have the same rule. E319 and away_ms of E301 show both.

Why this works: the removal is now late by the two polls alone (2 s and 1.5 s), and a real outage still fails the second read.

--- a/Makefile
+++ b/Makefile
@@ -182,7 +182,7 @@
 	    t1005-peers t1010-engine t1011-overload t1012-node \
 	    t1013-restored-store t1014-limit-exceeded t1015-partitioned-daemon \
 	    t1016-endless-response t1045-response-matching \
-	    t1046-odd-entries t1048-planned-stop t1002-message" \
+	    t1046-odd-entries t1048-planned-stop t1049-doubted-store t1002-message" \
 	    sh t/scenario/mutants $(MUTANTS)
 
 demo: deps
--- a/edge/event.h
+++ b/edge/event.h
@@ -56,6 +56,7 @@
     X(STATE_FROM_PEER, 316, "state_from_peer", WARN)                          \
     X(UPSTREAMS_TOLD, 317, "upstreams_told", INFO)                            \
     X(STORE_RESTORED, 318, "store_restored", WARN)                            \
+    X(STORE_DOUBTED, 319, "store_doubted", INFO)                              \
     X(LEASE_HELD, 400, "lease_held", INFO)                                    \
     X(LEASE_LOST, 401, "lease_lost", WARN)                                    \
     X(MEMBER_JOINED, 402, "member_joined", INFO)                              \
--- a/t/lib/tier_fixture.c
+++ b/t/lib/tier_fixture.c
@@ -3,6 +3,7 @@
 #include "daemon/clock.h"
 #include "t/lib/suite.h"
 #include "t/lib/tier_address.h"
+#include "tier/members.h"
 
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -70,6 +71,29 @@
     tier_store_put(f->store, "op/config", text);
 }
 
+void
+list_member(fixture_t *f, const char *name, const char *control,
+            uint32_t weight)
+{
+    char key[64];
+    char record[MEMBER_RECORD_SIZE];
+    snprintf(key, sizeof(key), "yuccarun/fleet/members/%s", name);
+    member_record_write(record, sizeof(record), "127.0.0.1:2", control, "a",
+                        weight);
+    tier_store_put(f->store, key, record);
+}
+
+void
+list_other_members(fixture_t *f)
+{
+    enum { OTHERS = 20 };
+    for (int i = 0; i < OTHERS; i++) {
+        char name[32];
+        snprintf(name, sizeof(name), "front-x-%d", i);
+        list_member(f, name, "", 9);
+    }
+}
+
 /* A daemon, its store and one upstream for each of the services s0, s1, s2. */
 void
 fixture_start(fixture_t *f, bool first_start)
--- a/t/lib/tier_fixture.h
+++ b/t/lib/tier_fixture.h
@@ -63,6 +63,14 @@
                   const char *service, const char *state);
 void put_config(fixture_t *f, int version);
 
+/* Write the record of a member with that control address ("": none). */
+void list_member(fixture_t *f, const char *name, const char *control,
+                 uint32_t weight);
+
+/* Add so many weak members that the fleet counts as large, and a daemon that
+   is no stronger than they are becomes a standby. */
+void list_other_members(fixture_t *f);
+
 void caller_open(fixture_t *f, caller_t *caller,
                  const struct sockaddr_in *address);
 void caller_send(caller_t *caller, const char *text);
--- a/t/lib/tier_store.c
+++ b/t/lib/tier_store.c
@@ -63,6 +63,7 @@
     content_t backup;
     uint64_t era;
     const char *era_text;
+    tier_store_call_t next_poll;
     watch_t watches[WATCHES_MAX];
     uint32_t watch_count;
     uint32_t calls;
@@ -532,6 +533,66 @@
     answer_json(store, exchange, 404, NULL);
 }
 
+/* The daemon's reader of the store never takes a close for the end of a
+   response, so that this one is cut. */
+static void
+cut(exchange_t *exchange)
+{
+    static const http_response_t response = {
+        .status = 200,
+        .no_body = true,
+        .close = true,
+    };
+    exchange_respond(exchange, &response);
+}
+
+static void
+fail_call(tier_store_t *store, exchange_t *exchange, tier_store_call_t call)
+{
+    static const char garbled[] = "{";
+    switch (call) {
+    case TIER_STORE_CALL_CUT:
+        cut(exchange);
+        break;
+    case TIER_STORE_CALL_BUSY:
+        answer_json(store, exchange, 503, NULL);
+        break;
+    case TIER_STORE_CALL_LIMITED:
+        answer_json(store, exchange, 429, NULL);
+        break;
+    case TIER_STORE_CALL_GARBLED:
+        exchange_respond(exchange,
+                         &(http_response_t){.status = 200,
+                                            .body = garbled,
+                                            .body_size = sizeof(garbled) - 1});
+        break;
+    default:
+        break;
+    }
+}
+
+void
+tier_store_fail_next_poll(tier_store_t *store, tier_store_call_t call)
+{
+    store->next_poll = call;
+}
+
+bool
+tier_store_poll_is_to_fail(const tier_store_t *store)
+{
+    return store->next_poll != TIER_STORE_CALL_OK;
+}
+
+uint32_t
+tier_store_cut_watches(tier_store_t *store)
+{
+    uint32_t count = store->watch_count;
+    while (store->watch_count > 0) {
+        cut(store->watches[--store->watch_count].exchange);
+    }
+    return count;
+}
+
 static void
 store_request(void *owner, exchange_t *exchange)
 {
@@ -546,6 +607,14 @@
     if (store->mode == TIER_STORE_SILENT) {
         return;
     }
+    char prefix[KEY_SIZE];
+    query_parameter(target, "prefix", prefix, sizeof(prefix));
+    if (store->next_poll != TIER_STORE_CALL_OK && prefix[0] == '\0' &&
+        strncmp(target, "/-/kv-watch", 11) == 0) {
+        fail_call(store, exchange, store->next_poll);
+        store->next_poll = TIER_STORE_CALL_OK;
+        return;
+    }
     json_t *body = json_loadb((const char *)buffer_data(&message->body),
                               buffer_size(&message->body), 0, NULL);
     if (strncmp(target, "/-/kv-range", 11) == 0) {
--- a/t/lib/tier_store.h
+++ b/t/lib/tier_store.h
@@ -18,6 +18,16 @@
 
 typedef struct tier_store tier_store_t;
 
+/* What becomes of a single call. */
+typedef enum {
+    TIER_STORE_CALL_OK,
+    TIER_STORE_CALL_CUT,     /* the connection is closed */
+    TIER_STORE_CALL_LOST,    /* there is no response */
+    TIER_STORE_CALL_BUSY,    /* 503 */
+    TIER_STORE_CALL_LIMITED, /* 429 */
+    TIER_STORE_CALL_GARBLED  /* a response that cannot be read */
+} tier_store_call_t;
+
 typedef enum {
     TIER_STORE_NORMAL,
     TIER_STORE_UNAVAILABLE, /* 503 to all calls, and to open watches */
@@ -32,6 +42,15 @@
 
 void tier_store_set_mode(tier_store_t *store, tier_store_mode_t mode);
 
+/* What becomes of the next call for the changes of all prefixes. */
+void tier_store_fail_next_poll(tier_store_t *store, tier_store_call_t call);
+
+/* Whether that call is still to come. */
+bool tier_store_poll_is_to_fail(const tier_store_t *store);
+
+/* Cut the watches that wait. Returns how many there were. */
+uint32_t tier_store_cut_watches(tier_store_t *store);
+
 /* Write or remove a key without a lease, as another client of the store. */
 void tier_store_put(tier_store_t *store, const char *key, const char *value);
 void tier_store_remove(tier_store_t *store, const char *key);
--- a/t/t1003-observed-state.c
+++ b/t/t1003-observed-state.c
@@ -11,6 +11,7 @@
 #include "tier/poll_intervals.h"
 #include "tier/registry.h"
 #include "tier/serving.h"
+#include "tier/store_health.h"
 #include "tier/suspect_log.h"
 
 #include <stdio.h>
@@ -63,7 +64,7 @@
     registry_put(&registry, &entry, 5, T0 - 9 * SECOND);
     if (c->outage) {
         registry_store_unreachable(&registry);
-        registry_store_reachable(&registry, T0);
+        registry_store_reachable(&registry, STORE_AWAY_UNKNOWN_US, T0);
     }
     registry_remove(&registry, "i-1", 6, T0 + c->removed_us);
     if (c->readded_us > 0) {
@@ -80,6 +81,39 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    int64_t heartbeat_us; /* 0: unknown */
+    int64_t away_us;
+    bool deferred;
+} outage_case_t;
+
+static const outage_case_t outage_cases[] = {
+    {"shorter than an entry lasts", 1200000, 1700000, false},
+    {"longer than an entry may last", 1200000, 1900000, true},
+    {"no known heartbeat", 0, 100000, true},
+    {"of unknown length", 1200000, STORE_AWAY_UNKNOWN_US, true},
+};
+
+/* Guards against DRAIN: removals put off after an outage that was too short
+   for any entry to expire. */
+START_TEST(test_outage_length)
+{
+    const outage_case_t *c = &outage_cases[_i];
+    registry_t registry;
+    registry_init(&registry);
+    registry.heartbeat_us = c->heartbeat_us;
+    instance_entry_t entry = entry_of("i-1");
+    registry_put(&registry, &entry, 5, T0 - 9 * SECOND);
+    registry_store_unreachable(&registry);
+    registry_store_reachable(&registry, c->away_us, T0);
+    ck_assert_msg((registry_remove(&registry, "i-1", 6, T0) ==
+                   REGISTRY_REMOVAL_DEFERRED) == c->deferred,
+                  "%s", c->name);
+    registry_release(&registry);
+}
+END_TEST
+
 START_TEST(test_stale_writes)
 {
     registry_t registry;
@@ -473,7 +507,7 @@
     ck_assert_uint_eq(members_fleet_size(&members, T0 + 50 * SECOND), 2);
     /* After a store outage a missing record has a grace period. */
     members_store_unreachable(&members);
-    members_store_reachable(&members, T0 + 60 * SECOND);
+    members_store_reachable(&members, STORE_AWAY_UNKNOWN_US, T0 + 60 * SECOND);
     ck_assert(!members_remove(&members, "3", 3, T0 + 60 * SECOND));
     ck_assert(!members_has(&members, "3"));
     members_addresses(&members, NULL, NULL, text, sizeof(text));
@@ -875,6 +909,8 @@
 main(void)
 {
     TCase *tests = tcase_create("observed-state");
+    tcase_add_loop_test(tests, test_outage_length, 0,
+                        sizeof(outage_cases) / sizeof(outage_cases[0]));
     tcase_add_loop_test(tests, test_expiry, 0,
                         sizeof(expiry_cases) / sizeof(expiry_cases[0]));
     tcase_add_test(tests, test_stale_writes);
--- a/t/t1005-peers.c
+++ b/t/t1005-peers.c
@@ -3,6 +3,7 @@
 #include "t/lib/suite.h"
 #include "tier/fleet_state.h"
 #include "tier/registry_copy.h"
+#include "tier/store_health.h"
 
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -125,7 +126,7 @@
     registry_t registry;
     registry_init(&registry);
     /* The registry is empty: this is a start, not the end of an outage. */
-    registry_store_reachable(&registry, T0);
+    registry_store_reachable(&registry, STORE_AWAY_UNKNOWN_US, T0);
     ck_assert_uint_eq(registry_copy_load(&registry, text, size, T0), 1);
     ck_assert_ptr_null(find_instance(&registry, "i-2"));
     registry_expire(&registry, T0 + REGISTRY_GRACE_US - 1);
@@ -139,7 +140,8 @@
     ck_assert_uint_eq(registry_copy_load(&registry, text, size, T0), 1);
     registry_expire(&registry, T0 + 60 * SECOND);
     ck_assert_ptr_nonnull(find_instance(&registry, "i-1"));
-    registry_store_reachable(&registry, T0 + 60 * SECOND);
+    registry_store_reachable(&registry, STORE_AWAY_UNKNOWN_US,
+                             T0 + 60 * SECOND);
     registry_list_begin(&registry);
     registry_list_end(&registry, T0 + 60 * SECOND);
     ck_assert_ptr_nonnull(find_instance(&registry, "i-1"));
@@ -402,7 +404,7 @@
     fetch_state(&requester, &reader, &updated);
     ck_assert_uint_eq(registry_count(&requester.registry), 1);
     registry_store_unreachable(&reader.registry);
-    registry_store_reachable(&reader.registry, T0);
+    registry_store_reachable(&reader.registry, STORE_AWAY_UNKNOWN_US, T0);
     ck_assert_int_eq(registry_remove(&reader.registry, "i-1", 60, T0),
                      REGISTRY_REMOVAL_DEFERRED);
     reader.revisions.upstreams = 65;
--- a/t/t1012-node.c
+++ b/t/t1012-node.c
@@ -613,30 +613,6 @@
 }
 END_TEST
 
-static void
-put_member(fixture_t *f, const char *name, const char *control,
-           uint32_t weight)
-{
-    char key[64];
-    char record[MEMBER_RECORD_SIZE];
-    snprintf(key, sizeof(key), "yuccarun/fleet/members/%s", name);
-    member_record_write(record, sizeof(record), "127.0.0.1:2", control, "a",
-                        weight);
-    tier_store_put(f->store, key, record);
-}
-
-/* Add so many members that the first daemon becomes a standby. */
-static void
-list_other_members(fixture_t *f)
-{
-    enum { OTHERS = 20 };
-    for (int i = 0; i < OTHERS; i++) {
-        char name[32];
-        snprintf(name, sizeof(name), "front-x-%d", i);
-        put_member(f, name, "", 9);
-    }
-}
-
 /* Whether a daemon's state has that version of the configuration. */
 static bool
 has_config_version(fixture_t *f, const struct sockaddr_in *control,
@@ -784,7 +760,7 @@
         }
         snprintf(name, sizeof(name), "front-a-%d", i);
         address_text(&address, control, sizeof(control));
-        put_member(f, name, control, 1001); /* the other ones have 1000 */
+        list_member(f, name, control, 1001); /* the other ones have 1000 */
     }
 }
 
@@ -954,8 +930,8 @@
     tier_upstream_server_t *peer =
         tier_upstream_new(f.loop, &address, &nothing);
     list_other_members(&f);
-    put_member(&f, "front-r", address_text(&address, control, sizeof(control)),
-               999);
+    list_member(&f, "front-r",
+                address_text(&address, control, sizeof(control)), 999);
     run_ms(&f, 4000);
     ck_assert_uint_gt(tier_upstream_requests(peer), 0);
     tier_store_set_mode(f.store, TIER_STORE_UNAVAILABLE);
@@ -1040,8 +1016,8 @@
     fixture_init(&f);
     tier_upstream_server_t *peer = tier_upstream_new(f.loop, &address, &whole);
     list_other_members(&f);
-    put_member(&f, "front-r", address_text(&address, control, sizeof(control)),
-               999);
+    list_member(&f, "front-r",
+                address_text(&address, control, sizeof(control)), 999);
     run_ms(&f, 4000);
     uint32_t asked = tier_upstream_requests(peer);
     ck_assert_uint_gt(asked, 0);
--- a/tier/members.c
+++ b/tier/members.c
@@ -14,6 +14,9 @@
        renews its lease every 2 s at the latest, so its record is written again
        by then. */
     MEMBERS_GRACE_US = 2000000,
+    /* The shortest lease of a record is 4 s, and it is renewed at least twice
+       in that time. */
+    MEMBERS_OUTAGE_MIN_US = 2000000,
     ADDRESSES_MAX = 64 /* in a response of the directory */
 };
 
@@ -249,10 +252,13 @@
 }
 
 void
-members_store_reachable(members_t *members, int64_t now_us)
+members_store_reachable(members_t *members, int64_t away_us, int64_t now_us)
 {
-    if (members->store_unreachable) {
-        members->store_unreachable = false;
+    if (!members->store_unreachable) {
+        return;
+    }
+    members->store_unreachable = false;
+    if (away_us >= MEMBERS_OUTAGE_MIN_US) {
         /* A daemon that lists only itself has no other member that could
            have expired in the outage. */
         members->store_reachable_us = members->count > 1 ? now_us : 0;
--- a/tier/members.h
+++ b/tier/members.h
@@ -4,7 +4,8 @@
  *
  * A record that disappears right after a store outage may only have expired:
  * it is kept for a grace period in which its daemon can write it again. At
- * other times it is dropped at once. The fleet size is the recent peak, since
+ * other times, and after an outage that is shorter than any lease, it is
+ * dropped at once. The fleet size is the recent peak, since
  * a daemon that cannot reach the store still sends requests.
  *
  *     members_put(&members, name, value, size, revision, now_us);
@@ -110,8 +111,10 @@
 /* The store has become unreachable. */
 void members_store_unreachable(members_t *members);
 
-/* The store is reachable again: removals now get a grace period. */
-void members_store_reachable(members_t *members, int64_t now_us);
+/* The store is reachable again after it was unavailable for away_us at most:
+   removals now get a grace period if records can have expired in that time. */
+void members_store_reachable(members_t *members, int64_t away_us,
+                             int64_t now_us);
 
 /* The store was restored from a backup: members that it lacks get a grace
    period, as after an outage. */
--- a/tier/node.c
+++ b/tier/node.c
@@ -69,14 +69,15 @@
 }
 
 static void
-store_became_reachable(void *owner, int64_t now_us)
+store_became_reachable(void *owner, int64_t away_us, int64_t now_us)
 {
     node_t *node = owner;
-    registry_store_reachable(engine_registry(node->engine), now_us);
-    members_store_reachable(&node->members, now_us);
-    event_log(EVENT_STORE_BACK, "upstreams=%u members=%u",
+    registry_store_reachable(engine_registry(node->engine), away_us, now_us);
+    members_store_reachable(&node->members, away_us, now_us);
+    event_log(EVENT_STORE_BACK, "upstreams=%u members=%u away_ms=%" PRId64,
               registry_count(engine_registry(node->engine)),
-              node->members.count);
+              node->members.count,
+              away_us == STORE_AWAY_UNKNOWN_US ? -1 : away_us / 1000);
 }
 
 void
--- a/tier/registry.c
+++ b/tier/registry.c
@@ -331,14 +331,17 @@
 }
 
 void
-registry_store_reachable(registry_t *registry, int64_t now_us)
+registry_store_reachable(registry_t *registry, int64_t away_us, int64_t now_us)
 {
-    if (registry->store_unreachable) {
-        registry->store_unreachable = false;
-        /* After a start there may be no entry that could have expired. */
-        registry->store_reachable_us =
-            registry_count(registry) > 0 ? now_us : 0;
+    if (!registry->store_unreachable) {
+        return;
+    }
+    registry->store_unreachable = false;
+    if (away_us < registry->heartbeat_us * REGISTRY_OUTAGE_MIN_PERCENT / 100) {
+        return;
     }
+    /* After a start there may be no entry that could have expired. */
+    registry->store_reachable_us = registry_count(registry) > 0 ? now_us : 0;
 }
 
 void
--- a/tier/registry.h
+++ b/tier/registry.h
@@ -3,8 +3,9 @@
  *
  * An entry that disappears right after a store outage may have expired only
  * because its owner could not renew it: it is kept for a grace period, and is
- * removed if it has not been written again by then. At any other time an entry
- * that disappears is removed at once.
+ * removed if it has not been written again by then. At any other time, and
+ * after an outage in which no entry can have expired, an entry that disappears
+ * is removed at once.
  *
  * A store that is restored from a backup lists old entries, under revisions of
  * a new era (platform/kv.h), until their owners have written them again. An
@@ -13,7 +14,7 @@
  * until its entry has proved to be renewed.
  *
  *     registry_put(&registry, &entry, revision, now_us);
- *     registry_store_reachable(&registry, now_us);
+ *     registry_store_reachable(&registry, away_us, now_us);
  *     registry_list_begin(&registry); ... registry_put ...;
  *     registry_list_end(&registry, now_us);
  *     registry_expire(&registry, now_us);
@@ -40,7 +41,10 @@
        heartbeats. A removed upstream that a restored store lists again is held
        back for this number of heartbeats: if it is still listed then, it
        lives. */
-    REGISTRY_REVIVAL_HEARTBEATS = 4
+    REGISTRY_REVIVAL_HEARTBEATS = 4,
+    /* An entry was renewed up to about a heartbeat before an outage, so that
+       it outlives one that is shorter than this percentage of a heartbeat. */
+    REGISTRY_OUTAGE_MIN_PERCENT = 150
 };
 
 typedef struct {
@@ -128,8 +132,10 @@
    period, as after an outage. */
 void registry_store_restored(registry_t *registry, int64_t now_us);
 
-/* The store is reachable again: removals now get a grace period. */
-void registry_store_reachable(registry_t *registry, int64_t now_us);
+/* The store is reachable again after it was unavailable for away_us at most:
+   removals now get a grace period if entries can have expired in that time. */
+void registry_store_reachable(registry_t *registry, int64_t away_us,
+                              int64_t now_us);
 
 /* Remove entries whose grace period has ended, and free removed instances that
    are no longer referenced. */
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -29,7 +29,8 @@
     PROBE_COUNT = 2,
     /* Without a valid read for this time, responses of an older era count as
        an outage: they are not just late. */
-    OLD_ERA_OUTAGE_US = 2000000
+    OLD_ERA_OUTAGE_US = 2000000,
+    STATUS_RATE_LIMITED = 429
 };
 
 typedef enum { CHANNEL_FOLLOW, CHANNEL_LEASE, CHANNEL_WRITE } channel_use_t;
@@ -50,6 +51,7 @@
     conn_t conn;
     http_reader_t reader;
     bool busy;           /* a call is in flight */
+    int64_t sent_us;     /* of the call in flight */
     int64_t deadline_us; /* of the call in flight */
     /* Only for CHANNEL_FOLLOW. */
     follow_t follow;
@@ -75,6 +77,7 @@
     bool logged_no_era; /* that the store stopped to report its era */
     char record[RECORD_SIZE];
     char host[64];
+    store_health_t health;
     store_link_stats_t stats;
 };
 
@@ -94,12 +97,13 @@
 static void
 store_mark_reachable(store_link_t *store, int64_t now_us)
 {
+    int64_t away_us;
     store->stats.last_answer_us = now_us;
-    if (store->stats.reachable) {
+    if (!store_health_answered(&store->health, &away_us, now_us)) {
         return;
     }
     store->stats.reachable = true;
-    store->ops.reachable(store->owner, now_us);
+    store->ops.reachable(store->owner, away_us, now_us);
     store->lease.due_us = now_us;
     for (uint32_t i = 0; i < store->channel_count; i++) {
         channel_t *channel = &store->channels[i];
@@ -146,14 +150,41 @@
     store->write_due_us = now_us + WRITE_RETRY_US;
 }
 
+/* Make the next read of the first channel due, to learn whether the store
+   answers. */
 static void
-store_mark_unreachable(store_link_t *store, const char *why, int64_t now_us)
+store_read_now(store_link_t *store, int64_t now_us)
 {
+    follow_t *follow = &store->channels[0].follow;
+    follow_pause_until(follow, now_us);
+    follow->due_us = now_us;
+}
+
+/* The channel's read has failed, by a refusal or without a response. */
+static void
+store_read_failed(channel_t *channel, const char *why, uint32_t status,
+                  int64_t now_us)
+{
+    store_link_t *store = channel->store;
+    const store_failure_t failure = {
+        .sent_us = channel->sent_us,
+        .rate_limited = status == STATUS_RATE_LIMITED,
+    };
+    bool doubtful = store->health.doubtful;
     store->stats.failures++;
-    if (store->stats.reachable) {
+    follow_failed(&channel->follow, false, now_us);
+    if (store_health_failed(&store->health, &failure, now_us)) {
         store->stats.reachable = false;
         store->ops.unreachable(store->owner, why, now_us);
     }
+    else if (store->health.doubtful && !doubtful) {
+        event_log(EVENT_STORE_DOUBTED, "cause=%s prefix=%s open_ms=%" PRId64,
+                  why, channel->follow.settings.prefix,
+                  (now_us - channel->sent_us) / 1000);
+        if (status == 0) {
+            store_read_now(store, now_us);
+        }
+    }
 }
 
 static void
@@ -166,8 +197,7 @@
     channel->busy = false;
     store_link_t *store = channel->store;
     if (channel->use == CHANNEL_FOLLOW) {
-        follow_failed(&channel->follow, false, now_us);
-        store_mark_unreachable(store, why, now_us);
+        store_read_failed(channel, why, 0, now_us);
         return;
     }
     /* A failed write does not show that reads fail too: the store still
@@ -476,8 +506,7 @@
     else {
         char why[32];
         snprintf(why, sizeof(why), "status_%u", status);
-        follow_failed(&channel->follow, false, now_us);
-        store_mark_unreachable(store, why, now_us);
+        store_read_failed(channel, why, status, now_us);
     }
     kv_response_release(&response);
 }
@@ -536,6 +565,7 @@
 {
     store_link_t *store = channel->store;
     channel->busy = true;
+    channel->sent_us = now_us;
     channel->deadline_us = now_us + wait_us + STORE_CALL_TIMEOUT_US;
     store->stats.calls[kind]++;
     if (!conn_is_open(&channel->conn)) {
@@ -743,8 +773,7 @@
 store_link_retry_now(store_link_t *store, int64_t now_us)
 {
     if (!store->stats.reachable && store->channel_count > 0) {
-        follow_pause_until(&store->channels[0].follow, now_us);
-        store->channels[0].follow.due_us = now_us;
+        store_read_now(store, now_us);
     }
 }
 
--- a/tier/store_link.h
+++ b/tier/store_link.h
@@ -17,6 +17,7 @@
 #include "platform/kv.h"
 #include "tier/follow.h"
 #include "tier/lease.h"
+#include "tier/store_health.h"
 
 #include <ev.h>
 #include <netinet/in.h>
@@ -37,10 +38,12 @@
     void (*answered)(void *owner, int64_t now_us);
 } prefix_reader_t;
 
-/* Called when reads of the store begin to fail and when they work again. */
+/* Called when an outage of the store begins and ends; see store_health.h. */
 typedef struct {
     void (*unreachable)(void *owner, const char *why, int64_t now_us);
-    void (*reachable)(void *owner, int64_t now_us);
+    /* away_us: how long the store may have been unavailable, in microseconds;
+       STORE_AWAY_UNKNOWN_US at the first answer. */
+    void (*reachable)(void *owner, int64_t away_us, int64_t now_us);
     /* The store was restored from a backup: what was written to it since the
        backup is lost, keys and leases of this daemon included. All prefixes
        are listed again after the call, and the record is written again; other
@@ -64,8 +67,8 @@
 typedef struct {
     uint64_t calls[STORE_CALL_KINDS];
     uint64_t failures;
-    uint64_t era; /* of the store's latest response; 0: it reports none */
-    bool reachable;
+    uint64_t era;   /* of the store's latest response; 0: it reports none */
+    bool reachable; /* no outage; see store_health.h */
     int64_t last_answer_us; /* time of the last valid response to a read */
 } store_link_stats_t;
 
