http_grammar: check heads, chunks and trailer fields before they are parsed

Callers got answers with status 000 or 999, with a line whose field name held a blank, and 200 with a body that was not the upstream's: a blank before the colon hid the framing, or a chunk was longer than stated. In a caller's request the same made a part of a body a request of its own.

Cause: the parser is built in its lenient form. It takes any digits and blanks for a status, blanks in names, folded lines, any version, and any two bytes for the CRLF after a chunk.

Change: net/http_grammar checks each byte of a head, of chunks and of trailer fields by the grammar of RFC 9112; http/message gives the parser only what it allows, and accepts only framing fields that all readers take alike. More than 100 interim responses are too many. edge/http_head applies the grammar to what libcurl reads in yuccarund, in place of the check for a whole head that http_client had.

Why this works: the check doesn't depend on which faults are known. t1050 tries each status and each byte at eleven places, in pieces of three sizes.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 TIER_CORE_OBJ := $(patsubst %.c,$(B)/%.o,core/budget.c core/hist.c \
 	core/latency.c core/quarantine.c \
 	core/strmap.c core/text.c \
-	net/buffer.c edge/event.c edge/line_sink.c daemon/clock.c)
+	net/buffer.c net/http_grammar.c edge/event.c edge/line_sink.c daemon/clock.c)
 TIER_LIBS = -lev -lhttp_parser -lxxhash -largtable2 -llog4c -ljansson -lm -pthread
 DAEMON_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard daemon/*.c)))
 # What the daemon is made of, less its main, for tests that run it in-process.
@@ -182,7 +182,8 @@
 	    t1005-peers t1010-engine t1011-overload t1012-node \
 	    t1013-restored-store t1014-limit-exceeded t1015-partitioned-daemon \
 	    t1016-endless-response t1045-response-matching \
-	    t1046-odd-entries t1048-planned-stop t1049-doubted-store t1002-message" \
+	    t1046-odd-entries t1048-planned-stop t1049-doubted-store \
+	    t1050-malformed-message t1002-message" \
 	    sh t/scenario/mutants $(MUTANTS)
 
 demo: deps
--- a/edge/http_client.c
+++ b/edge/http_client.c
@@ -1,5 +1,7 @@
 #include "edge/http_client.h"
 
+#include "edge/http_head.h"
+
 #include <curl/curl.h>
 #include <pthread.h>
 #include <stdbool.h>
@@ -14,7 +16,6 @@
 
 /* Collects the body of a response. */
 typedef struct {
-    bool head_whole; /* the empty line after the headers has arrived */
     char *data;
     size_t size;
     size_t max;
@@ -49,27 +50,6 @@
     return added;
 }
 
-/*
- * Called for each line of a head, and for each trailer field. libcurl reports
- * success for a response whose head is cut by the close of the connection,
- * with the status of its first line and an empty body.
- */
-static size_t
-receiver_head_line(char *line, size_t size, size_t count, void *user)
-{
-    static const char status_line[] = "HTTP/1.";
-    receiver_t *receiver = user;
-    size_t length = size * count;
-    if (length > 0 && (line[0] == '\r' || line[0] == '\n')) {
-        receiver->head_whole = true;
-    }
-    else if (length >= sizeof(status_line) - 1 &&
-             memcmp(line, status_line, sizeof(status_line) - 1) == 0) {
-        receiver->head_whole = false; /* the one before was an interim one */
-    }
-    return length;
-}
-
 /* Returns a handle with the options that GET and PUT share. */
 static CURL *
 handle_new(void)
@@ -84,7 +64,7 @@
     curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(curl, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, receiver_write);
-    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, receiver_head_line);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, http_head_receive);
     return curl;
 }
 
@@ -174,6 +154,7 @@
         .data = calloc(1, 1),
         .max = call->body_max,
     };
+    http_head_t head;
     char curl_message[CURL_ERROR_SIZE] = "";
     *reply = (http_reply_t){0};
     if (receiver.data == NULL) {
@@ -182,26 +163,25 @@
     }
     curl_easy_setopt(curl, CURLOPT_URL, call->url);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, &receiver);
-    curl_easy_setopt(curl, CURLOPT_HEADERDATA, &receiver);
+    http_head_init(&head);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
     curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, curl_message);
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
     curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)call->timeout_ms);
-    CURLcode result = curl_easy_perform(curl);
-    if (result == CURLE_OK && !receiver.head_whole) {
-        result = CURLE_PARTIAL_FILE;
-    }
+    CURLcode result = http_head_finish(&head, curl_easy_perform(curl));
     curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, NULL);
     reply->body = receiver.data;
     reply->body_size = receiver.size;
     reply_count_bytes(curl, call, reply);
     if (result != CURLE_OK) {
-        return error_set(err, failure_status(result, &receiver, reply),
-                         call->step, call->peer, "%s",
-                         receiver.too_large
-                             ? "the response body exceeds the size limit"
-                             : (curl_message[0] != '\0'
-                                    ? curl_message
-                                    : curl_easy_strerror(result)));
+        return error_set(
+            err, failure_status(result, &receiver, reply), call->step,
+            call->peer, "%s",
+            receiver.too_large ? "the response body exceeds the size limit"
+            : head.invalid
+                ? "the response's head is malformed or too large"
+                : (curl_message[0] != '\0' ? curl_message
+                                           : curl_easy_strerror(result)));
     }
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply->code);
     reply_read_index(curl, reply);
--- a/edge/upstream.c
+++ b/edge/upstream.c
@@ -1,5 +1,6 @@
 #include "edge/upstream.h"
 #include "edge/event.h"
+#include "edge/http_head.h"
 #include "edge/wire.h"
 
 #include <curl/curl.h>
@@ -29,6 +30,7 @@
     char *reply;
     size_t reply_size;
     bool too_large;
+    http_head_t head;
     int64_t sent_us;
     size_t count; /* parts; 0: a cancellation or a health check */
     char health_target[NAME_SIZE]; /* "" unless a health check */
@@ -159,6 +161,9 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, call_write_reply);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+    http_head_init(&call->head);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, http_head_receive);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call->head);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
@@ -324,11 +329,12 @@
         call_handle_reply(call, http_status, service_us);
         return;
     }
+    bool bad_reply = call->too_large || call->head.invalid;
     call_failure_t failure = {
-        .status = call->too_large ? PART_BAD_REPLY : PART_LOST,
+        .status = bad_reply ? PART_BAD_REPLY : PART_LOST,
         /* No byte of the request was sent, so no upstream received it. */
         .not_run = request_bytes == 0 && call->request_sent == 0,
-        .reset = !call->too_large && code != CURLE_OPERATION_TIMEDOUT,
+        .reset = !bad_reply && code != CURLE_OPERATION_TIMEDOUT,
     };
     deliver_failure(call->client, call->parts, call->count, &failure,
                     service_us);
@@ -428,7 +434,7 @@
         call_t *call;
         CURLcode code = message->data.result;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &call);
-        call_finish(call, code);
+        call_finish(call, http_head_finish(&call->head, code));
         call_free(call);
     }
 }
--- a/http/message.c
+++ b/http/message.c
@@ -133,6 +133,52 @@
     return text_append(reader, at, size);
 }
 
+static bool
+is_blank(const char *text)
+{
+    return text[strspn(text, " \t")] == '\0';
+}
+
+static bool
+value_is_length(const char *value)
+{
+    size_t digits = strspn(value, "0123456789");
+    return digits > 0 && is_blank(value + digits);
+}
+
+static bool
+value_is_chunked(const char *value)
+{
+    static const char coding[] = "chunked";
+    size_t length = sizeof(coding) - 1;
+    return strncasecmp(value, coding, length) == 0 && is_blank(value + length);
+}
+
+/*
+ * Whether the fields that frame the body are of a form that all readers take
+ * alike. The only transfer coding that is decoded here is "chunked"; none
+ * other is offered to a sender (RFC 9112, section 6.1).
+ */
+static bool
+framing_is_valid(const http_message_t *message, const http_parser *parser)
+{
+    uint32_t codings = 0;
+    for (uint32_t i = 0; i < message->header_count; i++) {
+        const char *name = http_header_name(message, i);
+        const char *value = http_header_value(message, i);
+        if (strcasecmp(name, "Content-Length") == 0 &&
+            !value_is_length(value)) {
+            return false;
+        }
+        if (strcasecmp(name, "Transfer-Encoding") == 0 &&
+            (!value_is_chunked(value) || codings++ > 0 ||
+             parser->http_minor == 0)) {
+            return false;
+        }
+    }
+    return (codings > 0) == ((parser->flags & F_CHUNKED) != 0);
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -141,8 +187,12 @@
     if (text_finish_part(reader) != 0) {
         return -1;
     }
+    if (!framing_is_valid(message, parser)) {
+        return reader_fail(reader, HTTP_MALFORMED);
+    }
     reader->phase = READING_BODY;
     reader->headers_done = true;
+    http_grammar_begin(&reader->grammar, HTTP_GRAMMAR_CHUNKS);
     /* Only HTTP/1.1 is supported, so an upgrade is ignored and the bytes that
        follow are read as a body. */
     parser->upgrade = 0;
@@ -186,9 +236,13 @@
     http_reader_t *reader = reader_of(parser);
     if (reader->kind == HTTP_RESPONSES && parser->status_code / 100 == 1) {
         /* An interim response: the final response follows it. */
+        if (++reader->interim_count > HTTP_INTERIM_MAX) {
+            return reader_fail(reader, HTTP_HEADERS_TOO_LARGE);
+        }
         message_clear(&reader->message);
         reader->phase = READING_TARGET;
         reader->headers_done = false;
+        http_grammar_begin(&reader->grammar, HTTP_GRAMMAR_RESPONSE);
         return 0;
     }
     reader->message.keep_alive = http_should_keep_alive(parser) != 0;
@@ -214,6 +268,10 @@
                                           ? HTTP_REQUEST
                                           : HTTP_RESPONSE);
     reader->parser.data = reader;
+    http_grammar_begin(&reader->grammar, reader->kind == HTTP_REQUESTS
+                                             ? HTTP_GRAMMAR_REQUEST
+                                             : HTTP_GRAMMAR_RESPONSE);
+    reader->interim_count = 0;
     reader->failure = HTTP_MALFORMED;
     reader->phase = READING_TARGET;
     reader->trailer_bytes = 0;
@@ -263,17 +321,45 @@
     return reader->failure;
 }
 
+/*
+ * Find the bytes that the parser may read next: those of the head, or of the
+ * chunks, that the grammar allows. Returns false if the byte after them is
+ * invalid.
+ */
+static bool
+reader_check(http_reader_t *reader, const char *bytes, size_t size,
+             size_t *checked)
+{
+    if (reader->headers_done && (reader->parser.flags & F_CHUNKED) == 0) {
+        *checked = size;
+        return true;
+    }
+    return http_grammar_feed(&reader->grammar, bytes, size, checked) !=
+           HTTP_GRAMMAR_INVALID;
+}
+
 http_state_t
 http_reader_feed(http_reader_t *reader, const char *bytes, size_t size,
                  size_t *used)
 {
     *used = 0;
-    if (size == 0) {
-        return HTTP_INCOMPLETE;
+    while (*used < size) {
+        size_t checked;
+        bool valid =
+            reader_check(reader, bytes + *used, size - *used, &checked);
+        if (checked > 0) {
+            *used += http_parser_execute(&reader->parser, &reader_settings,
+                                         bytes + *used, checked);
+            http_state_t state = reader_state(reader);
+            if (state != HTTP_INCOMPLETE) {
+                return state;
+            }
+        }
+        if (!valid || checked == 0) {
+            return HTTP_MALFORMED;
+        }
     }
-    *used =
-        http_parser_execute(&reader->parser, &reader_settings, bytes, size);
-    return reader_state(reader);
+    return HTTP_INCOMPLETE;
 }
 
 http_state_t
--- a/http/message.h
+++ b/http/message.h
@@ -2,7 +2,9 @@
  * An incremental reader of HTTP/1.1 messages.
  *
  * The reader is fed with bytes as they arrive and buffers a message until it
- * is complete, so that an incomplete message is never passed on. After
+ * is complete, so that an incomplete message is never passed on. Bytes that
+ * the grammar of HTTP does not allow (net/http_grammar.h) make it malformed,
+ * also where the parser would read on. After
  * HTTP_DONE, bytes that were not used belong to the next message, or are
  * surplus if no other message is expected. Trailer fields are discarded, which
  * RFC 9110, section 6.5.1, allows, as they must not pass for headers.
@@ -20,13 +22,17 @@
 #define HTTP_MESSAGE_H
 
 #include "net/buffer.h"
+#include "net/http_grammar.h"
 
 #include <http_parser.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-enum { HTTP_HEADERS_MAX = 96 };
+enum {
+    HTTP_HEADERS_MAX = 96,
+    HTTP_INTERIM_MAX = 100 /* interim responses before a final one */
+};
 
 /* Offsets into the message's text; name and value are NUL-terminated. */
 typedef struct {
@@ -73,13 +79,15 @@
 
 typedef struct {
     http_parser parser;
+    http_grammar_t grammar; /* of the head, and then of a body in chunks */
     http_kind_t kind;
     http_limits_t limits;
     http_message_t message;
     http_state_t failure; /* reported when the parser stops with an error */
     http_reader_phase_t phase;
-    size_t trailer_bytes; /* of the trailer fields that were discarded */
-    bool started;         /* the start of this message has arrived */
+    size_t trailer_bytes;   /* of the trailer fields that were discarded */
+    uint32_t interim_count; /* interim responses that were skipped */
+    bool started;           /* the start of this message has arrived */
     bool headers_done;
     bool done;
     /*
@@ -99,7 +107,8 @@
 /*
  * Feed bytes; *used is the number of bytes consumed, which is all of them for
  * HTTP_INCOMPLETE. Running out of memory is reported as HTTP_HEADERS_TOO_LARGE
- * or HTTP_BODY_TOO_LARGE. Interim (1xx) responses are skipped.
+ * or HTTP_BODY_TOO_LARGE. Interim (1xx) responses are skipped; more than
+ * HTTP_INTERIM_MAX are reported as HTTP_HEADERS_TOO_LARGE.
  */
 http_state_t http_reader_feed(http_reader_t *reader, const char *bytes,
                               size_t size, size_t *used);
--- a/t/t0701-upstream.c
+++ b/t/t0701-upstream.c
@@ -153,6 +153,20 @@
      false,
      false,
      1},
+    {"status 000",
+     {.answer = "HTTP/1.1 000 OK\r\nContent-Length: 25\r\n\r\n"
+                "{\"boot\":\"7\",\"shed\":true} "},
+     PART_LOST,
+     true,
+     false,
+     2},
+    {"a name with a blank",
+     {.answer = "HTTP/1.1 503 x\r\nX Y: z\r\nContent-Length: 25\r\n\r\n"
+                "{\"boot\":\"7\",\"shed\":true} "},
+     PART_BAD_REPLY,
+     true,
+     false,
+     2},
     {"good", GOOD, PART_OK, true, false, 2},
 };
 
