http_server, relay_link: bound what is kept of all messages together

A daemon without a configuration kept whatever callers sent: 24 bodies without end took 394 to 1,573 MB in 1.5 s, where the smallest VM has 160 MB. Within the limits of a configuration 24 unfinished bodies of 8 MB took up to 229 MB, and 24 unfinished answers of a peer up to 395 MB. The process ends by that, and all its callers lose their requests.

Cause: a limit of 0 means "no limit", and callers' connections had limits of 0 before the first configuration. Limits were those of one message, and the number of messages had none.

Endless responses of upstreams (t1016) and of the store were bounded before.

Change: callers' requests are bounded by 32 MB together, relayed ones by 16 MB, answers to relayed requests by 32 MB, the store's answers by 16 MB; the longest unfinished message is dropped first, a caller's request with 503. Without limits of a configuration 64 KB and 16 MB hold.

Why this works: the bound is on what is held, whatever the sender, the framing or the number of connections.

--- a/Makefile
+++ b/Makefile
@@ -183,7 +183,7 @@
 	    t1013-restored-store t1014-limit-exceeded t1015-partitioned-daemon \
 	    t1016-endless-response t1045-response-matching \
 	    t1046-odd-entries t1048-planned-stop t1049-doubted-store \
-	    t1050-malformed-message t1002-message" \
+	    t1050-malformed-message t1051-endless-input t1002-message" \
 	    sh t/scenario/mutants $(MUTANTS)
 
 demo: deps
--- a/edge/upstream.c
+++ b/edge/upstream.c
@@ -16,6 +16,8 @@
     CONNECT_TIMEOUT_MS = 1000,
     REPLY_GRACE_MS = 50, /* after the deadline, for a reply in transit */
     CACHED_CONNECTIONS_MAX = 4096,
+    /* Bytes of the replies to all calls that are in progress. */
+    REPLIES_MAX_BYTES = 64 << 20,
     CONNECTION_IDLE_MAX_S = 30, /* below the idle timeout of the servers */
     US_PER_MS = 1000
 };
@@ -44,6 +46,7 @@
     CURLM *multi;
     struct curl_slist *headers;
     call_t *calls;
+    size_t replies_size; /* sum over all calls */
     upstream_totals_t totals;
 };
 
@@ -85,6 +88,7 @@
 call_free(call_t *call)
 {
     DL_DELETE(call->client->calls, call);
+    call->client->replies_size -= call->reply_size;
     curl_multi_remove_handle(call->client->multi, call->easy);
     curl_easy_cleanup(call->easy);
     free(call->request);
@@ -140,7 +144,8 @@
 {
     call_t *call = context;
     size_t bytes = size * count;
-    if (call->reply_size + bytes > WIRE_REPLY_MAX_BYTES) {
+    if (call->reply_size + bytes > WIRE_REPLY_MAX_BYTES ||
+        call->client->replies_size + bytes > REPLIES_MAX_BYTES) {
         call->too_large = true;
         return 0;
     }
@@ -151,6 +156,7 @@
     memcpy(grown + call->reply_size, data, bytes);
     call->reply = grown;
     call->reply_size += bytes;
+    call->client->replies_size += bytes;
     return bytes;
 }
 
--- a/http/message.c
+++ b/http/message.c
@@ -56,8 +56,8 @@
 static void
 message_clear(http_message_t *message)
 {
-    buffer_consume(&message->text, buffer_size(&message->text));
-    buffer_consume(&message->body, buffer_size(&message->body));
+    buffer_clear(&message->text, HTTP_RETAIN_MAX_BYTES);
+    buffer_clear(&message->body, HTTP_RETAIN_MAX_BYTES);
     message->header_count = 0;
     message->method = NULL;
     message->status = 0;
@@ -391,6 +391,12 @@
     return http_target(message) + message->headers[index].value;
 }
 
+size_t
+http_message_size(const http_message_t *message)
+{
+    return buffer_size(&message->text) + buffer_size(&message->body);
+}
+
 const char *
 http_header_find(const http_message_t *message, const char *name)
 {
--- a/http/message.h
+++ b/http/message.h
@@ -31,6 +31,7 @@
 
 enum {
     HTTP_HEADERS_MAX = 96,
+    HTTP_RETAIN_MAX_BYTES = 32 << 10, /* of each buffer of an idle reader */
     HTTP_INTERIM_MAX = 100 /* interim responses before a final one */
 };
 
@@ -101,7 +102,8 @@
                       const http_limits_t *limits);
 void http_reader_release(http_reader_t *reader);
 
-/* Discard the message and prepare for the next one; buffers are kept. */
+/* Discard the message and prepare for the next one. Buffers are kept up to
+   HTTP_RETAIN_MAX_BYTES, so that idle connections take little memory. */
 void http_reader_next(http_reader_t *reader);
 
 /*
@@ -132,6 +134,9 @@
 const char *http_header_name(const http_message_t *message, uint32_t index);
 const char *http_header_value(const http_message_t *message, uint32_t index);
 
+/* Bytes of the message, or of the part of it that was read. */
+size_t http_message_size(const http_message_t *message);
+
 /* Value of the first header with that name, ignoring case; NULL: none. */
 const char *http_header_find(const http_message_t *message, const char *name);
 
--- a/http/server.c
+++ b/http/server.c
@@ -44,10 +44,10 @@
     exchange_state_t state;
     bool continue_sent;        /* 100 Continue, for the current request */
     bool close_after_response; /* the next response is the last one */
-    bool feeding;              /* unused */
     int64_t wait_start_us;     /* when the current timeout started */
     size_t unsent;      /* bytes of responses not yet sent at the last sweep */
     int64_t arrived_us; /* when the current request was complete */
+    size_t held;        /* bytes of requests, in the reader and pipelined */
     buffer_t pipelined; /* received while the current request is handled */
     ev_timer timer;
     void *data;
@@ -61,6 +61,7 @@
     listener_t listeners[LISTENERS_MAX];
     uint32_t listener_count;
     exchange_t *exchanges;
+    size_t held; /* sum over all exchanges */
     bool close_after_responses;
     http_server_stats_t stats;
 };
@@ -89,10 +90,21 @@
     return &server->stats;
 }
 
+/* Update the count of the bytes that the exchange holds. */
+static void
+exchange_note_held(exchange_t *exchange)
+{
+    size_t held = http_message_size(&exchange->reader.message) +
+                  buffer_size(&exchange->pipelined);
+    exchange->server->held += held - exchange->held;
+    exchange->held = held;
+}
+
 static void
 exchange_free(exchange_t *exchange)
 {
     http_server_t *server = exchange->server;
+    server->held -= exchange->held;
     if (exchange->prev != NULL) {
         exchange->prev->next = exchange->next;
     }
@@ -118,6 +130,32 @@
     exchange->server->stats.rejected++;
     exchange->state = EXCHANGE_HANDLING;
     exchange_respond(exchange, &response);
+    http_reader_release(&exchange->reader);
+    buffer_release(&exchange->pipelined);
+    exchange_note_held(exchange);
+}
+
+/* Reject the unfinished request with the most bytes if requests hold more than
+   the server may keep. */
+static void
+server_bound_held(http_server_t *server)
+{
+    exchange_t *largest = NULL;
+    if (server->settings.max_held_bytes == 0 ||
+        server->held <= server->settings.max_held_bytes) {
+        return;
+    }
+    for (exchange_t *exchange = server->exchanges; exchange != NULL;
+         exchange = exchange->next) {
+        if (exchange->state == EXCHANGE_READING &&
+            (largest == NULL || exchange->held > largest->held)) {
+            largest = exchange;
+        }
+    }
+    if (largest != NULL) {
+        server->stats.shed++;
+        exchange_reject(largest, 503);
+    }
 }
 
 static const char *
@@ -160,7 +198,9 @@
     if (size == 0) {
         return true;
     }
-    if (buffer_size(&exchange->pipelined) + size > PIPELINED_MAX_BYTES) {
+    size_t max_held = exchange->server->settings.max_held_bytes;
+    if (buffer_size(&exchange->pipelined) + size > PIPELINED_MAX_BYTES ||
+        (max_held > 0 && exchange->server->held + size > max_held)) {
         return false;
     }
     uint8_t *room = buffer_reserve(&exchange->pipelined, size);
@@ -169,6 +209,7 @@
     }
     memcpy(room, bytes, size);
     buffer_commit(&exchange->pipelined, size);
+    exchange_note_held(exchange);
     return true;
 }
 
@@ -189,8 +230,10 @@
     size_t used = 0;
     http_state_t state =
         http_reader_feed(&exchange->reader, bytes, size, &used);
+    exchange_note_held(exchange);
     if (state == HTTP_INCOMPLETE) {
         exchange_send_continue(exchange);
+        server_bound_held(exchange->server);
         return;
     }
     if (state != HTTP_DONE) {
@@ -519,6 +562,7 @@
     exchange->continue_sent = false;
     exchange->reader.limits = server->settings.limits;
     http_reader_next(&exchange->reader);
+    exchange_note_held(exchange);
     if (buffer_size(&exchange->pipelined) > 0) {
         /* Read the pipelined request in a loop iteration of its own. */
         ev_timer_set(&exchange->timer, 0, 0);
--- a/http/server.h
+++ b/http/server.h
@@ -56,6 +56,10 @@
 /* Limits on clients; 0: no limit, but connections_max 0 refuses them all. */
 typedef struct {
     http_limits_t limits;
+    /* Bytes of the requests on all connections together, until each is
+       answered. Beyond it, the unfinished request with the most bytes is
+       answered 503. */
+    size_t max_held_bytes;
     int64_t header_timeout_us; /* for all headers, then between body pieces */
     int64_t idle_timeout_us;   /* until the next request begins, or without
                                   progress in sending a response */
@@ -67,6 +71,7 @@
     uint64_t accepted;
     uint64_t refused;  /* connections over connections_max */
     uint64_t rejected; /* requests malformed, too large or timed out */
+    uint64_t shed;     /* requests rejected for max_held_bytes */
 } http_server_stats_t;
 
 /* Returns NULL if memory runs out. */
--- a/net/buffer.c
+++ b/net/buffer.c
@@ -69,9 +69,15 @@
     if (buffer->start < buffer->end) {
         return;
     }
+    buffer_clear(buffer, BUFFER_RETAIN_MAX_BYTES);
+}
+
+void
+buffer_clear(buffer_t *buffer, size_t retain_max)
+{
     buffer->start = 0;
     buffer->end = 0;
-    if (buffer->capacity > BUFFER_RETAIN_MAX_BYTES) {
+    if (buffer->capacity > retain_max) {
         buffer_release(buffer);
     }
 }
--- a/net/buffer.h
+++ b/net/buffer.h
@@ -40,6 +40,9 @@
  */
 void buffer_consume(buffer_t *buffer, size_t size);
 
+/* Drops all bytes, and frees the memory if its capacity is over retain_max. */
+void buffer_clear(buffer_t *buffer, size_t retain_max);
+
 /* Frees the memory; the buffer is empty and may be used again. */
 void buffer_release(buffer_t *buffer);
 
--- a/t/lib/tier_upstream.c
+++ b/t/lib/tier_upstream.c
@@ -85,6 +85,18 @@
     (void)conn_write(&client->conn, text, size);
 }
 
+static void
+client_send_filler(client_t *client)
+{
+    size_t size = client->script.filler;
+    char *text = size > 0 ? malloc(size) : NULL;
+    if (text != NULL) {
+        memset(text, 'x', size);
+        (void)conn_write(&client->conn, text, size);
+    }
+    free(text);
+}
+
 /* Write the endless part until the socket takes no more. */
 static void
 client_send_endless(client_t *client)
@@ -117,6 +129,7 @@
     }
     if (client->script.bytes != NULL) {
         client_send(client, client->script.bytes);
+        client_send_filler(client);
     }
     if (client->script.end == SCRIPT_RESET) {
         struct linger hard = {.l_onoff = 1};
--- a/t/lib/tier_upstream.h
+++ b/t/lib/tier_upstream.h
@@ -25,6 +25,7 @@
 
 typedef struct {
     const char *bytes; /* NULL: send nothing; with SCRIPT_KEEP, hang */
+    size_t filler;     /* as many bytes "x" follow them */
     script_end_t end;
     int64_t delay_us; /* before the bytes */
     /* Sent at once, before the delay, on a connection that has served another
--- a/t/t0404-store.c
+++ b/t/t0404-store.c
@@ -229,6 +229,13 @@
 #define OPEN_HEAD "HTTP/1.1 200 x\r\nConnection: close\r\n\r\n"
 #define ENTRY(key, value, index)                                              \
     "[{\"Key\":\"" key "\",\"Value\":" value ",\"ModifyIndex\":" index "}]"
+/* 1,280 lines of 60 bytes, more than HTTP_HEAD_MAX_BYTES. */
+#define LINE "X-More: 0123456789abcdef0123456789abcdef0123456789abcdef01\r\n"
+#define LINES_4 LINE LINE LINE LINE
+#define LINES_16 LINES_4 LINES_4 LINES_4 LINES_4
+#define LINES_64 LINES_16 LINES_16 LINES_16 LINES_16
+#define LINES_256 LINES_64 LINES_64 LINES_64 LINES_64
+#define LINES_1280 LINES_256 LINES_256 LINES_256 LINES_256 LINES_256
 #define LONG_LINE "0123456789abcdef0123456789abcdef0123456789abcdef01234567"
 
 typedef struct {
@@ -271,6 +278,13 @@
      "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntrue\r\n"
      "0\r\nX Y: z\r\n\r\n",
      STATUS_UNAVAILABLE, STATUS_UNKNOWN},
+    {"a head over the limit",
+     "HTTP/1.1 200 x\r\n" LINES_1280 "Content-Length: 4\r\n\r\ntrue",
+     STATUS_UNAVAILABLE, STATUS_UNKNOWN},
+    {"trailer fields over the limit",
+     "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntrue\r\n"
+     "0\r\n" LINES_1280 "\r\n",
+     STATUS_UNAVAILABLE, STATUS_UNKNOWN},
     {"half a body", HEAD("200", "9") "true", STATUS_UNAVAILABLE,
      STATUS_UNKNOWN},
     {"no HTTP", "hello\r\n\r\n", STATUS_UNAVAILABLE, STATUS_UNKNOWN},
--- a/tier/metrics_text.c
+++ b/tier/metrics_text.c
@@ -149,6 +149,8 @@
     engine_each_route(node->engine, print_route, out);
     fprintf(out, "yuccarun_requests %u\n", engine_request_count(node->engine));
     fprintf(out, "yuccarun_caller_connections %u\n", callers->open);
+    fprintf(out, "yuccarun_caller_requests_shed_total %" PRIu64 "\n",
+            callers->shed);
     fprintf(out, "yuccarun_upstream_connections %u\n", links->open);
     fprintf(out, "yuccarun_upstream_connects_total %" PRIu64 "\n",
             links->opened);
--- a/tier/node.c
+++ b/tier/node.c
@@ -434,6 +434,9 @@
     };
     static const http_server_settings_t caller_settings = {
         .connections_max = CALLER_CONNECTIONS_MAX,
+        .limits = {.max_header_bytes = CALLER_HEADER_BYTES_MAX,
+                   .max_body_bytes = CALLER_BODY_BYTES_MAX},
+        .max_held_bytes = CALLERS_HELD_BYTES_MAX,
     };
     static const store_ops_t store_ops = {
         .unreachable = store_became_unreachable,
--- a/tier/node_config.c
+++ b/tier/node_config.c
@@ -16,7 +16,13 @@
     event_log(EVENT_CONFIG_REFUSED, "place=%s cause=%s", place, error);
 }
 
-/* Set the limits of callers' connections; 0 without a configuration. */
+static size_t
+limit_or_default(uint64_t limit, size_t default_limit)
+{
+    return limit > 0 && limit < SIZE_MAX ? (size_t)limit : default_limit;
+}
+
+/* Set the limits of callers' connections by the configuration. */
 static void
 node_apply_limits(node_t *node)
 {
@@ -25,25 +31,26 @@
         .connections_max = CALLER_CONNECTIONS_MAX,
         .limits =
             {
-                .max_header_bytes =
-                    table != NULL ? table->max_header_bytes : 0,
-                .max_body_bytes = table != NULL ? table->max_body_bytes : 0,
+                .max_header_bytes = limit_or_default(table->max_header_bytes,
+                                                     CALLER_HEADER_BYTES_MAX),
+                .max_body_bytes = limit_or_default(table->max_body_bytes,
+                                                   CALLER_BODY_BYTES_MAX),
             },
-        .header_timeout_us = table != NULL ? table->header_timeout_us : 0,
-        .idle_timeout_us = table != NULL ? table->idle_timeout_us : 0,
+        .max_held_bytes = CALLERS_HELD_BYTES_MAX,
+        .header_timeout_us = table->header_timeout_us,
+        .idle_timeout_us = table->idle_timeout_us,
     };
     http_server_configure(node->caller_server, &settings);
     /* Relayed requests are callers' requests with a few more headers. */
-    settings.limits.max_header_bytes +=
-        table != NULL ? RELAY_HEADERS_BYTES : 0;
-    if (settings.limits.max_body_bytes > 0 &&
-        settings.limits.max_body_bytes < QUOTA_BODY_BYTES) {
+    settings.limits.max_header_bytes += RELAY_HEADERS_BYTES;
+    if (settings.limits.max_body_bytes < QUOTA_BODY_BYTES) {
         settings.limits.max_body_bytes = QUOTA_BODY_BYTES;
     }
-    if (node->rollouts != NULL && settings.limits.max_body_bytes > 0 &&
+    if (node->rollouts != NULL &&
         settings.limits.max_body_bytes < ROLLOUT_REPORT_BYTES) {
         settings.limits.max_body_bytes = ROLLOUT_REPORT_BYTES;
     }
+    settings.max_held_bytes = PEERS_HELD_BYTES_MAX;
     settings.connections_max = PEER_CONNECTIONS_MAX;
     settings.idle_timeout_us = PEER_IDLE_TIMEOUT_US;
     http_server_configure(node->peer_server, &settings);
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -35,6 +35,13 @@
     MEMBER_LEASE_WEAK_US = 12000000,
     METRICS_PORT = 9464,           /* the same as in deploy/system.toml */
     CALLER_CONNECTIONS_MAX = 2000, /* uses about half of the descriptors */
+    /* Limits on a request while no configuration names others. */
+    CALLER_HEADER_BYTES_MAX = 64 << 10,
+    CALLER_BODY_BYTES_MAX = 16 << 20,
+    /* Bytes of all callers' requests together, and of all that peers relay: a
+       fifth and a tenth of the smallest VM's memory. */
+    CALLERS_HELD_BYTES_MAX = 32 << 20,
+    PEERS_HELD_BYTES_MAX = 16 << 20,
     /* At the control address, from other daemons: polls of the state, and
        requests that they relay, each on a connection of its own. */
     PEER_CONNECTIONS_MAX = 500,
--- a/tier/peer_link.c
+++ b/tier/peer_link.c
@@ -56,6 +56,7 @@
     bool pending = link->deadline_us != 0;
     conn_close(&link->conn);
     link->deadline_us = 0;
+    http_reader_next(&link->reader);
     if (pending) {
         link->on_response(link->owner, NULL, 0, now_us);
     }
@@ -86,6 +87,7 @@
     }
     link->on_response(link->owner, (const char *)buffer_data(&message->body),
                       buffer_size(&message->body), now_us);
+    http_reader_next(&link->reader);
 }
 
 static void
--- a/tier/relay_link.c
+++ b/tier/relay_link.c
@@ -1,9 +1,11 @@
 #include "tier/relay_link.h"
 
+#include "edge/event.h"
 #include "http/conn.h"
 #include "http/loop_clock.h"
 #include "platform/names.h"
 
+#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,7 +22,10 @@
     /* The peer is to answer this long before the request's deadline. */
     HOP_MARGIN_US = 5000,
     BODY_MAX = 16 << 20,
-    HEADER_MAX = 64 << 10
+    HEADER_MAX = 64 << 10,
+    /* Bytes of unfinished answers on all connections together; beyond it the
+       longest one is dropped. */
+    BUFFERED_MAX = 32 << 20
 };
 
 /* A connection to a peer, and the call that it serves. */
@@ -35,6 +40,7 @@
     int64_t opened_us;
     int64_t deadline_us;
     int64_t idle_since_us;
+    size_t buffered; /* bytes of the unfinished answer */
     relay_call_t *next;
     relay_call_t *prev;
 };
@@ -42,6 +48,7 @@
 struct relay_links {
     struct ev_loop *loop;
     relay_call_t *all;
+    size_t buffered;          /* sum over all calls */
     relay_call_t *sweep_next; /* of a running sweep; call_free skips it */
 };
 
@@ -55,10 +62,18 @@
     return links;
 }
 
+static void
+call_set_buffered(relay_call_t *call, size_t buffered)
+{
+    call->links->buffered += buffered - call->buffered;
+    call->buffered = buffered;
+}
+
 static void
 call_free(relay_call_t *call)
 {
     relay_links_t *links = call->links;
+    call_set_buffered(call, 0);
     if (links->sweep_next == call) {
         links->sweep_next = call->next;
     }
@@ -96,6 +111,7 @@
     bool keep = message->keep_alive && !message->close_delimited && !surplus &&
                 conn_is_flushed(&call->conn);
     call->done = NULL;
+    call_set_buffered(call, 0);
     call->idle_since_us = now_us;
     /* `done` may send another request, but not on this connection while its
        reader holds the message. */
@@ -109,6 +125,32 @@
     http_reader_next(&call->reader);
 }
 
+/* Account for the answer that is being read. If all of them take too much
+   memory, drop the longest one, which may be this call's. */
+static void
+call_note_buffered(relay_call_t *call)
+{
+    relay_links_t *links = call->links;
+    call_set_buffered(call, http_message_size(&call->reader.message));
+    if (links->buffered <= BUFFERED_MAX) {
+        return;
+    }
+    relay_call_t *longest = call;
+    for (relay_call_t *other = links->all; other != NULL;
+         other = other->next) {
+        if (other->buffered > longest->buffered) {
+            longest = other;
+        }
+    }
+    event_log(EVENT_INPUT_REFUSED,
+              "key=relayed_answer peer=%s:%u bytes=%zu all_bytes=%zu "
+              "cause=answers_too_large",
+              inet_ntoa(longest->address.sin_addr),
+              ntohs(longest->address.sin_port), longest->buffered,
+              links->buffered);
+    call_fail(longest, RELAY_LOST, loop_now_us());
+}
+
 static void
 call_data(conn_t *conn, const char *bytes, size_t size)
 {
@@ -120,6 +162,7 @@
     }
     http_state_t state = http_reader_feed(&call->reader, bytes, size, &used);
     if (state == HTTP_INCOMPLETE) {
+        call_note_buffered(call);
         return;
     }
     if (state != HTTP_DONE) {
--- a/tier/store_link.c
+++ b/tier/store_link.c
@@ -21,6 +21,8 @@
        store responds within milliseconds, or 250 ms when it is slow. */
     STORE_CALL_TIMEOUT_US = 1500000,
     ANSWER_BODY_MAX = 8 << 20, /* a page of a list or a batch of changes */
+    /* Bytes of the unfinished answers to all calls together. */
+    ANSWERS_MAX = 16 << 20,
     ANSWER_HEADER_MAX = 16 << 10,
     /* TCP keepalive. The connection of an open watch may be lost without
        notice, and a change must be known within three seconds. */
@@ -191,6 +193,7 @@
 channel_failed(channel_t *channel, const char *why, int64_t now_us)
 {
     conn_close(&channel->conn);
+    http_reader_next(&channel->reader);
     if (!channel->busy) {
         return;
     }
@@ -511,6 +514,34 @@
     kv_response_release(&response);
 }
 
+/* If the unfinished answers take too much memory together, give up the call
+   with the longest one. */
+static void
+store_bound_answers(store_link_t *store, int64_t now_us)
+{
+    channel_t *channels[CHANNELS_MAX + 2];
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < store->channel_count; i++) {
+        channels[count++] = &store->channels[i];
+    }
+    channels[count++] = &store->lease_channel;
+    channels[count++] = &store->write_channel;
+    channel_t *longest = channels[0];
+    size_t total = 0;
+    size_t most = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        size_t held = http_message_size(&channels[i]->reader.message);
+        total += held;
+        if (held > most) {
+            most = held;
+            longest = channels[i];
+        }
+    }
+    if (total > ANSWERS_MAX) {
+        channel_failed(longest, "too_large", now_us);
+    }
+}
+
 static void
 channel_data(conn_t *conn, const char *bytes, size_t size)
 {
@@ -524,6 +555,7 @@
     http_state_t state =
         http_reader_feed(&channel->reader, bytes, size, &used);
     if (state == HTTP_INCOMPLETE) {
+        store_bound_answers(channel->store, now_us);
         return;
     }
     if (state == HTTP_BODY_TOO_LARGE && channel->follow.watching) {
@@ -542,6 +574,7 @@
         conn_close(conn);
     }
     channel_answered(channel, now_us);
+    http_reader_next(&channel->reader);
     store_link_tick(channel->store, now_us);
 }
 
--- a/tier/upstream_link.c
+++ b/tier/upstream_link.c
@@ -53,10 +53,9 @@
     http_reader_t reader;
     upstream_links_t *links;
     instance_t *instance;
-    attempt_t *attempt;   /* NULL: idle */
-    bool reader_finished; /* the reader still holds the last response */
-    bool tainted;         /* must not be reused */
-    bool answers_head;    /* the response is to a HEAD request: no body */
+    attempt_t *attempt; /* NULL: idle */
+    bool tainted;       /* must not be reused */
+    bool answers_head;  /* the response is to a HEAD request: no body */
     bool reused;
     bool echoes_ids; /* a response on it had a request id */
     bool probe;      /* opened without a request */
@@ -179,8 +178,7 @@
         link_free(link);
         return;
     }
-    if (clean && !link->reader_finished &&
-        http_reader_feed_eof(&link->reader) == HTTP_DONE) {
+    if (clean && http_reader_feed_eof(&link->reader) == HTTP_DONE) {
         link->tainted = true;
         conn->ops->data(conn, NULL, 0);
         return;
@@ -296,7 +294,6 @@
     int64_t now_us = loop_now_us();
     reply_t reply = reply_from_message(message, link->instance);
     link->attempt = NULL;
-    link->reader_finished = true;
     link_set_buffered(link, 0);
     link->abandon_until_us = 0;
     link->idle_since_us = now_us;
@@ -314,6 +311,9 @@
     if (link->tainted) {
         link_free(link);
     }
+    else {
+        http_reader_next(&link->reader);
+    }
 }
 
 /* Which request a response belongs to, by its request id. */
@@ -350,9 +350,7 @@
 link_note_buffered(link_t *link)
 {
     upstream_links_t *links = link->links;
-    const http_message_t *message = &link->reader.message;
-    link_set_buffered(link, buffer_size(&message->text) +
-                                buffer_size(&message->body));
+    link_set_buffered(link, http_message_size(&link->reader.message));
     if (links->buffered <= BUFFERED_MAX) {
         return;
     }
@@ -379,10 +377,6 @@
         link_free(link);
         return;
     }
-    if (link->reader_finished) {
-        http_reader_next(&link->reader);
-        link->reader_finished = false;
-    }
     link->received += size;
     if (link->received > RECEIVED_MAX) {
         link_fail(link, REPLY_LOST, "endless");
