http_server: bound requests by the VM's memory, and those read at once too

32 MB for all callers' requests together would turn away uploads on VMs that have room for them, and a request that arrived whole in one read was not counted before it was handled: 1,500 of 64 KB are 96 MB.

The bound is checked before a request is handled, too. The 503 has Retry-After: 1.

--- a/http/server.c
+++ b/http/server.c
@@ -126,7 +126,12 @@
 static void
 exchange_reject(exchange_t *exchange, uint32_t status)
 {
+    static const char retry_after[] = "Retry-After: 1\r\n";
     http_response_t response = {.status = status, .close = true};
+    if (status == 503) {
+        response.headers = retry_after;
+        response.headers_size = sizeof(retry_after) - 1;
+    }
     exchange->server->stats.rejected++;
     exchange->state = EXCHANGE_HANDLING;
     exchange_respond(exchange, &response);
@@ -135,8 +140,8 @@
     exchange_note_held(exchange);
 }
 
-/* Reject the unfinished request with the most bytes if requests hold more than
-   the server may keep. */
+/* Reject the request with the most bytes of those that the handler has not got
+   yet, if requests hold more than the server may keep. */
 static void
 server_bound_held(http_server_t *server)
 {
@@ -244,7 +249,10 @@
         exchange_reject(exchange, 400);
         return;
     }
-    exchange_dispatch(exchange);
+    server_bound_held(exchange->server);
+    if (exchange->state == EXCHANGE_READING) {
+        exchange_dispatch(exchange);
+    }
 }
 
 static void
--- a/http/server.h
+++ b/http/server.h
@@ -57,8 +57,8 @@
 typedef struct {
     http_limits_t limits;
     /* Bytes of the requests on all connections together, until each is
-       answered. Beyond it, the unfinished request with the most bytes is
-       answered 503. */
+       answered. Beyond it, the request with the most bytes of those that the
+       handler has not got yet is answered 503. */
     size_t max_held_bytes;
     int64_t header_timeout_us; /* for all headers, then between body pieces */
     int64_t idle_timeout_us;   /* until the next request begins, or without
--- a/tier/node.c
+++ b/tier/node.c
@@ -432,11 +432,11 @@
         .header_timeout_us = AUX_HEADER_TIMEOUT_US,
         .idle_timeout_us = AUX_IDLE_TIMEOUT_US,
     };
-    static const http_server_settings_t caller_settings = {
+    const http_server_settings_t caller_settings = {
         .connections_max = CALLER_CONNECTIONS_MAX,
         .limits = {.max_header_bytes = CALLER_HEADER_BYTES_MAX,
                    .max_body_bytes = CALLER_BODY_BYTES_MAX},
-        .max_held_bytes = CALLERS_HELD_BYTES_MAX,
+        .max_held_bytes = node_memory_part(node, CALLERS_HELD_DIVISOR),
     };
     static const store_ops_t store_ops = {
         .unreachable = store_became_unreachable,
--- a/tier/node_config.c
+++ b/tier/node_config.c
@@ -16,6 +16,14 @@
     event_log(EVENT_CONFIG_REFUSED, "place=%s cause=%s", place, error);
 }
 
+size_t
+node_memory_part(const node_t *node, uint32_t divisor)
+{
+    uint64_t bytes = node->boot.memory_bytes > 0 ? node->boot.memory_bytes
+                                                 : MEMORY_DEFAULT_BYTES;
+    return (size_t)(bytes / divisor);
+}
+
 static size_t
 limit_or_default(uint64_t limit, size_t default_limit)
 {
@@ -36,7 +44,7 @@
                 .max_body_bytes = limit_or_default(table->max_body_bytes,
                                                    CALLER_BODY_BYTES_MAX),
             },
-        .max_held_bytes = CALLERS_HELD_BYTES_MAX,
+        .max_held_bytes = node_memory_part(node, CALLERS_HELD_DIVISOR),
         .header_timeout_us = table->header_timeout_us,
         .idle_timeout_us = table->idle_timeout_us,
     };
@@ -50,7 +58,7 @@
         settings.limits.max_body_bytes < ROLLOUT_REPORT_BYTES) {
         settings.limits.max_body_bytes = ROLLOUT_REPORT_BYTES;
     }
-    settings.max_held_bytes = PEERS_HELD_BYTES_MAX;
+    settings.max_held_bytes = node_memory_part(node, PEERS_HELD_DIVISOR);
     settings.connections_max = PEER_CONNECTIONS_MAX;
     settings.idle_timeout_us = PEER_IDLE_TIMEOUT_US;
     http_server_configure(node->peer_server, &settings);
--- a/tier/node_state.h
+++ b/tier/node_state.h
@@ -38,10 +38,12 @@
     /* Limits on a request while no configuration names others. */
     CALLER_HEADER_BYTES_MAX = 64 << 10,
     CALLER_BODY_BYTES_MAX = 16 << 20,
-    /* Bytes of all callers' requests together, and of all that peers relay: a
-       fifth and a tenth of the smallest VM's memory. */
-    CALLERS_HELD_BYTES_MAX = 32 << 20,
-    PEERS_HELD_BYTES_MAX = 16 << 20,
+    /* The requests of all callers together, and all that peers relay, may take
+       these parts of the VM's memory. Buffers take up to twice their
+       contents. */
+    CALLERS_HELD_DIVISOR = 5,
+    PEERS_HELD_DIVISOR = 10,
+    MEMORY_DEFAULT_BYTES = 160 << 20, /* if the settings do not name it */
     /* At the control address, from other daemons: polls of the state, and
        requests that they relay, each on a connection of its own. */
     PEER_CONNECTIONS_MAX = 500,
@@ -127,6 +129,10 @@
                          int64_t now_us);
 
 /* node_config.c */
+
+/* Bytes that a part of the VM's memory has. */
+size_t node_memory_part(const node_t *node, uint32_t divisor);
+
 extern const prefix_reader_t node_operator_reader;
 
 /*
