--- a/net/http_grammar.h
+++ b/net/http_grammar.h
@@ -8,11 +8,11 @@
  * fields here before it interprets them. Bodies that are not sent in chunks
  * need no check.
  *
- * The check is stricter than section 2.2 of the RFC allows in that a CR must
- * be followed by LF, and a folded field line (section 5.2) is invalid. It is
- * more lenient in that empty lines may also precede a response, the space
- * after a status code may be missing, and a target may contain bytes above
- * 0x7f.
+ * A CR alone and a folded field line (section 5.2), which a reader may also
+ * replace by a blank, are invalid, and so is status 101, as no request asks
+ * for another protocol. More than the grammar has is allowed in three places:
+ * empty lines may also precede a response, the space after a status code may
+ * be missing, and a target may contain bytes above 0x7f.
  *
  *     http_grammar_t grammar;
  *     http_grammar_begin(&grammar, HTTP_GRAMMAR_RESPONSE);
