--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,7 +10,7 @@
 sources="review/stand-ins-3/world.c t/lib/tier_store.c t/lib/tier_address.c
     t/soak/process.c http/conn.c http/loop_clock.c http/message.c
     http/server.c net/buffer.c net/http_grammar.c core/text.c daemon/clock.c"
-for name in cold hot limits suspects; do
+for name in cold hot limits rest suspects; do
     # shellcheck disable=SC2086
     cc $flags -o "$out/$name" "review/stand-ins-3/$name.c" $sources \
         -lev -lhttp_parser -lxxhash -ljansson -lm
